--- /dev/null
+++ b/src/godwitmast/backends/client.py
@@ -0,0 +1,87 @@
+"""HTTP to backend servers, with every failure named."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import httpx
+
+from godwitmast.dispatch.messages import FailureKind
+
+CONNECT_TIMEOUT_S = 1.0
+"""A backend server in reach accepts within milliseconds; one that is gone never."""
+
+READ_TIMEOUT_S = 120.0
+NOT_RUN_HEADER = "engine-not-run"
+
+
+class AttemptFailed(Exception):
+    """An attempt ended without its whole answer."""
+
+    def __init__(self, kind: FailureKind, detail: str) -> None:
+        super().__init__(f"{kind.value}: {detail}")
+        self.kind = kind
+
+
+class BackendClient:
+    """Connections to backend servers, kept open between requests."""
+
+    def __init__(self, read_timeout_s: float = READ_TIMEOUT_S) -> None:
+        self.http = httpx.AsyncClient(
+            timeout=httpx.Timeout(read_timeout_s, connect=CONNECT_TIMEOUT_S),
+            limits=httpx.Limits(max_connections=None, max_keepalive_connections=512),
+            trust_env=False,
+            follow_redirects=False,
+        )
+
+    async def close(self) -> None:
+        await self.http.aclose()
+
+    @asynccontextmanager
+    async def exchange(
+        self,
+        method: str,
+        url: str,
+        headers: list[tuple[str, str]],
+        content: bytes,
+        errors_are_failures: bool = True,
+    ) -> AsyncIterator[httpx.Response]:
+        """Send a request and give the answer's head, or raise AttemptFailed.
+
+        A plain service's 5xx is its answer, which is the caller's to read; an
+        engine's is a failure that another engine can make good.
+        """
+        try:
+            async with self.http.stream(
+                method, url, headers=headers, content=content
+            ) as answer:
+                check_refused(answer, errors_are_failures)
+                yield answer
+        except httpx.HTTPError as error:
+            raise AttemptFailed(failure_kind(error), repr(error)) from None
+
+    async def get_json(self, url: str, timeout_s: float) -> dict[str, object] | None:
+        """Return what a backend server says at `url`, or None."""
+        try:
+            answer = await self.http.get(url, timeout=timeout_s)
+            return answer.json() if answer.status_code == 200 else None
+        except (httpx.HTTPError, ValueError):
+            return None
+
+
+def check_refused(answer: httpx.Response, errors_are_failures: bool) -> None:
+    """Raise AttemptFailed for an answer that is the server's own failure."""
+    if NOT_RUN_HEADER in answer.headers:
+        raise AttemptFailed(FailureKind.REFUSED, f"status {answer.status_code}")
+    if errors_are_failures and answer.status_code >= 500:
+        raise AttemptFailed(FailureKind.ERROR, f"status {answer.status_code}")
+
+
+def failure_kind(error: httpx.HTTPError) -> FailureKind:
+    """Return how an exchange failed, and so whether any of it may have run."""
+    match error:
+        case httpx.ConnectError() | httpx.ConnectTimeout() | httpx.PoolTimeout():
+            return FailureKind.CONNECT
+        case httpx.TimeoutException():
+            return FailureKind.TIMEOUT
+        case _:
+            return FailureKind.CUT
--- /dev/null
+++ b/src/godwitmast/burn/__init__.py
@@ -0,0 +1,1 @@
+"""The service-level burn report."""
--- /dev/null
+++ b/src/godwitmast/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once claims for calls that are not idempotent."""
--- /dev/null
+++ b/src/godwitmast/config/__init__.py
@@ -0,0 +1,1 @@
+"""The numbered configuration: its document, patches and spread."""
--- /dev/null
+++ b/src/godwitmast/config/document.py
@@ -0,0 +1,162 @@
+"""The configuration document: what operators number, patch and put in force."""
+
+from typing import Annotated, Literal, NamedTuple
+
+from pydantic import Field, TypeAdapter, ValidationError
+
+from godwitmast.errors import ConfigInvalid
+from godwitmast.settings import describe
+from godwitmast.types import Json
+
+Positive = Annotated[float, Field(gt=0)]
+Share = Annotated[float, Field(ge=0, le=1)]
+
+
+class RequestClass(NamedTuple):
+    """A class of requests with its targets.
+
+    Tier 1 is the highest. A class names at least one target: seconds to the first
+    token, seconds between tokens, or seconds to the whole answer.
+    """
+
+    tier: Annotated[int, Field(ge=1, le=99)]
+    first_token_s: Positive | None = None
+    between_tokens_s: Positive | None = None
+    completion_s: Positive | None = None
+    turn_share: Share = 0.02
+    attainment_goal: Share = 0.95
+
+
+class Team(NamedTuple):
+    """A team with its weight, its limits and what it may use.
+
+    An empty `classes` or `models` allows all; a limit of None is no limit.
+    `offline_grace_s` is how long an availability zone that is cut off from platform
+    and peers still serves the team's keys; None is for as long as it is cut off.
+    """
+
+    weight: Positive = 1.0
+    classes: frozenset[str] = frozenset()
+    models: frozenset[str] = frozenset()
+    requests_per_s: Positive | None = None
+    tokens_per_s: Positive | None = None
+    concurrency: Annotated[int, Field(gt=0)] | None = None
+    offline_grace_s: Annotated[float, Field(ge=0)] | None = None
+
+
+class KeyGrant(NamedTuple):
+    """What a key lets its caller do; the key itself is stored only as a hash."""
+
+    team: str
+    default_class: str
+    classes: frozenset[str] = frozenset()
+    models: frozenset[str] = frozenset()
+    expires_at: float | None = None
+
+
+class Model(NamedTuple):
+    """A model that backend servers serve."""
+
+    idempotent: bool = True
+    max_output_tokens: Annotated[int, Field(gt=0)] = 1024
+    weight_gb: Positive = 14.0
+
+
+class Service(NamedTuple):
+    """A plain service beside the engines.
+
+    A path that starts with one of `idempotent_paths` may be repeated whatever its
+    method; all else but GET and HEAD may not.
+    """
+
+    idempotent_paths: frozenset[str] = frozenset()
+    default_class: str | None = None
+
+
+class Backend(NamedTuple):
+    """A backend server; `pools` names the models and services that it serves."""
+
+    url: str
+    zone: str
+    pools: frozenset[str]
+    kind: Literal["on_demand", "cheap"] = "on_demand"
+    checks_fences: bool = False
+    leaving: bool = False
+
+
+class CapacityIntention(NamedTuple):
+    """What operators want of the number of backend servers for a model."""
+
+    min_servers: Annotated[int, Field(ge=0)] = 1
+    max_servers: Annotated[int, Field(ge=0)] = 64
+    cheap_share: Share = 0.6
+    budget_per_hour: Positive | None = None
+
+
+class Document(NamedTuple):
+    """A whole configuration."""
+
+    classes: dict[str, RequestClass]
+    teams: dict[str, Team]
+    keys: dict[str, KeyGrant] = {}
+    models: dict[str, Model] = {}
+    services: dict[str, Service] = {}
+    backends: dict[str, Backend] = {}
+    capacity: dict[str, CapacityIntention] = {}
+
+
+class NumberedConfig(NamedTuple):
+    """A configuration that was accepted, with its number."""
+
+    version: int
+    document: Document
+    raw: Json
+
+
+ADAPTER = TypeAdapter(Document)
+
+
+def parse_document(raw: Json) -> Document:
+    """Return the checked document, or raise ConfigInvalid naming every problem."""
+    try:
+        document = ADAPTER.validate_python(raw)
+    except ValidationError as error:
+        raise ConfigInvalid(describe(error)) from None
+    problems = find_problems(document)
+    if problems:
+        raise ConfigInvalid("; ".join(problems))
+    return document
+
+
+def find_problems(document: Document) -> list[str]:
+    """Return what contradicts itself in a document of the right shape."""
+    problems = [
+        f"classes.{name}: names no target"
+        for name, item in document.classes.items()
+        if (item.first_token_s, item.between_tokens_s, item.completion_s) == (None,) * 3
+    ]
+    shares = sum(item.turn_share for item in document.classes.values())
+    if shares > 1:
+        problems.append(f"classes: turn shares add up to {shares:.3g}, over 1")
+    for name, team in document.teams.items():
+        problems += unknown(f"teams.{name}.classes", team.classes, document.classes)
+        problems += unknown(f"teams.{name}.models", team.models, document.models)
+    for digest, grant in document.keys.items():
+        place = f"keys.{digest[:12]}"
+        problems += unknown(f"{place}.team", {grant.team}, document.teams)
+        problems += unknown(
+            f"{place}.default_class", {grant.default_class}, document.classes
+        )
+        problems += unknown(f"{place}.classes", grant.classes, document.classes)
+        problems += unknown(f"{place}.models", grant.models, document.models)
+    pools = document.models.keys() | document.services.keys()
+    for name, backend in document.backends.items():
+        problems += unknown(f"backends.{name}.pools", backend.pools, pools)
+    problems += unknown("capacity", document.capacity, document.models)
+    return problems
+
+
+def unknown(place: str, names: object, known: object) -> list[str]:
+    """Return a problem for each of `names` that is not among `known`."""
+    missing = sorted(set(names) - set(known))  # type: ignore[call-overload]
+    return [f"{place}: {name!r} is not configured" for name in missing]
--- /dev/null
+++ b/src/godwitmast/control/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that contends for leases and does the duties of a holder."""
--- /dev/null
+++ b/src/godwitmast/control/daemon.py
@@ -0,0 +1,73 @@
+"""The control daemon: its admin interface and the duties that it contends for."""
+
+from typing import Protocol
+
+from anyio.abc import TaskGroup
+from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from godwitmast.config.follower import ConfigFollower
+from godwitmast.control.settings import ControlSettings
+from godwitmast.http_server import HttpServer
+from godwitmast.logs import log_event
+from godwitmast.platform_api.client import PlatformClient
+
+
+class Duty(Protocol):
+    """Work that one process at a time does, under a lease of its own."""
+
+    name: str
+
+    async def start(self, tasks: TaskGroup) -> None: ...
+
+    async def close(self) -> None: ...
+
+
+class Control:
+    """One control daemon."""
+
+    def __init__(self, settings: ControlSettings) -> None:
+        self.settings = settings
+        self.platform = PlatformClient(settings.platform, settings.node)
+        self.follower = ConfigFollower(self.platform)
+        self.registry = CollectorRegistry()
+        self.duties: list[Duty] = []
+        self.app = Starlette(
+            routes=[
+                Route("/livez", self.livez),
+                Route("/readyz", self.readyz),
+                Route("/metrics", self.metrics),
+            ]
+        )
+        self.server = HttpServer(self.app, settings.listen, grace_s=2.0)
+
+    async def start(self, tasks: TaskGroup) -> None:
+        await self.follower.start(tasks)
+        await self.server.start(tasks)
+        for duty in self.duties:
+            await duty.start(tasks)
+        log_event("control_started", node=self.settings.node, url=self.server.url)
+
+    async def close(self) -> None:
+        """Give up the leases, then stop."""
+        for duty in self.duties:
+            await duty.close()
+        await self.server.close()
+        await self.platform.close()
+        log_event("control_stopped", node=self.settings.node)
+
+    async def livez(self, request: Request) -> Response:
+        return JSONResponse({"live": True})
+
+    async def readyz(self, request: Request) -> Response:
+        config = self.follower.current
+        return JSONResponse(
+            {"ready": config is not None, "config": config.version if config else None},
+            200 if config else 503,
+        )
+
+    async def metrics(self, request: Request) -> Response:
+        return Response(generate_latest(self.registry), media_type=CONTENT_TYPE_LATEST)
--- /dev/null
+++ b/src/godwitmast/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/godwitmast/ctl/cli.py
@@ -0,0 +1,23 @@
+"""The program `godwitctl`."""
+
+import typer
+
+from godwitmast.program import VersionOption
+
+app = typer.Typer(add_completion=False, no_args_is_help=True)
+
+
+@app.callback()
+def ctl(version: VersionOption = False) -> None:
+    """Show and change what the system does.
+
+    Exit codes: 0 done, 1 failed, 2 bad usage or settings not valid.
+    """
+
+
+def main() -> None:
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/godwitmast/dev/__init__.py
@@ -0,0 +1,1 @@
+"""Everything in one process, for a newcomer's first minute."""
--- /dev/null
+++ b/src/godwitmast/dispatch/messages.py
@@ -0,0 +1,131 @@
+"""What goes into the router and what comes out of it."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import NamedTuple
+
+from godwitmast.types import (
+    AttemptId,
+    BackendId,
+    ClassName,
+    PoolName,
+    RequestId,
+    TeamName,
+    ZoneName,
+)
+
+
+class RequestSpec(NamedTuple):
+    """A request as the decisions see it.
+
+    `arrived` and `deadline` are on the router's clock. `fingerprint` is the same for
+    the same team and body; `prefix` is the same for prompts that open alike.
+    """
+
+    request_id: RequestId
+    team: TeamName
+    class_name: ClassName
+    pool: PoolName
+    arrived: float
+    prompt_tokens: int = 0
+    max_tokens: int = 1024
+    deadline: float | None = None
+    idempotent: bool = True
+    fingerprint: str = ""
+    prefix: str = ""
+
+
+class BackendSpec(NamedTuple):
+    """A backend server as the decisions see it."""
+
+    backend_id: BackendId
+    zone: ZoneName
+    pools: frozenset[str]
+    cheap: bool = False
+    leaving: bool = False
+
+
+class LoadReport(NamedTuple):
+    """What a backend server said of itself; `age_s` is how old that already was."""
+
+    running: int
+    waiting: int
+    tokens_per_s: float = 0.0
+    age_s: float = 0.0
+
+
+class NotRun(Enum):
+    """Whether a refused request certainly reached no backend server."""
+
+    TRUE = "true"
+    UNKNOWN = "unknown"
+
+
+class RefusalCode(Enum):
+    """Why a request gets no answer; the value is the public error code."""
+
+    TEAM_LIMIT = "team_limit"
+    SHED = "shed"
+    NO_BACKEND = "no_backend"
+    DEADLINE = "deadline"
+    QUARANTINED = "quarantined"
+    BACKEND_FAILED = "backend_failed"
+    STOPPING = "stopping"
+
+
+class FailureKind(Enum):
+    """How an attempt failed, which decides whether it may be retried."""
+
+    CONNECT = "connect"
+    """No byte of the request left."""
+    REFUSED = "refused"
+    """The backend server said that it did not run the request."""
+    CUT = "cut"
+    """The connection broke after the request may have been read."""
+    TIMEOUT = "timeout"
+    """Nothing came for too long."""
+    ERROR = "error"
+    """The backend server answered with an error of its own."""
+
+
+class CancelReason(Enum):
+    """Why the router ends an attempt."""
+
+    PREEMPTED = "preempted"
+    CALLER_GONE = "caller_gone"
+    DEADLINE = "deadline"
+    LOST_RACE = "lost_race"
+    KEY_WITHDRAWN = "key_withdrawn"
+    EVICTED = "evicted"
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """Send the request to a backend server, from the token after `resume_from`."""
+
+    request_id: RequestId
+    attempt_id: AttemptId
+    backend_id: BackendId
+    resume_from: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Tell the caller at once that it gets no answer, or no more of one."""
+
+    request_id: RequestId
+    code: RefusalCode
+    not_run: NotRun
+    retry_after_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """End an attempt; the request itself may go on with another one."""
+
+    request_id: RequestId
+    attempt_id: AttemptId
+    reason: CancelReason
+
+
+Action = Start | Refuse | Cancel
--- /dev/null
+++ b/src/godwitmast/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that takes callers' requests on an entry VM."""
--- /dev/null
+++ b/src/godwitmast/entry/app.py
@@ -0,0 +1,314 @@
+"""The entry's HTTP application."""
+
+import itertools
+from collections.abc import Callable
+
+import msgspec
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from godwitmast.backends.client import BackendClient
+from godwitmast.clock import Clock
+from godwitmast.config.document import Document, NumberedConfig
+from godwitmast.dispatch.messages import CancelReason, RequestSpec
+from godwitmast.entry.driver import RouterDriver
+from godwitmast.entry.exchange import Exchange, Outbound
+from godwitmast.entry.intake import (
+    CallerGone,
+    Envelope,
+    ModelCall,
+    fingerprint,
+    open_envelope,
+    read_body,
+    read_model_call,
+)
+from godwitmast.entry.metrics import EntryMetrics
+from godwitmast.entry.refusals import (
+    ErrorAnswer,
+    answer_denial,
+    send_error,
+    send_json,
+    send_whole,
+)
+from godwitmast.entry.settings import EntrySettings
+from godwitmast.http_server import Receive, Scope, Send
+from godwitmast.keys.authorizer import (
+    Caller,
+    Denial,
+    choose_class,
+    identify,
+    may_use,
+    still_granted,
+)
+from godwitmast.types import ClassName, PoolName, RequestId, TeamName
+from godwitmast.usage.meter import Meter, UsageKey
+
+COMPLETION_PATHS = {"/v1/chat/completions": True, "/v1/completions": False}
+SERVICES = "/services/"
+SAFE_METHODS = frozenset(["GET", "HEAD"])
+NOT_READY = ErrorAnswer(
+    503, "not_ready", "No configuration is in force here yet.", retry_after_s=1.0
+)
+
+
+class EntryApp:
+    """Takes callers' requests, from the key check to the metering."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock,
+        driver: RouterDriver,
+        client: BackendClient,
+        meter: Meter,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.driver = driver
+        self.client = client
+        self.meter = meter
+        self.metrics = EntryMetrics()
+        self.config: NumberedConfig | None = None
+        self.stopping = False
+        self.exchanges: dict[RequestId, Exchange] = {}
+        self.numbers = itertools.count(1)
+        self.ready_checks: list[Callable[[], bool]] = []
+
+    def config_changed(self, config: NumberedConfig) -> None:
+        """Take a configuration, and end the streams of keys that it withdraws."""
+        self.config = config
+        self.metrics.config_version.set(config.version)
+        self.driver.config_changed(config)
+        self.end_withdrawn()
+
+    def end_withdrawn(self) -> None:
+        wall = self.clock.wall()
+        for exchange in list(self.exchanges.values()):
+            if not still_granted(self.document, exchange.caller, wall):
+                exchange.end(CancelReason.KEY_WITHDRAWN)
+
+    @property
+    def document(self) -> Document:
+        assert self.config is not None, "requests are taken only once ready"
+        return self.config.document
+
+    @property
+    def ready(self) -> bool:
+        checks = all(check() for check in self.ready_checks)
+        return self.config is not None and not self.stopping and checks
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] != "http":
+            return
+        try:
+            await self.route(scope, receive, send)
+        except CallerGone:
+            return
+
+    async def route(self, scope: Scope, receive: Receive, send: Send) -> None:
+        match scope["path"]:
+            case "/livez":
+                await send_json(send, 200, {"live": True})
+            case "/readyz":
+                await send_json(send, 200 if self.ready else 503, self.readiness())
+            case "/metrics":
+                headers = [(b"content-type", CONTENT_TYPE_LATEST.encode())]
+                body = generate_latest(self.metrics.registry)
+                await send_whole(send, 200, headers, body)
+            case _:
+                answer = await self.serve(scope, receive, send)
+                if answer is not None:
+                    await send_error(send, answer)
+
+    def readiness(self) -> dict[str, object]:
+        return {
+            "ready": self.ready,
+            "stopping": self.stopping,
+            "config": self.config.version if self.config else None,
+        }
+
+    async def serve(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> ErrorAnswer | None:
+        """Serve a caller, or return the error to answer with.
+
+        The body is read before any error is given: see `read_body`.
+        """
+        body = await read_body(receive, self.settings.limits)
+        if isinstance(body, ErrorAnswer):
+            return body
+        if self.config is None:
+            return NOT_READY
+        envelope = open_envelope(scope)
+        if isinstance(envelope, ErrorAnswer):
+            return envelope
+        caller = identify(self.document, envelope.key, self.clock.wall())
+        if isinstance(caller, Denial):
+            return answer_denial(caller)
+        if envelope.path == "/v1/models":
+            await send_json(send, 200, list_models(self.document, caller))
+            return None
+        exchange = self.prepare(envelope, caller, body, receive, send)
+        if isinstance(exchange, ErrorAnswer):
+            return exchange
+        await self.run(exchange)
+        return None
+
+    def prepare(
+        self,
+        envelope: Envelope,
+        caller: Caller,
+        body: bytes,
+        receive: Receive,
+        send: Send,
+    ) -> Exchange | ErrorAnswer:
+        """Return the exchange that serves a request, or the error to answer with."""
+        if envelope.path in COMPLETION_PATHS:
+            return self.prepare_model(envelope, caller, body, receive, send)
+        if envelope.path.startswith(SERVICES):
+            return self.prepare_service(envelope, caller, body, receive, send)
+        return ErrorAnswer(404, "not_found", f"There is nothing at {envelope.path}.")
+
+    def prepare_model(
+        self,
+        envelope: Envelope,
+        caller: Caller,
+        body: bytes,
+        receive: Receive,
+        send: Send,
+    ) -> Exchange | ErrorAnswer:
+        if envelope.method != "POST":
+            return ErrorAnswer(405, "method_not_allowed", "Completions take POST.")
+        call = read_model_call(body, COMPLETION_PATHS[envelope.path])
+        if isinstance(call, ErrorAnswer):
+            return call
+        model = self.document.models.get(call.model)
+        if model is None:
+            message = f"There is no model {call.model!r}."
+            return ErrorAnswer(404, "model_not_found", message)
+        if not may_use(caller, call.model):
+            return answer_denial(Denial.MODEL)
+        class_name = choose_class(self.document, caller, envelope.class_name)
+        if isinstance(class_name, Denial):
+            return answer_denial(class_name)
+        limit = min(call.max_tokens or model.max_output_tokens, model.max_output_tokens)
+        spec = self.make_spec(envelope, caller, class_name, call.model, body)._replace(
+            prompt_tokens=call.prompt_tokens,
+            max_tokens=limit,
+            idempotent=model.idempotent,
+            prefix=call.prefix,
+        )
+        outbound = self.model_outbound(envelope, call, spec, limit)
+        return self.make_exchange(caller, envelope, spec, outbound, receive, send)
+
+    def model_outbound(
+        self, envelope: Envelope, call: ModelCall, spec: RequestSpec, limit: int
+    ) -> Outbound:
+        """Return what an engine is sent: the caller's body, with our priority."""
+        tier = self.document.classes[spec.class_name].tier
+        body = {**call.body, "priority": tier, "max_tokens": limit}
+        body.pop("max_completion_tokens", None)
+        headers = [
+            ("content-type", "application/json"),
+            ("x-request-id", spec.request_id),
+        ]
+        content = msgspec.json.encode(body)
+        return Outbound("POST", envelope.path, headers, content, body, call.stream)
+
+    def prepare_service(
+        self,
+        envelope: Envelope,
+        caller: Caller,
+        body: bytes,
+        receive: Receive,
+        send: Send,
+    ) -> Exchange | ErrorAnswer:
+        name, _, rest = envelope.path.removeprefix(SERVICES).partition("/")
+        service = self.document.services.get(name)
+        if service is None:
+            return ErrorAnswer(
+                404, "service_not_found", f"There is no service {name!r}."
+            )
+        if not may_use(caller, name):
+            return answer_denial(Denial.MODEL)
+        wanted = envelope.class_name or service.default_class
+        class_name = choose_class(self.document, caller, wanted)
+        if isinstance(class_name, Denial):
+            return answer_denial(class_name)
+        path = f"/{rest}"
+        idempotent = envelope.method in SAFE_METHODS or any(
+            path.startswith(start) for start in service.idempotent_paths
+        )
+        spec = self.make_spec(envelope, caller, class_name, name, body)._replace(
+            idempotent=idempotent
+        )
+        query = f"?{envelope.query}" if envelope.query else ""
+        headers = [*envelope.headers, ("accept-encoding", "identity")]
+        outbound = Outbound(envelope.method, path + query, headers, body)
+        return self.make_exchange(caller, envelope, spec, outbound, receive, send)
+
+    def make_spec(
+        self,
+        envelope: Envelope,
+        caller: Caller,
+        class_name: str,
+        pool: str,
+        body: bytes,
+    ) -> RequestSpec:
+        now = self.clock.now()
+        deadline = None if envelope.deadline_s is None else now + envelope.deadline_s
+        return RequestSpec(
+            RequestId(f"{self.settings.node}-{next(self.numbers)}"),
+            TeamName(caller.team_name),
+            ClassName(class_name),
+            PoolName(pool),
+            now,
+            deadline=deadline,
+            fingerprint=fingerprint(caller.team_name, envelope.path, body),
+        )
+
+    def make_exchange(
+        self,
+        caller: Caller,
+        envelope: Envelope,
+        spec: RequestSpec,
+        outbound: Outbound,
+        receive: Receive,
+        send: Send,
+    ) -> Exchange:
+        return Exchange(
+            self.driver, self.client, caller, envelope, spec, outbound, receive, send
+        )
+
+    async def run(self, exchange: Exchange) -> None:
+        """Run an exchange, then meter it and count how it ended."""
+        self.exchanges[exchange.spec.request_id] = exchange
+        self.metrics.open_requests.inc()
+        try:
+            await exchange.run()
+        finally:
+            del self.exchanges[exchange.spec.request_id]
+            self.metrics.open_requests.dec()
+            self.account(exchange)
+
+    def account(self, exchange: Exchange) -> None:
+        """Meter what reached a backend server, and count the outcome."""
+        spec = exchange.spec
+        if exchange.reached_backend:
+            key = UsageKey(spec.team, spec.class_name, spec.pool)
+            self.meter.add(key, exchange.tokens)
+        if exchange.error_code:
+            self.metrics.refused(spec.team, spec.class_name, exchange.error_code)
+            return
+        target = self.document.classes.get(spec.class_name)
+        if target:
+            self.metrics.answered(spec.team, spec.class_name, target, exchange.timing)
+
+
+def list_models(document: Document, caller: Caller) -> dict[str, object]:
+    """Return the models that the caller may use, as OpenAI's API lists them."""
+    data = [
+        {"id": name, "object": "model", "created": 0, "owned_by": "godwitmast"}
+        for name in sorted(document.models)
+        if may_use(caller, name)
+    ]
+    return {"object": "list", "data": data}
--- /dev/null
+++ b/src/godwitmast/entry/daemon.py
@@ -0,0 +1,54 @@
+"""The entry as a whole: what it is made of, and its start and close."""
+
+import anyio
+from anyio.abc import TaskGroup
+
+from godwitmast.backends.client import BackendClient
+from godwitmast.clock import SystemClock
+from godwitmast.config.follower import ConfigFollower
+from godwitmast.entry.app import EntryApp
+from godwitmast.entry.driver import RouterDriver
+from godwitmast.entry.settings import EntrySettings
+from godwitmast.http_server import HttpServer
+from godwitmast.logs import log_event
+from godwitmast.platform_api.client import PlatformClient
+from godwitmast.usage.meter import Meter
+
+
+class Entry:
+    """One entry; several can live in one process."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.clock = SystemClock()
+        self.platform = PlatformClient(settings.platform, settings.node)
+        self.client = BackendClient()
+        self.meter = Meter()
+        self.follower = ConfigFollower(self.platform)
+        self.driver = RouterDriver(settings.zone, self.clock, self.client)
+        self.app = EntryApp(settings, self.clock, self.driver, self.client, self.meter)
+        self.server = HttpServer(
+            self.app, settings.listen, settings.tls, settings.stop_timeout_s
+        )
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Listen, and follow the configuration; not ready before there is one."""
+        self.follower.listeners.append(self.app.config_changed)
+        await self.driver.start(tasks)
+        await self.follower.start(tasks)
+        await self.server.start(tasks)
+        log_event("entry_started", node=self.settings.node, url=self.server.url)
+
+    async def close(self) -> None:
+        """Stop without cutting a request.
+
+        The balancer goes on sending for a while after it saw that this entry is not
+        ready, so new requests are still taken during that wait.
+        """
+        log_event("entry_stopping", node=self.settings.node)
+        self.app.stopping = True
+        await anyio.sleep(self.settings.balancer_wait_s)
+        await self.server.close()
+        await self.client.close()
+        await self.platform.close()
+        log_event("entry_stopped", node=self.settings.node)
--- /dev/null
+++ b/src/godwitmast/entry/driver.py
@@ -0,0 +1,149 @@
+"""Carries out the router's actions, and tells it what became of them."""
+
+from collections.abc import Callable
+from functools import partial
+
+import anyio
+from anyio.abc import TaskGroup
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+from godwitmast.backends.client import BackendClient
+from godwitmast.clock import Clock
+from godwitmast.config.document import Document, NumberedConfig
+from godwitmast.dispatch.messages import (
+    Action,
+    BackendSpec,
+    Cancel,
+    CancelReason,
+    FailureKind,
+    LoadReport,
+    RequestSpec,
+)
+from godwitmast.dispatch.router import Policy, Router
+from godwitmast.logs import log_event
+from godwitmast.types import AttemptId, BackendId, RequestId, ZoneName
+
+TICK_S = 0.05
+LOAD_EVERY_S = 1.0
+LOAD_TIMEOUT_S = 0.8
+
+Mailbox = MemoryObjectReceiveStream[Action]
+
+
+class RouterDriver:
+    """One router, the mailboxes of its requests, and its clock."""
+
+    def __init__(self, zone: str, clock: Clock, client: BackendClient) -> None:
+        self.zone = ZoneName(zone)
+        self.clock = clock
+        self.client = client
+        self.router: Policy | None = None
+        self.document: Document | None = None
+        self.urls: dict[BackendId, str] = {}
+        self.mailboxes: dict[RequestId, MemoryObjectSendStream[Action]] = {}
+        self.cancels: dict[AttemptId, Callable[[CancelReason], None]] = {}
+
+    async def start(self, tasks: TaskGroup) -> None:
+        tasks.start_soon(self.run_ticks)
+        tasks.start_soon(self.run_load_polls)
+
+    def config_changed(self, config: NumberedConfig) -> None:
+        """Take a configuration: classes, teams, backend servers."""
+        document = config.document
+        self.document = document
+        now = self.clock.now()
+        specs = [
+            BackendSpec(
+                BackendId(name),
+                ZoneName(item.zone),
+                item.pools,
+                item.kind == "cheap",
+                item.leaving,
+            )
+            for name, item in document.backends.items()
+        ]
+        self.urls = {BackendId(n): item.url for n, item in document.backends.items()}
+        if self.router is None:
+            self.router = Router(document, self.zone)
+        else:
+            self.carry_out(self.router.update_config(document, now))
+        self.carry_out(self.router.update_backends(specs, now))
+
+    def submit(self, request: RequestSpec) -> Mailbox:
+        """Hand a request to the router; its mailbox gets Start, Refuse or both."""
+        send, receive = anyio.create_memory_object_stream[Action](16)
+        self.mailboxes[request.request_id] = send
+        self.carry_out(self.policy.submit(request, self.clock.now()))
+        return receive
+
+    def forget(self, request_id: RequestId) -> None:
+        """Drop the mailbox of a request that ended."""
+        mailbox = self.mailboxes.pop(request_id, None)
+        if mailbox is not None:
+            mailbox.close()
+
+    def tokens_came(
+        self, request_id: RequestId, attempt_id: AttemptId, count: int
+    ) -> None:
+        now = self.clock.now()
+        self.carry_out(self.policy.tokens_came(request_id, attempt_id, count, now))
+
+    def finished(self, request_id: RequestId, attempt_id: AttemptId) -> None:
+        now = self.clock.now()
+        self.carry_out(self.policy.finished(request_id, attempt_id, now))
+
+    def failed(
+        self, request_id: RequestId, attempt_id: AttemptId, kind: FailureKind
+    ) -> None:
+        now = self.clock.now()
+        self.carry_out(self.policy.failed(request_id, attempt_id, kind, now))
+
+    def withdraw(self, request_id: RequestId, reason: CancelReason) -> None:
+        self.carry_out(self.policy.withdraw(request_id, reason, self.clock.now()))
+
+    @property
+    def policy(self) -> Policy:
+        assert self.router is not None, "requests are taken only once ready"
+        return self.router
+
+    def carry_out(self, actions: list[Action]) -> None:
+        """Put each action where the task that it concerns finds it."""
+        for action in actions:
+            if isinstance(action, Cancel):
+                cancel = self.cancels.get(action.attempt_id)
+                if cancel is not None:
+                    cancel(action.reason)
+                continue
+            mailbox = self.mailboxes.get(action.request_id)
+            if mailbox is not None:
+                mailbox.send_nowait(action)
+
+    async def run_ticks(self) -> None:
+        while True:
+            await anyio.sleep(TICK_S)
+            if self.router is not None:
+                self.carry_out(self.router.tick(self.clock.now()))
+
+    async def run_load_polls(self) -> None:
+        """Ask each backend server for its load, once a second."""
+        while True:
+            await anyio.sleep(LOAD_EVERY_S)
+            async with anyio.create_task_group() as tasks:
+                for backend_id, url in self.urls.items():
+                    tasks.start_soon(partial(self.poll_load, backend_id, url))
+
+    async def poll_load(self, backend_id: BackendId, url: str) -> None:
+        said = await self.client.get_json(f"{url}/load", LOAD_TIMEOUT_S)
+        if said is None:
+            return
+        try:
+            report = LoadReport(
+                running=int(said["running"]),  # type: ignore[call-overload]
+                waiting=int(said["waiting"]),  # type: ignore[call-overload]
+                age_s=float(said.get("age_s", 0.0)),  # type: ignore[arg-type]
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            log_event("load_report_bad", backend=backend_id, error=repr(error))
+            return
+        now = self.clock.now()
+        self.carry_out(self.policy.load_reported(backend_id, report, now))
--- /dev/null
+++ b/src/godwitmast/entry/exchange.py
@@ -0,0 +1,262 @@
+"""The life of one caller's request, from the queue to the last byte."""
+
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import httpx
+import msgspec
+
+from godwitmast.backends.client import AttemptFailed, BackendClient
+from godwitmast.dispatch.messages import (
+    CancelReason,
+    FailureKind,
+    NotRun,
+    Refuse,
+    RequestSpec,
+    Start,
+)
+from godwitmast.entry.driver import RouterDriver
+from godwitmast.entry.events import EventReader, usage_of_answer
+from godwitmast.entry.intake import Envelope
+from godwitmast.entry.metrics import Timing
+from godwitmast.entry.refusals import (
+    ErrorAnswer,
+    answer_refusal,
+    error_body,
+    send_error,
+    send_whole,
+)
+from godwitmast.http_server import Receive, Send
+from godwitmast.keys.authorizer import Caller
+from godwitmast.types import AttemptId, TokenCount
+
+EVENT_STREAM = [
+    (b"content-type", b"text/event-stream"),
+    (b"cache-control", b"no-cache"),
+]
+
+HOP_HEADERS = frozenset(
+    ["connection", "content-length", "keep-alive", "transfer-encoding", "date"]
+)
+
+KEY_WITHDRAWN = ErrorAnswer(
+    401, "invalid_key", "The key was withdrawn.", NotRun.UNKNOWN
+)
+
+
+@dataclass
+class Outbound:
+    """What is sent to a backend server: the same for each attempt, but for resuming."""
+
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    content: bytes
+    model_body: dict[str, Any] | None = None
+    stream: bool = False
+
+    def body(self, resume_from: int, texts: list[str]) -> bytes:
+        """Return the body of an attempt that goes on after `resume_from` tokens."""
+        if not resume_from or self.model_body is None:
+            return self.content
+        resume = {"tokens": resume_from, "text": "".join(texts)}
+        return msgspec.json.encode({**self.model_body, "resume": resume})
+
+
+@dataclass
+class Exchange:
+    """One request with its caller's connection."""
+
+    driver: RouterDriver
+    client: BackendClient
+    caller: Caller
+    envelope: Envelope
+    spec: RequestSpec
+    outbound: Outbound
+    receive: Receive
+    send: Send
+    reader: EventReader = field(default_factory=EventReader)
+    head_sent: bool = False
+    reached_backend: bool = False
+    first_token_at: float | None = None
+    last_token_at: float = 0.0
+    counted: TokenCount | None = None
+    end_reason: CancelReason | None = None
+    error_code: str | None = None
+
+    def __post_init__(self) -> None:
+        self.scope = anyio.CancelScope()
+
+    async def run(self) -> None:
+        """Serve the request until it has its whole answer or its one refusal."""
+        mailbox = self.driver.submit(self.spec)
+        try:
+            with self.scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self.watch_caller)
+                    async for action in mailbox:
+                        if await self.carry_out(action):
+                            break
+                    tasks.cancel_scope.cancel()
+        finally:
+            reason = self.end_reason or CancelReason.CALLER_GONE
+            self.driver.withdraw(self.spec.request_id, reason)
+            self.driver.forget(self.spec.request_id)
+            mailbox.close()
+        if self.end_reason is CancelReason.KEY_WITHDRAWN:
+            await self.send_failure(KEY_WITHDRAWN)
+
+    async def watch_caller(self) -> None:
+        """End the exchange when the caller hangs up."""
+        while (await self.receive())["type"] != "http.disconnect":
+            pass
+        self.end(CancelReason.CALLER_GONE)
+
+    def end(self, reason: CancelReason) -> None:
+        """Stop serving, whatever is going on."""
+        self.end_reason = reason
+        self.error_code = reason.value
+        self.scope.cancel()
+
+    async def carry_out(self, action: object) -> bool:
+        """Do what the router said; return whether the exchange is over."""
+        match action:
+            case Start():
+                return await self.attempt(action)
+            case Refuse():
+                await self.send_failure(answer_refusal(action))
+                return True
+        return False
+
+    async def attempt(self, start: Start) -> bool:
+        """Run one attempt; return whether the caller has its whole answer."""
+        url = self.driver.urls.get(start.backend_id)
+        if url is None:
+            self.fail(start, FailureKind.CONNECT)
+            return False
+        try:
+            with self.cancellable(start.attempt_id) as scope:
+                await self.pass_on(start, url + self.outbound.path)
+            if scope.cancelled_caught:
+                self.reader.restart()
+                return False
+        except AttemptFailed as failure:
+            self.reader.restart()
+            self.fail(start, failure.kind)
+            return False
+        self.driver.finished(self.spec.request_id, start.attempt_id)
+        return True
+
+    @contextmanager
+    def cancellable(self, attempt_id: AttemptId) -> Any:
+        """Let the router end this attempt, and no more than this attempt."""
+        with anyio.CancelScope() as scope:
+            self.driver.cancels[attempt_id] = lambda reason: scope.cancel()
+            try:
+                yield scope
+            finally:
+                del self.driver.cancels[attempt_id]
+
+    async def pass_on(self, start: Start, url: str) -> None:
+        """Send the request and give the caller what comes back."""
+        outbound = self.outbound
+        content = outbound.body(start.resume_from, self.reader.texts)
+        is_model = outbound.model_body is not None
+        async with self.client.exchange(
+            outbound.method, url, outbound.headers, content, is_model
+        ) as answer:
+            self.reached_backend = True
+            if outbound.stream and answer.status_code == 200:
+                await self.pass_stream(start, answer)
+            else:
+                await self.pass_whole(start, answer)
+
+    async def pass_stream(self, start: Start, answer: httpx.Response) -> None:
+        """Pass on whole events until the stream says that it is done."""
+        reader = self.reader
+        async for data in answer.aiter_raw():
+            before = len(reader.texts)
+            whole = reader.feed(data)
+            if not whole:
+                continue
+            await self.send_head()
+            body = {"type": "http.response.body", "body": whole, "more_body": True}
+            await self.send(body)
+            self.count_tokens(start, len(reader.texts) - before)
+        if not reader.done:
+            raise AttemptFailed(FailureKind.CUT, "the stream ended early")
+        await self.send({"type": "http.response.body", "body": b""})
+
+    async def send_head(self) -> None:
+        """Send the head of a stream, once there is something to stream.
+
+        Until then a failure can still be answered with a status of its own.
+        """
+        if self.head_sent:
+            return
+        self.head_sent = True
+        await self.send(
+            {"type": "http.response.start", "status": 200, "headers": EVENT_STREAM}
+        )
+
+    def count_tokens(self, start: Start, count: int) -> None:
+        """Note tokens that were passed on."""
+        if not count:
+            return
+        self.last_token_at = self.driver.clock.now()
+        if self.first_token_at is None:
+            self.first_token_at = self.last_token_at
+        self.driver.tokens_came(self.spec.request_id, start.attempt_id, count)
+
+    async def pass_whole(self, start: Start, answer: httpx.Response) -> None:
+        """Pass on an answer that does not stream, with its status."""
+        body = await answer.aread()
+        headers = [
+            (name.encode(), value.encode())
+            for name, value in answer.headers.items()
+            if name not in HOP_HEADERS
+        ]
+        self.last_token_at = self.driver.clock.now()
+        if self.outbound.model_body is not None:
+            self.counted = usage_of_answer(body)
+        if self.counted:
+            self.driver.tokens_came(
+                self.spec.request_id, start.attempt_id, self.counted.output
+            )
+        self.head_sent = True
+        await send_whole(self.send, answer.status_code, headers, body)
+
+    def fail(self, start: Start, kind: FailureKind) -> None:
+        if kind is not FailureKind.CONNECT:
+            self.reached_backend = True
+        self.driver.failed(self.spec.request_id, start.attempt_id, kind)
+
+    async def send_failure(self, answer: ErrorAnswer) -> None:
+        """Tell the caller that there is no answer, or no more of it."""
+        self.error_code = answer.code
+        if not self.head_sent:
+            self.head_sent = True
+            await send_error(self.send, answer)
+            return
+        event = b"data: " + error_body(answer) + b"\n\n"
+        await self.send({"type": "http.response.body", "body": event})
+
+    @property
+    def tokens(self) -> TokenCount:
+        """Return what the request is to be billed for."""
+        counted = self.counted or self.reader.usage
+        if counted:
+            return counted
+        return TokenCount(self.spec.prompt_tokens, len(self.reader.texts))
+
+    @property
+    def timing(self) -> Timing:
+        arrived = self.spec.arrived
+        first = self.first_token_at
+        return Timing(
+            None if first is None else first - arrived,
+            self.last_token_at - arrived,
+            self.tokens.output,
+        )
--- /dev/null
+++ b/src/godwitmast/entry/intake.py
@@ -0,0 +1,260 @@
+"""Reads a caller's request: its body, its key, and what it asks for."""
+
+from http.cookies import CookieError, SimpleCookie
+from typing import Any, NamedTuple
+from urllib.parse import parse_qsl, urlencode
+
+import anyio
+import msgspec
+import xxhash
+
+from godwitmast.entry.refusals import ErrorAnswer
+from godwitmast.entry.settings import Limits
+from godwitmast.http_server import Receive, Scope
+
+KEY_HEADERS = ("authorization", "x-api-key", "api-key")
+KEY_PARAMETERS = ("key", "api_key")
+KEY_COOKIE = "godwit_key"
+
+NOT_FORWARDED = frozenset(
+    [
+        *KEY_HEADERS,
+        "connection",
+        "content-length",
+        "cookie",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        # An answer is passed on as it comes and read on the way, so it must not
+        # arrive compressed.
+        "accept-encoding",
+    ]
+)
+
+PREFIX_CHARS = 256
+CHARS_PER_TOKEN = 4
+"""A rough measure, good enough to weigh prompts before an engine counts them."""
+
+
+class Envelope(NamedTuple):
+    """A request's head, with the key taken out of it."""
+
+    method: str
+    path: str
+    query: str
+    headers: list[tuple[str, str]]
+    key: str | None
+    class_name: str | None
+    deadline_s: float | None
+    idempotency_key: str | None
+    request_id: str | None
+
+
+class ModelCall(NamedTuple):
+    """A checked completion request."""
+
+    body: dict[str, Any]
+    model: str
+    stream: bool
+    prompt_tokens: int
+    max_tokens: int | None
+    prefix: str
+
+
+class CallerGone(Exception):
+    """The caller hung up before its request was read."""
+
+
+def open_envelope(scope: Scope) -> Envelope | ErrorAnswer:
+    """Return the head of a request; the key is in none of what is forwarded."""
+    pairs = [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in scope["headers"]
+    ]
+    named = dict(pairs)
+    parameters = parse_qsl(
+        scope["query_string"].decode("latin-1"), keep_blank_values=True
+    )
+    cookies = read_cookies(named.get("cookie", ""))
+    key = find_key(named, dict(parameters), cookies)
+    deadline = read_deadline(named.get("godwit-deadline"))
+    if isinstance(deadline, ErrorAnswer):
+        return deadline
+    return Envelope(
+        scope["method"],
+        scope["path"],
+        urlencode([p for p in parameters if not carries_key(*p, key, KEY_PARAMETERS)]),
+        clean_headers(pairs, cookies, key),
+        key,
+        named.get("godwit-class"),
+        deadline,
+        named.get("idempotency-key"),
+        named.get("x-request-id"),
+    )
+
+
+def read_cookies(header: str) -> dict[str, str]:
+    if not header:
+        return {}
+    try:
+        return {name: morsel.value for name, morsel in SimpleCookie(header).items()}
+    except CookieError:
+        return {}
+
+
+def find_key(
+    headers: dict[str, str], parameters: dict[str, str], cookies: dict[str, str]
+) -> str | None:
+    """Return the caller's key from the first place that has one."""
+    scheme, _, token = headers.get("authorization", "").partition(" ")
+    if scheme.lower() == "bearer" and token.strip():
+        return token.strip()
+    for name in KEY_HEADERS[1:]:
+        if headers.get(name):
+            return headers[name]
+    for name in KEY_PARAMETERS:
+        if parameters.get(name):
+            return parameters[name]
+    return cookies.get(KEY_COOKIE)
+
+
+def clean_headers(
+    pairs: list[tuple[str, str]], cookies: dict[str, str], key: str | None
+) -> list[tuple[str, str]]:
+    """Return the headers that a backend server may see.
+
+    A caller may repeat its key in a second place, such as a cookie beside the
+    header. Any header or cookie that holds the key is dropped, whatever its name.
+    """
+    kept = [
+        (name, value)
+        for name, value in pairs
+        if not name.startswith("godwit-")
+        and not carries_key(name, value, key, NOT_FORWARDED)
+    ]
+    left = {
+        n: v for n, v in cookies.items() if not carries_key(n, v, key, (KEY_COOKIE,))
+    }
+    if left:
+        kept.append(("cookie", "; ".join(f"{n}={v}" for n, v in left.items())))
+    return kept
+
+
+def carries_key(name: str, value: str, key: str | None, names: Any) -> bool:
+    return name in names or bool(key and key in value)
+
+
+def read_deadline(text: str | None) -> float | None | ErrorAnswer:
+    """Return the seconds that the caller will still wait."""
+    if text is None:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1.0
+    if not 0 < seconds < 86_400:
+        message = f"Godwit-Deadline is {text!r}; it must be seconds, from 0 to 86400."
+        return ErrorAnswer(422, "bad_deadline", message)
+    return seconds
+
+
+async def read_body(receive: Receive, limits: Limits) -> bytes | ErrorAnswer:
+    """Return the whole body, or why it is not taken.
+
+    A body over the limit is read on and dropped, up to a bound: hypercorn resets a
+    connection whose request was answered before it was read, and the caller would
+    lose the refusal.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    try:
+        with anyio.fail_after(limits.body_timeout_s):
+            async for chunk in body_chunks(receive):
+                size += len(chunk)
+                if size <= limits.max_body_bytes:
+                    chunks.append(chunk)
+                elif size > 4 * limits.max_body_bytes:
+                    break
+    except TimeoutError:
+        return ErrorAnswer(408, "body_too_slow", "The body did not come in time.")
+    if size > limits.max_body_bytes:
+        message = f"The body is over {limits.max_body_bytes} bytes."
+        return ErrorAnswer(413, "body_too_large", message)
+    return b"".join(chunks)
+
+
+async def body_chunks(receive: Receive) -> Any:
+    """Yield a request's body as it comes."""
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise CallerGone
+        yield message.get("body", b"")
+        if not message.get("more_body", False):
+            return
+
+
+def read_model_call(body: bytes, chat: bool) -> ModelCall | ErrorAnswer:
+    """Return the checked request of a completion call."""
+    try:
+        call = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        return ErrorAnswer(422, "bad_json", f"The body is not JSON: {error}")
+    problem = find_problem(call, chat)
+    if problem:
+        return ErrorAnswer(422, "bad_request", problem)
+    prompt = call["messages"] if chat else call["prompt"]
+    text = prompt if isinstance(prompt, str) else msgspec.json.encode(prompt).decode()
+    return ModelCall(
+        call,
+        call["model"],
+        bool(call.get("stream")),
+        max(1, len(text) // CHARS_PER_TOKEN),
+        call.get("max_completion_tokens") or call.get("max_tokens"),
+        xxhash.xxh3_64_hexdigest(text[:PREFIX_CHARS].encode())
+        if len(text) >= PREFIX_CHARS
+        else "",
+    )
+
+
+def find_problem(call: Any, chat: bool) -> str | None:
+    """Return what is wrong with a completion request, if anything is."""
+    if not isinstance(call, dict):
+        return "The body must be a JSON object."
+    if not isinstance(call.get("model"), str):
+        return "model must be a string."
+    if chat and not valid_messages(call.get("messages")):
+        return "messages must be a list of objects with role and content, not empty."
+    if not chat and not isinstance(call.get("prompt"), str | list):
+        return "prompt must be a string or a list."
+    for name in ("max_tokens", "max_completion_tokens"):
+        limit = call.get(name)
+        if limit is not None and (type(limit) is not int or limit < 1):
+            return f"{name} is {limit!r}; it must be a whole number above 0."
+    if not isinstance(call.get("stream", False), bool | None):
+        return f"stream is {call['stream']!r}; it must be true or false."
+    if call.get("n") not in (None, 1):
+        return "n must be 1."
+    return None
+
+
+def valid_messages(messages: Any) -> bool:
+    return (
+        isinstance(messages, list)
+        and bool(messages)
+        and all(
+            isinstance(m, dict) and "content" in m and "role" in m for m in messages
+        )
+    )
+
+
+def fingerprint(team: str, path: str, body: bytes) -> str:
+    """Return the same text for the same body from the same team."""
+    return xxhash.xxh3_128_hexdigest(
+        team.encode() + b"\0" + path.encode() + b"\0" + body
+    )
--- /dev/null
+++ b/src/godwitmast/entry/metrics.py
@@ -0,0 +1,91 @@
+"""Metrics of an entry, in a registry of its own."""
+
+from typing import NamedTuple
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from godwitmast.config.document import RequestClass
+
+LATENCY_BUCKETS = (0.05, 0.1, 0.25, 0.5, 1.0, 1.2, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0)
+TOKEN_BUCKETS = (0.005, 0.01, 0.015, 0.02, 0.028, 0.04, 0.06, 0.1, 0.25, 1.0)
+
+
+class Timing(NamedTuple):
+    """When the parts of an answer came, in seconds after the request's arrival."""
+
+    first_token_s: float | None
+    last_token_s: float
+    tokens: int
+
+    @property
+    def between_tokens_s(self) -> float | None:
+        """Return the mean time between tokens, if there was more than one."""
+        if self.first_token_s is None or self.tokens < 2:
+            return None
+        return (self.last_token_s - self.first_token_s) / (self.tokens - 1)
+
+
+def meets_targets(target: RequestClass, timing: Timing) -> bool:
+    """Return whether an answer came within every target that its class names."""
+    pairs = (
+        (target.first_token_s, timing.first_token_s),
+        (target.between_tokens_s, timing.between_tokens_s),
+        (target.completion_s, timing.last_token_s),
+    )
+    return all(limit is None or seen is None or seen <= limit for limit, seen in pairs)
+
+
+class EntryMetrics:
+    """What an entry counts; `outcome` is `met`, `late`, or an error code."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "godwit_requests",
+            "Requests that ended, by how they ended.",
+            ["team", "class_name", "outcome"],
+            registry=self.registry,
+        )
+        self.tokens = Counter(
+            "godwit_output_tokens",
+            "Tokens given to callers.",
+            ["team", "class_name"],
+            registry=self.registry,
+        )
+        self.first_token = Histogram(
+            "godwit_first_token_seconds",
+            "From a request's arrival to its first token.",
+            ["class_name"],
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self.between_tokens = Histogram(
+            "godwit_between_tokens_seconds",
+            "Mean time between the tokens of an answer.",
+            ["class_name"],
+            buckets=TOKEN_BUCKETS,
+            registry=self.registry,
+        )
+        self.config_version = Gauge(
+            "godwit_config_version",
+            "The configuration in force here.",
+            registry=self.registry,
+        )
+        self.open_requests = Gauge(
+            "godwit_open_requests", "Requests being served.", registry=self.registry
+        )
+
+    def answered(
+        self, team: str, class_name: str, target: RequestClass, timing: Timing
+    ) -> None:
+        """Count a whole answer."""
+        outcome = "met" if meets_targets(target, timing) else "late"
+        self.requests.labels(team, class_name, outcome).inc()
+        self.tokens.labels(team, class_name).inc(timing.tokens)
+        if timing.first_token_s is not None:
+            self.first_token.labels(class_name).observe(timing.first_token_s)
+        if timing.between_tokens_s is not None:
+            self.between_tokens.labels(class_name).observe(timing.between_tokens_s)
+
+    def refused(self, team: str, class_name: str, code: str) -> None:
+        self.requests.labels(team, class_name, code).inc()
--- /dev/null
+++ b/src/godwitmast/entry/refusals.py
@@ -0,0 +1,127 @@
+"""What callers are told when they get no answer."""
+
+import math
+from typing import Any, NamedTuple
+
+import msgspec
+
+from godwitmast.dispatch.messages import NotRun, RefusalCode, Refuse
+from godwitmast.http_server import Send
+from godwitmast.keys.authorizer import Denial
+
+
+class ErrorAnswer(NamedTuple):
+    """An error in the shape that OpenAI clients read."""
+
+    status: int
+    code: str
+    message: str
+    not_run: NotRun = NotRun.TRUE
+    retry_after_s: float | None = None
+
+
+STATUS_OF_REFUSAL = {
+    RefusalCode.TEAM_LIMIT: 429,
+    RefusalCode.SHED: 503,
+    RefusalCode.NO_BACKEND: 503,
+    RefusalCode.DEADLINE: 504,
+    RefusalCode.QUARANTINED: 422,
+    RefusalCode.BACKEND_FAILED: 503,
+    RefusalCode.STOPPING: 503,
+}
+
+MESSAGE_OF_REFUSAL = {
+    RefusalCode.TEAM_LIMIT: "The team is over its own limit.",
+    RefusalCode.SHED: "There is more work than capacity, and this was let go.",
+    RefusalCode.NO_BACKEND: "No backend server serves this now.",
+    RefusalCode.DEADLINE: "The answer cannot be given in time any more.",
+    RefusalCode.QUARANTINED: "This request crashed backend servers and is held off.",
+    RefusalCode.BACKEND_FAILED: "The backend server failed.",
+    RefusalCode.STOPPING: "This entry is stopping.",
+}
+
+STATUS_OF_DENIAL = {
+    Denial.MISSING: 401,
+    Denial.UNKNOWN: 401,
+    Denial.EXPIRED: 401,
+    Denial.CLASS: 403,
+    Denial.MODEL: 403,
+}
+
+MESSAGE_OF_DENIAL = {
+    Denial.MISSING: "No key was given.",
+    Denial.UNKNOWN: "The key is not known, or was withdrawn.",
+    Denial.EXPIRED: "The key has expired.",
+    Denial.CLASS: "This class does not exist, or the key does not allow it.",
+    Denial.MODEL: "The key does not allow this model or service.",
+}
+
+
+def answer_refusal(refusal: Refuse) -> ErrorAnswer:
+    """Return what the caller is told of the router's refusal."""
+    return ErrorAnswer(
+        STATUS_OF_REFUSAL[refusal.code],
+        refusal.code.value,
+        MESSAGE_OF_REFUSAL[refusal.code],
+        refusal.not_run,
+        refusal.retry_after_s,
+    )
+
+
+def answer_denial(denial: Denial) -> ErrorAnswer:
+    """Return what the caller is told of its key."""
+    return ErrorAnswer(
+        STATUS_OF_DENIAL[denial], denial.value, MESSAGE_OF_DENIAL[denial]
+    )
+
+
+def error_body(answer: ErrorAnswer) -> bytes:
+    """Return the JSON body of an error."""
+    return msgspec.json.encode(
+        {
+            "error": {
+                "code": answer.code,
+                "message": answer.message,
+                "type": error_type(answer.status),
+                "param": None,
+                "not_run": True if answer.not_run is NotRun.TRUE else "unknown",
+            }
+        }
+    )
+
+
+def error_type(status: int) -> str:
+    if status == 429:
+        return "rate_limit_error"
+    return "invalid_request_error" if status < 500 else "server_error"
+
+
+def error_headers(answer: ErrorAnswer) -> list[tuple[bytes, bytes]]:
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"godwit-not-run", answer.not_run.value.encode()),
+    ]
+    if answer.retry_after_s is not None:
+        seconds = max(1, math.ceil(answer.retry_after_s))
+        headers.append((b"retry-after", str(seconds).encode()))
+    return headers
+
+
+async def send_error(send: Send, answer: ErrorAnswer) -> None:
+    """Send a whole error answer."""
+    await send_whole(send, answer.status, error_headers(answer), error_body(answer))
+
+
+async def send_json(send: Send, status: int, body: Any) -> None:
+    headers = [(b"content-type", b"application/json")]
+    await send_whole(send, status, headers, msgspec.json.encode(body))
+
+
+async def send_whole(
+    send: Send, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+) -> None:
+    length = (b"content-length", str(len(body)).encode())
+    await send(
+        {"type": "http.response.start", "status": status, "headers": [*headers, length]}
+    )
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/src/godwitmast/entry/settings.py
@@ -0,0 +1,30 @@
+"""Settings of an entry."""
+
+from typing import Annotated, NamedTuple
+
+from pydantic import Field
+
+from godwitmast.http_server import TlsFiles
+from godwitmast.settings import Listen, LogSettings, PlatformSettings, Seconds
+
+
+class Limits(NamedTuple):
+    """What an entry takes of one caller."""
+
+    max_body_bytes: Annotated[int, Field(gt=0)] = 8 * 1024 * 1024
+    body_timeout_s: Seconds = 20.0
+
+
+class EntrySettings(NamedTuple):
+    """An entry's own facts; all else is in the numbered configuration."""
+
+    node: str
+    zone: str
+    platform: PlatformSettings
+    region: str = "default"
+    listen: Listen = Listen()
+    tls: TlsFiles | None = None
+    limits: Limits = Limits()
+    balancer_wait_s: Annotated[float, Field(ge=0)] = 2.0
+    stop_timeout_s: Seconds = 120.0
+    log: LogSettings = LogSettings()
--- /dev/null
+++ b/src/godwitmast/env.py
@@ -0,0 +1,10 @@
+"""Facts about the machine and the interpreter that this process runs on."""
+
+import os
+import socket
+import sys
+
+PYTHON = sys.version_info[:3]
+PID = os.getpid()
+HOSTNAME = socket.gethostname()
+CPU_COUNT = os.cpu_count() or 1
--- /dev/null
+++ b/src/godwitmast/http_server.py
@@ -0,0 +1,104 @@
+"""An ASGI application served over a real socket, with explicit start and close."""
+
+import socket
+import ssl
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import anyio
+from anyio.abc import TaskGroup
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from godwitmast.settings import Listen
+
+BACKLOG = 1024
+GRACE_S = 30.0
+"""How long open requests may still run after `close`."""
+
+KEEP_ALIVE_S = 75.0
+MAX_HEADER_BYTES = 64 * 1024
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+
+class TlsFiles(NamedTuple):
+    """Certificate and key of a listener."""
+
+    certificate: str
+    private_key: str
+
+
+class HttpServer:
+    """A listener for one ASGI application; it runs in the task group of `start`."""
+
+    def __init__(
+        self,
+        app: Any,
+        listen: Listen,
+        tls: TlsFiles | None = None,
+        grace_s: float = GRACE_S,
+    ) -> None:
+        self.app = app
+        self.listen = listen
+        self.tls = tls
+        self.grace_s = grace_s
+        self.port = 0
+        self.stopping = anyio.Event()
+        self.stopped = anyio.Event()
+
+    @property
+    def url(self) -> str:
+        scheme = "https" if self.tls else "http"
+        return f"{scheme}://{self.listen.host}:{self.port}"
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Bind the port, so that `port` is known, and begin to serve."""
+        listener = bind(self.listen)
+        self.port = listener.getsockname()[1]
+        tasks.start_soon(self.run, listener)
+
+    async def run(self, listener: socket.socket) -> None:
+        """Serve until `close`, then let open requests end."""
+        config = Config()
+        # Hypercorn closes the descriptor that it is given, so it owns a detached one.
+        config.bind = [f"fd://{listener.detach()}"]
+        config.backlog = BACKLOG
+        config.graceful_timeout = self.grace_s
+        config.shutdown_timeout = self.grace_s
+        config.keep_alive_timeout = KEEP_ALIVE_S
+        config.h11_max_incomplete_size = MAX_HEADER_BYTES
+        config.include_server_header = False
+        config.errorlog = None
+        config.accesslog = None
+        if self.tls:
+            config.certfile = self.tls.certificate
+            config.keyfile = self.tls.private_key
+            config.ssl_handshake_timeout = 5
+        try:
+            await serve(
+                self.app, config, shutdown_trigger=self.stopping.wait, mode="asgi"
+            )
+        finally:
+            self.stopped.set()
+
+    async def close(self) -> None:
+        """Take no new connection, and return when the open requests have ended."""
+        self.stopping.set()
+        await self.stopped.wait()
+
+
+def bind(listen: Listen) -> socket.socket:
+    """Return a bound socket; a port of 0 is replaced by a free one."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((listen.host, listen.port))
+    listener.setblocking(False)
+    return listener
+
+
+def client_ssl(ca_file: str | None) -> ssl.SSLContext | bool:
+    """Return what an HTTP client needs to trust `ca_file`."""
+    return ssl.create_default_context(cafile=ca_file) if ca_file else False
--- /dev/null
+++ b/src/godwitmast/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' keys: hashing, grants and withdrawal."""
--- /dev/null
+++ b/src/godwitmast/lease/__init__.py
@@ -0,0 +1,1 @@
+"""Leases with fencing over the platform's table, without trusted clocks."""
--- /dev/null
+++ b/src/godwitmast/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load over HTTP, and scenarios played in virtual time."""
--- /dev/null
+++ b/src/godwitmast/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and spreading of state among entry VMs."""
--- /dev/null
+++ b/src/godwitmast/platform_api/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's table, objects, orders and lists, as a client sees them."""
--- /dev/null
+++ b/src/godwitmast/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, with faults on command."""
--- /dev/null
+++ b/src/godwitmast/standins/platform.py
@@ -0,0 +1,332 @@
+"""A stand-in platform over HTTP: table, objects, orders, usage and lists."""
+
+import json
+import random
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+from starlette.types import ASGIApp, Receive, Scope, Send
+
+from godwitmast.config.document import parse_document
+from godwitmast.config.rows import HEAD_KEY
+from godwitmast.http_server import HttpServer
+from godwitmast.standins.settings import (
+    PlatformStandinSettings,
+    SpareServer,
+    VmEntry,
+)
+from godwitmast.standins.table import Table
+
+LOST_ANSWER_S = 30.0
+"""How long a lost answer keeps its client waiting, which is longer than it waits."""
+
+SCAN_LIMIT = 1000
+
+
+@dataclass
+class PlatformFaults:
+    """What is wrong with the platform at the moment."""
+
+    outage: bool = False
+    slow_s: float = 0.0
+    lose_answers: int = 0
+    lose_answers_share: float = 0.0
+    cheap_unavailable: list[str] = field(default_factory=list)
+
+
+@dataclass
+class Bucket:
+    """A token bucket for the platform's limits."""
+
+    rate: float
+    level: float = 0.0
+    filled_at: float = 0.0
+
+    def take(self, amount: float, now: float) -> bool:
+        grown = self.level + (now - self.filled_at) * self.rate
+        self.level = min(self.rate, grown)
+        self.filled_at = now
+        if self.level < amount:
+            return False
+        self.level -= amount
+        return True
+
+
+@dataclass
+class OrderedServer:
+    """A backend server that was ordered, and when its state changes."""
+
+    spare: SpareServer
+    order_id: str
+    pools: list[str]
+    ordered_at: float
+    evict_at: float | None = None
+
+
+@dataclass
+class StandinPlatform:
+    """The platform's interfaces, its records and its faults."""
+
+    settings: PlatformStandinSettings
+    faults: PlatformFaults = field(default_factory=PlatformFaults)
+    table: Table = field(default_factory=Table)
+
+    def __post_init__(self) -> None:
+        settings = self.settings
+        self.objects: dict[str, bytes] = {}
+        self.reads = Bucket(settings.reads_per_s)
+        self.writes = Bucket(settings.writes_per_s)
+        self.random = random.Random(1)
+        self.requests: dict[str, int] = {}
+        self.order_log: list[dict[str, Any]] = []
+        self.usage_log: list[dict[str, Any]] = []
+        self.servers: dict[str, OrderedServer] = {}
+        self.orders: dict[str, str] = {}
+        self.fence = 0
+        self.vms = {vm.node: vm for vm in settings.vms}
+        self.vm_history: list[tuple[float, list[Any]]] = []
+        self.app = Starlette(
+            routes=[
+                Route("/table/read", self.read, methods=["POST"]),
+                Route("/table/scan", self.scan, methods=["POST"]),
+                Route("/table/transact", self.transact, methods=["POST"]),
+                Route("/objects/{name:path}", self.get_object, methods=["GET"]),
+                Route("/objects/{name:path}", self.put_object, methods=["PUT"]),
+                Route("/orders", self.order, methods=["POST"]),
+                Route("/orders/{order_id}", self.get_order),
+                Route("/fleet", self.fleet),
+                Route("/vms", self.list_vms, methods=["GET"]),
+                Route("/usage", self.take_usage, methods=["POST"]),
+                Route("/_standin/faults", self.set_faults, methods=["POST"]),
+                Route("/_standin/evict", self.evict, methods=["POST"]),
+                Route("/_standin/vms", self.set_vm, methods=["POST"]),
+                Route("/_standin/records", self.records),
+            ]
+        )
+        if settings.config:
+            self.load_config(Path(settings.config))
+        self.server = HttpServer(FaultGate(self), settings.listen, grace_s=1.0)
+
+    def load_config(self, path: Path) -> None:
+        """Put a first configuration in force, as version 1."""
+        document = json.loads(path.read_text())
+        parse_document(document)
+        self.table.transact(
+            {HEAD_KEY: 0}, {HEAD_KEY: {"number": 1, "document": document}}
+        )
+
+    async def start(self, tasks: TaskGroup) -> None:
+        await self.server.start(tasks)
+
+    async def close(self) -> None:
+        await self.server.close()
+
+    async def read(self, request: Request) -> Response:
+        keys = (await request.json())["keys"]
+        if not self.reads.take(max(1, len(keys)), anyio.current_time()):
+            return throttled()
+        return JSONResponse({"rows": show_rows(self.table.read(keys).items())})
+
+    async def scan(self, request: Request) -> Response:
+        body = await request.json()
+        if not self.reads.take(1, anyio.current_time()):
+            return throttled()
+        limit = min(int(body.get("limit", SCAN_LIMIT)), SCAN_LIMIT)
+        found = self.table.scan(body["prefix"], body.get("after", ""), limit)
+        return JSONResponse({"rows": show_rows(found), "more": len(found) == limit})
+
+    async def transact(self, request: Request) -> Response:
+        body = await request.json()
+        writes = body.get("writes", {})
+        if not self.writes.take(max(1, len(writes)), anyio.current_time()):
+            return throttled()
+        written, versions = self.table.transact(body.get("checks", {}), writes)
+        await self.maybe_lose_answer()
+        return JSONResponse({"versions": versions}, 200 if written else 409)
+
+    async def maybe_lose_answer(self) -> None:
+        """Keep back the answer to a write that took effect, if so commanded."""
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+        elif self.random.random() >= self.faults.lose_answers_share:
+            return
+        await anyio.sleep(LOST_ANSWER_S)
+
+    async def get_object(self, request: Request) -> Response:
+        if not self.reads.take(1, anyio.current_time()):
+            return throttled()
+        content = self.objects.get(request.path_params["name"])
+        if content is None:
+            return JSONResponse({"error": "not_found"}, 404)
+        return Response(content, media_type="application/octet-stream")
+
+    async def put_object(self, request: Request) -> Response:
+        if not self.writes.take(1, anyio.current_time()):
+            return throttled()
+        self.objects[request.path_params["name"]] = await request.body()
+        await self.maybe_lose_answer()
+        return JSONResponse({"ok": True})
+
+    async def order(self, request: Request) -> Response:
+        """Order one server in a zone, or release one; an order id counts once."""
+        body = await request.json()
+        now = anyio.current_time()
+        fence = int(body["fence"])
+        stale = fence < self.fence
+        self.order_log.append({**body, "at": now, "stale": stale})
+        if stale and self.settings.checks_fences:
+            return JSONResponse({"error": "stale_fence"}, 409)
+        self.fence = max(self.fence, fence)
+        if body["action"] == "release":
+            self.servers.pop(body["backend_id"], None)
+            return JSONResponse({"state": "released"})
+        if body["order_id"] not in self.orders:
+            spare = self.find_spare(body["zone"], body["kind"])
+            if spare is None:
+                return JSONResponse({"error": "unavailable"}, 409)
+            self.orders[body["order_id"]] = spare.backend_id
+            self.servers[spare.backend_id] = OrderedServer(
+                spare, body["order_id"], body["pools"], now
+            )
+        await self.maybe_lose_answer()
+        return JSONResponse({"backend_id": self.orders[body["order_id"]]})
+
+    def find_spare(self, zone: str, kind: str) -> SpareServer | None:
+        if kind == "cheap" and zone in self.faults.cheap_unavailable:
+            return None
+        for spare in self.settings.spares:
+            wanted = spare.zone == zone and spare.kind == kind
+            if wanted and spare.backend_id not in self.servers:
+                return spare
+        return None
+
+    async def get_order(self, request: Request) -> Response:
+        backend_id = self.orders.get(request.path_params["order_id"])
+        if backend_id is None:
+            return JSONResponse({"error": "not_found"}, 404)
+        return JSONResponse({"backend_id": backend_id})
+
+    async def fleet(self, request: Request) -> Response:
+        """List the ordered servers with their states."""
+        now = anyio.current_time()
+        return JSONResponse(
+            {"servers": [self.show_server(s, now) for s in self.servers.values()]}
+        )
+
+    def show_server(self, server: OrderedServer, now: float) -> dict[str, Any]:
+        state = "serving"
+        if server.evict_at is not None:
+            state = "leaving"
+        elif now < server.ordered_at + self.settings.boot_s:
+            state = "starting"
+        return {
+            "backend_id": server.spare.backend_id,
+            "url": server.spare.url,
+            "zone": server.spare.zone,
+            "kind": server.spare.kind,
+            "pools": server.pools,
+            "order_id": server.order_id,
+            "state": state,
+            "leaves_in_s": None if server.evict_at is None else server.evict_at - now,
+        }
+
+    async def evict(self, request: Request) -> Response:
+        """Give the cheap servers of a zone notice; they go when it has passed."""
+        body = await request.json()
+        now = anyio.current_time()
+        for server in self.servers.values():
+            if server.spare.zone == body["zone"] and server.spare.kind == "cheap":
+                server.evict_at = now + float(body["notice_s"])
+        return JSONResponse({"ok": True})
+
+    async def list_vms(self, request: Request) -> Response:
+        """List the VMs as they were a while ago."""
+        now = anyio.current_time()
+        self.note_vms(now)
+        old = [
+            item
+            for item in self.vm_history
+            if item[0] <= now - self.settings.list_lag_s
+        ]
+        listed = old[-1][1] if old else self.vm_history[0][1]
+        return JSONResponse({"vms": [vm._asdict() for vm in listed]})
+
+    def note_vms(self, now: float) -> None:
+        listed = list(self.vms.values())
+        if not self.vm_history or self.vm_history[-1][1] != listed:
+            self.vm_history.append((now, listed))
+
+    async def set_vm(self, request: Request) -> Response:
+        """Add, change or remove a VM of the list."""
+        body = await request.json()
+        now = anyio.current_time()
+        self.note_vms(now)
+        if body.get("state") == "gone":
+            self.vms.pop(body["node"], None)
+        else:
+            self.vms[body["node"]] = VmEntry(**body)
+        self.note_vms(now)
+        return JSONResponse({"ok": True})
+
+    async def take_usage(self, request: Request) -> Response:
+        """Record a usage report with who sent it."""
+        body = await request.json()
+        self.usage_log.append({**body, "at": anyio.current_time()})
+        await self.maybe_lose_answer()
+        return JSONResponse({"ok": True})
+
+    async def set_faults(self, request: Request) -> Response:
+        for name, value in (await request.json()).items():
+            setattr(self.faults, name, value)
+        return JSONResponse({"ok": True})
+
+    async def records(self, request: Request) -> Response:
+        """Return what was asked of the platform since it started."""
+        return JSONResponse(
+            {
+                "orders": self.order_log,
+                "usage": self.usage_log,
+                "requests": self.requests,
+                "writes": self.table.writes,
+            }
+        )
+
+
+@dataclass
+class FaultGate:
+    """Counts requests by node and plays outages in front of the platform."""
+
+    platform: StandinPlatform
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        app: ASGIApp = self.platform.app
+        if scope["type"] != "http" or scope["path"].startswith("/_standin/"):
+            await app(scope, receive, send)
+            return
+        headers = dict(scope["headers"])
+        node = headers.get(b"godwit-node", b"-").decode()
+        name = f"{node} {scope['path'].split('/')[1]} {scope['path'].split('/')[-1]}"
+        if not scope["path"].startswith(("/objects", "/orders/")):
+            self.platform.requests[name] = self.platform.requests.get(name, 0) + 1
+        faults = self.platform.faults
+        if faults.slow_s:
+            await anyio.sleep(faults.slow_s)
+        if faults.outage:
+            await JSONResponse({"error": "outage"}, 503)(scope, receive, send)
+            return
+        await app(scope, receive, send)
+
+
+def throttled() -> Response:
+    return JSONResponse({"error": "throttled"}, 429)
+
+
+def show_rows(rows: Any) -> dict[str, Any]:
+    return {key: {"value": row.value, "version": row.version} for key, row in rows}
--- /dev/null
+++ b/src/godwitmast/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Usage: metering, the journal, frozen windows and reports."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,26 @@
+"""Fixtures that more than one slice's tests share."""
+
+from collections.abc import AsyncIterator
+
+import httpx
+import pytest
+
+from godwitmast.dev.system import DevSystem
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Hypercorn and websockets run on asyncio, so the tests do too."""
+    return "asyncio"
+
+
+@pytest.fixture
+async def http() -> AsyncIterator[httpx.AsyncClient]:
+    async with httpx.AsyncClient(timeout=20, trust_env=False) as client:
+        yield client
+
+
+@pytest.fixture
+def system() -> DevSystem:
+    """A system that is not started; a test enters `running(system)`."""
+    return DevSystem()
