Run the programs as separate processes in a test

Cause: only the one-process system was run. Change: a fixture that starts, pauses and ends real processes.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	touch $@
 
 test: venv
-	$(BIN)/python -m pytest -n 6 --dist loadfile tests
+	$(BIN)/python -m pytest -n 6 --dist worksteal tests
 
 lint: venv
 	$(BIN)/ruff format --check src tests
--- a/src/godwitmast/http_server.py
+++ b/src/godwitmast/http_server.py
@@ -10,6 +10,7 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from godwitmast.logs import log_event
 from godwitmast.settings import Listen
 
 BACKLOG = 1024
@@ -58,6 +59,7 @@
         """Bind the port, so that `port` is known, and begin to serve."""
         listener = bind(self.listen)
         self.port = listener.getsockname()[1]
+        log_event("listening", url=self.url)
         tasks.start_soon(self.run, listener)
 
     async def run(self, listener: socket.socket) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,13 @@
 """Fixtures that more than one slice's tests share."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
+from pathlib import Path
 
 import httpx
 import pytest
 
 from godwitmast.dev.system import DevSystem
+from processes import Processes
 
 
 @pytest.fixture
@@ -24,3 +26,11 @@
 def system() -> DevSystem:
     """A system that is not started; a test enters `running(system)`."""
     return DevSystem()
+
+
+@pytest.fixture
+def processes(tmp_path: Path) -> Iterator[Processes]:
+    """Real processes, which are ended after the test."""
+    started = Processes(tmp_path)
+    yield started
+    started.close()
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,92 @@
+"""Real processes for tests: started, paused, killed, and always ended."""
+
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import godwitmast
+
+SOURCE = str(Path(godwitmast.__file__).parents[1])
+START_TIMEOUT_S = 30
+LISTENING = re.compile(r"event=listening url=(\S+)")
+
+
+@dataclass
+class Process:
+    """A running program with its log."""
+
+    popen: subprocess.Popen[bytes]
+    log: Path
+
+    @property
+    def url(self) -> str:
+        """Return the address that the program says it listens on."""
+        return self.urls(1)[0]
+
+    def urls(self, count: int) -> list[str]:
+        """Wait until the program listens on `count` addresses, and return them."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            found = LISTENING.findall(self.log.read_text())
+            if len(found) >= count:
+                return found
+            assert self.popen.poll() is None, self.log.read_text()
+            time.sleep(0.02)
+        raise AssertionError(f"never listened: {self.log.read_text()}")
+
+    def pause(self) -> None:
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        self.popen.send_signal(signal.SIGCONT)
+
+    def kill(self) -> None:
+        self.popen.kill()
+        self.popen.wait()
+
+    def terminate(self) -> int:
+        """Ask the program to stop, and return its exit code."""
+        self.popen.terminate()
+        return self.popen.wait(60)
+
+
+class Processes:
+    """The processes of one test."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.started: list[Process] = []
+
+    def spawn(self, name: str, module: str, *args: str, settings: str = "") -> Process:
+        """Start `python -m module args --settings FILE` with that TOML text."""
+        path = self.folder / f"{name}.toml"
+        path.write_text(settings)
+        log = self.folder / f"{name}-{len(self.started)}.log"
+        with log.open("wb") as output:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", module, *args, "--settings", str(path)],
+                stdout=output,
+                stderr=output,
+                env={**os.environ, "PYTHONPATH": SOURCE},
+            )
+        process = Process(popen, log)
+        self.started.append(process)
+        return process
+
+    def close(self) -> None:
+        for process in self.started:
+            if process.popen.poll() is None:
+                process.kill()
+
+
+def free_port() -> int:
+    """Return a port that the system says is free."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
