--- /dev/null
+++ b/src/godwitmast/admission/preemption.py
@@ -0,0 +1,75 @@
+"""Who is interrupted so that a higher tier meets its target.
+
+The load is quick questions that arrive while long drafts hold every place. Places come
+free only as fast as drafts end, so that questions wait for tens of seconds and miss a
+target of one, although the work that holds them up has minutes to spare. The draft
+that started last is cancelled and goes on later from its last token; what is lost is
+the reading of its prompt again.
+
+Only a request whose wait is about to end in a refusal interrupts another, and only one
+of a lower tier. Without a bound, one draft could be interrupted by every question of an
+evening and read its prompt a hundred times without an end.
+"""
+
+from typing import NamedTuple
+
+from godwitmast.admission.class_queue import ClassQueue, Job
+from godwitmast.admission.pool_queues import PoolQueues
+from godwitmast.dispatch.messages import RequestSpec
+from godwitmast.types import RequestId
+
+MAX_PREEMPTIONS = 2
+"""How often one request is interrupted at most. Each time costs one more reading of its
+prompt and answer so far; after the second it runs to its end."""
+
+URGENT_SHARE = 0.3
+"""The last part of its wait in which a request may interrupt others. Before it, a place
+may still come free by itself."""
+
+MIN_URGENT_S = 0.15
+"""Three ticks of the entry, so that the last moment cannot fall between two of them."""
+
+
+class Preemption(NamedTuple):
+    """`victim` gives its place to `request`; it waits already, to be resumed."""
+
+    victim: RequestSpec
+    request: RequestSpec
+
+
+def urgent_at(arrived: float, latest_start: float) -> float:
+    """Return from when on a request may interrupt others."""
+    margin = max(MIN_URGENT_S, URGENT_SHARE * (latest_start - arrived))
+    return latest_start - margin
+
+
+def most_urgent(queue: ClassQueue) -> RequestId | None:
+    """Return the request of a class that has to start first."""
+    return queue.urgency[0][1] if queue.urgency else None
+
+
+def find_victim(pool: PoolQueues, tier: int) -> Job | None:
+    """Return who gives way to `tier`: the lowest tier first, then the last started.
+
+    The last started has the least to read again, and the most still to do.
+    """
+    for queue in reversed(pool.by_tier):
+        if queue.tier <= tier:
+            return None
+        if queue.preemptible:
+            return next(reversed(queue.preemptible.values()))
+    return None
+
+
+def may_be_preempted(job: Job) -> bool:
+    """Return whether a running request may be interrupted at all.
+
+    One that may not be repeated runs once; one whose answer comes in one piece would
+    start from nothing, and its work so far would be wasted.
+    """
+    request = job.request
+    return (
+        request.idempotent
+        and request.resumable
+        and job.preemptions < MAX_PREEMPTIONS
+    )
--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -19,7 +19,9 @@
     """A request as the decisions see it.
 
     `arrived` and `deadline` are on the router's clock. `fingerprint` is the same for
-    the same team and body; `prefix` is the same for prompts that open alike.
+    the same team and body; `prefix` is the same for prompts that open alike. An answer
+    is `resumable` if the caller takes it token by token, so that another attempt can go
+    on where one ended.
     """
 
     request_id: RequestId
@@ -33,6 +35,7 @@
     idempotent: bool = True
     fingerprint: str = ""
     prefix: str = ""
+    resumable: bool = True
 
 
 class BackendSpec(NamedTuple):
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -84,7 +84,7 @@
     """The policy that the product runs."""
 
     def __init__(self, document: Document, zone: ZoneName, seed: int = 0) -> None:
-        self.admission = Admission(document)
+        self.admission = Admission(document, seed)
         self.backends = BackendTable(zone, seed)
         self.flights: dict[RequestId, Flight] = {}
         self.last_attempt = 0
@@ -99,11 +99,9 @@
 
     def submit(self, request: RequestSpec, now: float) -> list[Action]:
         """Let the request in, or refuse it."""
-        refusal = self.admission.offer(request, now)
-        if refusal:
-            return [refusal]
         self.flights[request.request_id] = Flight(request)
-        return self.pump(now)
+        refusals = self.forget_refused(self.admission.offer(request, now))
+        return [*refusals, *self.pump(now)]
 
     def tokens_came(
         self, request_id: RequestId, attempt_id: AttemptId, count: int, now: float
@@ -112,6 +110,7 @@
         flight = self.owner(request_id, attempt_id)
         if flight:
             flight.tokens += count
+            self.admission.tokens_came(flight.request, count, now)
         return []
 
     def finished(
@@ -122,7 +121,7 @@
         if flight is None:
             return []
         self.release(flight)
-        self.end(flight)
+        self.end(flight, now, whole=True)
         return self.pump(now)
 
     def failed(
@@ -143,7 +142,7 @@
             flight.may_have_run = True
         unsafe = flight.may_have_run and not flight.request.idempotent
         if unsafe or flight.attempts >= MAX_ATTEMPTS:
-            self.end(flight)
+            self.end(flight, now)
             not_run = NotRun.UNKNOWN if flight.may_have_run else NotRun.TRUE
             refusal = Refuse(request_id, RefusalCode.BACKEND_FAILED, not_run)
             return [refusal, *self.pump(now)]
@@ -163,7 +162,7 @@
         else:
             actions.append(Cancel(request_id, flight.attempt_id, reason))
             self.release(flight)
-        self.end(flight)
+        self.end(flight, now)
         return [*actions, *self.pump(now)]
 
     def load_reported(
@@ -174,13 +173,18 @@
 
     def tick(self, now: float) -> list[Action]:
         """Refuse what waited too long, and start what can be started."""
+        refusals = self.forget_refused(self.admission.expire(now))
+        return [*refusals, *self.pump(now)]
+
+    def forget_refused(self, refusals: list[Refuse]) -> list[Action]:
+        """Forget requests that admission turned away, and tell what may have run."""
         actions: list[Action] = []
-        for refusal in self.admission.expire(now):
+        for refusal in refusals:
             flight = self.flights.pop(refusal.request_id)
             if flight.may_have_run:
                 refusal = refusal_of_started(refusal)
             actions.append(refusal)
-        return [*actions, *self.pump(now)]
+        return actions
 
     def pump(self, now: float) -> list[Action]:
         """Start waiting requests while there is room for them."""
@@ -191,6 +195,29 @@
                 if request is None:
                     break
                 actions.append(self.start(self.flights[request.request_id], now))
+            actions += self.preempt(pool, now)
+        return actions
+
+    def preempt(self, pool: str, now: float) -> list[Action]:
+        """Interrupt lower tiers for requests that would otherwise be too late.
+
+        The attempt that is cancelled may have run, so that a later refusal of its
+        request does not claim otherwise.
+        """
+        actions: list[Action] = []
+        while preemption := self.admission.preempt(pool, now):
+            victim = self.flights[preemption.victim.request_id]
+            assert victim.attempt_id is not None, "only what runs is interrupted"
+            actions.append(
+                Cancel(
+                    victim.request.request_id,
+                    victim.attempt_id,
+                    CancelReason.PREEMPTED,
+                )
+            )
+            victim.may_have_run = True
+            self.release(victim)
+            actions.append(self.start(self.flights[preemption.request.request_id], now))
         return actions
 
     def start(self, flight: Flight, now: float) -> Start:
@@ -222,9 +249,9 @@
         flight.attempt_id = None
         flight.backend_id = None
 
-    def end(self, flight: Flight) -> None:
+    def end(self, flight: Flight, now: float, whole: bool = False) -> None:
         del self.flights[flight.request.request_id]
-        self.admission.ended(flight.request)
+        self.admission.ended(flight.request, now, whole)
 
 
 def refusal_of_started(refusal: Refuse) -> Refuse:
--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -196,6 +196,7 @@
             max_tokens=limit,
             idempotent=model.idempotent,
             prefix=call.prefix,
+            resumable=call.stream,
         )
         outbound = self.model_outbound(envelope, call, spec, limit)
         return self.make_exchange(caller, envelope, spec, outbound, receive, send)
@@ -239,7 +240,7 @@
             path.startswith(start) for start in service.idempotent_paths
         )
         spec = self.make_spec(envelope, caller, class_name, name, body)._replace(
-            idempotent=idempotent
+            idempotent=idempotent, resumable=False
         )
         query = f"?{envelope.query}" if envelope.query else ""
         headers = [*envelope.headers, ("accept-encoding", "identity")]
