--- /dev/null
+++ b/scenarios/hog_team.feature
@@ -0,0 +1,18 @@
+Feature: One team sends most of the load
+
+  Background:
+    Given 6 engines in 3 zones
+    And 3 entries
+    And class "question" of tier 1 with first token in 1.2 s and 40 ms between tokens
+    And class "summary" of tier 2 with completion in 30 s
+    And class "invitation" of tier 3 with completion in 120 s
+    And 10 teams
+    And 60 % of requests are "question" with prompts of 200 tokens and answers of 40 tokens
+    And 25 % of requests are "summary" with prompts of 800 tokens and answers of 120 tokens
+    And 15 % of requests are "invitation" with prompts of 300 tokens and answers of 300 tokens
+
+  Scenario: 80 % from one team at twice capacity
+    Given team "team-1" sends 80 % of all requests
+    When the load is 2 times capacity for 300 s
+    Then the worst team has at least 0.5 of the median team's attainment
+    And no class starves
--- /dev/null
+++ b/scenarios/key_withdrawn.feature
@@ -0,0 +1,17 @@
+Feature: A key is withdrawn while its streams run
+
+  Background:
+    Given 6 engines in 3 zones
+    And 3 entries
+    And class "question" of tier 1 with first token in 1.2 s and 40 ms between tokens
+    And class "summary" of tier 2 with completion in 30 s
+    And class "invitation" of tier 3 with completion in 120 s
+    And 10 teams
+    And 60 % of requests are "question" with prompts of 200 tokens and answers of 40 tokens
+    And 25 % of requests are "summary" with prompts of 800 tokens and answers of 120 tokens
+    And 15 % of requests are "invitation" with prompts of 300 tokens and answers of 300 tokens
+
+  Scenario: In the middle of a busy minute
+    When the load is 0.8 times capacity for 120 s
+    And at 60 s the key of team-5 is withdrawn
+    Then team-5 gets no token later than 3 s after that
--- a/src/godwitmast/load/cli.py
+++ b/src/godwitmast/load/cli.py
@@ -2,6 +2,7 @@
 
 import typer
 
+from godwitmast.load.play import play
 from godwitmast.program import VersionOption
 
 app = typer.Typer(add_completion=False, no_args_is_help=True)
@@ -15,6 +16,9 @@
     """
 
 
+app.command("play")(play)
+
+
 def main() -> None:
     app()
 
