--- a/src/godwitmast/admission/lengths.py
+++ b/src/godwitmast/admission/lengths.py
@@ -32,14 +32,12 @@
         """Note the length of a whole answer."""
         if tokens <= 0:
             return
-        for quantiles, key in (
-            (self.of_class, class_name),
-            (self.of_team, (team, class_name)),
+        for estimate in (
+            self.of_class.setdefault(class_name, RunningQuantile(LENGTH_QUANTILE)),
+            self.of_team.setdefault(
+                (team, class_name), RunningQuantile(LENGTH_QUANTILE)
+            ),
         ):
-            estimate = quantiles.get(key)  # type: ignore[attr-defined]
-            if estimate is None:
-                estimate = RunningQuantile(LENGTH_QUANTILE)
-                quantiles[key] = estimate  # type: ignore[index]
             estimate.add(tokens)
 
     def guess(self, team: TeamName, class_name: ClassName, max_tokens: int) -> float:
--- a/src/godwitmast/admission/preemption.py
+++ b/src/godwitmast/admission/preemption.py
@@ -69,7 +69,5 @@
     """
     request = job.request
     return (
-        request.idempotent
-        and request.resumable
-        and job.preemptions < MAX_PREEMPTIONS
+        request.idempotent and request.resumable and job.preemptions < MAX_PREEMPTIONS
     )
--- a/src/godwitmast/admission/queue.py
+++ b/src/godwitmast/admission/queue.py
@@ -24,9 +24,9 @@
 from godwitmast.admission.service import ServiceCounter, ServiceKey, ServiceReport
 from godwitmast.admission.shedding import MAX_WAITING, find_shed
 from godwitmast.admission.turns import choose_class
-from godwitmast.config.document import Document, RequestClass, Team
+from godwitmast.config.document import Document, Team
 from godwitmast.dispatch.messages import NotRun, RefusalCode, Refuse, RequestSpec
-from godwitmast.types import ClassName, RequestId, TeamName
+from godwitmast.types import ClassName, PoolName, RequestId, TeamName
 
 SETTLE_TOKENS = 64
 """Tokens past its estimate after which a running answer is charged for more. At one
@@ -128,9 +128,7 @@
         self.ended(job.request, now, whole=False)
         return self.give_up(job, queue, 0.0, now)
 
-    def give_up(
-        self, job: Job, queue: ClassQueue, late_s: float, now: float
-    ) -> Refuse:
+    def give_up(self, job: Job, queue: ClassQueue, late_s: float, now: float) -> Refuse:
         """Return the refusal of a request that will not be run."""
         request = job.request
         code = RefusalCode.DEADLINE if job.slack.own_deadline else RefusalCode.SHED
@@ -289,7 +287,7 @@
     def queue(self, request: RequestSpec) -> ClassQueue:
         return self.find_queue(request.pool, request.class_name)
 
-    def find_queue(self, pool_name: str, class_name: ClassName) -> ClassQueue:
+    def find_queue(self, pool_name: PoolName, class_name: ClassName) -> ClassQueue:
         """Return the queue of a class on a pool, made when first asked for."""
         pool = self.pools.get(pool_name)
         if pool is None:
