--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -42,6 +42,7 @@
         self.urls: dict[BackendId, str] = {}
         self.mailboxes: dict[RequestId, MemoryObjectSendStream[Action]] = {}
         self.cancels: dict[AttemptId, Callable[[CancelReason], None]] = {}
+        self.cancelled: set[AttemptId] = set()
 
     async def start(self, tasks: TaskGroup) -> None:
         tasks.start_soon(self.run_ticks)
@@ -110,14 +111,24 @@
         """Put each action where the task that it concerns finds it."""
         for action in actions:
             if isinstance(action, Cancel):
-                cancel = self.cancels.get(action.attempt_id)
-                if cancel is not None:
-                    cancel(action.reason)
+                self.cancel(action)
                 continue
             mailbox = self.mailboxes.get(action.request_id)
             if mailbox is not None:
                 mailbox.send_nowait(action)
 
+    def cancel(self, action: Cancel) -> None:
+        """End an attempt, or see to it that it does not begin.
+
+        An attempt may be preempted while its Start is still in the mailbox. Were that
+        cancel lost, the attempt would run on beside the one that takes its place.
+        """
+        cancel = self.cancels.get(action.attempt_id)
+        if cancel is not None:
+            cancel(action.reason)
+        elif action.request_id in self.mailboxes:
+            self.cancelled.add(action.attempt_id)
+
     async def run_ticks(self) -> None:
         while True:
             await anyio.sleep(TICK_S)
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -132,6 +132,9 @@
 
     async def attempt(self, start: Start) -> bool:
         """Run one attempt; return whether the caller has its whole answer."""
+        if start.attempt_id in self.driver.cancelled:
+            self.driver.cancelled.remove(start.attempt_id)
+            return False
         url = self.driver.urls.get(start.backend_id)
         if url is None:
             self.fail(start, FailureKind.CONNECT)
--- a/src/godwitmast/load/world.py
+++ b/src/godwitmast/load/world.py
@@ -139,6 +139,7 @@
         ]
         self.requests: dict[RequestId, Need] = {}
         self.attempts: dict[tuple[int, AttemptId], Attempt] = {}
+        self.cancelled: set[tuple[int, AttemptId]] = set()
         self.started: set[RequestId] = set()
         self.withdrawn_teams: set[str] = set()
         self.numbers = itertools.count(1)
@@ -282,6 +283,8 @@
                     attempt = self.attempts.pop((entry, action.attempt_id), None)
                     if attempt:
                         attempt.engine.model.cancel(sequence_id(attempt))
+                    else:
+                        self.cancelled.add((entry, action.attempt_id))
                 case Refuse():
                     self.refused(entry, action)
 
@@ -326,9 +329,9 @@
     # Engines
 
     def start(self, entry: int, start: Start) -> None:
-        """Hand an attempt to its engine."""
+        """Hand an attempt to its engine, unless a cancel has overtaken it."""
         need = self.requests.get(start.request_id)
-        if need is None:
+        if need is None or (entry, start.attempt_id) in self.cancelled:
             return
         engine = self.engines[start.backend_id]
         if not engine.up:
