Name the requests that crash servers, and what entries tell each other of them

Cause: a request that crashes its engine is retried on the next one, by the router or by its caller, and takes the pool down server by server.

--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -19,7 +19,8 @@
     """A request as the decisions see it.
 
     `arrived` and `deadline` are on the router's clock. `fingerprint` is the same for
-    the same team and body; `prefix` is the same for prompts that open alike.
+    the same team and body; `prefix` is the same for prompts that open alike. Without
+    `streams`, the router hears of the tokens only when the whole answer is there.
     """
 
     request_id: RequestId
@@ -33,16 +34,22 @@
     idempotent: bool = True
     fingerprint: str = ""
     prefix: str = ""
+    streams: bool = True
 
 
 class BackendSpec(NamedTuple):
-    """A backend server as the decisions see it."""
+    """A backend server as the decisions see it.
+
+    A leaving server gets no new work; `gone_at`, on the router's clock, is when the
+    platform takes it away, if it said so.
+    """
 
     backend_id: BackendId
     zone: ZoneName
     pools: frozenset[str]
     cheap: bool = False
     leaving: bool = False
+    gone_at: float | None = None
 
 
 class LoadReport(NamedTuple):
@@ -97,6 +104,9 @@
     LOST_RACE = "lost_race"
     KEY_WITHDRAWN = "key_withdrawn"
     EVICTED = "evicted"
+    SLOW = "slow"
+    """The server hangs, or is far slower than its peers."""
+    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,3 +139,50 @@
 
 
 Action = Start | Refuse | Cancel
+
+
+class Crash(NamedTuple):
+    """A server crashed `age_s` ago, while the suspect ran on it."""
+
+    backend_id: BackendId
+    age_s: float
+
+
+class Suspicion(NamedTuple):
+    """A request, by its fingerprint, was in flight on servers that crashed."""
+
+    fingerprint: str
+    crashes: tuple[Crash, ...]
+
+
+class Placement(NamedTuple):
+    """A suspect runs on a server, which no other suspect may join for `left_s`.
+
+    `left_s` of 0 says that the suspect is off that server.
+    """
+
+    fingerprint: str
+    backend_id: BackendId
+    left_s: float
+
+
+class Quarantine(NamedTuple):
+    """Requests of a fingerprint are refused for `left_s` more seconds."""
+
+    fingerprint: str
+    left_s: float
+
+
+class Clearance(NamedTuple):
+    """A suspect gave its whole answer `age_s` ago, so it crashes no server."""
+
+    fingerprint: str
+    age_s: float
+
+
+PoisonNews = Suspicion | Placement | Quarantine | Clearance
+"""What entries tell each other about requests that may crash servers.
+
+Times are ages and remaining seconds, since entries share no clock. Every message may
+come twice, late or out of order; to import one again changes nothing.
+"""
