Learn each server's limit, choose, eject, retry and move by what is measured

Cause: dispatch sent 16 requests to each server whatever its speed, least in flight first, and retried at once without a budget. Change: a limit for each server from the time between tokens, two random choices, own zone first, prefix affinity with a bound, ejection against the pool's median, time-outs, a retry budget with jitter, suspects kept apart, streams moved off evicted servers.

--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -1,23 +1,120 @@
-"""The backend servers as dispatch knows them, and the choice among them."""
+"""The backend servers as dispatch knows them, and the choice among them.
+
+Load pattern: servers of unlike load in several availability zones. Choosing the least
+loaded of all by lagging reports sends every entry's work to the same server; choosing
+at random lets some queue while others idle. Two random ones compared come close to the
+best at no such risk (Mitzenmacher, "The Power of Two Choices in Randomized Load
+Balancing", 2001).
+
+A server has room while it is in the choice and below its learned limit. Servers with
+room stand in a list for each pool and zone, so that a choice looks at two of them
+however many there are. The own zone goes first; another zone gets work only while the
+own one has no room, which by the learned limits means that the request would wait or
+be slow there.
+"""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from godwitmast.dispatch.affinity import PrefixOrders, rendezvous, within_bound
+from godwitmast.dispatch.health import (
+    HEALTHY_FACTOR,
+    SLOW_FACTOR,
+    Condition,
+    Health,
+    may_eject,
+)
+from godwitmast.dispatch.limits import ServerLimit
+from godwitmast.dispatch.loads import OtherLoad
 from godwitmast.dispatch.messages import BackendSpec, LoadReport, RequestSpec
+from godwitmast.dispatch.pace import GapWindow, PoolPace
 from godwitmast.types import BackendId, ZoneName
 
-START_LIMIT = 16
-"""Requests in flight that a server is trusted with before anything was measured."""
+TARGET_MEMORY_S = 60.0
+"""A class's target counts for a pool for this long after its last request there."""
 
 
 @dataclass(slots=True)
 class BackendState:
-    """One backend server with what this router has on it."""
+    """One backend server with what this router has on it and has learned of it."""
 
     spec: BackendSpec
     in_flight: int = 0
-    report: LoadReport | None = None
-    reported_at: float = 0.0
+    limit: ServerLimit = field(default_factory=ServerLimit)
+    window: GapWindow = field(default_factory=GapWindow)
+    health: Health = field(default_factory=Health)
+    other: OtherLoad = field(default_factory=OtherLoad)
+    probe_tokens: int = 0
+    first_token_cut_at: float = 0.0
+    cells: list["Cell"] = field(default_factory=list)
+
+    def load(self, now: float) -> float:
+        """Return the requests on the server, ours and others'."""
+        return self.in_flight + self.other.estimate(now)
+
+    def has_room(self, now: float) -> bool:
+        return (
+            self.health.is_in()
+            and self.load(now) + 1 <= max(1.0, self.limit.value)
+            and (self.other.claims >= 1 or not self.in_flight)
+        )
+
+    def may_probe(self, now: float) -> bool:
+        return not self.in_flight and self.health.may_probe(now)
+
+
+class OpenSet:
+    """A set of servers to draw from at random."""
+
+    def __init__(self) -> None:
+        self.items: list[BackendState] = []
+        self.places: dict[BackendId, int] = {}
+
+    def set(self, state: BackendState, member: bool) -> None:
+        """Put the server in or take it out, in constant time."""
+        backend_id = state.spec.backend_id
+        place = self.places.get(backend_id)
+        if member and place is None:
+            self.places[backend_id] = len(self.items)
+            self.items.append(state)
+        elif not member and place is not None:
+            del self.places[backend_id]
+            last = self.items.pop()
+            if last is not state:
+                self.items[place] = last
+                self.places[last.spec.backend_id] = place
+
+
+@dataclass(slots=True)
+class Cell:
+    """The servers of one pool in one availability zone."""
+
+    pool: "PoolView"
+    members: dict[str, BackendState] = field(default_factory=dict)
+    open: OpenSet = field(default_factory=OpenSet)
+    probes: OpenSet = field(default_factory=OpenSet)
+    orders: PrefixOrders = field(default_factory=PrefixOrders)
+    in_flight: int = 0
+
+
+@dataclass(slots=True)
+class PoolView:
+    """A pool's servers by zone, and what is usual among them."""
+
+    cells: dict[ZoneName, Cell] = field(default_factory=dict)
+    pace: PoolPace = field(default_factory=PoolPace)
+    targets: dict[float, float] = field(default_factory=dict)
+    servers: int = 0
+    slow: int = 0
+
+    def target_gap(self, now: float) -> float | None:
+        """Return the strictest time between tokens that classes lately asked for."""
+        if not self.targets:
+            return None
+        for target, seen_at in list(self.targets.items()):
+            if seen_at < now - TARGET_MEMORY_S:
+                del self.targets[target]
+        return min(self.targets, default=None)
 
 
 class BackendTable:
@@ -27,55 +124,330 @@
         self.zone = zone
         self.random = random.Random(seed)
         self.states: dict[BackendId, BackendState] = {}
-        self.pools: dict[str, list[BackendState]] = {}
+        self.pools: dict[str, PoolView] = {}
+        self.returns: list[BackendState] = []
 
-    def update(self, specs: list[BackendSpec]) -> None:
+    def update(self, specs: list[BackendSpec], now: float) -> None:
         """Take the list of servers; what is known of those that stay is kept."""
-        old = self.states
+        old, old_pools = self.states, self.pools
         self.states = {}
         self.pools = {}
         for spec in specs:
             state = old.get(spec.backend_id) or BackendState(spec)
             state.spec = spec
+            state.cells = []
             self.states[spec.backend_id] = state
             if not spec.leaving:
                 for pool in spec.pools:
-                    self.pools.setdefault(pool, []).append(state)
+                    self.add_to_pool(state, pool, old_pools)
+        for state in self.states.values():
+            self.refresh(state, now)
+
+    def add_to_pool(
+        self, state: BackendState, pool: str, old_pools: dict[str, PoolView]
+    ) -> None:
+        view = self.pools.get(pool)
+        if view is None:
+            view = self.pools[pool] = PoolView()
+            known = old_pools.get(pool)
+            if known is not None:
+                view.pace, view.targets = known.pace, known.targets
+        cell = view.cells.setdefault(state.spec.zone, Cell(view))
+        cell.members[state.spec.backend_id] = state
+        cell.in_flight += state.in_flight
+        view.servers += 1
+        view.slow += state.health.condition is Condition.SLOW
+        state.cells.append(cell)
+
+    def refresh(self, state: BackendState, now: float) -> None:
+        """Put the server among those with room, or take it out."""
+        has_room = state.has_room(now)
+        may_probe = state.may_probe(now)
+        for cell in state.cells:
+            cell.open.set(state, has_room)
+            cell.probes.set(state, may_probe)
+
+    def serves(self, pool: str) -> bool:
+        """Return whether any server that stays serves the pool."""
+        return pool in self.pools
 
     def has_room(self, pool: str, now: float) -> bool:
         """Return whether some server can take one more request for `pool`."""
-        return any(state.in_flight < START_LIMIT for state in self.pools.get(pool, []))
+        view = self.pools.get(pool)
+        return view is not None and any(
+            cell.open.items or cell.probes.items for cell in view.cells.values()
+        )
 
     def choose(
-        self, request: RequestSpec, avoid: set[BackendId], now: float
-    ) -> BackendId:
-        """Return the least loaded server, own availability zone first."""
-        states = [
-            state for state in self.pools[request.pool] if state.in_flight < START_LIMIT
+        self,
+        request: RequestSpec,
+        avoid: set[BackendId],
+        now: float,
+        may_probe: bool = False,
+    ) -> BackendId | None:
+        """Return the server for a request, or None if there is none but in `avoid`.
+
+        A server that was out is probed by requests that `may_probe`, or when nothing
+        else has room.
+        """
+        view = self.pools.get(request.pool)
+        if view is None:
+            return None
+        own = view.cells.get(self.zone)
+        others = [cell for zone, cell in view.cells.items() if zone != self.zone]
+        self.random.shuffle(others)
+        cells = [own, *others] if own is not None else others
+        if may_probe:
+            for cell in cells:
+                for state in cell.probes.items[:1]:
+                    if state.spec.backend_id not in avoid:
+                        return state.spec.backend_id
+        for cell in cells:
+            picked = self.pick(cell, request, avoid, now)
+            if picked is not None:
+                return picked.spec.backend_id
+        for cell in cells:
+            for state in cell.probes.items:
+                if state.spec.backend_id not in avoid:
+                    return state.spec.backend_id
+        return None
+
+    def pick(
+        self, cell: Cell, request: RequestSpec, avoid: set[BackendId], now: float
+    ) -> BackendState | None:
+        """Return a server of the cell with room, for its cache or for its load."""
+        if not cell.open.items:
+            return None
+        if request.prefix:
+            cached = self.pick_cached(cell, request.prefix, avoid, now)
+            if cached is not None:
+                return cached
+        first, second = self.draw(cell, avoid), self.draw(cell, avoid)
+        if first is None or second is None:
+            return first or second
+        return min(first, second, key=lambda s: s.load(now) / max(1.0, s.limit.value))
+
+    def pick_cached(
+        self, cell: Cell, prefix: str, avoid: set[BackendId], now: float
+    ) -> BackendState | None:
+        """Return the first server in the prefix's order that has room for it."""
+        mean = cell.in_flight / max(1, len(cell.members))
+        for name in cell.orders.order(prefix, list(cell.members)):
+            state = cell.members[name]
+            if (
+                state.spec.backend_id in cell.open.places
+                and state.spec.backend_id not in avoid
+                and within_bound(state.in_flight, mean)
+            ):
+                return state
+        return None
+
+    def draw(self, cell: Cell, avoid: set[BackendId]) -> BackendState | None:
+        """Return a random server with room, not one to avoid."""
+        items = cell.open.items
+        state = items[int(self.random.random() * len(items))]
+        if state.spec.backend_id not in avoid:
+            return state
+        # Only a request that failed before has servers to avoid, so that this is rare.
+        fresh = [item for item in items if item.spec.backend_id not in avoid]
+        return self.random.choice(fresh) if fresh else None
+
+    def choose_apart(
+        self, request: RequestSpec, avoid: set[BackendId]
+    ) -> BackendId | None:
+        """Return the server for a suspect: entries choose unlike ones for unlike
+        suspects, before they have heard of each other's."""
+        view = self.pools.get(request.pool)
+        names = [
+            state.spec.backend_id
+            for cell in (view.cells.values() if view else ())
+            for state in cell.open.items
+            if state.spec.backend_id not in avoid
         ]
-        fresh = [state for state in states if state.spec.backend_id not in avoid]
-        best = min(
-            fresh or states,
-            key=lambda state: (
-                state.spec.zone != self.zone,
-                state.in_flight,
-                self.random.random(),
-            ),
-        )
-        return best.spec.backend_id
+        best = rendezvous(request.fingerprint, names)
+        return BackendId(best[0]) if best else None
 
-    def started(self, backend_id: BackendId) -> None:
-        self.states[backend_id].in_flight += 1
+    def started(self, backend_id: BackendId, now: float) -> None:
+        """Count a request onto a server."""
+        state = self.states[backend_id]
+        state.other.own_changed(state.in_flight, now)
+        state.in_flight += 1
+        state.other.claims -= 1
+        state.probe_tokens = 0
+        for cell in state.cells:
+            cell.in_flight += 1
+        self.refresh(state, now)
 
-    def ended(self, backend_id: BackendId) -> None:
+    def ended(self, backend_id: BackendId, now: float) -> None:
+        """Count a request off a server, whatever became of it."""
         state = self.states.get(backend_id)
-        if state is not None:
-            state.in_flight -= 1
+        if state is None:
+            return
+        state.other.own_changed(state.in_flight, now)
+        state.in_flight -= 1
+        state.other.claims += 1
+        for cell in state.cells:
+            cell.in_flight -= 1
+        self.refresh(state, now)
 
     def load_reported(
         self, backend_id: BackendId, report: LoadReport, now: float
     ) -> None:
+        """Take what a server said of its load, however it came here."""
+        state = self.states.get(backend_id)
+        if state is None:
+            return
+        if report.waiting:
+            state.limit.queued(report.running)
+        state.other.reported(
+            report, state.in_flight, state.limit.value, now, self.random
+        )
+        self.refresh(state, now)
+
+    def first_token(
+        self, backend_id: BackendId, pool: str, waited_s: float, late: bool, now: float
+    ) -> None:
+        """Take how long a server took to an attempt's first token."""
+        state = self.states.get(backend_id)
+        view = self.pools.get(pool)
+        if state is None or view is None:
+            return
+        view.pace.add_first_token(waited_s)
+        if late and now - state.first_token_cut_at >= 1.0:
+            state.first_token_cut_at = now
+            state.limit.queued(state.load(now) * 0.9)
+        self.refresh(state, now)
+
+    def token_gap(
+        self, backend_id: BackendId, pool: str, gap_s: float, count: int, now: float
+    ) -> bool:
+        """Take tokens that came `gap_s` after the one before.
+
+        Returns whether the server is now found to be a straggler.
+        """
+        state = self.states.get(backend_id)
+        view = self.pools.get(pool)
+        if state is None or view is None:
+            return False
+        state.probe_tokens += count
+        mean = state.window.add(gap_s, count, state.load(now), now)
+        if mean is None:
+            return False
+        used = state.window.most_used
+        state.window.restart(state.load(now))
+        if state.health.is_in():
+            view.pace.add_window(mean)
+            state.limit.paced(mean, used, view.target_gap(now))
+        slow = self.compare(state, view, mean, now)
+        self.refresh(state, now)
+        return slow
+
+    def compare(
+        self, state: BackendState, view: PoolView, mean: float, now: float
+    ) -> bool:
+        """Hold a window against the pool's median; return whether it ejects."""
+        median = view.pace.median_gap_s
+        if median is None:
+            return False
+        if mean > SLOW_FACTOR * median:
+            return self.strike_slow(state, now)
+        if mean < HEALTHY_FACTOR * median:
+            state.health.slow_strikes = 0
+            if state.health.condition is Condition.SLOW:
+                self.bring_back(state, now)
+        return False
+
+    def strike_slow(self, state: BackendState, now: float) -> bool:
+        """Count slowness; return whether it takes the server out just now."""
+        health = state.health
+        if health.condition is Condition.SLOW:
+            health.take_out(Condition.SLOW, now, self.random)
+            return True
+        if not health.is_in() or not health.strike_slow():
+            return False
+        if not all(may_eject(c.pool.slow, c.pool.servers) for c in state.cells):
+            return False
+        self.take_out(state, Condition.SLOW, now)
+        return True
+
+    def timed_out(self, backend_id: BackendId, now: float) -> bool:
+        """Take that nothing came for too long; return whether that ejects."""
+        state = self.states.get(backend_id)
+        if state is None:
+            return False
+        slow = self.strike_slow(state, now)
+        self.refresh(state, now)
+        return slow
+
+    def went_down(self, backend_id: BackendId, now: float) -> None:
+        """Take that a server refused a connection, or broke one."""
+        state = self.states.get(backend_id)
+        if state is not None and (state.health.is_in() or state.may_probe(now)):
+            self.take_out(state, Condition.DOWN, now)
+
+    def answered_with_error(self, backend_id: BackendId, now: float) -> None:
+        """Take that a server failed to serve a request that reached it."""
+        state = self.states.get(backend_id)
+        if state is None:
+            return
+        if not state.health.is_in() or state.health.strike_error():
+            self.take_out(state, Condition.DOWN, now)
+
+    def refused(self, backend_id: BackendId, now: float) -> None:
+        """Take that a server would not run a request: it has less room than we think."""
+        state = self.states.get(backend_id)
+        if state is None:
+            return
+        state.limit.queued(state.load(now))
+        self.answered_with_error(backend_id, now)
+        self.refresh(state, now)
+
+    def served(
+        self, backend_id: BackendId, latency_s: float | None, now: float
+    ) -> None:
+        """Take a whole answer; `latency_s` is given where there are no tokens."""
         state = self.states.get(backend_id)
-        if state is not None:
-            state.report = report
-            state.reported_at = now - report.age_s
+        if state is None:
+            return
+        if latency_s is not None:
+            state.limit.answered(latency_s, state.load(now))
+        state.health.served()
+        if state.health.condition is Condition.DOWN:
+            self.bring_back(state, now)
+        self.refresh(state, now)
+
+    def take_out(self, state: BackendState, condition: Condition, now: float) -> None:
+        was_slow = state.health.condition is Condition.SLOW
+        state.health.take_out(condition, now, self.random)
+        self.count_slow(state, (condition is Condition.SLOW) - was_slow)
+        state.window.restart(0.0)
+        self.returns.append(state)
+        self.refresh(state, now)
+
+    def bring_back(self, state: BackendState, now: float) -> None:
+        """Let a server that passed its probe in again, with a small limit."""
+        self.count_slow(state, -(state.health.condition is Condition.SLOW))
+        state.health.bring_back()
+        state.limit.restart()
+        self.refresh(state, now)
+
+    def count_slow(self, state: BackendState, change: int) -> None:
+        for cell in state.cells:
+            cell.pool.slow += change
+
+    def tick(self, now: float) -> None:
+        """Offer servers whose time out is over to probes."""
+        still_out = []
+        for state in self.returns:
+            if state.health.is_in():
+                continue
+            if state.health.may_probe(now):
+                self.refresh(state, now)
+            still_out.append(state)
+        self.returns = still_out
+
+    def note_target(self, pool: str, target_gap_s: float | None, now: float) -> None:
+        """Remember that a class with this target runs on the pool."""
+        view = self.pools.get(pool)
+        if view is not None and target_gap_s is not None:
+            view.targets[target_gap_s] = now
--- /dev/null
+++ b/src/godwitmast/dispatch/limits.py
@@ -0,0 +1,96 @@
+"""Learns how much work a backend server serves at speed.
+
+Load pattern: a burst, or long prompts among short ones. An engine takes whatever it is
+sent; past some number of sequences each of its steps takes too long, and every stream
+on it misses its time between tokens at once. Work that waits in an engine cannot be
+reordered or moved any more, so a burst of drafts would stand before the next question.
+
+The limit counts all work on the server: our own, and what other entries have there by
+its report. It follows the measured time between tokens, window by window:
+
+- Above the target, the limit is set to what was on the server, scaled by target over
+  measured (a gradient, as in Netflix's concurrency-limits). Scaling what was measured,
+  and not the limit itself, makes repeated windows agree while the server drains.
+- Below the target, with the limit in use, it rises by one (additive increase). Entries
+  that share a server this way converge to like shares: Chiu and Jain, "Analysis of the
+  Increase and Decrease Algorithms", 1989.
+- Where the engine says that requests wait inside it, or first tokens come late, the
+  limit is brought down to what it really runs.
+"""
+
+from dataclasses import dataclass
+
+START_LIMIT = 8.0
+"""What a server is trusted with before anything was measured: the batch of a small
+engine. A larger engine gains one a window, so some four a second."""
+
+SLOW_START_LIMIT = 2.0
+"""What a server is trusted with on its return, as whatever made it leave may last."""
+
+MIN_LIMIT = 1.0
+MAX_LIMIT = 512.0
+
+TARGET_SHARE = 0.9
+"""The part of the target that is aimed at: requests vary around their mean."""
+
+RISE_SHARE = 0.95
+"""Below this part of the aim the limit rises. Between the two it rests."""
+
+MAX_CUT = 0.5
+IN_USE_SHARE = 0.8
+"""A limit that is not used this far says nothing of what lies beyond it."""
+
+BASE_FACTOR = 1.5
+"""Never aim below this many times the best pace seen. A target that the server cannot
+meet even when it is idle would else bring the limit to one, and gain nothing."""
+
+DEFAULT_FACTOR = 3.0
+"""The aim as a multiple of the best pace seen, where no class names a target."""
+
+LATENCY_FACTOR = 2.0
+"""For plain services: the latency, as a multiple of the best, that is too much."""
+
+
+@dataclass(slots=True)
+class ServerLimit:
+    """The number of requests that one server serves at speed."""
+
+    value: float = START_LIMIT
+    base_s: float | None = None
+
+    def paced(self, gap_s: float, used: float, target_s: float | None) -> None:
+        """Take a window's mean time between tokens, with `used` requests there."""
+        self.note_base(gap_s)
+        assert self.base_s is not None
+        aim = self.base_s * DEFAULT_FACTOR
+        if target_s is not None:
+            aim = max(target_s * TARGET_SHARE, self.base_s * BASE_FACTOR)
+        self.move(gap_s, aim, used)
+
+    def answered(self, latency_s: float, used: float) -> None:
+        """Take the latency of an answer from a server without tokens."""
+        self.note_base(latency_s)
+        assert self.base_s is not None
+        self.move(latency_s, max(self.base_s * LATENCY_FACTOR, 0.005), used, 0.05)
+
+    def note_base(self, seconds: float) -> None:
+        """Remember the best pace; it fades, as models and prompts change."""
+        if self.base_s is None or seconds < self.base_s:
+            self.base_s = seconds
+        else:
+            self.base_s *= 1.0005
+
+    def move(self, measured: float, aim: float, used: float, step: float = 1.0) -> None:
+        if measured > aim:
+            scaled = used * max(MAX_CUT, aim / measured)
+            self.value = max(MIN_LIMIT, min(self.value, scaled))
+        elif measured < aim * RISE_SHARE and used >= self.value * IN_USE_SHARE:
+            self.value = min(MAX_LIMIT, self.value + step)
+
+    def queued(self, running: float) -> None:
+        """Take that requests wait inside the engine beside `running` that do not."""
+        self.value = max(MIN_LIMIT, min(self.value, running))
+
+    def restart(self) -> None:
+        """Begin again, carefully, for a server that was away."""
+        self.value = SLOW_START_LIMIT
--- /dev/null
+++ b/src/godwitmast/dispatch/retries.py
@@ -0,0 +1,94 @@
+"""Bounds how much work is run again, and when.
+
+Load pattern: a failure of many servers, or a retry storm. If each failed request is
+run again at once, the servers that are left get the failed ones' load on top of their
+own, fail too, and the system stays down after its cause is gone (Bronson et al.,
+"Metastable Failures in Distributed Systems", 2021).
+
+Every repeat draws on one budget, which successes fill: a share of `SUCCESS_SHARE` is
+what Finagle and Envoy use by default, within a factor of two. `RESERVE` lets the
+streams of a crashed server or two resume at once on a quiet system.
+"""
+
+import heapq
+import itertools
+import random
+from typing import NamedTuple
+
+from godwitmast.types import RequestId
+
+SUCCESS_SHARE = 0.1
+RESERVE = 100.0
+"""The most that the budget holds: the streams of three engines of 32, so that the crash
+of a few servers does not cut what could be resumed."""
+
+FIRST_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 2.0
+
+SUSPECT_BACKOFF_S = (0.1, 0.3)
+"""A suspect waits long enough for the other entries to have heard of it."""
+
+
+class RetryBudget:
+    """What may still be run again."""
+
+    def __init__(self) -> None:
+        self.left = RESERVE
+
+    def succeeded(self) -> None:
+        self.left = min(RESERVE, self.left + SUCCESS_SHARE)
+
+    def take(self) -> bool:
+        """Spend one repeat; return whether there was one to spend."""
+        if self.left < 1:
+            return False
+        self.left -= 1
+        return True
+
+
+def backoff_s(failures: int, suspect: bool, draw: random.Random) -> float:
+    """Return how long a failed request waits, with full jitter.
+
+    The first failure hardly waits: its server is out of the choice by then, and a
+    stream's caller sees each millisecond.
+    """
+    if suspect:
+        return draw.uniform(*SUSPECT_BACKOFF_S) * failures
+    longest = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 4.0 ** (failures - 1))
+    return draw.uniform(0.0, longest)
+
+
+class Due(NamedTuple):
+    """A request whose wait ends at a time."""
+
+    at: float
+    number: int
+    request_id: RequestId
+
+
+class RetryQueue:
+    """Requests that wait before they may run again."""
+
+    def __init__(self) -> None:
+        self.heap: list[Due] = []
+        self.held: dict[RequestId, int] = {}
+        self.numbers = itertools.count()
+
+    def add(self, request_id: RequestId, at: float) -> None:
+        number = next(self.numbers)
+        self.held[request_id] = number
+        heapq.heappush(self.heap, Due(at, number, request_id))
+
+    def discard(self, request_id: RequestId) -> None:
+        """Forget a request; its place in the heap goes when its time comes."""
+        self.held.pop(request_id, None)
+
+    def take_due(self, now: float) -> list[RequestId]:
+        """Return the requests whose wait is over."""
+        due = []
+        while self.heap and self.heap[0].at <= now:
+            item = heapq.heappop(self.heap)
+            if self.held.get(item.request_id) == item.number:
+                del self.held[item.request_id]
+                due.append(item.request_id)
+        return due
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -4,12 +4,15 @@
 actions that its event led to; the caller carries them out in order.
 """
 
-from dataclasses import dataclass, field
+import random
+from collections.abc import Iterable
 from typing import Protocol
 
 from godwitmast.admission.queue import Admission
 from godwitmast.config.document import Document
 from godwitmast.dispatch.backends import BackendTable
+from godwitmast.dispatch.evictions import Notice
+from godwitmast.dispatch.flights import Flight, FlightBook
 from godwitmast.dispatch.messages import (
     Action,
     BackendSpec,
@@ -18,16 +21,34 @@
     FailureKind,
     LoadReport,
     NotRun,
+    PoisonNews,
     RefusalCode,
     Refuse,
     RequestSpec,
     Start,
 )
+from godwitmast.dispatch.poison import SAME_CRASH_S, InFlight, PoisonGuard
+from godwitmast.dispatch.retries import RetryBudget, RetryQueue, backoff_s
+from godwitmast.dispatch.timeouts import Watch, patience_s
 from godwitmast.types import AttemptId, BackendId, RequestId, ZoneName
 
-MAX_ATTEMPTS = 3
+MAX_FAILURES = 3
 """A request that failed on this many servers is more likely the cause than they."""
 
+MAX_UNSENT = 6
+"""Failures in which no server ran anything: each took a server out of the choice."""
+
+RETRY_AFTER_S = 1.0
+
+APART_EVERY_S = 0.1
+"""How often a suspect looks for a server without another suspect."""
+
+EXPIRE_EVERY_S = 1.0
+
+LATE_SHARE = 0.5
+"""A server that takes this part of the first-token target to a first token has more
+work than it serves at speed: the rest of the target is for waiting in our queue."""
+
 
 class Policy(Protocol):
     """What the entry and the scenario player need of a routing policy."""
@@ -67,39 +88,51 @@
     def tick(self, now: float) -> list[Action]: ...
 
 
-@dataclass(slots=True)
-class Flight:
-    """A request that was let in and has not ended."""
-
-    request: RequestSpec
-    attempt_id: AttemptId | None = None
-    backend_id: BackendId | None = None
-    attempts: int = 0
-    tokens: int = 0
-    may_have_run: bool = False
-    avoid: set[BackendId] = field(default_factory=set)
-
-
 class Router:
     """The policy that the product runs."""
 
     def __init__(self, document: Document, zone: ZoneName, seed: int = 0) -> None:
+        self.document = document
         self.admission = Admission(document, seed)
         self.backends = BackendTable(zone, seed)
-        self.flights: dict[RequestId, Flight] = {}
-        self.last_attempt = 0
+        self.book = FlightBook()
+        self.guard = PoisonGuard()
+        self.budget = RetryBudget()
+        self.retries = RetryQueue()
+        self.watch = Watch()
+        self.random = random.Random(seed)
+        self.notices: dict[BackendId, Notice] = {}
+        self.crashed_at: dict[BackendId, float] = {}
+        self.expire_at = 0.0
 
     def update_config(self, document: Document, now: float) -> list[Action]:
+        """Take a configuration: classes, teams, pools."""
+        self.document = document
         self.admission.update_config(document)
         return self.pump(now)
 
     def update_backends(self, backends: list[BackendSpec], now: float) -> list[Action]:
-        self.backends.update(backends)
+        """Take the list of servers; leaving ones get no new work."""
+        self.backends.update(backends, now)
+        known = self.notices
+        self.notices = {
+            spec.backend_id: known.get(
+                spec.backend_id, Notice(spec.backend_id, now, spec.gone_at)
+            )
+            for spec in backends
+            if spec.leaving and spec.gone_at is not None
+        }
         return self.pump(now)
 
     def submit(self, request: RequestSpec, now: float) -> list[Action]:
         """Let the request in, or refuse it."""
-        self.flights[request.request_id] = Flight(request)
+        left_s = self.guard.quarantine_left(request.fingerprint, now)
+        if left_s is not None:
+            return [refuse(request, RefusalCode.QUARANTINED, left_s)]
+        if not self.backends.serves(request.pool):
+            return [refuse(request, RefusalCode.NO_BACKEND, RETRY_AFTER_S)]
+        target = self.document.classes[request.class_name]
+        self.book.add(Flight(request, target))
         refusals = self.forget_refused(self.admission.offer(request, now))
         return [*refusals, *self.pump(now)]
 
@@ -107,20 +140,48 @@
         self, request_id: RequestId, attempt_id: AttemptId, count: int, now: float
     ) -> list[Action]:
         """Note tokens that were passed on to the caller."""
-        flight = self.owner(request_id, attempt_id)
-        if flight:
-            flight.tokens += count
-            self.admission.tokens_came(flight.request, count, now)
-        return []
+        flight = self.book.owner(request_id, attempt_id)
+        if flight is None or flight.backend_id is None:
+            return []
+        flight.tokens += count
+        self.admission.tokens_came(flight.request, count, now)
+        if not flight.request.resumable:
+            return []
+        slow = self.learn(flight, count, now)
+        flight.last_token_at = now
+        ran_s = now - flight.started_at
+        freed = self.guard.progressed(flight.request.fingerprint, ran_s, now)
+        actions = self.empty(flight.backend_id, CancelReason.SLOW, now) if slow else []
+        return [*actions, *self.pump(now)] if slow or freed else []
+
+    def learn(self, flight: Flight, count: int, now: float) -> bool:
+        """Learn from tokens of a stream; return whether its server is a straggler."""
+        assert flight.backend_id is not None
+        pool = flight.request.pool
+        if flight.first_token_at is not None:
+            gap_s = now - flight.last_token_at
+            return self.backends.token_gap(flight.backend_id, pool, gap_s, count, now)
+        flight.first_token_at = now
+        waited_s = now - flight.started_at
+        wanted = flight.target.first_token_s
+        late = wanted is not None and waited_s > wanted * LATE_SHARE
+        self.backends.first_token(flight.backend_id, pool, waited_s, late, now)
+        return False
 
     def finished(
         self, request_id: RequestId, attempt_id: AttemptId, now: float
     ) -> list[Action]:
         """Note that an attempt gave its whole answer."""
-        flight = self.owner(request_id, attempt_id)
-        if flight is None:
+        flight = self.book.owner(request_id, attempt_id)
+        if flight is None or flight.backend_id is None:
             return []
-        self.release(flight)
+        latency_s = None
+        if flight.request.pool in self.document.services:
+            latency_s = now - flight.started_at
+        self.backends.served(flight.backend_id, latency_s, now)
+        self.budget.succeeded()
+        self.guard.completed(flight.request.fingerprint, now)
+        self.release(flight, now)
         self.end(flight, now, whole=True)
         return self.pump(now)
 
@@ -132,55 +193,235 @@
         now: float,
     ) -> list[Action]:
         """Retry a failed attempt elsewhere where that is safe, or give up."""
-        flight = self.owner(request_id, attempt_id)
-        if flight is None:
+        flight = self.book.owner(request_id, attempt_id)
+        if flight is None or flight.backend_id is None:
             return []
-        if flight.backend_id:
+        actions = self.blame(flight, flight.backend_id, kind, now)
+        if flight.attempt_id is not None:
             flight.avoid.add(flight.backend_id)
-        self.release(flight)
-        if kind not in (FailureKind.CONNECT, FailureKind.REFUSED):
+            flight.failures += 1
+            if kind not in (FailureKind.CONNECT, FailureKind.REFUSED):
+                flight.may_have_run = True
+            self.release(flight, now)
+            actions += self.retry(flight, now)
+        return [*actions, *self.pump(now)]
+
+    def blame(
+        self, flight: Flight, backend_id: BackendId, kind: FailureKind, now: float
+    ) -> list[Action]:
+        """Hold a failure against the server that it happened on."""
+        match kind:
+            case FailureKind.CONNECT:
+                self.backends.went_down(backend_id, now)
+            case FailureKind.REFUSED:
+                self.backends.refused(backend_id, now)
+            case FailureKind.ERROR:
+                self.backends.answered_with_error(backend_id, now)
+            case FailureKind.TIMEOUT:
+                if self.backends.timed_out(backend_id, now):
+                    return self.empty(backend_id, CancelReason.SLOW, now, flight)
+            case FailureKind.CUT:
+                return self.crashed(flight, backend_id, now)
+        return []
+
+    def crashed(
+        self, flight: Flight, backend_id: BackendId, now: float
+    ) -> list[Action]:
+        """Take a broken connection as the crash of its server.
+
+        Each request on the server reports its own broken connection. The first one
+        puts all of them under suspicion; the others are the same crash.
+        """
+        self.backends.went_down(backend_id, now)
+        last = self.crashed_at.get(backend_id, -SAME_CRASH_S)
+        leaving = backend_id in self.notices
+        if leaving or (now - last < SAME_CRASH_S and flight.started_at <= last):
+            return []
+        self.crashed_at[backend_id] = now
+        in_flight = [
+            InFlight(other.request.fingerprint, now - other.started_at)
+            for other in self.book.on(backend_id)
+        ]
+        sentenced = self.guard.crashed(backend_id, in_flight, now)
+        return self.end_quarantined(sentenced, now)
+
+    def end_quarantined(self, fingerprints: Iterable[str], now: float) -> list[Action]:
+        """Refuse what is let in already of fingerprints in quarantine."""
+        wanted = set(fingerprints)
+        if not wanted:
+            return []
+        actions: list[Action] = []
+        # A scan of all requests, once in a quarantine's time.
+        for flight in list(self.book.flights.values()):
+            if flight.request.fingerprint in wanted:
+                left_s = self.guard.quarantine_left(flight.request.fingerprint, now)
+                actions += self.give_up(flight, RefusalCode.QUARANTINED, left_s, now)
+        return actions
+
+    def give_up(
+        self,
+        flight: Flight,
+        code: RefusalCode,
+        retry_after_s: float | None,
+        now: float,
+        reason: CancelReason = CancelReason.QUARANTINED,
+    ) -> list[Action]:
+        """End a request with a refusal, wherever it is."""
+        actions: list[Action] = []
+        if flight.attempt_id is not None:
+            actions.append(Cancel(flight.request.request_id, flight.attempt_id, reason))
             flight.may_have_run = True
+            self.release(flight, now)
+        else:
+            self.take_off_queues(flight)
+        self.end(flight, now)
+        actions.append(refuse(flight.request, code, retry_after_s, flight.may_have_run))
+        return actions
+
+    def retry(self, flight: Flight, now: float) -> list[Action]:
+        """Let a failed request wait for its next attempt, or refuse it."""
         unsafe = flight.may_have_run and not flight.request.idempotent
-        if unsafe or flight.attempts >= MAX_ATTEMPTS:
+        most = MAX_FAILURES if flight.may_have_run else MAX_UNSENT
+        if unsafe or flight.failures >= most or not self.budget.take():
             self.end(flight, now)
-            not_run = NotRun.UNKNOWN if flight.may_have_run else NotRun.TRUE
-            refusal = Refuse(request_id, RefusalCode.BACKEND_FAILED, not_run)
-            return [refusal, *self.pump(now)]
+            code = RefusalCode.BACKEND_FAILED
+            after_s = None if unsafe else RETRY_AFTER_S
+            return [refuse(flight.request, code, after_s, flight.may_have_run)]
+        suspect = self.guard.is_suspect(flight.request.fingerprint)
+        wait_s = backoff_s(flight.failures, suspect, self.random)
+        self.retries.add(flight.request.request_id, now + wait_s)
+        return []
+
+    def empty(
+        self,
+        backend_id: BackendId,
+        reason: CancelReason,
+        now: float,
+        but: Flight | None = None,
+    ) -> list[Action]:
+        """Move what may be moved off a server that was just found slow."""
+        actions: list[Action] = []
+        for flight in self.book.on(backend_id):
+            if flight is but or not flight.may_move or not flight.request.resumable:
+                continue
+            if not self.budget.take():
+                break
+            actions.append(self.move(flight, reason, now))
+        return actions
+
+    def move(self, flight: Flight, reason: CancelReason, now: float) -> Cancel:
+        """Cancel an attempt, and queue its request again to go on elsewhere."""
+        assert flight.attempt_id is not None and flight.backend_id is not None
+        cancel = Cancel(flight.request.request_id, flight.attempt_id, reason)
+        flight.avoid.add(flight.backend_id)
+        flight.may_have_run = True
+        self.release(flight, now)
         self.admission.put_back(flight.request, now)
-        return self.pump(now)
+        return cancel
 
     def withdraw(
         self, request_id: RequestId, reason: CancelReason, now: float
     ) -> list[Action]:
         """End a request whose caller went away or lost its key."""
-        flight = self.flights.get(request_id)
+        flight = self.book.get(request_id)
         if flight is None:
             return []
         actions: list[Action] = []
         if flight.attempt_id is None:
-            self.admission.remove(flight.request)
+            self.take_off_queues(flight)
         else:
             actions.append(Cancel(request_id, flight.attempt_id, reason))
-            self.release(flight)
+            self.release(flight, now)
         self.end(flight, now)
         return [*actions, *self.pump(now)]
 
+    def take_off_queues(self, flight: Flight) -> None:
+        """Take a request out of whichever queue it waits in."""
+        request_id = flight.request.request_id
+        if request_id in self.retries.held:
+            self.retries.discard(request_id)
+        else:
+            self.admission.remove(flight.request)
+
     def load_reported(
         self, backend_id: BackendId, report: LoadReport, now: float
     ) -> list[Action]:
+        """Take what a server said of its load, from whoever heard it."""
         self.backends.load_reported(backend_id, report, now)
         return self.pump(now)
 
+    def take_poison_news(self) -> list[PoisonNews]:
+        """Return what the other entries have to hear since the last call, at once."""
+        return self.guard.take_news()
+
+    def export_poison(self, now: float) -> list[PoisonNews]:
+        """Return all that is known of suspects, for an entry that has just joined."""
+        return self.guard.export(now)
+
+    def import_poison(self, news: Iterable[PoisonNews], now: float) -> list[Action]:
+        """Take what another entry sent; the same news twice changes nothing."""
+        sentenced = self.guard.import_news(news, now)
+        return [*self.end_quarantined(sentenced, now), *self.pump(now)]
+
     def tick(self, now: float) -> list[Action]:
         """Refuse what waited too long, and start what can be started."""
-        refusals = self.forget_refused(self.admission.expire(now))
-        return [*refusals, *self.pump(now)]
+        self.backends.tick(now)
+        if now >= self.expire_at:
+            self.expire_at = now + EXPIRE_EVERY_S
+            self.guard.expire(now)
+        actions = self.forget_refused(self.admission.expire(now))
+        for flight in self.watch.take_due(now):
+            actions += self.look_at(flight, now)
+        for notice in self.notices.values():
+            flights = self.book.on(notice.backend_id)
+            for flight in notice.to_leave(flights, now):
+                actions.append(self.move(flight, CancelReason.EVICTED, now))
+        for request_id in self.retries.take_due(now):
+            actions += self.return_to_queue(request_id, now)
+        return [*actions, *self.pump(now)]
+
+    def look_at(self, flight: Flight, now: float) -> list[Action]:
+        """Move an attempt that has given no sign of life for too long."""
+        view = self.backends.pools.get(flight.request.pool)
+        if flight.backend_id is None or view is None:
+            return []
+        patience = patience_s(flight, view.pace)
+        due = flight.last_token_at + (patience or 1.0)
+        if patience is None or due > now:
+            self.watch.add(flight, due)
+            return []
+        backend_id = flight.backend_id
+        slow = self.backends.timed_out(backend_id, now)
+        actions: list[Action] = []
+        if self.budget.take():
+            actions.append(self.move(flight, CancelReason.SLOW, now))
+        else:
+            self.watch.add(flight, now + patience)
+        if slow:
+            actions += self.empty(backend_id, CancelReason.SLOW, now)
+        return actions
+
+    def return_to_queue(self, request_id: RequestId, now: float) -> list[Action]:
+        """Queue a request again whose backoff is over."""
+        flight = self.book.get(request_id)
+        if flight is None:
+            return []
+        deadline = flight.request.deadline
+        if deadline is not None and deadline <= now:
+            self.end(flight, now)
+            code = RefusalCode.DEADLINE
+            return [refuse(flight.request, code, None, flight.may_have_run)]
+        if self.is_kept_apart(flight) and self.place_apart(flight) is None:
+            self.retries.add(request_id, now + APART_EVERY_S)
+            return []
+        self.admission.put_back(flight.request, now)
+        return []
 
     def forget_refused(self, refusals: list[Refuse]) -> list[Action]:
         """Forget requests that admission turned away, and tell what may have run."""
         actions: list[Action] = []
         for refusal in refusals:
-            flight = self.flights.pop(refusal.request_id)
+            flight = self.book.flights.pop(refusal.request_id)
             if flight.may_have_run:
                 refusal = refusal_of_started(refusal)
             actions.append(refusal)
@@ -194,7 +435,7 @@
                 request = self.admission.next(pool, now)
                 if request is None:
                     break
-                actions.append(self.start(self.flights[request.request_id], now))
+                actions += self.start(self.book.flights[request.request_id], now)
             actions += self.preempt(pool, now)
         return actions
 
@@ -206,7 +447,7 @@
         """
         actions: list[Action] = []
         while preemption := self.admission.preempt(pool, now):
-            victim = self.flights[preemption.victim.request_id]
+            victim = self.book.flights[preemption.victim.request_id]
             assert victim.attempt_id is not None, "only what runs is interrupted"
             actions.append(
                 Cancel(
@@ -216,44 +457,79 @@
                 )
             )
             victim.may_have_run = True
-            self.release(victim)
-            actions.append(self.start(self.flights[preemption.request.request_id], now))
+            self.release(victim, now)
+            flight = self.book.flights[preemption.request.request_id]
+            actions += self.start(flight, now)
         return actions
 
-    def start(self, flight: Flight, now: float) -> Start:
-        """Place a request that admission handed over."""
+    def start(self, flight: Flight, now: float) -> list[Action]:
+        """Place a request that admission handed over, or hold it for a moment."""
         request = flight.request
-        backend_id = self.backends.choose(request, flight.avoid, now)
-        self.last_attempt += 1
-        flight.attempt_id = AttemptId(self.last_attempt)
-        flight.backend_id = backend_id
-        flight.attempts += 1
-        self.backends.started(backend_id)
-        return Start(request.request_id, flight.attempt_id, backend_id, flight.tokens)
-
-    def owner(self, request_id: RequestId, attempt_id: AttemptId) -> Flight | None:
-        """Return the request if `attempt_id` still owns its caller's stream.
-
-        An attempt that was cancelled may still report; what it says must not end or
-        feed the attempt that took its place.
-        """
-        flight = self.flights.get(request_id)
-        if flight is None or flight.attempt_id != attempt_id:
+        backend_id = self.choose(flight, now)
+        if backend_id is None:
+            self.retries.add(request.request_id, now + APART_EVERY_S)
+            return []
+        attempt_id = self.book.board(flight, backend_id, now)
+        self.backends.started(backend_id, now)
+        self.backends.note_target(request.pool, flight.target.between_tokens_s, now)
+        self.guard.started(request.fingerprint, backend_id, now)
+        if flight.may_move and request.pool not in self.document.services:
+            self.watch_over(flight, now)
+        return [Start(request.request_id, attempt_id, backend_id, flight.tokens)]
+
+    def choose(self, flight: Flight, now: float) -> BackendId | None:
+        """Return the server for a request, or None if none may take it now."""
+        request = flight.request
+        if self.is_kept_apart(flight):
+            return self.place_apart(flight)
+        highest = min(item.tier for item in self.document.classes.values())
+        may_probe = request.idempotent and flight.target.tier > highest
+        backend_id = self.backends.choose(request, flight.avoid, now, may_probe)
+        if backend_id is None and flight.avoid:
+            # It failed on each server that has room. What is left to try is those.
+            flight.avoid.clear()
+            backend_id = self.backends.choose(request, flight.avoid, now, may_probe)
+        return backend_id
+
+    def is_kept_apart(self, flight: Flight) -> bool:
+        return self.guard.is_suspect(flight.request.fingerprint)
+
+    def place_apart(self, flight: Flight) -> BackendId | None:
+        """Return a server on which no other suspect is on probation."""
+        fingerprint = flight.request.fingerprint
+        if self.guard.must_wait(fingerprint):
             return None
-        return flight
+        return self.backends.choose_apart(flight.request, set(self.guard.placed))
+
+    def watch_over(self, flight: Flight, now: float) -> None:
+        """Look at the attempt when it should have given a sign of life."""
+        view = self.backends.pools.get(flight.request.pool)
+        if view is not None:
+            self.watch.add(flight, now + (patience_s(flight, view.pace) or 1.0))
 
-    def release(self, flight: Flight) -> None:
+    def release(self, flight: Flight, now: float) -> None:
         """Free the server that an attempt held."""
-        if flight.backend_id is not None:
-            self.backends.ended(flight.backend_id)
-        flight.attempt_id = None
-        flight.backend_id = None
+        backend_id = self.book.leave(flight)
+        if backend_id is not None:
+            self.backends.ended(backend_id, now)
+            self.guard.ended(flight.request.fingerprint)
 
     def end(self, flight: Flight, now: float, whole: bool = False) -> None:
-        del self.flights[flight.request.request_id]
+        self.book.remove(flight)
         self.admission.ended(flight.request, now, whole)
 
 
+def refuse(
+    request: RequestSpec,
+    code: RefusalCode,
+    retry_after_s: float | None,
+    may_have_run: bool = False,
+) -> Refuse:
+    """Return a refusal that claims no more than is known of what ran."""
+    not_run = NotRun.UNKNOWN if may_have_run else NotRun.TRUE
+    return Refuse(request.request_id, code, not_run, retry_after_s)
+
+
 def refusal_of_started(refusal: Refuse) -> Refuse:
     """Return the refusal without its claim that nothing ran."""
     return Refuse(
