Hold leases with fencing and spread configuration as deltas

The head row of the configuration is small; changes are rows, whole documents objects. Protocols are generators of table steps.

--- a/src/godwitmast/config/follower.py
+++ b/src/godwitmast/config/follower.py
@@ -1,30 +1,50 @@
 """Keeps a process on the newest configuration that it has heard of."""
 
+import random
 from collections.abc import Callable
 
 import anyio
 from anyio.abc import TaskGroup
 
-from godwitmast.config.document import NumberedConfig, parse_document
-from godwitmast.config.rows import HEAD_KEY
-from godwitmast.errors import ConfigInvalid, PlatformError
+from godwitmast.config.document import NumberedConfig
+from godwitmast.config.machine import ConfigState, Offered, catch_up
+from godwitmast.config.rows import Delta, Snapshot
 from godwitmast.logs import log_event
 from godwitmast.platform_api.client import PlatformClient
+from godwitmast.platform_api.runner import run_steps
 from godwitmast.types import Json
 
-PULL_EVERY_S = 1.0
+PULL_EVERY_S = 1.5
+"""How often the head row is read: half of the 3 s in which a change is in force."""
 
 Listener = Callable[[NumberedConfig], None]
 
 
 class ConfigFollower:
-    """Pulls the head row and tells listeners of each higher number."""
+    """Pulls from the table, takes what peers offer, and tells listeners.
 
-    def __init__(self, platform: PlatformClient) -> None:
+    Listeners are called once for each number that is put in force, in rising order,
+    with some left out when several came at once.
+    """
+
+    def __init__(
+        self, platform: PlatformClient, pull_every_s: float = PULL_EVERY_S
+    ) -> None:
         self.platform = platform
-        self.current: NumberedConfig | None = None
+        self.pull_every_s = pull_every_s
+        self.state = ConfigState()
         self.listeners: list[Listener] = []
         self.ready = anyio.Event()
+        self.told = 0
+        self.last_contact: float | None = None
+
+    @property
+    def current(self) -> NumberedConfig | None:
+        return self.state.current
+
+    @property
+    def version(self) -> int:
+        return self.state.version
 
     async def start(self, tasks: TaskGroup) -> None:
         tasks.start_soon(self.run)
@@ -32,33 +52,71 @@
     async def run(self) -> None:
         while True:
             await self.pull()
-            await anyio.sleep(PULL_EVERY_S)
+            # Jittered, so that nodes which started together do not read together.
+            await anyio.sleep(self.pull_every_s * random.uniform(0.8, 1.2))
 
     async def pull(self) -> None:
-        """Read the head row, and adopt it if its number is higher."""
-        try:
-            rows = await self.platform.read([HEAD_KEY])
-        except PlatformError as error:
-            log_event("config_pull_failed", level="WARNING", error=error)
-            return
-        if HEAD_KEY in rows:
-            head = rows[HEAD_KEY].value
-            self.adopt(head["number"], head["document"])
+        """Read the head row, and what it leads to if its number is higher."""
+        if await run_steps(self.platform, catch_up(self.state)):
+            self.heard()
+        else:
+            log_event("config_pull_failed", level="WARNING")
+        self.tell()
+
+    def heard(self) -> None:
+        """Note that the platform, or a peer that is in touch with it, was reached."""
+        self.last_contact = anyio.current_time()
+
+    def cut_off_s(self) -> float:
+        """Return for how long neither platform nor such a peer was reached."""
+        if self.last_contact is None:
+            return float("inf")
+        return anyio.current_time() - self.last_contact
 
     def adopt(self, number: int, raw: Json) -> bool:
-        """Put a configuration in force, unless one as new is already."""
-        if self.current and number <= self.current.version:
-            return False
-        try:
-            document = parse_document(raw)
-        except ConfigInvalid as error:
-            # Patches are checked before they are accepted, so this is a row that
-            # something else wrote. Serving on under the old one loses less.
-            log_event("config_rejected", level="ERROR", number=number, error=error)
-            return False
-        self.current = NumberedConfig(number, document, raw)
-        log_event("config_in_force", number=number)
+        """Put a whole configuration in force, unless one as new is already."""
+        outcome = self.state.adopt(number, raw)
+        self.tell()
+        return outcome is Offered.ADOPTED
+
+    def offer_snapshot(self, snapshot: Snapshot) -> bool:
+        """Take a snapshot from a peer; return whether it was put in force."""
+        return self.adopt(snapshot.number, snapshot.document)
+
+    def offer_delta(self, delta: Delta) -> Offered:
+        """Take a change from a peer; after a GAP ask it for more."""
+        outcome = self.state.offer_delta(delta)
+        self.tell()
+        return outcome
+
+    def offer_deltas(self, deltas: list[Delta]) -> Offered:
+        """Take changes in rising order, and tell listeners once at their end."""
+        outcome = Offered.OLD
+        for delta in deltas:
+            outcome = self.state.offer_delta(delta)
+            if outcome in (Offered.GAP, Offered.REJECTED):
+                break
+        self.tell()
+        return outcome
+
+    def deltas_after(self, version: int) -> list[Delta] | None:
+        """Return the changes after `version`, or None if a snapshot is needed."""
+        return self.state.deltas_after(version)
+
+    def snapshot(self) -> Snapshot | None:
+        """Return the whole configuration in force, for a peer."""
+        return self.state.snapshot()
+
+    def tell(self) -> None:
+        """Tell listeners of a new number, and operators of a rejected one."""
+        if self.state.rejected is not None:
+            log_event("config_rejected", level="ERROR", error=self.state.rejected)
+            self.state.rejected = None
+        current = self.state.current
+        if current is None or current.version <= self.told:
+            return
+        self.told = current.version
+        log_event("config_in_force", number=current.version)
         for listener in self.listeners:
-            listener(self.current)
+            listener(current)
         self.ready.set()
-        return True
--- a/src/godwitmast/config/rows.py
+++ b/src/godwitmast/config/rows.py
@@ -1,4 +1,86 @@
-"""Where the configuration stands in the platform's table."""
+"""Where the configuration stands in the platform's table and objects.
+
+The head row is small, since every node reads it all the time. A change is a row of
+its own, and a whole document is an object, written now and then.
+"""
+
+from typing import NamedTuple
+
+import msgspec
+
+from godwitmast.types import Json
 
 HEAD_KEY = "config/head"
-"""The row with the number and the document of the configuration in force."""
+"""The row with the number in force and where the newest snapshot is."""
+
+DELTA_PREFIX = "config/delta/"
+PATCH_PREFIX = "config/patch/"
+SNAPSHOT_PREFIX = "config/snapshot/"
+
+NUMBER_DIGITS = 12
+
+
+class Head(NamedTuple):
+    """The number in force, and the newest snapshot at or below it."""
+
+    number: int
+    snapshot: str
+    snapshot_number: int
+
+
+class Delta(NamedTuple):
+    """An accepted change: the merge patch from `number - 1` to `number`."""
+
+    number: int
+    patch: Json
+    patch_id: str = ""
+    author: str = ""
+    at: float = 0.0
+    reason: str = ""
+
+
+class Snapshot(NamedTuple):
+    """A whole document with its number."""
+
+    number: int
+    document: Json
+
+
+def delta_key(number: int) -> str:
+    """Return the key of a change; keys sort as their numbers do."""
+    return f"{DELTA_PREFIX}{number:0{NUMBER_DIGITS}}"
+
+
+def patch_key(patch_id: str) -> str:
+    """Return the key that tells which number a patch became."""
+    return f"{PATCH_PREFIX}{patch_id}"
+
+
+def snapshot_name(number: int, patch_id: str) -> str:
+    """Return a snapshot's name, which two racing patches never share."""
+    return f"{SNAPSHOT_PREFIX}{number:0{NUMBER_DIGITS}}-{patch_id}"
+
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    return msgspec.json.encode(snapshot)
+
+
+def decode_snapshot(content: bytes) -> Snapshot:
+    return msgspec.json.decode(content, type=Snapshot)
+
+
+def first_objects(document: Json) -> dict[str, bytes]:
+    """Return the objects of a first configuration; write them before the rows."""
+    name = snapshot_name(1, "first")
+    return {name: encode_snapshot(Snapshot(1, document))}
+
+
+def first_rows(document: Json) -> dict[str, Json]:
+    """Return the rows of a first configuration, each written if there is none."""
+    head = Head(1, snapshot_name(1, "first"), 1)
+    delta = Delta(1, document, "first", reason="first configuration")
+    return {
+        HEAD_KEY: head._asdict(),
+        delta_key(1): delta._asdict(),
+        patch_key("first"): {"number": 1},
+    }
--- a/src/godwitmast/control/daemon.py
+++ b/src/godwitmast/control/daemon.py
@@ -1,7 +1,6 @@
 """The control daemon: its admin interface and the duties that it contends for."""
 
-from typing import Protocol
-
+import anyio
 from anyio.abc import TaskGroup
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
 from starlette.applications import Starlette
@@ -9,23 +8,15 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from godwitmast.clock import SystemClock
 from godwitmast.config.follower import ConfigFollower
 from godwitmast.control.settings import ControlSettings
 from godwitmast.http_server import HttpServer
+from godwitmast.lease.driver import Duty, LeaseDriver
 from godwitmast.logs import log_event
 from godwitmast.platform_api.client import PlatformClient
 
 
-class Duty(Protocol):
-    """Work that one process at a time does, under a lease of its own."""
-
-    name: str
-
-    async def start(self, tasks: TaskGroup) -> None: ...
-
-    async def close(self) -> None: ...
-
-
 class Control:
     """One control daemon."""
 
@@ -34,7 +25,8 @@
         self.platform = PlatformClient(settings.platform, settings.node)
         self.follower = ConfigFollower(self.platform)
         self.registry = CollectorRegistry()
-        self.duties: list[Duty] = []
+        self.clock = SystemClock()
+        self.leases: list[LeaseDriver] = []
         self.app = Starlette(
             routes=[
                 Route("/livez", self.livez),
@@ -44,17 +36,25 @@
         )
         self.server = HttpServer(self.app, settings.listen, grace_s=2.0)
 
+    def add_duty(self, duty: Duty) -> None:
+        """Contend for a lease of the duty's name, and run it while it is held."""
+        settings = self.settings
+        self.leases.append(
+            LeaseDriver(self.platform, self.clock, duty, settings.node, settings.lease)
+        )
+
     async def start(self, tasks: TaskGroup) -> None:
         await self.follower.start(tasks)
         await self.server.start(tasks)
-        for duty in self.duties:
-            await duty.start(tasks)
+        for lease in self.leases:
+            await lease.start(tasks)
         log_event("control_started", node=self.settings.node, url=self.server.url)
 
     async def close(self) -> None:
         """Give up the leases, then stop."""
-        for duty in self.duties:
-            await duty.close()
+        async with anyio.create_task_group() as tasks:
+            for lease in self.leases:
+                tasks.start_soon(lease.close)
         await self.server.close()
         await self.platform.close()
         log_event("control_stopped", node=self.settings.node)
--- a/src/godwitmast/control/settings.py
+++ b/src/godwitmast/control/settings.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from godwitmast.lease.machine import LeaseTiming
 from godwitmast.settings import Listen, LogSettings, PlatformSettings
 
 
@@ -13,4 +14,5 @@
     platform: PlatformSettings
     region: str = "default"
     listen: Listen = Listen()
+    lease: LeaseTiming = LeaseTiming()
     log: LogSettings = LogSettings()
--- a/src/godwitmast/dev/system.py
+++ b/src/godwitmast/dev/system.py
@@ -5,8 +5,6 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from godwitmast.config.document import parse_document
-from godwitmast.config.rows import HEAD_KEY
 from godwitmast.control.daemon import Control
 from godwitmast.control.settings import ControlSettings
 from godwitmast.dev.document import MODEL, dev_document
@@ -56,11 +54,8 @@
             await entry.follower.ready.wait()
 
     def put_config(self, document: dict[str, Any]) -> None:
-        """Write a first configuration as the platform's operators would."""
-        parse_document(document)
-        self.platform.table.transact(
-            {HEAD_KEY: 0}, {HEAD_KEY: {"number": 1, "document": document}}
-        )
+        """Accept a whole configuration, as the platform's operators would."""
+        self.platform.put_config(document)
 
     @property
     def standins(self) -> list[Daemon]:
--- /dev/null
+++ b/src/godwitmast/lease/driver.py
@@ -0,0 +1,101 @@
+"""Contends for a lease over HTTP, and runs a duty for as long as it is held."""
+
+import secrets
+from typing import Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+
+from godwitmast.clock import Clock
+from godwitmast.lease.machine import Guard, LeaseMachine, LeaseTiming
+from godwitmast.logs import log_event
+from godwitmast.platform_api.client import PlatformClient
+from godwitmast.platform_api.runner import take_step
+
+POLL_S = 0.1
+RELEASE_TIMEOUT_S = 3.0
+
+
+class Duty(Protocol):
+    """Work that one process at a time does, under a lease of its own name."""
+
+    name: str
+
+    async def run(self, guard: Guard) -> None:
+        """Work until cancelled; called anew each time that the lease is gained.
+
+        Ask `guard.fence_if_held` in the last step before each order, and put
+        `guard.checks` among the checks of each transaction. Being cancelled is the
+        rule, not the protection: a paused process is not cancelled until it wakes.
+        """
+
+
+class LeaseDriver:
+    """One lease and its duty."""
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        clock: Clock,
+        duty: Duty,
+        node: str,
+        timing: LeaseTiming = LeaseTiming(),
+    ) -> None:
+        self.platform = platform
+        self.clock = clock
+        self.duty = duty
+        holder = f"{node}/{secrets.token_hex(4)}"
+        self.machine = LeaseMachine(duty.name, holder, timing)
+        self.work: anyio.CancelScope | None = None
+        self.idle = anyio.Event()
+        self.idle.set()
+
+    @property
+    def held(self) -> bool:
+        clock = self.clock
+        return self.machine.fence_if_held(clock.now(), clock.wall()) is not None
+
+    async def start(self, tasks: TaskGroup) -> None:
+        tasks.start_soon(self.run, tasks)
+
+    async def run(self, tasks: TaskGroup) -> None:
+        """Take each step when it is due; start and end the duty with the lease."""
+        machine = self.machine
+        while not machine.released:
+            self.start_or_stop_duty(tasks)
+            step = machine.step(self.clock.now(), self.clock.wall())
+            if step is None:
+                await anyio.sleep(POLL_S)
+                continue
+            result = await take_step(self.platform, step)
+            machine.took(result, self.clock.now())
+
+    def start_or_stop_duty(self, tasks: TaskGroup) -> None:
+        if self.held and self.work is None:
+            self.work = anyio.CancelScope()
+            self.idle = anyio.Event()
+            tasks.start_soon(self.run_duty, self.work)
+        elif not self.held and self.work is not None:
+            self.work.cancel()
+
+    async def run_duty(self, scope: anyio.CancelScope) -> None:
+        name = self.duty.name
+        fence = self.machine.tenure.fence if self.machine.tenure else None
+        log_event("lease_gained", lease=name, fence=fence)
+        try:
+            with scope:
+                await self.duty.run(self.machine)
+        finally:
+            log_event("lease_duty_ended", lease=name, fence=fence)
+            self.work = None
+            self.idle.set()
+
+    async def close(self) -> None:
+        """End the duty, then let the next holder in at once."""
+        if self.work is not None:
+            self.work.cancel()
+        await self.idle.wait()
+        self.machine.give_up()
+        with anyio.move_on_after(RELEASE_TIMEOUT_S):
+            while not self.machine.released:
+                await anyio.sleep(POLL_S / 10)
--- a/src/godwitmast/platform_api/client.py
+++ b/src/godwitmast/platform_api/client.py
@@ -59,10 +59,12 @@
         answer = await self.post("/table/read", {"keys": keys})
         return {key: Row(**row) for key, row in answer.json()["rows"].items()}
 
-    async def scan(self, prefix: str) -> dict[str, Row]:
-        """Return every row whose key starts with `prefix`, page by page."""
+    async def scan(self, prefix: str, after: str = "") -> dict[str, Row]:
+        """Return every row whose key starts with `prefix`, page by page.
+
+        With `after`, only those whose keys are past it.
+        """
         rows: dict[str, Row] = {}
-        after = ""
         while True:
             answer = await self.post("/table/scan", {"prefix": prefix, "after": after})
             page = answer.json()
--- a/src/godwitmast/standins/platform.py
+++ b/src/godwitmast/standins/platform.py
@@ -15,7 +15,17 @@
 from starlette.types import ASGIApp, Receive, Scope, Send
 
 from godwitmast.config.document import parse_document
-from godwitmast.config.rows import HEAD_KEY
+from godwitmast.config.rows import (
+    HEAD_KEY,
+    Delta,
+    Head,
+    Snapshot,
+    delta_key,
+    encode_snapshot,
+    first_objects,
+    first_rows,
+    snapshot_name,
+)
 from godwitmast.http_server import HttpServer
 from godwitmast.standins.settings import (
     PlatformStandinSettings,
@@ -23,6 +33,7 @@
     VmEntry,
 )
 from godwitmast.standins.table import Table
+from godwitmast.types import Json
 
 LOST_ANSWER_S = 30.0
 """How long a lost answer keeps its client waiting, which is longer than it waits."""
@@ -116,11 +127,26 @@
 
     def load_config(self, path: Path) -> None:
         """Put a first configuration in force, as version 1."""
-        document = json.loads(path.read_text())
+        self.put_config(json.loads(path.read_text()))
+
+    def put_config(self, document: Json) -> int:
+        """Accept a whole document, as if one patch had led to it; return its number."""
         parse_document(document)
+        row = self.table.read([HEAD_KEY]).get(HEAD_KEY)
+        if row is None:
+            self.objects |= first_objects(document)
+            self.table.transact({HEAD_KEY: 0}, first_rows(document))
+            return 1
+        number = row.value["number"] + 1
+        name = snapshot_name(number, "whole")
+        self.objects[name] = encode_snapshot(Snapshot(number, document))
+        head = Head(number, name, number)
+        delta = Delta(number, document, f"whole-{number}", reason="whole document")
         self.table.transact(
-            {HEAD_KEY: 0}, {HEAD_KEY: {"number": 1, "document": document}}
+            {HEAD_KEY: row.version},
+            {HEAD_KEY: head._asdict(), delta_key(number): delta._asdict()},
         )
+        return number
 
     async def start(self, tasks: TaskGroup) -> None:
         await self.server.start(tasks)
