--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,85 @@
+"""A platform in memory whose steps can be lost, delayed or answered late."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from godwitmast.platform_api.messages import Conflict, Row, Written
+from godwitmast.platform_api.steps import (
+    Failure,
+    GetObject,
+    ObjectPut,
+    ObjectRead,
+    PutObject,
+    Read,
+    Result,
+    Rows,
+    Scan,
+    Step,
+    Steps,
+    Transact,
+)
+from godwitmast.standins.table import Table
+
+
+class Fate(Enum):
+    """What becomes of one step."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    LOST = "lost"
+    ANSWER_LOST = "answer_lost"
+    DELAYED = "delayed"
+    """No answer comes, and a write arrives at some later moment."""
+
+
+@dataclass
+class FakePlatform:
+    """Table and objects; `late` holds the writes that are still on their way."""
+
+    table: Table = field(default_factory=Table)
+    objects: dict[str, bytes] = field(default_factory=dict)
+    late: list[Step] = field(default_factory=list)
+    away: bool = False
+    steps: int = 0
+
+    def take(self, step: Step, fate: Fate = Fate.ANSWERED) -> Result:
+        """Return what the process that took this step comes to know."""
+        self.steps += 1
+        if self.away or fate is Fate.REFUSED:
+            return Failure.NOT_DONE
+        if fate is Fate.LOST:
+            return Failure.UNKNOWN
+        if fate is Fate.DELAYED:
+            self.late.append(step)
+            return Failure.UNKNOWN
+        result = self.apply(step)
+        return Failure.UNKNOWN if fate is Fate.ANSWER_LOST else result
+
+    def arrive(self, index: int) -> None:
+        """Let a delayed write take effect now."""
+        self.apply(self.late.pop(index % len(self.late)))
+
+    def apply(self, step: Step) -> Result:
+        match step:
+            case Read():
+                found = self.table.read(step.keys).items()
+            case Scan():
+                found = self.table.scan(step.prefix, step.after, 10**6)
+            case Transact():
+                written, versions = self.table.transact(step.checks, step.writes)
+                return Written(versions) if written else Conflict(versions)
+            case GetObject():
+                return ObjectRead(self.objects.get(step.name))
+            case PutObject():
+                self.objects[step.name] = step.content
+                return ObjectPut()
+        return Rows({key: Row(row.value, row.version) for key, row in found})
+
+    def run(self, steps: Steps) -> object:
+        """Run a protocol without faults, and return its outcome."""
+        try:
+            step = next(steps)
+            while True:
+                step = steps.send(self.take(step))
+        except StopIteration as stop:
+            return stop.value
--- /dev/null
+++ b/tests/models.py
@@ -0,0 +1,29 @@
+"""Runs a protocol's model under hypothesis, and says how much it explored."""
+
+from collections import Counter
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+
+EXPLORED: Counter[str] = Counter()
+"""Steps taken by each model; a model counts its own."""
+
+
+def explore(
+    model: type[RuleBasedStateMachine], examples: int = 150, steps: int = 60
+) -> None:
+    """Run `model` with fixed seeds, and print the number of steps that it took."""
+    run_state_machine_as_test(
+        model,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            derandomize=True,
+            database=None,
+            deadline=None,
+            phases=[Phase.generate],
+            report_multiple_bugs=False,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+    print(f"{model.__name__}: {EXPLORED[model.__name__]} steps explored")
