Claim calls that may run at most once before their first byte leaves

A call with an Idempotency-Key is looked up before it waits, claimed just before it is sent, and its answer is stored before its caller gets it. A claim never lapses; it is given back only when no byte can have left.

The stand-in's token buckets began empty, so that the first pull of each process was throttled and every start took 1.5 s; they begin full now. Its lost answers end when it closes.

--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -7,6 +7,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from godwitmast.backends.client import BackendClient
+from godwitmast.claims.keeper import ClaimKeeper
 from godwitmast.clock import Clock
 from godwitmast.config.document import Document, NumberedConfig
 from godwitmast.dispatch.messages import CancelReason, RequestSpec
@@ -60,12 +61,14 @@
         driver: RouterDriver,
         client: BackendClient,
         meter: Meter,
+        claims: ClaimKeeper,
     ) -> None:
         self.settings = settings
         self.clock = clock
         self.driver = driver
         self.client = client
         self.meter = meter
+        self.claims = claims
         self.metrics = EntryMetrics()
         self.config: NumberedConfig | None = None
         self.stopping = False
@@ -275,9 +278,18 @@
         receive: Receive,
         send: Send,
     ) -> Exchange:
-        return Exchange(
+        exchange = Exchange(
             self.driver, self.client, caller, envelope, spec, outbound, receive, send
         )
+        if envelope.idempotency_key is not None and not spec.idempotent:
+            # What the caller sent, not what goes out: that holds our priority, which
+            # the next configuration may change.
+            exchange.claimed = self.claims.open_call(
+                spec.team,
+                envelope.idempotency_key,
+                [outbound.method, outbound.path, spec.fingerprint],
+            )
+        return exchange
 
     async def run(self, exchange: Exchange) -> None:
         """Run an exchange, then meter it and count how it ended."""
@@ -299,6 +311,8 @@
         if exchange.error_code:
             self.metrics.refused(spec.team, spec.class_name, exchange.error_code)
             return
+        if exchange.replayed:
+            return
         target = self.document.classes.get(spec.class_name)
         if target:
             self.metrics.answered(spec.team, spec.class_name, target, exchange.timing)
--- /dev/null
+++ b/src/godwitmast/entry/claim_answers.py
@@ -0,0 +1,63 @@
+"""What callers are told of a call that may run at most once."""
+
+from godwitmast.claims.machine import (
+    InDoubt,
+    LookOutcome,
+    NoTable,
+    OtherBody,
+    Stored,
+    TakeOutcome,
+)
+from godwitmast.dispatch.messages import NotRun
+from godwitmast.entry.refusals import ErrorAnswer
+
+RETRY_S = 2.0
+MAY_END_S = 600.0
+"""For how long a call without an answer is taken to be perhaps still running.
+
+It only decides whether the caller is told to come back, never whether it runs again.
+"""
+
+OUTCOME_UNKNOWN = ErrorAnswer(
+    409,
+    "outcome_unknown",
+    "A call with this key was sent and its outcome is not known. It is never run again.",
+    NotRun.UNKNOWN,
+)
+STILL_RUNNING = OUTCOME_UNKNOWN._replace(
+    message="A call with this key was begun and may still end. It is never run again.",
+    retry_after_s=RETRY_S,
+)
+ANSWER_NOT_KEPT = ErrorAnswer(
+    409,
+    "outcome_unknown",
+    "A call with this key ran, but its answer was not kept.",
+    NotRun.UNKNOWN,
+)
+OTHER_BODY = ErrorAnswer(
+    409,
+    "idempotency_conflict",
+    "This idempotency key came with another request before. This one was not run.",
+)
+NO_TABLE = ErrorAnswer(
+    503,
+    "claim_unavailable",
+    "This call was not run: it could not be claimed. Send it with the same key again.",
+    NotRun.TRUE,
+    RETRY_S,
+)
+
+
+def answer_claim(outcome: LookOutcome | TakeOutcome, wall: float) -> ErrorAnswer:
+    """Return the error for a call that its claim keeps from running."""
+    match outcome:
+        case OtherBody():
+            return OTHER_BODY
+        case InDoubt(may_end, at):
+            running = may_end and wall - at < MAY_END_S
+            return STILL_RUNNING if running else OUTCOME_UNKNOWN
+        case Stored():
+            return ANSWER_NOT_KEPT
+        case NoTable():
+            return NO_TABLE
+    raise AssertionError(f"{outcome} does not keep a call from running")
--- a/src/godwitmast/entry/daemon.py
+++ b/src/godwitmast/entry/daemon.py
@@ -4,6 +4,7 @@
 from anyio.abc import TaskGroup
 
 from godwitmast.backends.client import BackendClient
+from godwitmast.claims.keeper import ClaimKeeper
 from godwitmast.clock import SystemClock
 from godwitmast.config.follower import ConfigFollower
 from godwitmast.entry.app import EntryApp
@@ -26,7 +27,10 @@
         self.meter = Meter()
         self.follower = ConfigFollower(self.platform)
         self.driver = RouterDriver(settings.zone, self.clock, self.client)
-        self.app = EntryApp(settings, self.clock, self.driver, self.client, self.meter)
+        self.claims = ClaimKeeper(self.platform, self.clock, settings.node)
+        self.app = EntryApp(
+            settings, self.clock, self.driver, self.client, self.meter, self.claims
+        )
         self.server = HttpServer(
             self.app, settings.listen, settings.tls, settings.stop_timeout_s
         )
@@ -36,6 +40,7 @@
         self.follower.listeners.append(self.app.config_changed)
         await self.driver.start(tasks)
         await self.follower.start(tasks)
+        await self.claims.start(tasks)
         await self.server.start(tasks)
         log_event("entry_started", node=self.settings.node, url=self.server.url)
 
@@ -49,6 +54,7 @@
         self.app.stopping = True
         await anyio.sleep(self.settings.balancer_wait_s)
         await self.server.close()
+        await self.claims.close()
         await self.client.close()
         await self.platform.close()
         log_event("entry_stopped", node=self.settings.node)
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -7,8 +7,18 @@
 import anyio
 import httpx
 import msgspec
+from anyio.lowlevel import checkpoint
 
 from godwitmast.backends.client import AttemptFailed, BackendClient
+from godwitmast.claims.keeper import ClaimedCall
+from godwitmast.claims.machine import (
+    Answer,
+    Free,
+    LookOutcome,
+    Stored,
+    TakeOutcome,
+    Won,
+)
 from godwitmast.dispatch.messages import (
     CancelReason,
     FailureKind,
@@ -17,6 +27,7 @@
     RequestSpec,
     Start,
 )
+from godwitmast.entry.claim_answers import OUTCOME_UNKNOWN, answer_claim
 from godwitmast.entry.driver import RouterDriver
 from godwitmast.entry.events import EventReader, usage_of_answer
 from godwitmast.entry.intake import Envelope
@@ -41,11 +52,18 @@
     ["connection", "content-length", "keep-alive", "transfer-encoding", "date"]
 )
 
+REPLAYED = (b"godwit-replayed", b"true")
+"""Says that an answer is the stored one of an earlier call with the same key."""
+
 KEY_WITHDRAWN = ErrorAnswer(
     401, "invalid_key", "The key was withdrawn.", NotRun.UNKNOWN
 )
 
 
+async def send_nothing(message: dict[str, Any]) -> None:
+    """Stand in for the connection of a caller that has gone."""
+
+
 @dataclass
 class Outbound:
     """What is sent to a backend server: the same for each attempt, but for resuming."""
@@ -85,12 +103,18 @@
     counted: TokenCount | None = None
     end_reason: CancelReason | None = None
     error_code: str | None = None
+    claimed: ClaimedCall | None = None
+    may_have_run: bool = False
+    streamed: list[bytes] = field(default_factory=list)
+    replayed: bool = False
 
     def __post_init__(self) -> None:
         self.scope = anyio.CancelScope()
 
     async def run(self) -> None:
         """Serve the request until it has its whole answer or its one refusal."""
+        if not await self.look_up_claim():
+            return
         mailbox = self.driver.submit(self.spec)
         try:
             with self.scope:
@@ -105,14 +129,22 @@
             self.driver.withdraw(self.spec.request_id, reason)
             self.driver.forget(self.spec.request_id)
             mailbox.close()
+            await self.settle()
         if self.end_reason is CancelReason.KEY_WITHDRAWN:
             await self.send_failure(KEY_WITHDRAWN)
 
     async def watch_caller(self) -> None:
-        """End the exchange when the caller hangs up."""
+        """End the exchange when the caller hangs up.
+
+        A claimed call that was sent goes on without its caller: it may have run, and
+        its stored answer is all that the caller's next try can get.
+        """
         while (await self.receive())["type"] != "http.disconnect":
             pass
-        self.end(CancelReason.CALLER_GONE)
+        if self.claimed is not None and self.may_have_run:
+            self.send = send_nothing
+        else:
+            self.end(CancelReason.CALLER_GONE)
 
     def end(self, reason: CancelReason) -> None:
         """Stop serving, whatever is going on."""
@@ -126,6 +158,9 @@
             case Start():
                 return await self.attempt(action)
             case Refuse():
+                # A claim is given back before its caller hears "not run", so that
+                # the caller's next try does not find it in the way.
+                await self.settle()
                 await self.send_failure(answer_refusal(action))
                 return True
         return False
@@ -138,6 +173,11 @@
             return False
         try:
             with self.cancellable(start.attempt_id) as scope:
+                if not await self.may_send():
+                    return True
+                # If the attempt was cancelled during the claim, it ends here, while
+                # it is still certain that no byte has left.
+                await checkpoint()
                 await self.pass_on(start, url + self.outbound.path)
             if scope.cancelled_caught:
                 self.reader.restart()
@@ -149,6 +189,49 @@
         self.driver.finished(self.spec.request_id, start.attempt_id)
         return True
 
+    async def may_send(self) -> bool:
+        """Return whether the request may be sent; else its caller was answered."""
+        if self.spec.idempotent:
+            return True
+        if self.may_have_run:
+            # Whoever decides where requests go must not send this one again. Were
+            # that ever got wrong, a charge would be made twice, so it ends here too.
+            await self.send_failure(OUTCOME_UNKNOWN)
+            return False
+        if self.claimed is None:
+            return True
+        outcome = await self.claimed.take()
+        if isinstance(outcome, Won):
+            return True
+        await self.answer_claim(outcome)
+        return False
+
+    async def look_up_claim(self) -> bool:
+        """Return whether the request is to run; else its caller was answered."""
+        if self.claimed is None:
+            return True
+        outcome = await self.claimed.look()
+        if isinstance(outcome, Free):
+            return True
+        await self.answer_claim(outcome)
+        return False
+
+    async def answer_claim(self, outcome: LookOutcome | TakeOutcome) -> None:
+        """Give the caller the answer that is stored, or say why there is none."""
+        if isinstance(outcome, Stored) and outcome.answer is not None:
+            kept = outcome.answer
+            headers = [(name.encode(), value.encode()) for name, value in kept.headers]
+            self.head_sent = True
+            self.replayed = True
+            await send_whole(self.send, kept.status, [*headers, REPLAYED], kept.body)
+            return
+        await self.send_failure(answer_claim(outcome, self.driver.clock.wall()))
+
+    async def settle(self, answer: Answer | None = None) -> None:
+        """End the claim as what is known now allows; once only."""
+        if self.claimed is not None:
+            await self.claimed.settle(self.may_have_run, answer)
+
     @contextmanager
     def cancellable(self, attempt_id: AttemptId) -> Any:
         """Let the router end this attempt, and no more than this attempt."""
@@ -164,6 +247,7 @@
         outbound = self.outbound
         content = outbound.body(start.resume_from, self.reader.texts)
         is_model = outbound.model_body is not None
+        self.may_have_run = True
         async with self.client.exchange(
             outbound.method, url, outbound.headers, content, is_model
         ) as answer:
@@ -182,11 +266,16 @@
             if not whole:
                 continue
             await self.send_head()
+            if self.claimed is not None:
+                self.streamed.append(whole)
             body = {"type": "http.response.body", "body": whole, "more_body": True}
             await self.send(body)
             self.count_tokens(start, len(reader.texts) - before)
         if not reader.done:
             raise AttemptFailed(FailureKind.CUT, "the stream ended early")
+        if self.claimed is not None:
+            head = [(name.decode(), value.decode()) for name, value in EVENT_STREAM]
+            await self.settle(Answer(200, head, b"".join(self.streamed)))
         await self.send({"type": "http.response.body", "body": b""})
 
     async def send_head(self) -> None:
@@ -213,11 +302,8 @@
     async def pass_whole(self, start: Start, answer: httpx.Response) -> None:
         """Pass on an answer that does not stream, with its status."""
         body = await answer.aread()
-        headers = [
-            (name.encode(), value.encode())
-            for name, value in answer.headers.items()
-            if name not in HOP_HEADERS
-        ]
+        passed = [pair for pair in answer.headers.items() if pair[0] not in HOP_HEADERS]
+        headers = [(name.encode(), value.encode()) for name, value in passed]
         self.last_token_at = self.driver.clock.now()
         if self.outbound.model_body is not None:
             self.counted = usage_of_answer(body)
@@ -225,10 +311,14 @@
             self.driver.tokens_came(
                 self.spec.request_id, start.attempt_id, self.counted.output
             )
+        await self.settle(Answer(answer.status_code, passed, body))
         self.head_sent = True
         await send_whole(self.send, answer.status_code, headers, body)
 
     def fail(self, start: Start, kind: FailureKind) -> None:
+        if kind in (FailureKind.CONNECT, FailureKind.REFUSED):
+            # No byte left, or the server itself says that it did not run it.
+            self.may_have_run = False
         if kind is not FailureKind.CONNECT:
             self.reached_backend = True
         self.driver.failed(self.spec.request_id, start.attempt_id, kind)
--- a/src/godwitmast/platform_api/client.py
+++ b/src/godwitmast/platform_api/client.py
@@ -108,6 +108,8 @@
         self, method: str, path: str, good: tuple[int, ...] = (200,), **content: Any
     ) -> httpx.Response:
         """Return an answer with a status in `good`, or raise a PlatformError."""
+        if self.http.is_closed:
+            raise PlatformUnavailable(f"{path}: closed")
         try:
             answer = await self.http.request(method, path, **content)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
--- a/src/godwitmast/standins/platform.py
+++ b/src/godwitmast/standins/platform.py
@@ -57,9 +57,11 @@
     """A token bucket for the platform's limits."""
 
     rate: float
-    level: float = 0.0
     filled_at: float = 0.0
 
+    def __post_init__(self) -> None:
+        self.level = self.rate
+
     def take(self, amount: float, now: float) -> bool:
         grown = self.level + (now - self.filled_at) * self.rate
         self.level = min(self.rate, grown)
@@ -95,6 +97,7 @@
         self.reads = Bucket(settings.reads_per_s)
         self.writes = Bucket(settings.writes_per_s)
         self.random = random.Random(1)
+        self.closing = anyio.Event()
         self.requests: dict[str, int] = {}
         self.order_log: list[dict[str, Any]] = []
         self.usage_log: list[dict[str, Any]] = []
@@ -152,6 +155,7 @@
         await self.server.start(tasks)
 
     async def close(self) -> None:
+        self.closing.set()
         await self.server.close()
 
     async def read(self, request: Request) -> Response:
@@ -183,7 +187,8 @@
             self.faults.lose_answers -= 1
         elif self.random.random() >= self.faults.lose_answers_share:
             return
-        await anyio.sleep(LOST_ANSWER_S)
+        with anyio.move_on_after(LOST_ANSWER_S):
+            await self.closing.wait()
 
     async def get_object(self, request: Request) -> Response:
         if not self.reads.take(1, anyio.current_time()):
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,190 @@
+"""Calls that may run at most once, over real sockets."""
+
+import anyio
+import httpx
+import pytest
+from anyio.abc import SocketAttribute, SocketStream
+
+from godwitmast.dev.document import MODEL, SERVICE, dev_document, dev_key
+from godwitmast.dev.system import DevSystem
+from running import running
+
+pytestmark = pytest.mark.anyio
+
+BEARER = {"Authorization": f"Bearer {dev_key('arima')}"}
+
+
+def keyed(key: str) -> dict[str, str]:
+    return {**BEARER, "Idempotency-Key": key}
+
+
+def charge_urls(system: DevSystem) -> list[str]:
+    return [f"{e.server.url}/services/{SERVICE}/charge" for e in system.entries]
+
+
+async def test_repeat_gets_the_first_answer_from_any_entry(
+    http: httpx.AsyncClient,
+) -> None:
+    system = DevSystem(entries=2)
+    async with running(system):
+        first, second = charge_urls(system)
+        one = await http.post(first, headers=keyed("k1"), content=b"10 dollars")
+        two = await http.post(second, headers=keyed("k1"), content=b"10 dollars")
+        assert one.status_code == two.status_code == 200
+        assert one.content == two.content
+        assert two.headers["godwit-replayed"] == "true"
+        other = await http.post(second, headers=keyed("k1"), content=b"20 dollars")
+        assert other.status_code == 409
+        assert other.json()["error"]["code"] == "idempotency_conflict"
+        assert other.headers["godwit-not-run"] == "true"
+        assert len(system.service.records) == 1
+
+
+async def test_call_is_refused_as_not_run_while_the_table_is_away(
+    system: DevSystem, http: httpx.AsyncClient
+) -> None:
+    """Without the table no claim can be taken, and without a claim nothing is sent.
+
+    The caller hears at once that the call was not run and when to come back; a call
+    that may be repeated is served all the while.
+    """
+    async with running(system):
+        [url] = charge_urls(system)
+        system.platform.faults.outage = True
+        refused = await http.post(url, headers=keyed("k1"))
+        assert refused.status_code == 503
+        assert refused.json()["error"]["code"] == "claim_unavailable"
+        assert refused.headers["godwit-not-run"] == "true"
+        assert int(refused.headers["retry-after"]) >= 1
+        assert (await http.get(url, headers=BEARER)).status_code == 200
+        system.platform.faults.outage = False
+        answer = refused
+        while answer.status_code == 503:
+            answer = await http.post(url, headers=keyed("k1"))
+        assert answer.status_code == 200
+        assert sum(r["method"] == "POST" for r in system.service.records) == 1
+
+
+async def test_lost_answers_of_the_table_never_run_a_call_twice(
+    system: DevSystem, http: httpx.AsyncClient
+) -> None:
+    """The claim is written but its answer is lost; the entry reads it back."""
+    async with running(system):
+        [url] = charge_urls(system)
+        system.platform.faults.lose_answers = 1
+        answer = await http.post(url, headers=keyed("k1"))
+        assert answer.status_code == 200
+        again = await http.post(url, headers=keyed("k1"))
+        assert again.content == answer.content
+        assert len(system.service.records) == 1
+
+
+async def test_call_whose_server_broke_is_unknown_for_ever(
+    http: httpx.AsyncClient,
+) -> None:
+    """The service takes the call and dies before it answers.
+
+    Nobody can know whether the charge was made, so every later try hears that the
+    outcome is unknown, from every entry, and none of them sends it again.
+    """
+    system = DevSystem(entries=2)
+    calls: list[bytes] = []
+
+    async def die(stream: SocketStream) -> None:
+        async with stream:
+            data = await stream.receive()
+            if data.startswith(b"POST"):
+                calls.append(data)
+
+    async with (
+        running(system),
+        await anyio.create_tcp_listener(local_host="127.0.0.1") as listener,
+        anyio.create_task_group() as tasks,
+    ):
+        tasks.start_soon(listener.serve, die)
+        port = listener.extra(SocketAttribute.local_port)
+        urls = [engine.server.url for engine in system.engines]
+        system.put_config(dev_document(urls, f"http://127.0.0.1:{port}"))
+        await version_in_force(system, 2)
+        for url in charge_urls(system) * 2:
+            answer = await http.post(url, headers=keyed("k1"))
+            assert answer.status_code in (409, 503)
+            assert answer.headers["godwit-not-run"] == "unknown"
+        assert answer.status_code == 409
+        assert answer.json()["error"]["code"] == "outcome_unknown"
+        assert "retry-after" not in answer.headers
+        assert len(calls) == 1
+        tasks.cancel_scope.cancel()
+
+
+async def test_call_goes_on_without_its_caller_and_its_answer_is_kept(
+    system: DevSystem, http: httpx.AsyncClient
+) -> None:
+    """The caller times out while its charge runs, and asks again with the same key."""
+    async with running(system):
+        [url] = charge_urls(system)
+        system.service.faults.work_s = 0.6
+        with pytest.raises(httpx.ReadTimeout):
+            await http.post(url, headers=keyed("k1"), timeout=0.3)
+        early = await http.post(url, headers=keyed("k1"))
+        assert early.status_code == 409
+        assert "retry-after" in early.headers
+        with anyio.fail_after(10):
+            answer = early
+            while answer.status_code == 409:
+                await anyio.sleep(0.05)
+                answer = await http.post(url, headers=keyed("k1"))
+        assert answer.status_code == 200
+        assert answer.json()["number"] == 1
+        assert len(system.service.records) == 1
+
+
+async def test_claim_is_given_back_when_no_server_could_be_reached(
+    system: DevSystem, http: httpx.AsyncClient
+) -> None:
+    async with running(system):
+        [url] = charge_urls(system)
+        urls = [engine.server.url for engine in system.engines]
+        good = system.service.server.url
+        system.put_config(dev_document(urls, "http://127.0.0.1:1"))
+        await version_in_force(system, 2)
+        answer = await http.post(url, headers=keyed("k1"))
+        assert answer.status_code == 503
+        assert answer.headers["godwit-not-run"] == "true"
+        system.put_config(dev_document(urls, good))
+        await version_in_force(system, 3)
+        with anyio.fail_after(10):
+            while answer.status_code == 503:
+                answer = await http.post(url, headers=keyed("k1"))
+        assert answer.status_code == 200, answer.text
+        assert len(system.service.records) == 1
+
+
+async def test_streamed_model_call_marked_non_idempotent_is_replayed_whole(
+    system: DevSystem, http: httpx.AsyncClient
+) -> None:
+    async with running(system):
+        urls = [engine.server.url for engine in system.engines]
+        document = dev_document(urls, system.service.server.url)
+        document["models"][MODEL]["idempotent"] = False
+        system.put_config(document)
+        await version_in_force(system, 2)
+        url = f"{system.entries[0].server.url}/v1/chat/completions"
+        body = {
+            "model": MODEL,
+            "stream": True,
+            "messages": [{"role": "user", "content": "length=9"}],
+        }
+        one = await http.post(url, headers=keyed("k1"), json=body)
+        two = await http.post(url, headers=keyed("k1"), json=body)
+        assert one.text == two.text
+        assert one.text.count('"content"') == 9
+        assert two.headers["content-type"] == "text/event-stream"
+        assert sum(len(engine.served) for engine in system.engines) == 1
+
+
+async def version_in_force(system: DevSystem, number: int) -> None:
+    """Wait until every entry has the configuration of that number."""
+    with anyio.fail_after(10):
+        while any(entry.follower.version < number for entry in system.entries):
+            await anyio.sleep(0.02)
