Spread the configuration between entries over a sparse overlay

Cause: an entry that cannot reach the platform had no configuration. Change: a peer machine without I/O (membership, overlay, records, spreading of the configuration), a websockets and CBOR driver, mutual TLS or plain links on loopback, and the entry's wiring. Withdrawn keys go out first.

--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -69,6 +69,7 @@
         self.metrics = EntryMetrics()
         self.config: NumberedConfig | None = None
         self.stopping = False
+        self.withdrawn: dict[str, int] = {}
         self.exchanges: dict[RequestId, Exchange] = {}
         self.numbers = itertools.count(1)
         self.ready_checks: list[Callable[[], bool]] = []
@@ -78,8 +79,27 @@
         self.config = config
         self.metrics.config_version.set(config.version)
         self.driver.config_changed(config)
+        self.withdrawn = {
+            key_hash: version
+            for key_hash, version in self.withdrawn.items()
+            if version > config.version
+        }
         self.end_withdrawn()
 
+    def withdraw_key(self, key_hash: str, version: int) -> None:
+        """Refuse a key that configuration `version` withdraws, before it is here.
+
+        A peer may have it much earlier than a node that lags and needs the whole of
+        it. Numbers only rise, so nothing that comes later can make this wrong, but
+        the configuration that is in force by then has the last word.
+        """
+        if self.config is None or version <= self.config.version:
+            return
+        self.withdrawn[key_hash] = version
+        for exchange in list(self.exchanges.values()):
+            if exchange.caller.key_hash == key_hash:
+                exchange.end(CancelReason.KEY_WITHDRAWN)
+
     def end_withdrawn(self) -> None:
         wall = self.clock.wall()
         for exchange in list(self.exchanges.values()):
@@ -144,6 +164,8 @@
         caller = identify(self.document, envelope.key, self.clock.wall())
         if isinstance(caller, Denial):
             return answer_denial(caller)
+        if caller.key_hash in self.withdrawn:
+            return answer_denial(Denial.UNKNOWN)
         if envelope.path == "/v1/models":
             await send_json(send, 200, list_models(self.document, caller))
             return None
--- a/src/godwitmast/entry/daemon.py
+++ b/src/godwitmast/entry/daemon.py
@@ -8,6 +8,7 @@
 from godwitmast.config.follower import ConfigFollower
 from godwitmast.entry.app import EntryApp
 from godwitmast.entry.driver import RouterDriver
+from godwitmast.entry.peering import Peering
 from godwitmast.entry.settings import EntrySettings
 from godwitmast.http_server import HttpServer
 from godwitmast.logs import log_event
@@ -27,14 +28,26 @@
         self.follower = ConfigFollower(self.platform)
         self.driver = RouterDriver(settings.zone, self.clock, self.client)
         self.app = EntryApp(settings, self.clock, self.driver, self.client, self.meter)
+        self.follower.listeners.append(self.app.config_changed)
+        self.peering: Peering | None = None
+        if settings.peers:
+            self.peering = Peering(
+                settings,
+                settings.peers,
+                self.clock,
+                self.platform,
+                self.follower,
+                self.app,
+            )
         self.server = HttpServer(
             self.app, settings.listen, settings.tls, settings.stop_timeout_s
         )
 
     async def start(self, tasks: TaskGroup) -> None:
         """Listen, and follow the configuration; not ready before there is one."""
-        self.follower.listeners.append(self.app.config_changed)
         await self.driver.start(tasks)
+        if self.peering:
+            await self.peering.start(tasks)
         await self.follower.start(tasks)
         await self.server.start(tasks)
         log_event("entry_started", node=self.settings.node, url=self.server.url)
@@ -49,6 +62,8 @@
         self.app.stopping = True
         await anyio.sleep(self.settings.balancer_wait_s)
         await self.server.close()
+        if self.peering:
+            await self.peering.close()
         await self.client.close()
         await self.platform.close()
         log_event("entry_stopped", node=self.settings.node)
--- a/src/godwitmast/entry/settings.py
+++ b/src/godwitmast/entry/settings.py
@@ -4,8 +4,9 @@
 
 from pydantic import Field
 
-from godwitmast.http_server import TlsFiles
+from godwitmast.peers.settings import CheckedPeerSettings
 from godwitmast.settings import Listen, LogSettings, PlatformSettings, Seconds
+from godwitmast.tls import TlsFiles
 
 
 class Limits(NamedTuple):
@@ -24,6 +25,7 @@
     region: str = "default"
     listen: Listen = Listen()
     tls: TlsFiles | None = None
+    peers: CheckedPeerSettings | None = None
     limits: Limits = Limits()
     balancer_wait_s: Annotated[float, Field(ge=0)] = 2.0
     stop_timeout_s: Seconds = 120.0
--- a/src/godwitmast/http_server.py
+++ b/src/godwitmast/http_server.py
@@ -3,7 +3,7 @@
 import socket
 import ssl
 from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
@@ -12,6 +12,7 @@
 
 from godwitmast.logs import log_event
 from godwitmast.settings import Listen
+from godwitmast.tls import TlsContext, TlsFiles, server_tls
 
 BACKLOG = 1024
 GRACE_S = 30.0
@@ -25,11 +26,20 @@
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 
-class TlsFiles(NamedTuple):
-    """Certificate and key of a listener."""
+class ServerConfig(Config):
+    """Hypercorn's configuration with a TLS context of ours, which reloads its files."""
 
-    certificate: str
-    private_key: str
+    tls: TlsContext | None = None
+
+    def create_ssl_context(self) -> ssl.SSLContext | None:
+        if self.tls is None:
+            return None
+        self.tls.context.set_alpn_protocols(self.alpn_protocols)
+        return self.tls.context
+
+    @property
+    def ssl_enabled(self) -> bool:
+        return self.tls is not None
 
 
 class HttpServer:
@@ -44,7 +54,7 @@
     ) -> None:
         self.app = app
         self.listen = listen
-        self.tls = tls
+        self.tls = server_tls(tls) if tls else None
         self.grace_s = grace_s
         self.port = 0
         self.stopping = anyio.Event()
@@ -61,10 +71,12 @@
         self.port = listener.getsockname()[1]
         log_event("listening", url=self.url)
         tasks.start_soon(self.run, listener)
+        if self.tls:
+            tasks.start_soon(self.tls.run)
 
     async def run(self, listener: socket.socket) -> None:
         """Serve until `close`, then let open requests end."""
-        config = Config()
+        config = ServerConfig()
         # Hypercorn closes the descriptor that it is given, so it owns a detached one.
         config.bind = [f"fd://{listener.detach()}"]
         config.backlog = BACKLOG
@@ -76,8 +88,7 @@
         config.errorlog = None
         config.accesslog = None
         if self.tls:
-            config.certfile = self.tls.certificate
-            config.keyfile = self.tls.private_key
+            config.tls = self.tls
             config.ssl_handshake_timeout = 5
         try:
             await serve(
--- /dev/null
+++ b/src/godwitmast/load/peer_network.py
@@ -0,0 +1,300 @@
+"""A small fake network that drives peer machines in virtual time.
+
+Frames can be lost, late, doubled and reordered, which a TCP connection never does to
+them: what holds here holds with less trouble there. A loss on TCP is only a delay.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import NamedTuple
+
+from godwitmast.peers.codec import decode_frame, encode_frame
+from godwitmast.peers.machine import PeerMachine, Timing
+from godwitmast.peers.messages import (
+    Dial,
+    Frame,
+    HangUp,
+    KnownVm,
+    Place,
+    RecordCame,
+    Send,
+)
+from godwitmast.types import Json
+
+TICK_S = 0.25
+FRAME_OVERHEAD = 80
+"""Bytes that TCP/IP (52), TLS (22) and websockets (6) add to each frame."""
+
+EPOCH_MS = 1_700_000_000_000
+
+
+@dataclass
+class CountedConfig:
+    """A configuration that is only a number, with the deltas that led to it."""
+
+    version: int = 0
+    kept: int = 50
+    risen: Callable[[int], None] = lambda version: None
+    patch_bytes: int = 200
+    snapshot_bytes: int = 2000
+
+    def set(self, number: int) -> bool:
+        if number <= self.version:
+            return False
+        self.version = number
+        self.risen(number)
+        return True
+
+    def deltas(self, after: int) -> Json | None:
+        if self.version - after > self.kept:
+            return None
+        return ["x" * self.patch_bytes] * (self.version - after)
+
+    def snapshot(self) -> Json | None:
+        return "x" * self.snapshot_bytes
+
+    def adopt_deltas(self, after: int, number: int, payload: Json) -> bool:
+        return self.set(number)
+
+    def adopt_snapshot(self, number: int, payload: Json) -> bool:
+        return self.set(number)
+
+
+class Weather(NamedTuple):
+    """What the network does to frames."""
+
+    loss: float = 0.0
+    doubled: float = 0.0
+    delay_s: tuple[float, float] = (0.0005, 0.003)
+
+
+@dataclass
+class FakeNode:
+    """A machine with its address and what was counted at it."""
+
+    machine: PeerMachine
+    config: CountedConfig
+    up: bool = True
+    paused_until: float = 0.0
+    bytes_sent: int = 0
+    frames_sent: int = 0
+    links: dict[int, "FakeLink"] = field(default_factory=dict)
+
+
+@dataclass
+class FakeLink:
+    """A connection between two addresses, with one end's id at each."""
+
+    link_id: int
+    ends: tuple[str, str]
+    open: bool = True
+
+    def other(self, address: str) -> str:
+        return self.ends[1] if self.ends[0] == address else self.ends[0]
+
+
+class FakeNetwork:
+    """Nodes by address, the events between them, and one virtual clock."""
+
+    def __init__(
+        self, seed: int = 0, weather: Weather = Weather(), codec: bool = False
+    ) -> None:
+        self.random = random.Random(seed)
+        self.weather = weather
+        self.codec = codec
+        self.now = 1000.0
+        self.nodes: dict[str, FakeNode] = {}
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = itertools.count(1)
+        self.cut: Callable[[Place, Place], bool] = lambda source, target: False
+        self.came: Callable[[str, RecordCame], None] = lambda node, output: None
+
+    # The nodes.
+
+    def add(
+        self,
+        node: str,
+        zone: str,
+        region: str = "r1",
+        address: str | None = None,
+        timing: Timing = Timing(),
+        version: int = 1,
+    ) -> FakeNode:
+        """Start a node; an address that is taken gets a new node in its place."""
+        place = Place(address or f"{node}:1", zone, region)
+        config = CountedConfig(version)
+        incarnation = EPOCH_MS + int(self.now * 1000)
+        machine = PeerMachine(
+            node, place, incarnation, config, self.now, seed=1, timing=timing
+        )
+        if place.address in self.nodes:
+            self.kill(place.address)
+        added = FakeNode(machine, config)
+        self.nodes[place.address] = added
+        self.at(self.random.random() * TICK_S, lambda: self.tick(place.address, added))
+        return added
+
+    def introduce(self, addresses: Iterable[str] | None = None) -> None:
+        """Give every node the platform's list."""
+        listed = list(self.nodes if addresses is None else addresses)
+        for fake in self.nodes.values():
+            fake.machine.learn_addresses([KnownVm(a) for a in listed], self.now)
+
+    def know_all(self) -> None:
+        """Start as a system that has run for a while: all know all."""
+        members = [fake.machine.me for fake in self.nodes.values()]
+        for fake in self.nodes.values():
+            for member in members:
+                if member.node != fake.machine.node:
+                    fake.machine.table.put(member, self.now)
+
+    def kill(self, address: str) -> None:
+        """End a process: its connections break at once, and nobody answers there."""
+        fake = self.nodes[address]
+        fake.up = False
+        for link in list(fake.links.values()):
+            self.close(link, address)
+
+    def lose(self, address: str) -> None:
+        """End a VM: nothing tells its peers, and nothing answers any more."""
+        self.nodes[address].up = False
+
+    def pause(self, address: str, seconds: float) -> None:
+        self.nodes[address].paused_until = self.now + seconds
+
+    def live(self) -> list[FakeNode]:
+        return [fake for fake in self.nodes.values() if fake.up]
+
+    # Time.
+
+    def at(self, delay: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self.events, (self.now + delay, next(self.numbers), action))
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        end = self.now + seconds
+        while self.events and self.events[0][0] <= end:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+        self.now = end
+
+    def run_until(self, done: Callable[[], bool], limit_s: float) -> float:
+        """Let time pass until `done`, and return how long that took."""
+        start = self.now
+        while not done():
+            if self.now - start >= limit_s:
+                raise AssertionError(f"not done after {limit_s} s")
+            self.run(0.05)
+        return self.now - start
+
+    def tick(self, address: str, fake: FakeNode) -> None:
+        if not fake.up or self.nodes[address] is not fake:
+            return
+        if fake.paused_until <= self.now:
+            fake.machine.tick(self.now)
+            self.carry_out(address, fake)
+        self.at(TICK_S, lambda: self.tick(address, fake))
+
+    # The network.
+
+    def act(self, address: str, action: Callable[[PeerMachine], None]) -> None:
+        """Do something at a node, and then what it asks for."""
+        fake = self.nodes[address]
+        if not fake.up:
+            return
+        if fake.paused_until > self.now:
+            wait = fake.paused_until - self.now
+            self.at(wait + 0.001, lambda: self.act(address, action))
+            return
+        action(fake.machine)
+        self.carry_out(address, fake)
+
+    def carry_out(self, address: str, fake: FakeNode) -> None:
+        for output in fake.machine.take_outputs():
+            match output:
+                case Send(link_id, frame):
+                    self.transmit(address, fake, link_id, frame)
+                case Dial(target):
+                    self.dial(address, target)
+                case HangUp(link_id):
+                    link = fake.links.get(link_id)
+                    if link is not None:
+                        self.close(link, address)
+                case RecordCame():
+                    self.came(fake.machine.node, output)
+
+    def reaches(self, source: str, target: str) -> bool:
+        if target not in self.nodes or not self.nodes[target].up:
+            return False
+        places = [self.nodes[a].machine.place for a in (source, target)]
+        return not self.cut(places[0], places[1])
+
+    def dial(self, source: str, target: str) -> None:
+        known = target in self.nodes
+        cut = known and not (
+            self.reaches(source, target) and self.reaches(target, source)
+        )
+        if not known or cut:
+            wait = 2.0 if known else 0.001
+            self.at(
+                wait,
+                lambda: self.act(source, lambda m: m.dial_failed(target, self.now)),
+            )
+            return
+        self.at(self.delay(), lambda: self.open(source, target))
+
+    def open(self, source: str, target: str) -> None:
+        if not (self.nodes[source].up and self.nodes[target].up):
+            self.act(source, lambda m: m.dial_failed(target, self.now))
+            return
+        link = FakeLink(next(self.numbers), (source, target))
+        for end in link.ends:
+            self.nodes[end].links[link.link_id] = link
+        self.act(target, lambda m: m.link_opened(link.link_id, None, self.now))
+        self.act(source, lambda m: m.link_opened(link.link_id, target, self.now))
+
+    def close(self, link: FakeLink, by: str) -> None:
+        """Close a link; the other end hears of it, if the network lets it."""
+        self.nodes[by].links.pop(link.link_id, None)
+        if not link.open:
+            return
+        link.open = False
+        other = link.other(by)
+
+        def hear() -> None:
+            fake = self.nodes[other]
+            if fake.links.pop(link.link_id, None) is not None:
+                self.act(other, lambda m: m.link_closed(link.link_id, self.now))
+
+        places = [self.nodes[a].machine.place for a in (by, other)]
+        if not self.cut(places[0], places[1]):
+            self.at(self.delay() + 0.005, hear)
+
+    def delay(self) -> float:
+        return self.random.uniform(*self.weather.delay_s)
+
+    def transmit(self, source: str, fake: FakeNode, link_id: int, frame: Frame) -> None:
+        """Send a frame, with whatever becomes of it on the way."""
+        if self.codec:
+            data = encode_frame(frame)
+            fake.bytes_sent += len(data) + FRAME_OVERHEAD
+        fake.frames_sent += 1
+        link = fake.links.get(link_id)
+        if link is None:
+            return
+        target = link.other(source)
+        self.at(0.0002, lambda: self.act(source, lambda m: m.sent(link_id, self.now)))
+        copies = 1 + (self.random.random() < self.weather.doubled)
+        for _ in range(copies):
+            if self.random.random() >= self.weather.loss:
+                came = decode_frame(data) if self.codec else frame
+                self.at(self.delay(), partial(self.deliver, link, target, came))
+
+    def deliver(self, link: FakeLink, target: str, frame: Frame) -> None:
+        fake = self.nodes[target]
+        if link.link_id in fake.links and self.reaches(link.other(target), target):
+            self.act(target, lambda m: m.received(link.link_id, frame, self.now))
--- /dev/null
+++ b/src/godwitmast/peers/driver.py
@@ -0,0 +1,319 @@
+"""Links between peers over websockets: carries out what the peer machine asks."""
+
+import itertools
+import logging
+import ssl
+from collections.abc import Callable
+
+import anyio
+from anyio import CancelScope
+from anyio.abc import TaskGroup
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import ConnectionClosed, WebSocketException
+
+from godwitmast.clock import Clock
+from godwitmast.errors import PeerError
+from godwitmast.http_server import bind
+from godwitmast.logs import log_event
+from godwitmast.peers.codec import MAX_FRAME_BYTES, decode_frame, encode_frame
+from godwitmast.peers.config_source import ConfigSource
+from godwitmast.peers.machine import MAX_LINKS, PeerMachine, Timing
+from godwitmast.peers.messages import (
+    Dial,
+    Frame,
+    HangUp,
+    KnownVm,
+    MembersChanged,
+    Output,
+    Place,
+    Record,
+    RecordCame,
+    Send,
+    Topic,
+)
+from godwitmast.peers.settings import PeerSettings
+from godwitmast.tls import TlsContext, peer_client_tls, peer_server_tls
+from godwitmast.types import Json
+
+TICK_S = 0.25
+OUTBOX = 8
+"""Frames; the machine sends one at a time, and a few at the end."""
+
+CLOSE_S = 1.0
+LEAVE_S = 0.5
+"""How long the news that this node leaves has to reach its neighbours."""
+
+# Failed handshakes are an event of ours; the library would log each with a traceback.
+QUIET = logging.getLogger("godwitmast.websockets")
+QUIET.addHandler(logging.NullHandler())
+QUIET.propagate = False
+
+
+class PeerDriver:
+    """The peers of one node, in the task group of `start`."""
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        node: str,
+        zone: str,
+        region: str,
+        config: ConfigSource,
+        clock: Clock,
+        timing: Timing = Timing(),
+    ) -> None:
+        self.settings = settings
+        self.node = node
+        self.zone = zone
+        self.region = region
+        self.config = config
+        self.clock = clock
+        self.timing = timing
+        self.machine: PeerMachine | None = None
+        self.server: Server | None = None
+        self.tls: tuple[TlsContext, TlsContext] | None = None
+        if settings.tls != "off":
+            self.tls = (peer_server_tls(settings.tls), peer_client_tls(settings.tls))
+        self.numbers = itertools.count(1)
+        self.outboxes: dict[int, MemoryObjectSendStream[Frame]] = {}
+        self.on_record: Callable[[Record], None] = lambda record: None
+        self.on_members: Callable[[], None] = lambda: None
+        self.cut_zones: frozenset[str] = frozenset()
+        self.bytes_sent = 0
+        self.bad_frames = 0
+
+    @property
+    def address(self) -> str:
+        assert self.machine is not None, "the address is known once started"
+        return self.machine.place.address
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Listen for peers, and begin to look for them."""
+        self.tasks = tasks
+        listener = bind(self.settings.listen)
+        listener.listen(MAX_LINKS)
+        host = self.settings.advertise or self.settings.listen.host
+        place = Place(f"{host}:{listener.getsockname()[1]}", self.zone, self.region)
+        now = self.clock.now()
+        incarnation = int(self.clock.wall() * 1000)
+        self.machine = PeerMachine(
+            self.node, place, incarnation, self.config, now, timing=self.timing
+        )
+        self.learn([KnownVm(address) for address in self.settings.seeds])
+        for context in self.tls or ():
+            tasks.start_soon(context.run)
+        self.server = await serve(
+            self.accept,
+            sock=listener,
+            ssl=self.tls[0].context if self.tls else None,
+            max_size=MAX_FRAME_BYTES,
+            max_queue=4,
+            compression=None,
+            ping_interval=None,
+            close_timeout=CLOSE_S,
+            open_timeout=self.timing.dial_timeout,
+            logger=QUIET,
+        )
+        log_event("peers_listening", address=place.address, tls=bool(self.tls))
+        tasks.start_soon(self.run_ticks)
+
+    async def close(self) -> None:
+        """Tell the peers that this node leaves, then hang up on them."""
+        if self.machine is None or self.server is None:
+            return
+        self.machine.leave(self.clock.now())
+        self.carry_out()
+        with anyio.move_on_after(LEAVE_S):
+            while any(box.statistics().current_buffer_used for box in self.boxes()):
+                await anyio.sleep(0.01)
+            await anyio.sleep(0.05)
+        self.server.close(close_connections=True)
+        await self.server.wait_closed()
+        for link_id in list(self.outboxes):
+            self.hang_up(link_id)
+
+    def boxes(self) -> list[MemoryObjectSendStream[Frame]]:
+        return list(self.outboxes.values())
+
+    # What the application tells.
+
+    def learn(self, vms: list[KnownVm]) -> None:
+        """Take addresses at which there may be peers."""
+        if self.machine is not None:
+            self.machine.learn_addresses(vms, self.clock.now())
+
+    def config_changed(self) -> None:
+        """Push the configuration that is now in force."""
+        if self.machine is not None:
+            self.machine.config_changed(self.clock.now())
+            self.carry_out()
+
+    def tell(
+        self,
+        topic: Topic,
+        key: str,
+        value: Json,
+        left_s: float,
+        version: int | None = None,
+    ) -> None:
+        """Spread a fact; see `PeerMachine.tell`."""
+        if self.machine is not None:
+            now = self.clock.now()
+            self.machine.tell(topic, key, value, left_s, now, version)
+            self.carry_out()
+
+    def cut(self, zones: frozenset[str]) -> None:
+        """Lose every frame to and from nodes of `zones`, without closing a link."""
+        self.cut_zones = zones
+        log_event("peers_fault_hook", level="WARNING", cut=",".join(sorted(zones)))
+
+    # The machine's outputs.
+
+    def carry_out(self) -> None:
+        assert self.machine is not None, "links and ticks begin after the start"
+        for output in self.machine.take_outputs():
+            self.do(output)
+
+    def do(self, output: Output) -> None:
+        match output:
+            case Send(link_id, frame):
+                box = self.outboxes.get(link_id)
+                if box is not None:
+                    self.put(box, frame)
+            case Dial(address):
+                self.tasks.start_soon(self.dial, address)
+            case HangUp(link_id, reason):
+                log_event("peer_hung_up", level="DEBUG", link=link_id, reason=reason)
+                self.hang_up(link_id)
+            case RecordCame(record):
+                self.on_record(record)
+            case MembersChanged(node, state):
+                log_event("peer_state", node=node, state=state.name.lower())
+                self.on_members()
+
+    def put(self, box: MemoryObjectSendStream[Frame], frame: Frame) -> None:
+        try:
+            box.send_nowait(frame)
+        except (anyio.WouldBlock, anyio.BrokenResourceError):
+            # Only frames past the one in flight come here, such as a bye to a peer
+            # that does not read. The link ends soon, by the machine's busy time.
+            log_event("peer_outbox_full", level="DEBUG")
+
+    def hang_up(self, link_id: int) -> None:
+        box = self.outboxes.pop(link_id, None)
+        if box is not None:
+            box.close()
+
+    async def run_ticks(self) -> None:
+        while True:
+            await anyio.sleep(TICK_S)
+            assert self.machine is not None, "ticks begin after the start"
+            self.machine.tick(self.clock.now())
+            self.carry_out()
+
+    # Links, one task each.
+
+    async def accept(self, socket: ServerConnection) -> None:
+        await self.run_link(socket, None)
+
+    async def dial(self, address: str) -> None:
+        """Connect to an address, and serve the link while it lasts."""
+        context = self.tls[1].context if self.tls else None
+        try:
+            async with connect(
+                f"{'wss' if context else 'ws'}://{address}/",
+                ssl=context,
+                proxy=None,
+                max_size=MAX_FRAME_BYTES,
+                max_queue=4,
+                compression=None,
+                ping_interval=None,
+                open_timeout=self.timing.dial_timeout,
+                close_timeout=CLOSE_S,
+                logger=QUIET,
+            ) as socket:
+                await self.run_link(socket, address)
+        except (OSError, TimeoutError, WebSocketException) as error:
+            self.dial_failed(address, error)
+
+    def dial_failed(self, address: str, error: Exception) -> None:
+        assert self.machine is not None, "dials begin after the start"
+        if isinstance(error, ssl.SSLError):
+            log_event("peer_tls_failed", level="WARNING", address=address, error=error)
+        self.machine.dial_failed(address, self.clock.now())
+        self.carry_out()
+
+    async def run_link(self, socket: Connection, address: str | None) -> None:
+        """Read and write a link until either end closes it."""
+        assert self.machine is not None, "links begin after the start"
+        link_id = next(self.numbers)
+        send, receive = anyio.create_memory_object_stream[Frame](OUTBOX)
+        self.outboxes[link_id] = send
+        self.machine.link_opened(link_id, address, self.clock.now())
+        self.carry_out()
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    self.write, link_id, socket, receive, tasks.cancel_scope
+                )
+                await self.read(link_id, socket)
+                tasks.cancel_scope.cancel()
+        finally:
+            self.hang_up(link_id)
+            receive.close()
+            self.machine.link_closed(link_id, self.clock.now())
+            self.carry_out()
+
+    async def write(
+        self,
+        link_id: int,
+        socket: Connection,
+        receive: MemoryObjectReceiveStream[Frame],
+        scope: CancelScope,
+    ) -> None:
+        """Send the link's frames one by one; close it when there are no more."""
+        assert self.machine is not None, "links begin after the start"
+        try:
+            async for frame in receive:
+                if not self.is_cut(link_id):
+                    data = encode_frame(frame)
+                    await socket.send(data)
+                    self.bytes_sent += len(data)
+                self.machine.sent(link_id, self.clock.now())
+                self.carry_out()
+            await socket.close()
+        except ConnectionClosed:
+            pass
+        scope.cancel()
+
+    async def read(self, link_id: int, socket: Connection) -> None:
+        """Hand the link's frames to the machine; a bad one ends the link."""
+        assert self.machine is not None, "links begin after the start"
+        try:
+            async for data in socket:
+                await anyio.sleep(len(data) / self.settings.bytes_per_s)
+                frame = decode_frame(data if isinstance(data, bytes) else b"")
+                if self.is_cut(link_id, frame):
+                    continue
+                self.machine.received(link_id, frame, self.clock.now())
+                self.carry_out()
+        except ConnectionClosed:
+            return
+        except PeerError as error:
+            self.bad_frames += 1
+            remote = socket.remote_address
+            log_event("peer_bad_frame", level="WARNING", peer=remote, error=error)
+            await socket.close(1002)
+
+    def is_cut(self, link_id: int, frame: Frame | None = None) -> bool:
+        """Return whether the fault hook loses a frame of this link."""
+        if not self.cut_zones:
+            return False
+        assert self.machine is not None, "links begin after the start"
+        hello = frame.hello if frame else None
+        link = self.machine.links.get(link_id)
+        zone = hello.place.zone if hello else link.zone if link else ""
+        return zone in self.cut_zones
