Plan the number, kind and zone of backend servers

Change: a sans-I/O planner for one pool (forecast with trend and daily profile, sizes by kind and zone with a floor for a lost zone of cheap servers, hysteresis and paced starts), a fleet model in virtual time with both users' mixes, and `godwit-load spend`, which measures the plan against a fixed fleet and a plain utilisation scaler. The tests found two faults of the first version, both mended: a new lease holder drained servers in its first round, and a fall of the demand counted as noise to keep room for, which ordered a server.

--- a/src/godwitmast/capacity/__init__.py
+++ b/src/godwitmast/capacity/__init__.py
@@ -1,1 +1,1 @@
-"""How many backend servers to run, of which kind and where."""
+"""How many backend servers, of which kind, in which availability zone."""
--- a/src/godwitmast/config/document.py
+++ b/src/godwitmast/config/document.py
@@ -85,12 +85,27 @@
 
 
 class CapacityIntention(NamedTuple):
-    """What operators want of the number of backend servers for a model."""
+    """What operators want of the number of backend servers for a model.
+
+    An empty `zones` allows those where the configuration has servers of the model.
+    `cheap_share` is the most that may be cheap, `high_tiers` how many tiers from the
+    top must stay inside their targets when a zone of cheap servers is lost. The two
+    speeds are what one server gives while it keeps to the targets; prices are in the
+    unit of `budget_per_hour`.
+    """
 
     min_servers: Annotated[int, Field(ge=0)] = 1
     max_servers: Annotated[int, Field(ge=0)] = 64
     cheap_share: Share = 0.6
     budget_per_hour: Positive | None = None
+    min_on_demand: Annotated[int, Field(ge=0)] = 1
+    high_tiers: Annotated[int, Field(ge=0)] = 2
+    zones: frozenset[str] = frozenset()
+    start_s: Positive = 180.0
+    prompt_tokens_per_s: Positive = 12_000.0
+    output_tokens_per_s: Positive = 1_400.0
+    on_demand_per_hour: Positive = 1.0
+    cheap_per_hour: Positive = 0.4
 
 
 class Document(NamedTuple):
--- /dev/null
+++ b/src/godwitmast/load/spend.py
@@ -0,0 +1,170 @@
+"""Measures spend and attainment of the capacity plan against two baselines."""
+
+import math
+import statistics
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+from typing import NamedTuple
+
+from rich.console import Console
+from rich.table import Table
+
+from godwitmast.capacity.messages import ServerKind
+from godwitmast.capacity.planner import Planner
+from godwitmast.capacity.sizing import USE
+from godwitmast.config.document import CapacityIntention
+from godwitmast.load.fleet_model import FleetModel, FleetResult, Scaler
+from godwitmast.load.mixes import MIXES, Mix
+from godwitmast.load.scalers import FixedFleet, TargetUtilisation
+from godwitmast.types import PoolName, ZoneName
+
+POLICIES = ("plan", "fixed", "utilisation")
+
+
+class Trial(NamedTuple):
+    """One run of one policy."""
+
+    mix: str
+    policy: str
+    seed: int
+    zone_loss: bool
+
+
+def make_intention(mix: Mix) -> CapacityIntention:
+    """Return the intention that both examples configure."""
+    return CapacityIntention(
+        min_servers=3, max_servers=12, zones=frozenset(mix.zones), cheap_share=0.6
+    )
+
+
+def peak_servers(mix: Mix) -> int:
+    """Return the fixed fleet: the profile's highest rate at the plan's utilisation."""
+    intention = make_intention(mix)
+    unit = sum(
+        c.share
+        * (
+            c.prompt.mean / intention.prompt_tokens_per_s
+            + c.answer.mean / intention.output_tokens_per_s
+        )
+        for c in mix.classes
+    )
+    return math.ceil(peak_rate(mix)[1] * unit / USE)
+
+
+def peak_rate(mix: Mix) -> tuple[int, float]:
+    """Return the second of the highest rate, and the rate."""
+    times = range(0, int(mix.duration_s), 60)
+    at = max(times, key=mix.rate)
+    return at, mix.rate(at)
+
+
+def make_scaler(policy: str, mix: Mix) -> Scaler:
+    intention = make_intention(mix)
+    zones = [ZoneName(zone) for zone in mix.zones]
+    match policy:
+        case "plan":
+            return Planner(PoolName(mix.model), zones, intention)
+        case "utilisation":
+            return TargetUtilisation(PoolName(mix.model), zones, intention)
+        case _:
+            return FixedFleet()
+
+
+def run_trial(trial: Trial) -> FleetResult:
+    """Play one policy through one mix and seed."""
+    mix = MIXES[trial.mix]
+    count = peak_servers(mix)
+    kinds: list[ServerKind] = ["on_demand"] * count
+    if trial.policy == "plan":
+        kinds = ["on_demand" if n % 5 < 2 else "cheap" for n in range(count)]
+    start = [(ZoneName(mix.zones[n % 3]), kind) for n, kind in enumerate(kinds)]
+    loss_at = peak_rate(mix)[0] if trial.zone_loss else None
+    model = FleetModel(mix, trial.seed, make_intention(mix), start, loss_at)
+    model.run(make_scaler(trial.policy, mix))
+    return model.result()
+
+
+def measure(mixes: list[str], seeds: int, zone_loss: bool, processes: int) -> bool:
+    """Print the comparison; return whether the plan meets its aims."""
+    console = Console(width=110)
+    good = True
+    for name in mixes:
+        trials = [
+            Trial(name, policy, seed, zone_loss)
+            for policy in POLICIES
+            for seed in range(1, seeds + 1)
+        ]
+        with ProcessPoolExecutor(processes) as pool:
+            results = list(pool.map(run_trial, trials))
+        by_policy = {
+            policy: [
+                r for t, r in zip(trials, results, strict=True) if t.policy == policy
+            ]
+            for policy in POLICIES
+        }
+        console.print(compare_table(name, seeds, by_policy))
+        good &= print_verdict(console, by_policy)
+    return good
+
+
+def compare_table(
+    name: str, seeds: int, by_policy: dict[str, list[FleetResult]]
+) -> Table:
+    classes = list(by_policy["plan"][0].attainment)
+    table = Table(title=f"{name}: mean of {seeds} seeds (lowest seed in brackets)")
+    for heading in ("policy", "spend", "per 1000 met", "server h", *classes):
+        table.add_column(heading)
+    for heading in ("orders/releases", "evicted", "cheap work"):
+        table.add_column(heading)
+    for policy, results in by_policy.items():
+        mean = partial(mean_of, results)
+        table.add_row(
+            policy,
+            f"{mean('spend'):.1f}",
+            f"{mean('spend_per_1000_met'):.4f}",
+            f"{mean('server_hours'):.1f}",
+            *(show_attainment(results, c) for c in classes),
+            f"{mean('ordered'):.0f}/{mean('released'):.0f}",
+            f"{mean('evicted'):.1f}",
+            f"{mean('cheap_work'):.0%}",
+        )
+    return table
+
+
+def mean_of(results: list[FleetResult], field: str) -> float:
+    return statistics.fmean(getattr(r, field) for r in results)
+
+
+def show_attainment(results: list[FleetResult], name: str) -> str:
+    seen = [r.attainment[name] for r in results]
+    return f"{statistics.fmean(seen):.3%} ({min(seen):.2%})"
+
+
+def print_verdict(console: Console, by_policy: dict[str, list[FleetResult]]) -> bool:
+    """Print each aim beside what was seen; return whether all are met."""
+    plan, fixed = by_policy["plan"], by_policy["fixed"]
+    saved = 1 - mean_of(plan, "spend") / mean_of(fixed, "spend")
+    hours = 1 - mean_of(plan, "server_hours") / mean_of(fixed, "server_hours")
+    cheap = mean_of(plan, "cheap_work")
+    worst = min(
+        statistics.fmean(
+            p.attainment[name] - f.attainment[name]
+            for p, f in zip(plan, fixed, strict=True)
+        )
+        for name in plan[0].attainment
+    )
+    aims = [
+        (saved >= 0.30, f"spend against fixed: {-saved:+.1%} (aim at most -30%)"),
+        (worst >= 0, f"worst class against fixed: {100 * worst:+.3f} points (aim 0)"),
+        (cheap >= 0.5, f"work on cheap servers: {cheap:.0%} (aim 50%)"),
+    ]
+    if plan[0].zone_loss:
+        names = list(plan[0].zone_loss)[:2]
+        lost = max(r.zone_loss[name] for r in plan for name in names)
+        aims.append(
+            (lost <= 1, f"top two tiers, zone lost, worst seed: -{lost:.2f} points")
+        )
+    for met, text in aims:
+        console.print(f"{'met   ' if met else 'MISSED'} {text}")
+    console.print(f"       server hours against fixed: {-hours:+.1%}, at any price")
+    return all(met for met, _ in aims)
