--- a/src/godwitmast/load/spend.py
+++ b/src/godwitmast/load/spend.py
@@ -4,8 +4,9 @@
 import statistics
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
+import typer
 from rich.console import Console
 from rich.table import Table
 
@@ -16,11 +17,25 @@
 from godwitmast.load.fleet_model import FleetModel, FleetResult, Scaler
 from godwitmast.load.mixes import MIXES, Mix
 from godwitmast.load.scalers import FixedFleet, TargetUtilisation
+from godwitmast.program import EXIT_FAILED
 from godwitmast.types import PoolName, ZoneName
 
 POLICIES = ("plan", "fixed", "utilisation")
 
 
+def spend(
+    mix: Annotated[
+        list[str] | None, typer.Option(help="trust or coop; both by default.")
+    ] = None,
+    seeds: Annotated[int, typer.Option(min=1)] = 10,
+    zone_loss: Annotated[bool, typer.Option(help="Lose a zone at the peak.")] = False,
+    processes: Annotated[int, typer.Option(min=1)] = 2,
+) -> None:
+    """Measure the capacity plan against a fixed fleet and a utilisation scaler."""
+    if not measure(mix or list(MIXES), seeds, zone_loss, processes):
+        raise typer.Exit(EXIT_FAILED)
+
+
 class Trial(NamedTuple):
     """One run of one policy."""
 
