Report the burn of error budgets, goodput, waste and spend

Cause: operators saw only raw counters, and each team in every scrape. Found by its end-to-end test: every finished stream was counted as caller_gone, as the server reports the end of an exchange like a hang-up. The exchange now knows that its answer was whole.

--- a/src/godwitmast/burn/budget.py
+++ b/src/godwitmast/burn/budget.py
@@ -10,7 +10,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from godwitmast.burn.snapshot import CALLERS_FAULT, MET, Cell, Snapshot, growth
+from godwitmast.burn.snapshot import Cell, ClassCell, Snapshot, growth
+from godwitmast.entry.metrics import CALLERS_DOING
 
 DEFAULT_GOAL = 0.95
 """The goal of a class whose entry does not publish one."""
@@ -83,10 +84,10 @@
     """Return how the requests ended, without what is the callers' own doing."""
     total = met = late = 0.0
     for cell, value in cells:
-        if cell.outcome in CALLERS_FAULT:
+        if cell.outcome == "own" or cell.outcome in CALLERS_DOING:
             continue
         total += value
-        met += value if cell.outcome == MET else 0.0
+        met += value if cell.outcome == "met" else 0.0
         late += value if cell.outcome == "late" else 0.0
     return Tally(total, met, late, total - met - late)
 
@@ -99,8 +100,10 @@
     classes: defaultdict[str, list[tuple[Cell, float]]] = defaultdict(list)
     teams: defaultdict[tuple[str, str], list[tuple[Cell, float]]] = defaultdict(list)
     for cell, value in cells.items():
-        classes[cell.class_name].append((cell, value))
-        teams[cell.team, cell.class_name].append((cell, value))
+        if isinstance(cell, ClassCell):
+            classes[cell.class_name].append((cell, value))
+        else:
+            teams[cell.team, cell.class_name].append((cell, value))
     covered = newest.at - before.at if before else 0.0
     return WindowReport(
         window_s,
--- a/src/godwitmast/burn/snapshot.py
+++ b/src/godwitmast/burn/snapshot.py
@@ -10,66 +10,79 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 SCRAPE_TIMEOUT_S = 5.0
-MET = "met"
+CLASS_REQUESTS = "godwit_requests_total"
+TEAM_REQUESTS = "godwit_team_requests_total"
 
-CALLERS_FAULT = frozenset({"team_limit", "caller_gone", "key_withdrawn"})
-"""Outcomes that spend no error budget: the team's own limit, a caller that hung up,
-and a key that its operator withdrew."""
 
+class ClassCell(NamedTuple):
+    """Requests of a class that ended in one way."""
+
+    class_name: str
+    outcome: str
 
-class Cell(NamedTuple):
-    """A team's requests of a class that ended in one way."""
+
+class TeamCell(NamedTuple):
+    """A team's requests of a class: `met`, `missed`, or the team's `own` doing."""
 
     team: str
     class_name: str
     outcome: str
 
 
+Cell = ClassCell | TeamCell
+
+
 class Snapshot(NamedTuple):
-    """The sums of every entry that answered.
+    """The counters of each daemon that answered.
 
-    `values` holds what has no team: gauges and counters by name and labels.
-    `silent` names the entries that did not answer, whose requests are missing.
+    `cells` holds requests, `values` all other series by name and labels, each by the
+    daemon's address. `silent` names those that did not answer, whose counts are missing.
     """
 
     at: float
-    requests: dict[str, dict[Cell, float]]
-    values: dict[str, float]
+    cells: dict[str, dict[Cell, float]]
+    values: dict[str, dict[str, float]]
     silent: list[str] = []
 
 
-REQUESTS = "godwit_requests_total"
-
-
-def scrape(urls: list[str]) -> Snapshot:
-    """Return what the entries at `urls` say of themselves now."""
-    requests: dict[str, dict[Cell, float]] = {}
-    values: defaultdict[str, float] = defaultdict(float)
-    silent = []
+def scrape(urls: list[str], teams: bool = True) -> Snapshot:
+    """Return what the daemons at `urls` say of themselves now."""
+    snapshot = Snapshot(time.time(), {}, {}, [])
     with httpx.Client(timeout=SCRAPE_TIMEOUT_S, trust_env=False) as client:
         for url in urls:
-            try:
-                answer = client.get(f"{url.rstrip('/')}/metrics")
-                answer.raise_for_status()
-            except httpx.HTTPError:
-                silent.append(url)
+            base = url.rstrip("/")
+            text = fetch(client, f"{base}/metrics")
+            if text is None:
+                snapshot.silent.append(url)
                 continue
-            requests[url] = read_metrics(answer.text, values)
-    return Snapshot(time.time(), requests, dict(values), silent)
+            by_team = fetch(client, f"{base}/metrics/teams") if teams else None
+            read_metrics(snapshot, url, text + (by_team or ""))
+    return snapshot
+
+
+def fetch(client: httpx.Client, url: str) -> str | None:
+    """Return a page, or None; a control has no page by team."""
+    try:
+        answer = client.get(url)
+    except httpx.HTTPError:
+        return None
+    return answer.text if answer.status_code == 200 else None
 
 
-def read_metrics(text: str, values: defaultdict[str, float]) -> dict[Cell, float]:
-    """Return one entry's requests, and add its other samples to `values`."""
-    cells: dict[Cell, float] = {}
+def read_metrics(snapshot: Snapshot, entry: str, text: str) -> None:
+    """Put one daemon's samples into a snapshot."""
+    cells = snapshot.cells.setdefault(entry, {})
+    values = snapshot.values.setdefault(entry, {})
     for family in text_string_to_metric_families(text):
         for sample in family.samples:
             labels = sample.labels
-            if sample.name == REQUESTS:
-                cell = Cell(labels["team"], labels["class_name"], labels["outcome"])
-                cells[cell] = cells.get(cell, 0.0) + sample.value
+            if sample.name == CLASS_REQUESTS:
+                cells[ClassCell(labels["class_name"], labels["outcome"])] = sample.value
+            elif sample.name == TEAM_REQUESTS:
+                team = TeamCell(labels["team"], labels["class_name"], labels["result"])
+                cells[team] = sample.value
             elif not sample.name.endswith(("_bucket", "_created")):
-                values[series_name(sample.name, labels)] += sample.value
-    return cells
+                values[series_name(sample.name, labels)] = sample.value
 
 
 def series_name(name: str, labels: dict[str, str]) -> str:
@@ -80,14 +93,11 @@
 
 def save(snapshot: Snapshot, path: Path) -> None:
     """Append the snapshot to a file of one JSON object a line."""
-    raw = {
-        "at": snapshot.at,
-        "requests": {
+    raw = snapshot._asdict() | {
+        "cells": {
             entry: [[*cell, value] for cell, value in cells.items()]
-            for entry, cells in snapshot.requests.items()
-        },
-        "values": snapshot.values,
-        "silent": snapshot.silent,
+            for entry, cells in snapshot.cells.items()
+        }
     }
     with path.open("a") as output:
         output.write(json.dumps(raw) + "\n")
@@ -100,30 +110,46 @@
 
 
 def read_line(raw: dict[str, Any]) -> Snapshot:
-    requests = {
-        entry: {Cell(*item[:3]): float(item[3]) for item in cells}
-        for entry, cells in raw["requests"].items()
+    cells = {
+        entry: {read_cell(item): float(item[-1]) for item in items}
+        for entry, items in raw["cells"].items()
     }
-    return Snapshot(raw["at"], requests, raw["values"], raw.get("silent", []))
+    return Snapshot(raw["at"], cells, raw["values"], raw["silent"])
 
 
-def growth(before: Snapshot | None, after: Snapshot) -> dict[Cell, float]:
-    """Return what came between two snapshots.
+def read_cell(item: list[Any]) -> Cell:
+    names = item[:-1]
+    return ClassCell(*names) if len(names) == 2 else TeamCell(*names)
 
-    A counter that fell belongs to an entry that started again, so all that it shows
-    came since; an entry that is not in `before` counts whole for the same reason.
-    """
+
+def growth(before: Snapshot | None, after: Snapshot) -> dict[Cell, float]:
+    """Return what came between two snapshots."""
     grown: defaultdict[Cell, float] = defaultdict(float)
-    for entry, cells in after.requests.items():
-        old = before.requests.get(entry, {}) if before else {}
+    for entry, cells in after.cells.items():
+        old = before.cells.get(entry, {}) if before else {}
         for cell, value in cells.items():
-            was = old.get(cell, 0.0)
-            grown[cell] += value - was if value >= was else value
+            grown[cell] += since(old.get(cell, 0.0), value)
     return dict(grown)
 
 
 def value_growth(before: Snapshot | None, after: Snapshot, name: str) -> float:
-    """Return how much a counter grew, with the same rule for a restart."""
-    now = after.values.get(name, 0.0)
-    was = before.values.get(name, 0.0) if before else 0.0
+    """Return how much a counter grew over all daemons.
+
+    `name` is one series with its labels, or a bare name for all of its series.
+    """
+    grown = 0.0
+    for entry, values in after.values.items():
+        old = before.values.get(entry, {}) if before else {}
+        for series, value in values.items():
+            if name in (series, series.partition("{")[0]):
+                grown += since(old.get(series, 0.0), value)
+    return grown
+
+
+def since(was: float, now: float) -> float:
+    """Return how much a counter grew.
+
+    One that fell belongs to a process that started again, so all that it shows came
+    since then.
+    """
     return now - was if now >= was else now
--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 import msgspec
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
 
 from godwitmast.backends.client import BackendClient
 from godwitmast.clock import Clock
@@ -76,7 +76,7 @@
     def config_changed(self, config: NumberedConfig) -> None:
         """Take a configuration, and end the streams of keys that it withdraws."""
         self.config = config
-        self.metrics.config_version.set(config.version)
+        self.metrics.config_changed(config)
         self.driver.config_changed(config)
         self.end_withdrawn()
 
@@ -111,9 +111,9 @@
             case "/readyz":
                 await send_json(send, 200 if self.ready else 503, self.readiness())
             case "/metrics":
-                headers = [(b"content-type", CONTENT_TYPE_LATEST.encode())]
-                body = generate_latest(self.metrics.registry)
-                await send_whole(send, 200, headers, body)
+                await send_metrics(send, self.metrics.registry)
+            case "/metrics/teams":
+                await send_metrics(send, self.metrics.team_registry)
             case _:
                 answer = await self.serve(scope, receive, send)
                 if answer is not None:
@@ -293,17 +293,29 @@
     def account(self, exchange: Exchange) -> None:
         """Meter what reached a backend server, and count the outcome."""
         spec = exchange.spec
+        for kind, tokens in exchange.kind_tokens.items():
+            self.metrics.came_from(kind, tokens)
         if exchange.reached_backend:
             key = UsageKey(spec.team, spec.class_name, spec.pool)
             self.meter.add(key, exchange.tokens)
         if exchange.error_code:
-            self.metrics.refused(spec.team, spec.class_name, exchange.error_code)
+            self.metrics.refused(
+                spec.team,
+                spec.class_name,
+                exchange.error_code,
+                len(exchange.reader.texts),
+            )
             return
         target = self.document.classes.get(spec.class_name)
         if target:
             self.metrics.answered(spec.team, spec.class_name, target, exchange.timing)
 
 
+async def send_metrics(send: Send, registry: CollectorRegistry) -> None:
+    headers = [(b"content-type", CONTENT_TYPE_LATEST.encode())]
+    await send_whole(send, 200, headers, generate_latest(registry))
+
+
 def list_models(document: Document, caller: Caller) -> dict[str, object]:
     """Return the models that the caller may use, as OpenAI's API lists them."""
     data = [
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -69,6 +69,11 @@
             self.carry_out(self.router.update_config(document, now))
         self.carry_out(self.router.update_backends(specs, now))
 
+    def kind_of(self, backend_id: BackendId) -> str:
+        """Return whether a backend server is cheap or on demand, for the metrics."""
+        backend = self.document.backends.get(backend_id) if self.document else None
+        return backend.kind if backend else "unknown"
+
     def submit(self, request: RequestSpec) -> Mailbox:
         """Hand a request to the router; its mailbox gets Start, Refuse or both."""
         send, receive = anyio.create_memory_object_stream[Action](16)
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -1,5 +1,6 @@
 """The life of one caller's request, from the queue to the last byte."""
 
+from collections import Counter
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -85,6 +86,9 @@
     counted: TokenCount | None = None
     end_reason: CancelReason | None = None
     error_code: str | None = None
+    answered: bool = False
+    """The caller was sent its whole answer; a hang-up after that is the usual end."""
+    kind_tokens: Counter[str] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
         self.scope = anyio.CancelScope()
@@ -112,7 +116,10 @@
         """End the exchange when the caller hangs up."""
         while (await self.receive())["type"] != "http.disconnect":
             pass
-        self.end(CancelReason.CALLER_GONE)
+        # The server reports the end of every exchange as a hang-up. Taken for one, a
+        # finished answer was counted as given up, and its tokens as wasted.
+        if not self.answered:
+            self.end(CancelReason.CALLER_GONE)
 
     def end(self, reason: CancelReason) -> None:
         """Stop serving, whatever is going on."""
@@ -182,6 +189,7 @@
             if not whole:
                 continue
             await self.send_head()
+            self.answered = reader.done
             body = {"type": "http.response.body", "body": whole, "more_body": True}
             await self.send(body)
             self.count_tokens(start, len(reader.texts) - before)
@@ -208,6 +216,7 @@
         self.last_token_at = self.driver.clock.now()
         if self.first_token_at is None:
             self.first_token_at = self.last_token_at
+        self.kind_tokens[self.driver.kind_of(start.backend_id)] += count
         self.driver.tokens_came(self.spec.request_id, start.attempt_id, count)
 
     async def pass_whole(self, start: Start, answer: httpx.Response) -> None:
@@ -222,10 +231,12 @@
         if self.outbound.model_body is not None:
             self.counted = usage_of_answer(body)
         if self.counted:
+            kind = self.driver.kind_of(start.backend_id)
+            self.kind_tokens[kind] += self.counted.output
             self.driver.tokens_came(
                 self.spec.request_id, start.attempt_id, self.counted.output
             )
-        self.head_sent = True
+        self.head_sent = self.answered = True
         await send_whole(self.send, answer.status_code, headers, body)
 
     def fail(self, start: Start, kind: FailureKind) -> None:
--- a/src/godwitmast/entry/metrics.py
+++ b/src/godwitmast/entry/metrics.py
@@ -4,11 +4,15 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
-from godwitmast.config.document import RequestClass
+from godwitmast.config.document import NumberedConfig, RequestClass
 
 LATENCY_BUCKETS = (0.05, 0.1, 0.25, 0.5, 1.0, 1.2, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0)
 TOKEN_BUCKETS = (0.005, 0.01, 0.015, 0.02, 0.028, 0.04, 0.06, 0.1, 0.25, 1.0)
 
+CALLERS_DOING = frozenset({"team_limit", "caller_gone", "key_withdrawn"})
+"""Outcomes that spend no error budget: the team's own limit, a caller that hung up,
+and a key that its operator withdrew."""
+
 
 class Timing(NamedTuple):
     """When the parts of an answer came, in seconds after the request's arrival."""
@@ -36,20 +40,50 @@
 
 
 class EntryMetrics:
-    """What an entry counts; `outcome` is `met`, `late`, or an error code."""
+    """What an entry counts; `outcome` is `met`, `late`, or an error code.
+
+    Counters by team stand in a registry of their own, which is served apart. With
+    thousands of teams they are megabytes a scrape; in one page with the rest they
+    would make every scrape for an alert as large.
+    """
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self.team_registry = CollectorRegistry()
         self.requests = Counter(
             "godwit_requests",
             "Requests that ended, by how they ended.",
-            ["team", "class_name", "outcome"],
+            ["class_name", "outcome"],
             registry=self.registry,
         )
+        self.team_requests = Counter(
+            "godwit_team_requests",
+            "Requests that ended: met, missed, or the team's own doing.",
+            ["team", "class_name", "result"],
+            registry=self.team_registry,
+        )
         self.tokens = Counter(
             "godwit_output_tokens",
             "Tokens given to callers.",
-            ["team", "class_name"],
+            ["class_name"],
+            registry=self.registry,
+        )
+        self.good_tokens = Counter(
+            "godwit_good_tokens",
+            "Tokens of answers that met their targets.",
+            ["class_name"],
+            registry=self.registry,
+        )
+        self.wasted_tokens = Counter(
+            "godwit_wasted_tokens",
+            "Tokens given to callers who never got a whole answer.",
+            ["class_name"],
+            registry=self.registry,
+        )
+        self.kind_tokens = Counter(
+            "godwit_server_tokens",
+            "Tokens given to callers, by the kind of backend server they came from.",
+            ["kind"],
             registry=self.registry,
         )
         self.first_token = Histogram(
@@ -66,6 +100,12 @@
             buckets=TOKEN_BUCKETS,
             registry=self.registry,
         )
+        self.goal = Gauge(
+            "godwit_attainment_goal",
+            "Share of a class's requests that is to meet its targets.",
+            ["class_name"],
+            registry=self.registry,
+        )
         self.config_version = Gauge(
             "godwit_config_version",
             "The configuration in force here.",
@@ -75,17 +115,36 @@
             "godwit_open_requests", "Requests being served.", registry=self.registry
         )
 
+    def config_changed(self, config: NumberedConfig) -> None:
+        """Show the configuration in force, and the goals of its classes."""
+        self.config_version.set(config.version)
+        self.goal.clear()
+        for name, item in config.document.classes.items():
+            self.goal.labels(name).set(item.attainment_goal)
+
     def answered(
         self, team: str, class_name: str, target: RequestClass, timing: Timing
     ) -> None:
         """Count a whole answer."""
-        outcome = "met" if meets_targets(target, timing) else "late"
-        self.requests.labels(team, class_name, outcome).inc()
-        self.tokens.labels(team, class_name).inc(timing.tokens)
+        met = meets_targets(target, timing)
+        self.requests.labels(class_name, "met" if met else "late").inc()
+        self.team_requests.labels(team, class_name, "met" if met else "missed").inc()
+        self.tokens.labels(class_name).inc(timing.tokens)
+        if met:
+            self.good_tokens.labels(class_name).inc(timing.tokens)
         if timing.first_token_s is not None:
             self.first_token.labels(class_name).observe(timing.first_token_s)
         if timing.between_tokens_s is not None:
             self.between_tokens.labels(class_name).observe(timing.between_tokens_s)
 
-    def refused(self, team: str, class_name: str, code: str) -> None:
-        self.requests.labels(team, class_name, code).inc()
+    def refused(self, team: str, class_name: str, code: str, tokens: int = 0) -> None:
+        """Count a request without a whole answer; `tokens` of it were given."""
+        self.requests.labels(class_name, code).inc()
+        result = "own" if code in CALLERS_DOING else "missed"
+        self.team_requests.labels(team, class_name, result).inc()
+        if tokens:
+            self.wasted_tokens.labels(class_name).inc(tokens)
+
+    def came_from(self, kind: str, tokens: int) -> None:
+        """Count tokens by the kind of backend server that made them."""
+        self.kind_tokens.labels(kind).inc(tokens)
