--- a/src/godwitmast/load/cli.py
+++ b/src/godwitmast/load/cli.py
@@ -3,6 +3,7 @@
 import typer
 
 from godwitmast.load.play import play
+from godwitmast.load.run import compare, run
 from godwitmast.load.spend import spend
 from godwitmast.program import VersionOption
 
@@ -19,6 +20,8 @@
 
 app.command("play")(play)
 app.command("spend")(spend)
+app.command("run")(run)
+app.command("compare")(compare)
 
 
 def main() -> None:
