--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -1,5 +1,6 @@
 """The life of one caller's request, from the queue to the last byte."""
 
+from collections import Counter
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -107,6 +108,9 @@
     may_have_run: bool = False
     streamed: list[bytes] = field(default_factory=list)
     replayed: bool = False
+    answered: bool = False
+    """The caller was sent its whole answer; a hang-up after that is the usual end."""
+    kind_tokens: Counter[str] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
         self.scope = anyio.CancelScope()
@@ -143,7 +147,9 @@
             pass
         if self.claimed is not None and self.may_have_run:
             self.send = send_nothing
-        else:
+        # The server reports the end of every exchange as a hang-up. Taken for one, a
+        # finished answer was counted as given up, and its tokens as wasted.
+        elif not self.answered:
             self.end(CancelReason.CALLER_GONE)
 
     def end(self, reason: CancelReason) -> None:
@@ -271,6 +277,7 @@
             await self.send_head()
             if self.claimed is not None:
                 self.streamed.append(whole)
+            self.answered = reader.done
             body = {"type": "http.response.body", "body": whole, "more_body": True}
             await self.send(body)
             self.count_tokens(start, len(reader.texts) - before)
@@ -300,6 +307,7 @@
         self.last_token_at = self.driver.clock.now()
         if self.first_token_at is None:
             self.first_token_at = self.last_token_at
+        self.kind_tokens[self.driver.kind_of(start.backend_id)] += count
         self.driver.tokens_came(self.spec.request_id, start.attempt_id, count)
 
     async def pass_whole(self, start: Start, answer: httpx.Response) -> None:
@@ -311,11 +319,13 @@
         if self.outbound.model_body is not None:
             self.counted = usage_of_answer(body)
         if self.counted:
+            kind = self.driver.kind_of(start.backend_id)
+            self.kind_tokens[kind] += self.counted.output
             self.driver.tokens_came(
                 self.spec.request_id, start.attempt_id, self.counted.output
             )
         await self.settle(Answer(answer.status_code, passed, body))
-        self.head_sent = True
+        self.head_sent = self.answered = True
         await send_whole(self.send, answer.status_code, headers, body)
 
     def fail(self, start: Start, kind: FailureKind) -> None:
--- a/tests/test_claims_model.py
+++ b/tests/test_claims_model.py
@@ -229,6 +229,11 @@
             return stop.value
 
 
+BROKEN_EXAMPLES = 6000
+"""The search ends at the first example that shows the fault. Hypothesis draws other
+examples when any module of the tree changes, and 600 of them missed it once."""
+
+
 def test_a_claimed_call_runs_at_most_once_whatever_fails() -> None:
     explore(ClaimModel, examples=300)
 
@@ -236,7 +241,7 @@
 @pytest.mark.parametrize("broken", [ClaimWithExpiry, ClaimWithoutCompare])
 def test_the_same_model_catches_a_broken_claim(broken: type[ClaimModel]) -> None:
     with pytest.raises(AssertionError):
-        explore(broken, examples=600)
+        explore(broken, examples=BROKEN_EXAMPLES)
 
 
 def test_a_claim_that_never_ran_is_free_again_even_if_it_arrives_late() -> None:
--- a/tests/test_peers_entries.py
+++ b/tests/test_peers_entries.py
@@ -6,7 +6,6 @@
 import anyio
 import pytest
 
-from godwitmast.config.rows import HEAD_KEY
 from godwitmast.dev.document import dev_document
 from godwitmast.entry.daemon import Entry
 from godwitmast.entry.settings import EntrySettings
@@ -21,12 +20,6 @@
 NOWHERE = PlatformSettings("http://127.0.0.1:9", 0.2)
 
 
-def put_config(platform: StandinPlatform, number: int) -> None:
-    head = {"number": number, "document": dev_document([], "http://127.0.0.1:9")}
-    row = platform.table.read([HEAD_KEY]).get(HEAD_KEY)
-    platform.table.transact({HEAD_KEY: row.version if row else 0}, {HEAD_KEY: head})
-
-
 def make_entry(name: str, platform: PlatformSettings, seeds: list[str]) -> Entry:
     zone = name.rpartition("-")[0]
     host = f"127.0.1.{sum(name.encode()) % 200 + 1}"
@@ -41,7 +34,7 @@
     async with AsyncExitStack() as stack:
         platform = StandinPlatform(PlatformStandinSettings())
         await stack.enter_async_context(running(platform))
-        put_config(platform, 1)
+        platform.put_config(dev_document([], "http://127.0.0.1:9"))
         entries: list[Entry] = []
         for name in names:
             where = NOWHERE if entries else PlatformSettings(platform.server.url)
@@ -61,7 +54,7 @@
         with anyio.fail_after(10):
             await second.follower.ready.wait()
             assert second.app.ready
-            put_config(platform, 2)
+            platform.put_config(dev_document([], "http://127.0.0.1:9"))
             while second.follower.current.version < 2:
                 await anyio.sleep(0.02)
         assert first.follower.current.version == 2
