Charge the guard's turns by time held, and keep what it started

Cause: a draft holds its place ten times as long as a question, so that a tenth of the turns was half of the places, and taproom questions were refused for it. A request that the guard had started was preempted at once. Change: a turn costs the ratio of the holding times; guarded requests are not preempted; no request interrupts others more than half a second before its last moment; a preempting request takes the place of its victim; the wait is estimated by the places that a class can have.

--- a/src/godwitmast/admission/class_queue.py
+++ b/src/godwitmast/admission/class_queue.py
@@ -27,6 +27,8 @@
     tokens: int = 0
     starts: int = 0
     preemptions: int = 0
+    is_charged: bool = False
+    guarded: bool = False
 
     @property
     def has_run(self) -> bool:
@@ -65,6 +67,10 @@
     def turn_share(self) -> float:
         return self.target.turn_share
 
+    @property
+    def hold_s(self) -> float | None:
+        return self.times.hold.value
+
     @property
     def waiting(self) -> int:
         return self.fair.size + len(self.resumed)
--- a/src/godwitmast/admission/pool_queues.py
+++ b/src/godwitmast/admission/pool_queues.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from godwitmast.admission.class_queue import ClassQueue
+from godwitmast.admission.turns import AGED_S
 from godwitmast.types import ClassName, TeamName
 
 
@@ -26,30 +27,41 @@
         """Put the classes in order again after their tiers changed."""
         self.by_tier = sorted(self.classes.values(), key=lambda q: (q.tier, q.name))
 
-    def start_rate(self) -> float | None:
-        """Return how many places a second the pool frees; None if not measured."""
-        rate = 0.0
-        for queue in self.by_tier:
-            if queue.running and queue.times.hold.value:
-                rate += queue.running / queue.times.hold.value
-        return rate or None
+    def mean_hold_s(self) -> float | None:
+        """Return how long requests hold a place, over what runs; None if unknown."""
+        known = [q for q in self.by_tier if q.hold_s]
+        if not known:
+            return None
+        places = sum(q.running for q in known)
+        if not places:
+            return max(q.hold_s or 0.0 for q in known)
+        return sum(q.running * (q.hold_s or 0.0) for q in known) / places
 
     def class_rate(self, queue: ClassQueue, now: float) -> float | None:
-        """Return how many requests of a class the pool starts in a second.
+        """Return how many requests of a class the pool can start in a second.
 
-        That is what higher tiers leave, less what the guard gives to lower ones, but
-        never less than the guard gives this one.
+        That is Little's law over the places that the class can have: all but what
+        higher tiers use, and what lower ones hold and may not be interrupted in; of
+        those last, as many as come free. It is never less than the guard gives.
         """
-        rate = self.start_rate()
-        if rate is None:
+        mean_s = self.mean_hold_s()
+        if mean_s is None:
             return None
-        higher = sum(q.started.read(now) for q in self.by_tier if q.tier < queue.tier)
-        lower = sum(
-            q.turn_share for q in self.by_tier if q.tier > queue.tier and q.waiting
-        )
-        return max(
-            (rate - higher) * (1 - lower), rate * queue.turn_share, rate * RATE_FLOOR
-        )
+        hold_s = queue.hold_s or mean_s
+        places = float(sum(q.running for q in self.by_tier))
+        least = max(1 / AGED_S, queue.turn_share * places / hold_s)
+        freed = 0.0
+        guarded = 0.0
+        for other in self.by_tier:
+            other_hold_s = other.hold_s or mean_s
+            if other.tier < queue.tier:
+                places -= other.started.read(now) * other_hold_s
+            elif other.tier > queue.tier:
+                kept = other.running - len(other.preemptible)
+                places -= kept
+                freed += kept / other_hold_s
+                guarded += other.turn_share if other.waiting else 0.0
+        return max(least, (1 - guarded) * (max(0.0, places) / hold_s + freed))
 
     def wait_s(
         self, queue: ClassQueue, team: TeamName, weight: float, now: float
@@ -60,19 +72,14 @@
         taken to be free: it fills, and is then measured.
         """
         rate = self.class_rate(queue, now)
-        if rate is None:
+        mean_s = self.mean_hold_s()
+        if rate is None or mean_s is None:
             return 0.0
+        hold_s = queue.hold_s or mean_s
         ahead = len(queue.resumed) + queue.fair.requests_before(team, weight)
         for other in self.by_tier:
-            if other is queue:
-                continue
-            if other.tier <= queue.tier:
-                ahead += other.waiting
-            else:
+            if other.tier > queue.tier:
                 ahead -= len(other.preemptible)
+            elif other is not queue:
+                ahead += other.waiting * (other.hold_s or mean_s) / hold_s
         return max(0.0, ahead) / rate
-
-
-RATE_FLOOR = 0.01
-"""The least share of a pool's rate that a class without a turn share is taken to get.
-AGED_S gives it a turn now and then; a rate of zero would make every wait endless."""
--- a/src/godwitmast/admission/preemption.py
+++ b/src/godwitmast/admission/preemption.py
@@ -29,6 +29,10 @@
 MIN_URGENT_S = 0.15
 """Three ticks of the entry, so that the last moment cannot fall between two of them."""
 
+MAX_URGENT_S = 0.5
+"""A place of a busy pool comes free within this, so that a request with a minute to
+spare need not interrupt anyone seconds before its time."""
+
 
 class Preemption(NamedTuple):
     """`victim` gives its place to `request`; it waits already, to be resumed."""
@@ -39,8 +43,8 @@
 
 def urgent_at(arrived: float, latest_start: float) -> float:
     """Return from when on a request may interrupt others."""
-    margin = max(MIN_URGENT_S, URGENT_SHARE * (latest_start - arrived))
-    return latest_start - margin
+    share = URGENT_SHARE * (latest_start - arrived)
+    return latest_start - min(MAX_URGENT_S, max(MIN_URGENT_S, share))
 
 
 def most_urgent(queue: ClassQueue) -> RequestId | None:
@@ -65,9 +69,13 @@
     """Return whether a running request may be interrupted at all.
 
     One that may not be repeated runs once; one whose answer comes in one piece would
-    start from nothing, and its work so far would be wasted.
+    start from nothing, and its work so far would be wasted. One that the guard against
+    starvation started keeps its place.
     """
     request = job.request
     return (
-        request.idempotent and request.resumable and job.preemptions < MAX_PREEMPTIONS
+        not job.guarded
+        and request.idempotent
+        and request.resumable
+        and job.preemptions < MAX_PREEMPTIONS
     )
--- a/src/godwitmast/admission/queue.py
+++ b/src/godwitmast/admission/queue.py
@@ -32,6 +32,9 @@
 """Tokens past its estimate after which a running answer is charged for more. At one
 token each, a stream would move its team in the order 30 times a second."""
 
+UNMEASURED_RATE = 1.0
+"""Requests a second that a pool is taken to start before any answer was timed."""
+
 NO_TEAM = Team()
 """For requests that outlive their team's entry in the configuration."""
 
@@ -134,7 +137,7 @@
         code = RefusalCode.DEADLINE if job.slack.own_deadline else RefusalCode.SHED
         weight = self.team(request.team).weight
         team = queue.fair.team(request.team, weight)
-        rate = self.pools[request.pool].class_rate(queue, now) or 1.0
+        rate = self.pools[request.pool].class_rate(queue, now) or UNMEASURED_RATE
         share = weight / max(weight, queue.fair.active_weight)
         after = next_return(team, rate * share, late_s, now, self.random)
         return refuse(request, code, after)
@@ -144,9 +147,10 @@
         pool = self.pools.get(pool_name)
         if pool is None or not pool.waiting:
             return None
-        queue = choose_class((q for q in pool.by_tier if q.waiting), now)
+        queue, guarded = choose_class((q for q in pool.by_tier if q.waiting), now)
         job = self.jobs[queue.peek()]
-        if not job.has_run:
+        job.guarded = job.guarded or guarded
+        if not queue.resumed:
             queue.fair.advance()
         return self.start(job, queue, now)
 
@@ -176,7 +180,8 @@
         """Take a waiting request out to be run."""
         request = job.request
         self.remove(request)
-        if not job.has_run:
+        if not job.is_charged:
+            job.is_charged = True
             self.charge(job, queue, job.charged, now)
         job.starts += 1
         job.started_at = now
@@ -187,16 +192,32 @@
             queue.preemptible[request.request_id] = job
         return request
 
+    def unplaced(self, request: RequestSpec) -> None:
+        """Note that no server took a request that was to be started.
+
+        It comes back by `put_back`, as one that did not run.
+        """
+        job = self.jobs[request.request_id]
+        job.starts -= 1
+        self.stop(job, self.queue(request))
+
+    def stopped(self, request: RequestSpec) -> None:
+        """Note that an attempt failed, and that its request is held back for now."""
+        self.stop(self.jobs[request.request_id], self.queue(request))
+
     def put_back(self, request: RequestSpec, now: float) -> None:
-        """Queue a request again whose attempt was cancelled or failed."""
+        """Queue a request again whose attempt was cancelled or failed.
+
+        It goes before those of its class that never ran. One that never ran either
+        keeps the last moment for its start.
+        """
         job = self.jobs[request.request_id]
         queue = self.queue(request)
         self.stop(job, queue)
-        limit = now + RESUMED_WAIT_S
-        if request.deadline is not None:
+        if job.has_run and request.deadline is not None:
             job.slack = Slack(request.deadline, own_deadline=True)
-        else:
-            job.slack = Slack(limit)
+        elif job.has_run:
+            job.slack = Slack(now + RESUMED_WAIT_S)
         job.urgent_at = urgent_at(now, job.slack.latest_start)
         queue.add_resumed(job, now)
         self.count_waiting(queue, 1)
@@ -225,12 +246,11 @@
         job = self.jobs.pop(request.request_id)
         queue = self.queue(request)
         self.limits.closed(request.team)
-        if not job.has_run:
-            return
         if whole:
             self.learn(job, queue, now)
         self.stop(job, queue)
-        self.charge(job, queue, self.used(job) - job.charged, now)
+        if job.is_charged:
+            self.charge(job, queue, self.used(job) - job.charged, now)
 
     def learn(self, job: Job, queue: ClassQueue, now: float) -> None:
         """Take the times and the length of a whole answer into the estimates."""
--- a/src/godwitmast/admission/turns.py
+++ b/src/godwitmast/admission/turns.py
@@ -7,12 +7,13 @@
 and no more. A class that got no turn for AGED_S goes next as well: on a pool that
 starts a request every few seconds, a fiftieth of the turns comes too late.
 
-The guard only orders what waits. It sheds nothing and preempts nothing.
+The guard only orders what waits. It sheds nothing and preempts nothing. What it starts
+is not preempted either, or the turn would be taken back as soon as it was given.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Protocol, TypeVar
+from typing import Generic, NamedTuple, Protocol, TypeVar
 
 AGED_S = 20.0
 """Seconds without a turn after which a class goes next. No class may be at zero in any
@@ -37,6 +38,9 @@
     @property
     def turn_share(self) -> float: ...
 
+    @property
+    def hold_s(self) -> float | None: ...
+
     @property
     def turns(self) -> Turns: ...
 
@@ -44,7 +48,14 @@
 W = TypeVar("W", bound=Waiting)
 
 
-def choose_class(waiting: Iterable[W], now: float) -> W:
+class Turn(NamedTuple, Generic[W]):
+    """The class that goes next; `guarded` if before a higher tier that waits."""
+
+    queue: W
+    guarded: bool
+
+
+def choose_class(waiting: Iterable[W], now: float) -> Turn[W]:
     """Return the class that goes next, and count the turn.
 
     Among classes of the highest tier the one that waited longest for a turn goes, so
@@ -56,21 +67,35 @@
         queue.turns.credit += queue.turn_share
     owed = [queue for queue in queues if queue.tier > best.tier and is_owed(queue, now)]
     if owed:
-        best = min(owed, key=lambda queue: queue.turns.last)
-    best.turns.credit = max(0.0, best.turns.credit - 1.0)
+        lower = min(owed, key=lambda queue: queue.turns.last)
+        lower.turns.credit -= cost_in_turns(lower, best)
+        lower.turns.last = now
+        return Turn(lower, True)
+    best.turns.credit = min(best.turns.credit, 0.0)
     best.turns.last = now
-    return best
+    return Turn(best, False)
 
 
 def is_owed(queue: Waiting, now: float) -> bool:
     return queue.turns.credit >= 1.0 or now - queue.turns.last >= AGED_S
 
 
+def cost_in_turns(lower: Waiting, higher: Waiting) -> float:
+    """Return how many turns of the higher class a turn of the lower one takes.
+
+    A draft holds its place as long as ten questions do. Counted as one turn, a tenth
+    of the turns was more than half of the places.
+    """
+    if not lower.hold_s or not higher.hold_s:
+        return 1.0
+    return max(1.0, lower.hold_s / higher.hold_s)
+
+
 def began_to_wait(turns: Turns, now: float) -> None:
     """Note that a class has work waiting again.
 
     It starts with no credit and no age, so that an idle class cannot save up turns and
     then hold up the higher tiers in one go.
     """
-    turns.credit = 0.0
+    turns.credit = min(turns.credit, 0.0)
     turns.last = now
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -203,6 +203,7 @@
             if kind not in (FailureKind.CONNECT, FailureKind.REFUSED):
                 flight.may_have_run = True
             self.release(flight, now)
+            self.admission.stopped(flight.request)
             actions += self.retry(flight, now)
         return [*actions, *self.pump(now)]
 
@@ -448,6 +449,7 @@
         actions: list[Action] = []
         while preemption := self.admission.preempt(pool, now):
             victim = self.book.flights[preemption.victim.request_id]
+            place = victim.backend_id
             assert victim.attempt_id is not None, "only what runs is interrupted"
             actions.append(
                 Cancel(
@@ -459,14 +461,23 @@
             victim.may_have_run = True
             self.release(victim, now)
             flight = self.book.flights[preemption.request.request_id]
-            actions += self.start(flight, now)
+            actions += self.start(flight, now, place)
         return actions
 
-    def start(self, flight: Flight, now: float) -> list[Action]:
-        """Place a request that admission handed over, or hold it for a moment."""
+    def start(
+        self, flight: Flight, now: float, place: BackendId | None = None
+    ) -> list[Action]:
+        """Place a request that admission handed over, or hold it for a moment.
+
+        It takes `place` if it may. A server whose limit has fallen is full even after
+        one of its requests was cancelled, and the cancel would be for nothing.
+        """
         request = flight.request
-        backend_id = self.choose(flight, now)
+        backend_id = place
+        if place is None or not self.may_take_place(flight, place):
+            backend_id = self.choose(flight, now)
         if backend_id is None:
+            self.admission.unplaced(request)
             self.retries.add(request.request_id, now + APART_EVERY_S)
             return []
         attempt_id = self.book.board(flight, backend_id, now)
@@ -477,6 +488,16 @@
             self.watch_over(flight, now)
         return [Start(request.request_id, attempt_id, backend_id, flight.tokens)]
 
+    def may_take_place(self, flight: Flight, place: BackendId) -> bool:
+        state = self.backends.states.get(place)
+        return (
+            state is not None
+            and state.health.is_in()
+            and not state.spec.leaving
+            and place not in flight.avoid
+            and not self.is_kept_apart(flight)
+        )
+
     def choose(self, flight: Flight, now: float) -> BackendId | None:
         """Return the server for a request, or None if none may take it now."""
         request = flight.request
