--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -7,6 +7,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from godwitmast.backends.client import BackendClient
+from godwitmast.claims.keeper import ClaimKeeper
 from godwitmast.clock import Clock
 from godwitmast.config.document import Document, NumberedConfig
 from godwitmast.dispatch.messages import CancelReason, RequestSpec
@@ -60,15 +61,18 @@
         driver: RouterDriver,
         client: BackendClient,
         meter: Meter,
+        claims: ClaimKeeper,
     ) -> None:
         self.settings = settings
         self.clock = clock
         self.driver = driver
         self.client = client
         self.meter = meter
+        self.claims = claims
         self.metrics = EntryMetrics()
         self.config: NumberedConfig | None = None
         self.stopping = False
+        self.withdrawn: dict[str, int] = {}
         self.exchanges: dict[RequestId, Exchange] = {}
         self.numbers = itertools.count(1)
         self.ready_checks: list[Callable[[], bool]] = []
@@ -78,8 +82,27 @@
         self.config = config
         self.metrics.config_version.set(config.version)
         self.driver.config_changed(config)
+        self.withdrawn = {
+            key_hash: version
+            for key_hash, version in self.withdrawn.items()
+            if version > config.version
+        }
         self.end_withdrawn()
 
+    def withdraw_key(self, key_hash: str, version: int) -> None:
+        """Refuse a key that configuration `version` withdraws, before it is here.
+
+        A peer may have it much earlier than a node that lags and needs the whole of
+        it. Numbers only rise, so nothing that comes later can make this wrong, but
+        the configuration that is in force by then has the last word.
+        """
+        if self.config is None or version <= self.config.version:
+            return
+        self.withdrawn[key_hash] = version
+        for exchange in list(self.exchanges.values()):
+            if exchange.caller.key_hash == key_hash:
+                exchange.end(CancelReason.KEY_WITHDRAWN)
+
     def end_withdrawn(self) -> None:
         wall = self.clock.wall()
         for exchange in list(self.exchanges.values()):
@@ -144,6 +167,8 @@
         caller = identify(self.document, envelope.key, self.clock.wall())
         if isinstance(caller, Denial):
             return answer_denial(caller)
+        if caller.key_hash in self.withdrawn:
+            return answer_denial(Denial.UNKNOWN)
         if envelope.path == "/v1/models":
             await send_json(send, 200, list_models(self.document, caller))
             return None
@@ -276,9 +301,18 @@
         receive: Receive,
         send: Send,
     ) -> Exchange:
-        return Exchange(
+        exchange = Exchange(
             self.driver, self.client, caller, envelope, spec, outbound, receive, send
         )
+        if envelope.idempotency_key is not None and not spec.idempotent:
+            # What the caller sent, not what goes out: that holds our priority, which
+            # the next configuration may change.
+            exchange.claimed = self.claims.open_call(
+                spec.team,
+                envelope.idempotency_key,
+                [outbound.method, outbound.path, spec.fingerprint],
+            )
+        return exchange
 
     async def run(self, exchange: Exchange) -> None:
         """Run an exchange, then meter it and count how it ended."""
@@ -300,6 +334,8 @@
         if exchange.error_code:
             self.metrics.refused(spec.team, spec.class_name, exchange.error_code)
             return
+        if exchange.replayed:
+            return
         target = self.document.classes.get(spec.class_name)
         if target:
             self.metrics.answered(spec.team, spec.class_name, target, exchange.timing)
