--- a/src/godwitmast/load/world.py
+++ b/src/godwitmast/load/world.py
@@ -143,8 +143,8 @@
         ]
         self.requests: dict[RequestId, Need] = {}
         self.attempts: dict[tuple[int, AttemptId], Attempt] = {}
+        self.cancelled: set[tuple[int, AttemptId]] = set()
         self.started: set[RequestId] = set()
-        self.on_the_way: set[tuple[int, AttemptId]] = set()
         self.withdrawn_teams: set[str] = set()
         self.numbers = itertools.count(1)
         self.open_needs: dict[str, int] = dict.fromkeys(scenario.classes, 0)
@@ -297,14 +297,13 @@
             match action:
                 case Start():
                     self.started.add(action.request_id)
-                    self.on_the_way.add((entry, action.attempt_id))
                     self.at(self.now + LINK_S, self.start, entry, action)
                 case Cancel():
-                    # A Start that is on the way still is taken back.
-                    self.on_the_way.discard((entry, action.attempt_id))
                     attempt = self.attempts.pop((entry, action.attempt_id), None)
                     if attempt:
                         attempt.engine.model.cancel(sequence_id(attempt))
+                    else:
+                        self.cancelled.add((entry, action.attempt_id))
                 case Refuse():
                     self.refused(entry, action)
 
@@ -349,11 +348,10 @@
     # Engines
 
     def start(self, entry: int, start: Start) -> None:
-        """Hand an attempt to its engine."""
+        """Hand an attempt to its engine, unless a cancel has overtaken it."""
         need = self.requests.get(start.request_id)
-        if need is None or (entry, start.attempt_id) not in self.on_the_way:
+        if need is None or (entry, start.attempt_id) in self.cancelled:
             return
-        self.on_the_way.remove((entry, start.attempt_id))
         engine = self.engines[start.backend_id]
         if not engine.up:
             self.fail(entry, start.request_id, start.attempt_id, FailureKind.CONNECT)
