--- a/src/godwitmast/entry/daemon.py
+++ b/src/godwitmast/entry/daemon.py
@@ -9,6 +9,7 @@
 from godwitmast.config.follower import ConfigFollower
 from godwitmast.entry.app import EntryApp
 from godwitmast.entry.driver import RouterDriver
+from godwitmast.entry.peering import Peering
 from godwitmast.entry.settings import EntrySettings
 from godwitmast.http_server import HttpServer
 from godwitmast.logs import log_event
@@ -31,14 +32,26 @@
         self.app = EntryApp(
             settings, self.clock, self.driver, self.client, self.meter, self.claims
         )
+        self.follower.listeners.append(self.app.config_changed)
+        self.peering: Peering | None = None
+        if settings.peers:
+            self.peering = Peering(
+                settings,
+                settings.peers,
+                self.clock,
+                self.platform,
+                self.follower,
+                self.app,
+            )
         self.server = HttpServer(
             self.app, settings.listen, settings.tls, settings.stop_timeout_s
         )
 
     async def start(self, tasks: TaskGroup) -> None:
         """Listen, and follow the configuration; not ready before there is one."""
-        self.follower.listeners.append(self.app.config_changed)
         await self.driver.start(tasks)
+        if self.peering:
+            await self.peering.start(tasks)
         await self.follower.start(tasks)
         await self.claims.start(tasks)
         await self.server.start(tasks)
@@ -55,6 +68,8 @@
         await anyio.sleep(self.settings.balancer_wait_s)
         await self.server.close()
         await self.claims.close()
+        if self.peering:
+            await self.peering.close()
         await self.client.close()
         await self.platform.close()
         log_event("entry_stopped", node=self.settings.node)
