Draw two servers that differ

Cause: two random draws from a zone's two servers were the same one half of the time. Change: the second draw skips the first.

--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -59,6 +59,10 @@
             and (self.other.claims >= 1 or not self.in_flight)
         )
 
+    def fullness(self, now: float) -> float:
+        """Return the part of the limit that is in use."""
+        return self.load(now) / max(1.0, self.limit.value)
+
     def may_probe(self, now: float) -> bool:
         return not self.in_flight and self.health.may_probe(now)
 
@@ -222,10 +226,8 @@
             cached = self.pick_cached(cell, request.prefix, avoid, now)
             if cached is not None:
                 return cached
-        first, second = self.draw(cell, avoid), self.draw(cell, avoid)
-        if first is None or second is None:
-            return first or second
-        return min(first, second, key=lambda s: s.load(now) / max(1.0, s.limit.value))
+        drawn = self.draw_two(cell, avoid)
+        return min(drawn, key=lambda state: state.fullness(now), default=None)
 
     def pick_cached(
         self, cell: Cell, prefix: str, avoid: set[BackendId], now: float
@@ -242,15 +244,17 @@
                 return state
         return None
 
-    def draw(self, cell: Cell, avoid: set[BackendId]) -> BackendState | None:
-        """Return a random server with room, not one to avoid."""
+    def draw_two(self, cell: Cell, avoid: set[BackendId]) -> list[BackendState]:
+        """Return up to two random servers with room, none of them to avoid."""
         items = cell.open.items
-        state = items[int(self.random.random() * len(items))]
-        if state.spec.backend_id not in avoid:
-            return state
-        # Only a request that failed before has servers to avoid, so that this is rare.
-        fresh = [item for item in items if item.spec.backend_id not in avoid]
-        return self.random.choice(fresh) if fresh else None
+        if avoid and any(backend_id in cell.open.places for backend_id in avoid):
+            # Only a request that failed before avoids servers, so that this is rare.
+            items = [item for item in items if item.spec.backend_id not in avoid]
+        if len(items) <= 2:
+            return list(items)
+        first = int(self.random.random() * len(items))
+        step = 1 + int(self.random.random() * (len(items) - 1))
+        return [items[first], items[(first + step) % len(items)]]
 
     def choose_apart(
         self, request: RequestSpec, avoid: set[BackendId]
