Interrupt only what has begun to answer

Cause: the last started request of a lower tier often waits inside its engine still; to cancel it frees no place in the batch, and the question behind it was late. Change: a request may be interrupted from its first token on. Conclusion: kept; what is left comes from requests queued inside engines.

--- a/src/godwitmast/admission/preemption.py
+++ b/src/godwitmast/admission/preemption.py
@@ -3,8 +3,9 @@
 The load is quick questions that arrive while long drafts hold every place. Places come
 free only as fast as drafts end, so that questions wait for tens of seconds and miss a
 target of one, although the work that holds them up has minutes to spare. The draft
-that started last is cancelled and goes on later from its last token; what is lost is
-the reading of its prompt again.
+that began to answer last is cancelled and goes on later from its last token; what is
+lost is the reading of its prompt again. A draft without a token yet may still wait
+inside its engine: to cancel it would free no place in the batch.
 
 Only a request whose wait is about to end in a refusal interrupts another, and only one
 of a lower tier. Without a bound, one draft could be interrupted by every question of an
@@ -53,9 +54,9 @@
 
 
 def find_victim(pool: PoolQueues, tier: int) -> Job | None:
-    """Return who gives way to `tier`: the lowest tier first, then the last started.
+    """Return who gives way to `tier`: the lowest tier first, then the last begun.
 
-    The last started has the least to read again, and the most still to do.
+    The last begun has the least to read again, and the most still to do.
     """
     for queue in reversed(pool.by_tier):
         if queue.tier <= tier:
--- a/src/godwitmast/admission/queue.py
+++ b/src/godwitmast/admission/queue.py
@@ -188,8 +188,6 @@
         job.first_token_at = None
         queue.running += 1
         queue.started.add(now)
-        if may_be_preempted(job) and request.pool in self.document.models:
-            queue.preemptible[request.request_id] = job
         return request
 
     def unplaced(self, request: RequestSpec) -> None:
@@ -238,6 +236,8 @@
         if job.first_token_at is None and job.started_at is not None:
             job.first_token_at = now
             queue.times.first_token.add(now - job.started_at)
+            if may_be_preempted(job) and request.pool in self.document.models:
+                queue.preemptible[request.request_id] = job
         job.tokens += count
         over = self.used(job) - job.charged
         if over >= SETTLE_TOKENS:
