--- a/src/godwitmast/http_server.py
+++ b/src/godwitmast/http_server.py
@@ -108,6 +108,7 @@
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((listen.host, listen.port))
+    listener.listen(BACKLOG)
     listener.setblocking(False)
     return listener
 
--- a/src/godwitmast/load/cli.py
+++ b/src/godwitmast/load/cli.py
@@ -3,6 +3,8 @@
 import typer
 
 from godwitmast.load.play import play
+from godwitmast.load.run import compare, run
+from godwitmast.load.spend import spend
 from godwitmast.program import VersionOption
 
 app = typer.Typer(add_completion=False, no_args_is_help=True)
@@ -17,6 +19,9 @@
 
 
 app.command("play")(play)
+app.command("spend")(spend)
+app.command("run")(run)
+app.command("compare")(compare)
 
 
 def main() -> None:
