--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -44,7 +44,7 @@
     window: GapWindow = field(default_factory=GapWindow)
     health: Health = field(default_factory=Health)
     other: OtherLoad = field(default_factory=OtherLoad)
-    probe_tokens: int = 0
+    token_at: float = 0.0
     first_token_cut_at: float = 0.0
     cells: list["Cell"] = field(default_factory=list)
 
@@ -59,6 +59,10 @@
             and (self.other.claims >= 1 or not self.in_flight)
         )
 
+    def fullness(self, now: float) -> float:
+        """Return the part of the limit that is in use."""
+        return self.load(now) / max(1.0, self.limit.value)
+
     def may_probe(self, now: float) -> bool:
         return not self.in_flight and self.health.may_probe(now)
 
@@ -222,10 +226,8 @@
             cached = self.pick_cached(cell, request.prefix, avoid, now)
             if cached is not None:
                 return cached
-        first, second = self.draw(cell, avoid), self.draw(cell, avoid)
-        if first is None or second is None:
-            return first or second
-        return min(first, second, key=lambda s: s.load(now) / max(1.0, s.limit.value))
+        drawn = self.draw_two(cell, avoid)
+        return min(drawn, key=lambda state: state.fullness(now), default=None)
 
     def pick_cached(
         self, cell: Cell, prefix: str, avoid: set[BackendId], now: float
@@ -242,15 +244,17 @@
                 return state
         return None
 
-    def draw(self, cell: Cell, avoid: set[BackendId]) -> BackendState | None:
-        """Return a random server with room, not one to avoid."""
+    def draw_two(self, cell: Cell, avoid: set[BackendId]) -> list[BackendState]:
+        """Return up to two random servers with room, none of them to avoid."""
         items = cell.open.items
-        state = items[int(self.random.random() * len(items))]
-        if state.spec.backend_id not in avoid:
-            return state
-        # Only a request that failed before has servers to avoid, so that this is rare.
-        fresh = [item for item in items if item.spec.backend_id not in avoid]
-        return self.random.choice(fresh) if fresh else None
+        if avoid and any(backend_id in cell.open.places for backend_id in avoid):
+            # Only a request that failed before avoids servers, so that this is rare.
+            items = [item for item in items if item.spec.backend_id not in avoid]
+        if len(items) <= 2:
+            return list(items)
+        first = int(self.random.random() * len(items))
+        step = 1 + int(self.random.random() * (len(items) - 1))
+        return [items[first], items[(first + step) % len(items)]]
 
     def choose_apart(
         self, request: RequestSpec, avoid: set[BackendId]
@@ -273,7 +277,6 @@
         state.other.own_changed(state.in_flight, now)
         state.in_flight += 1
         state.other.claims -= 1
-        state.probe_tokens = 0
         for cell in state.cells:
             cell.in_flight += 1
         self.refresh(state, now)
@@ -297,8 +300,7 @@
         state = self.states.get(backend_id)
         if state is None:
             return
-        if report.waiting:
-            state.limit.queued(report.running)
+        state.limit.reported(report.running, report.waiting)
         state.other.reported(
             report, state.in_flight, state.limit.value, now, self.random
         )
@@ -312,10 +314,11 @@
         view = self.pools.get(pool)
         if state is None or view is None:
             return
+        state.token_at = now
         view.pace.add_first_token(waited_s)
         if late and now - state.first_token_cut_at >= 1.0:
             state.first_token_cut_at = now
-            state.limit.queued(state.load(now) * 0.9)
+            state.limit.late(state.load(now))
         self.refresh(state, now)
 
     def token_gap(
@@ -329,7 +332,7 @@
         view = self.pools.get(pool)
         if state is None or view is None:
             return False
-        state.probe_tokens += count
+        state.token_at = now
         mean = state.window.add(gap_s, count, state.load(now), now)
         if mean is None:
             return False
@@ -379,6 +382,11 @@
         self.refresh(state, now)
         return slow
 
+    def last_token_at(self, backend_id: BackendId) -> float:
+        """Return when any stream here last got a token from the server."""
+        state = self.states.get(backend_id)
+        return state.token_at if state is not None else 0.0
+
     def went_down(self, backend_id: BackendId, now: float) -> None:
         """Take that a server refused a connection, or broke one."""
         state = self.states.get(backend_id)
@@ -398,7 +406,7 @@
         state = self.states.get(backend_id)
         if state is None:
             return
-        state.limit.queued(state.load(now))
+        state.limit.late(state.limit.value)
         self.answered_with_error(backend_id, now)
         self.refresh(state, now)
 
