--- a/src/godwitmast/control/daemon.py
+++ b/src/godwitmast/control/daemon.py
@@ -15,6 +15,7 @@
 from godwitmast.lease.driver import Duty, LeaseDriver
 from godwitmast.logs import log_event
 from godwitmast.platform_api.client import PlatformClient
+from godwitmast.usage.duty import UsageDuty
 
 
 class Control:
@@ -27,6 +28,9 @@
         self.registry = CollectorRegistry()
         self.clock = SystemClock()
         self.leases: list[LeaseDriver] = []
+        self.add_duty(
+            UsageDuty(self.platform, self.clock, settings.usage, self.registry)
+        )
         self.app = Starlette(
             routes=[
                 Route("/livez", self.livez),
--- a/src/godwitmast/control/settings.py
+++ b/src/godwitmast/control/settings.py
@@ -4,6 +4,7 @@
 
 from godwitmast.lease.machine import LeaseTiming
 from godwitmast.settings import Listen, LogSettings, PlatformSettings
+from godwitmast.usage.windows import UsageTiming
 
 
 class ControlSettings(NamedTuple):
@@ -15,4 +16,5 @@
     region: str = "default"
     listen: Listen = Listen()
     lease: LeaseTiming = LeaseTiming()
+    usage: UsageTiming = UsageTiming()
     log: LogSettings = LogSettings()
--- a/src/godwitmast/entry/daemon.py
+++ b/src/godwitmast/entry/daemon.py
@@ -13,7 +13,9 @@
 from godwitmast.http_server import HttpServer
 from godwitmast.logs import log_event
 from godwitmast.platform_api.client import PlatformClient
+from godwitmast.usage.journal import Journal
 from godwitmast.usage.meter import Meter
+from godwitmast.usage.writer import NodeWriter
 
 
 class Entry:
@@ -26,6 +28,17 @@
         self.client = BackendClient()
         self.meter = Meter()
         self.follower = ConfigFollower(self.platform)
+        usage = settings.usage
+        self.journal = Journal(settings.node, settings.zone, usage.window_s)
+        self.node_writer = NodeWriter(
+            self.platform,
+            self.clock,
+            self.journal,
+            usage,
+            lambda: self.follower.version,
+            lambda: {"open": len(self.app.exchanges)},
+        )
+        self.meter.listeners.append(self.node_writer.count)
         self.driver = RouterDriver(settings.zone, self.clock, self.client)
         self.claims = ClaimKeeper(self.platform, self.clock, settings.node)
         self.app = EntryApp(
@@ -40,7 +53,9 @@
         self.follower.listeners.append(self.app.config_changed)
         await self.driver.start(tasks)
         await self.follower.start(tasks)
+        self.follower.listeners.append(self.node_writer.config_changed)
         await self.claims.start(tasks)
+        await self.node_writer.start(tasks)
         await self.server.start(tasks)
         log_event("entry_started", node=self.settings.node, url=self.server.url)
 
@@ -55,6 +70,7 @@
         await anyio.sleep(self.settings.balancer_wait_s)
         await self.server.close()
         await self.claims.close()
+        await self.node_writer.close()
         await self.client.close()
         await self.platform.close()
         log_event("entry_stopped", node=self.settings.node)
--- a/src/godwitmast/entry/settings.py
+++ b/src/godwitmast/entry/settings.py
@@ -6,6 +6,7 @@
 
 from godwitmast.http_server import TlsFiles
 from godwitmast.settings import Listen, LogSettings, PlatformSettings, Seconds
+from godwitmast.usage.windows import UsageTiming
 
 
 class Limits(NamedTuple):
@@ -27,4 +28,5 @@
     limits: Limits = Limits()
     balancer_wait_s: Annotated[float, Field(ge=0)] = 2.0
     stop_timeout_s: Seconds = 120.0
+    usage: UsageTiming = UsageTiming()
     log: LogSettings = LogSettings()
--- a/src/godwitmast/http_server.py
+++ b/src/godwitmast/http_server.py
@@ -97,6 +97,9 @@
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((listen.host, listen.port))
+    # Hypercorn listens only once its task runs. Until then a client that read our
+    # address in the log would be refused, so connections are queued from here on.
+    listener.listen(BACKLOG)
     listener.setblocking(False)
     return listener
 
--- a/src/godwitmast/platform_api/client.py
+++ b/src/godwitmast/platform_api/client.py
@@ -92,6 +92,10 @@
         answer = await self.send("GET", "/vms")
         return [Vm(**item) for item in answer.json()["vms"]]
 
+    async def report_usage(self, report: Json) -> None:
+        """Hand a usage report to the intake; it may be sent again, alike."""
+        await self.post("/usage", report)
+
     async def get_object(self, name: str) -> bytes | None:
         answer = await self.send("GET", f"/objects/{name}", good=(200, 404))
         return answer.content if answer.status_code == 200 else None
--- /dev/null
+++ b/src/godwitmast/usage/duty.py
@@ -0,0 +1,170 @@
+"""Freezes and reports usage windows under a lease."""
+
+from dataclasses import dataclass
+
+import anyio
+from prometheus_client import CollectorRegistry, Counter, Gauge
+
+from godwitmast.clock import Clock
+from godwitmast.errors import PlatformError
+from godwitmast.lease.machine import Guard
+from godwitmast.logs import log_event
+from godwitmast.platform_api.client import PlatformClient
+from godwitmast.platform_api.runner import run_steps
+from godwitmast.platform_api.steps import Rows, Scan, Steps
+from godwitmast.usage.rows import NODE_PREFIX, NodeRow, load_node
+from godwitmast.usage.windows import (
+    DueReport,
+    Frozen,
+    NotDue,
+    UsageTiming,
+    drop,
+    freeze_next,
+    mark_reported,
+    next_report,
+    seal,
+)
+
+CHECK_EVERY_S = 2.0
+REPORT_TIMEOUT_S = 2.0
+"""Shorter than any lease's guard: a report that is out when the lease lapses has
+arrived or failed before the next holder sends one."""
+
+
+@dataclass
+class Watched:
+    """A journal's row and since when it has stood still, on this process's clock."""
+
+    row: NodeRow
+    version: int
+    since: float
+
+
+class UsageDuty:
+    """The one reporter of usage."""
+
+    name = "usage"
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        clock: Clock,
+        timing: UsageTiming = UsageTiming(),
+        registry: CollectorRegistry | None = None,
+    ) -> None:
+        self.platform = platform
+        self.clock = clock
+        self.timing = timing
+        self.watched: dict[str, Watched] = {}
+        self.table_back_at = 0.0
+        self.table_away = False
+        self.late_windows = Counter(
+            "godwit_usage_late_windows",
+            "Windows that hold usage of earlier ones.",
+            registry=registry,
+        )
+        self.lag = Gauge(
+            "godwit_usage_report_lag_seconds",
+            "From the end of the last reported window to its report.",
+            registry=registry,
+        )
+
+    async def run(self, guard: Guard) -> None:
+        """Freeze what is due, report what is frozen, seal what is silent."""
+        self.watched.clear()
+        watch_at = 0.0
+        while True:
+            if await self.freeze(guard):
+                await self.report(guard)
+            now = self.clock.now()
+            if now >= watch_at:
+                watch_at = now + self.timing.seal_s / 4
+                await self.watch(guard)
+            await anyio.sleep(min(CHECK_EVERY_S, self.timing.window_s / 4))
+
+    async def freeze(self, guard: Guard) -> bool:
+        """Freeze every window that is due; return whether the table answered."""
+        if self.clock.now() < self.table_back_at + self.timing.grace_s:
+            # After an outage the entries first get time to write what they kept.
+            return True
+        while True:
+            steps = freeze_next(guard.checks, self.clock.wall(), self.timing)
+            match await run_steps(self.platform, steps):
+                case Frozen(start, runs, late):
+                    log_event("usage_frozen", window=start, runs=runs, late=late)
+                    self.late_windows.inc(int(late))
+                    self.note_table(True)
+                case NotDue():
+                    self.note_table(True)
+                    return True
+                case _:
+                    self.note_table(False)
+                    return False
+
+    def note_table(self, answered: bool) -> None:
+        if answered and self.table_away:
+            self.table_back_at = self.clock.now()
+        self.table_away = not answered
+
+    async def report(self, guard: Guard) -> None:
+        """Send every window that is frozen and not confirmed, oldest first."""
+        while True:
+            due = await run_steps(self.platform, next_report(self.timing.window_s))
+            if due is None or not await self.send(guard, due):
+                return
+            if not await run_steps(self.platform, mark_reported(guard.checks, due)):
+                return
+            self.lag.set(self.clock.wall() - due.window.end)
+
+    async def send(self, guard: Guard, due: DueReport) -> bool:
+        """Send one window's frozen figures; return whether the intake has them."""
+        report = {**due.window._asdict(), "digest": due.digest}
+        fence = guard.fence_if_held(self.clock.now(), self.clock.wall())
+        if fence is None:
+            return False
+        try:
+            with anyio.fail_after(REPORT_TIMEOUT_S):
+                await self.platform.report_usage({**report, "fence": fence})
+        except (PlatformError, TimeoutError) as error:
+            log_event("usage_report_failed", level="WARNING", error=repr(error))
+            return False
+        log_event("usage_reported", window=due.window.start, digest=due.digest[:12])
+        return True
+
+    async def watch(self, guard: Guard) -> None:
+        """Seal the rows of silent entries, and drop the ended ones in the end.
+
+        Only this clock counts, from when the row was first seen as it is; while the
+        table is away nothing can be told of an entry, so every watch starts anew.
+        """
+        found = await run_steps(self.platform, scan_nodes())
+        if found is None or self.table_away:
+            self.watched.clear()
+            return
+        now = self.clock.now()
+        rows = {
+            key: Watched(load_node(r.value), r.version, now)
+            for key, r in found.rows.items()
+        }
+        for key, seen in rows.items():
+            old = self.watched.get(key)
+            if old is not None and old.version == seen.version:
+                seen.since = old.since
+        self.watched = rows
+        for seen in list(rows.values()):
+            still = now - seen.since
+            if seen.row.ended and still >= self.timing.keep_s:
+                await run_steps(
+                    self.platform, drop(guard.checks, seen.row, seen.version)
+                )
+            elif not seen.row.ended and still >= self.timing.seal_s:
+                log_event("usage_sealed", level="WARNING", run=seen.row.incarnation)
+                await run_steps(
+                    self.platform, seal(guard.checks, seen.row, seen.version)
+                )
+
+
+def scan_nodes() -> Steps[Rows | None]:
+    """Return the rows of all entries, or None if the table does not answer."""
+    found = yield Scan(NODE_PREFIX)
+    return found if isinstance(found, Rows) else None
--- a/src/godwitmast/usage/meter.py
+++ b/src/godwitmast/usage/meter.py
@@ -1,5 +1,6 @@
 """Counts what callers were given, by team, class and pool."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from godwitmast.types import TokenCount
@@ -14,24 +15,44 @@
 
 
 class UsageSum(NamedTuple):
-    """Requests and tokens since this process started."""
+    """Requests and tokens, added up."""
 
     requests: int = 0
     prompt_tokens: int = 0
     output_tokens: int = 0
 
+    def plus(self, other: "UsageSum") -> "UsageSum":
+        return UsageSum(*(a + b for a, b in zip(self, other, strict=True)))
+
+    def minus(self, other: "UsageSum") -> "UsageSum":
+        return UsageSum(*(a - b for a, b in zip(self, other, strict=True)))
+
+
+Sums = dict[UsageKey, UsageSum]
+
+
+def add_sums(into: Sums, more: Sums) -> None:
+    """Add `more` to `into`, key by key."""
+    for key, value in more.items():
+        into[key] = into.get(key, UsageSum()).plus(value)
+
+
+def subtract_sums(whole: Sums, part: Sums) -> Sums:
+    """Return what is left of `whole`; keys with nothing left are dropped."""
+    left = {key: s.minus(part.get(key, UsageSum())) for key, s in whole.items()}
+    return {key: value for key, value in left.items() if any(value)}
+
 
 class Meter:
-    """Cumulative counts of this process."""
+    """Cumulative counts of this process; listeners get each increment."""
 
     def __init__(self) -> None:
-        self.sums: dict[UsageKey, UsageSum] = {}
+        self.sums: Sums = {}
+        self.listeners: list[Callable[[UsageKey, UsageSum], None]] = []
 
     def add(self, key: UsageKey, tokens: TokenCount) -> None:
         """Count one request that reached a backend server."""
-        old = self.sums.get(key, UsageSum())
-        self.sums[key] = UsageSum(
-            old.requests + 1,
-            old.prompt_tokens + tokens.prompt,
-            old.output_tokens + tokens.output,
-        )
+        increment = UsageSum(1, tokens.prompt, tokens.output)
+        self.sums[key] = self.sums.get(key, UsageSum()).plus(increment)
+        for listener in self.listeners:
+            listener(key, increment)
--- /dev/null
+++ b/src/godwitmast/usage/rows.py
@@ -0,0 +1,100 @@
+"""Where usage stands in the platform's table and objects."""
+
+from typing import Any, NamedTuple
+
+import msgspec
+
+from godwitmast.types import Json
+from godwitmast.usage.meter import Sums, UsageKey, UsageSum
+
+NODE_PREFIX = "node/"
+"""One row for each run of an entry: its heartbeat, configuration, load and journal."""
+
+HEAD_KEY = "usage/head"
+"""Which window was frozen last, and how much of each journal was taken by then."""
+
+REPORTED_KEY = "usage/reported"
+"""Which window the intake took last."""
+
+WINDOW_PREFIX = "usage/window/"
+WINDOW_DIGITS = 12
+
+
+class NodeRow(NamedTuple):
+    """What an entry writes of itself every few seconds, all in one.
+
+    `segments` holds its usage by the start of the window, in seconds since the epoch.
+    `window` is the one that it still adds to: all earlier ones are final. `ended` says
+    that all are, because the entry stopped or the row was sealed.
+    """
+
+    node: str
+    zone: str
+    incarnation: str
+    sequence: int
+    config: int
+    window: int
+    segments: dict[int, Sums]
+    load: dict[str, Any]
+    ended: bool = False
+    sealed: bool = False
+
+    def final(self, label: int) -> bool:
+        """Return whether the segment can no longer grow."""
+        return self.ended or label < self.window
+
+
+class UsageHead(NamedTuple):
+    """How far the windows are frozen; `marks` is the last window taken of each run."""
+
+    frozen: int
+    marks: dict[str, int]
+
+
+def node_key(incarnation: str) -> str:
+    return f"{NODE_PREFIX}{incarnation}"
+
+
+def window_key(start: int) -> str:
+    return f"{WINDOW_PREFIX}{start:0{WINDOW_DIGITS}}"
+
+
+def dump_sums(sums: Sums) -> list[list[Any]]:
+    """Return sums as they go into JSON: sorted, one list for each key."""
+    return [[*key, *value] for key, value in sorted(sums.items())]
+
+
+def load_sums(rows: list[list[Any]]) -> Sums:
+    return {UsageKey(*row[:3]): UsageSum(*row[3:]) for row in rows}
+
+
+def dump_node(row: NodeRow) -> Json:
+    segments = {str(start): dump_sums(sums) for start, sums in row.segments.items()}
+    return row._replace(segments=segments)._asdict()  # type: ignore[arg-type]
+
+
+def load_node(value: Json) -> NodeRow:
+    row = NodeRow(**value)
+    segments = {int(start): load_sums(s) for start, s in row.segments.items()}  # type: ignore[arg-type]
+    return row._replace(segments=segments)
+
+
+class FrozenWindow(NamedTuple):
+    """The figures of a window, which never change again.
+
+    `late` is the part of `figures` that belongs to earlier windows and came after
+    they were frozen.
+    """
+
+    start: int
+    end: int
+    figures: list[list[Any]]
+    late: list[list[Any]]
+
+
+def encode_window(window: FrozenWindow) -> bytes:
+    return msgspec.json.encode(window)
+
+
+def decode_window(content: bytes) -> FrozenWindow:
+    return msgspec.json.decode(content, type=FrozenWindow)
--- /dev/null
+++ b/src/godwitmast/usage/windows.py
@@ -0,0 +1,227 @@
+"""Windows: frozen once by compare-and-set, reported with the frozen figures.
+
+Every write here checks the lease, so that a deposed holder can neither freeze nor
+mark as reported; and a window's figures are what its object holds, never computed
+again.
+"""
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from godwitmast.platform_api.messages import Written
+from godwitmast.platform_api.steps import (
+    Failure,
+    GetObject,
+    ObjectRead,
+    PutObject,
+    Read,
+    Rows,
+    Scan,
+    Steps,
+    Transact,
+)
+from godwitmast.usage.meter import Sums, add_sums
+from godwitmast.usage.rows import (
+    HEAD_KEY,
+    NODE_PREFIX,
+    REPORTED_KEY,
+    WINDOW_PREFIX,
+    FrozenWindow,
+    NodeRow,
+    UsageHead,
+    decode_window,
+    dump_node,
+    dump_sums,
+    encode_window,
+    load_node,
+    node_key,
+    window_key,
+)
+
+Checks = dict[str, int]
+
+
+class UsageTiming(NamedTuple):
+    """How usage is journalled and reported.
+
+    A window is frozen `grace_s` after its end, which is three flushes, so that an
+    entry whose one write failed is still in time. The row of an entry that is silent
+    for `seal_s` is sealed.
+    """
+
+    window_s: int = 60
+    flush_s: float = 5.0
+    grace_s: float = 15.0
+    seal_s: float = 45.0
+    keep_s: float = 3600.0
+
+
+@dataclass(frozen=True, slots=True)
+class Frozen:
+    """A window was frozen; `late` says whether it holds usage of earlier ones."""
+
+    start: int
+    runs: int
+    late: bool
+
+
+@dataclass(frozen=True, slots=True)
+class NotDue:
+    """No window is ready to be frozen."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotWritten:
+    """The table is away, the lease is gone, or the outcome is to be read again."""
+
+
+FreezeOutcome = Frozen | NotDue | NotWritten
+
+
+class Gathered(NamedTuple):
+    """What a window takes from the journals, and how far each is then taken."""
+
+    window: FrozenWindow
+    marks: dict[str, int]
+    runs: int
+
+
+def gather(
+    rows: Iterable[NodeRow], marks: dict[str, int], start: int, window_s: int
+) -> Gathered:
+    """Add up every final segment up to this window that no window has taken."""
+    figures: Sums = {}
+    late: Sums = {}
+    marks = dict(marks)
+    runs = 0
+    for row in rows:
+        taken = marks.get(row.incarnation, -1)
+        for label, sums in row.segments.items():
+            if taken < label <= start and row.final(label):
+                add_sums(figures, sums)
+                if label < start:
+                    add_sums(late, sums)
+                runs += 1
+        # Of a journal that has not moved past this window, all before is taken.
+        last = start if row.final(start) else min(start, row.window - 1)
+        marks[row.incarnation] = max(taken, last)
+    window = FrozenWindow(start, start + window_s, dump_sums(figures), dump_sums(late))
+    return Gathered(window, marks, runs)
+
+
+def freeze_next(
+    lease: Checks, wall: float, timing: UsageTiming
+) -> Steps[FreezeOutcome]:
+    """Freeze the next window if its time has come."""
+    found = yield Read([HEAD_KEY])
+    if not isinstance(found, Rows):
+        return NotWritten()
+    width = timing.window_s
+    if found.value(HEAD_KEY) is None:
+        # The first window ever ends now; what came before it counts as late.
+        start = int(wall // width) * width - width
+        head = UsageHead(start, {})
+        yield Transact({**lease, HEAD_KEY: 0}, {HEAD_KEY: head._asdict()})
+        return NotWritten()
+    head = UsageHead(**found.value(HEAD_KEY))
+    start = head.frozen + width
+    if wall < start + width + timing.grace_s:
+        return NotDue()
+    nodes = yield Scan(NODE_PREFIX)
+    if not isinstance(nodes, Rows):
+        return NotWritten()
+    rows = [load_node(row.value) for row in nodes.rows.values()]
+    gathered = gather(rows, head.marks, start, width)
+    checks = {**lease, HEAD_KEY: found.version(HEAD_KEY)}
+    if (yield from write_window(checks, gathered)):
+        return Frozen(start, gathered.runs, bool(gathered.window.late))
+    return NotWritten()
+
+
+def write_window(checks: Checks, gathered: Gathered) -> Steps[bool]:
+    """Make a window's figures final; only the first write of a window can."""
+    window = gathered.window
+    content = encode_window(window)
+    digest = hashlib.sha256(content).hexdigest()
+    name = f"{window_key(window.start)}/{digest}"
+    put = yield PutObject(name, content)
+    if isinstance(put, Failure):
+        return False
+    key = window_key(window.start)
+    head = UsageHead(window.start, gathered.marks)
+    result = yield Transact(
+        {**checks, key: 0},
+        {HEAD_KEY: head._asdict(), key: {"object": name, "digest": digest}},
+    )
+    return isinstance(result, Written)
+
+
+class DueReport(NamedTuple):
+    """A frozen window that the intake has not confirmed."""
+
+    window: FrozenWindow
+    digest: str
+    reported_version: int
+
+
+def next_report(window_s: int) -> Steps[DueReport | None]:
+    """Return the oldest frozen window that is to be sent, if there is one."""
+    found = yield Read([HEAD_KEY, REPORTED_KEY])
+    if not isinstance(found, Rows) or found.value(HEAD_KEY) is None:
+        return None
+    frozen = found.value(HEAD_KEY)["frozen"]
+    reported = found.value(REPORTED_KEY)
+    version = found.version(REPORTED_KEY)
+    if reported is not None and reported["start"] >= frozen:
+        return None
+    if reported is None:
+        rows = yield Scan(WINDOW_PREFIX)
+    else:
+        rows = yield Scan(WINDOW_PREFIX, window_key(reported["start"]))
+    if not isinstance(rows, Rows) or not rows.rows:
+        return None
+    row = rows.rows[min(rows.rows)].value
+    content = yield GetObject(row["object"])
+    if not isinstance(content, ObjectRead) or content.content is None:
+        return None
+    return DueReport(decode_window(content.content), row["digest"], version)
+
+
+def mark_reported(lease: Checks, due: DueReport) -> Steps[bool]:
+    """Note that the intake took a window; if this is lost it is sent again, alike."""
+    result = yield Transact(
+        {**lease, REPORTED_KEY: due.reported_version},
+        {REPORTED_KEY: {"start": due.window.start, "digest": due.digest}},
+    )
+    return isinstance(result, Written)
+
+
+def seal(lease: Checks, row: NodeRow, version: int) -> Steps[bool]:
+    """Close the journal of an entry that has gone silent.
+
+    Its last segment could otherwise never be taken. If the entry was only paused or
+    cut off, its next write fails on the changed row, and it goes on with the rest.
+    """
+    key = node_key(row.incarnation)
+    closed = row._replace(ended=True, sealed=True)
+    result = yield Transact({**lease, key: version}, {key: dump_node(closed)})
+    return isinstance(result, Written)
+
+
+def drop(lease: Checks, row: NodeRow, version: int) -> Steps[bool]:
+    """Remove the row and the mark of a run that ended and was taken whole."""
+    found = yield Read([HEAD_KEY])
+    if not isinstance(found, Rows) or found.value(HEAD_KEY) is None:
+        return False
+    head = UsageHead(**found.value(HEAD_KEY))
+    if any(label > head.marks.get(row.incarnation, -1) for label in row.segments):
+        return False
+    marks = {k: v for k, v in head.marks.items() if k != row.incarnation}
+    key = node_key(row.incarnation)
+    result = yield Transact(
+        {**lease, HEAD_KEY: found.version(HEAD_KEY), key: version},
+        {HEAD_KEY: head._replace(marks=marks)._asdict(), key: None},
+    )
+    return isinstance(result, Written)
--- /dev/null
+++ b/src/godwitmast/usage/writer.py
@@ -0,0 +1,113 @@
+"""Writes an entry's row: heartbeat, configuration, load and journal in one."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from godwitmast.clock import Clock
+from godwitmast.logs import log_event
+from godwitmast.platform_api.client import PlatformClient
+from godwitmast.platform_api.runner import run_steps
+from godwitmast.usage.journal import Flushed, Journal, read_marks
+from godwitmast.usage.meter import UsageKey, UsageSum
+from godwitmast.usage.windows import UsageTiming
+
+EARLIEST_S = 2.0
+"""Least time between two writes, also when the configuration changes often."""
+
+CLOSE_TIMEOUT_S = 20.0
+
+
+class NodeWriter:
+    """Flushes one entry's journal every few seconds, and when it stops."""
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        clock: Clock,
+        journal: Journal,
+        timing: UsageTiming,
+        version: Callable[[], int],
+        load: Callable[[], dict[str, Any]],
+    ) -> None:
+        self.platform = platform
+        self.clock = clock
+        self.journal = journal
+        self.timing = timing
+        self.version = version
+        self.load = load
+        self.flush_early = anyio.Event()
+        self.writing = anyio.Lock()
+        self.closing = False
+        self.unsaved_s = 0.0
+        self.saved_at = clock.now()
+        self.marks_at = 0.0
+
+    def count(self, key: UsageKey, increment: UsageSum) -> None:
+        """Take an increment from the meter."""
+        self.journal.add(key, increment, self.clock.wall())
+
+    def config_changed(self, config: object) -> None:
+        """Say soon which configuration is in force here: an operator may wait."""
+        self.flush_early.set()
+
+    async def start(self, tasks: TaskGroup) -> None:
+        tasks.start_soon(self.run)
+
+    async def run(self) -> None:
+        while not self.closing:
+            outcome = await self.flush()
+            if outcome is Flushed.WRITTEN and self.journal.sequence == 1:
+                continue
+            self.flush_early = anyio.Event()
+            await anyio.sleep(min(EARLIEST_S, self.timing.flush_s))
+            rest = self.timing.flush_s * random.uniform(0.9, 1.1) - EARLIEST_S
+            with anyio.move_on_after(max(0.0, rest)):
+                await self.flush_early.wait()
+
+    async def flush(self, ended: bool = False) -> Flushed:
+        """Write the row once, and drop what is frozen."""
+        journal = self.journal
+        async with self.writing:
+            steps = journal.flush(self.clock.wall(), self.version(), self.load(), ended)
+            outcome = await run_steps(self.platform, steps)
+        now = self.clock.now()
+        if outcome is Flushed.WRITTEN:
+            self.saved_at = now
+        elif outcome is Flushed.SEALED:
+            log_event("usage_row_sealed", level="WARNING", new=journal.incarnation)
+        else:
+            log_event("usage_not_written", level="WARNING", outcome=outcome.value)
+        self.unsaved_s = now - self.saved_at
+        await self.forget_frozen(now)
+        return outcome
+
+    async def forget_frozen(self, now: float) -> None:
+        """Read how far the windows are frozen, when some should be by now."""
+        timing = self.timing
+        if now < self.marks_at + 2 * timing.flush_s:
+            return
+        if self.journal.closed_before(self.clock.wall(), 2 * timing.grace_s):
+            self.marks_at = now
+            head = await run_steps(self.platform, read_marks())
+            if head is not None:
+                self.journal.forget(head)
+
+    async def close(self) -> None:
+        """Write the last of the usage, once no request runs any more."""
+        self.closing = True
+        with anyio.move_on_after(CLOSE_TIMEOUT_S):
+            while not await self.flush_last():
+                await anyio.sleep(0.1)
+            return
+        held = sum(len(sums) for sums in self.journal.segments.values())
+        log_event("usage_left", level="ERROR", sums=held)
+
+    async def flush_last(self) -> bool:
+        """Return whether the row in the table is the final one."""
+        await self.flush(ended=True)
+        last = self.journal.last
+        return last is not None and last.ended and self.journal.holds_all
