--- a/src/godwitmast/config/machine.py
+++ b/src/godwitmast/config/machine.py
@@ -18,6 +18,7 @@
     Snapshot,
     decode_snapshot,
     delta_key,
+    read_row,
 )
 from godwitmast.errors import ConfigInvalid
 from godwitmast.platform_api.steps import GetObject, ObjectRead, Read, Rows, Scan, Steps
@@ -102,13 +103,21 @@
 
 def catch_up(state: ConfigState) -> Steps[bool]:
     """Bring `state` to the table's number; return whether the table answered."""
+    try:
+        return (yield from pull(state))
+    except ConfigInvalid as error:
+        # A row that something else wrote: serve on under what is in force.
+        state.rejected = str(error)
+        return True
+
+
+def pull(state: ConfigState) -> Steps[bool]:
     found = yield Read([HEAD_KEY])
     if not isinstance(found, Rows):
         return False
-    value = found.value(HEAD_KEY)
-    if value is None:
+    if found.value(HEAD_KEY) is None:
         return True
-    head = Head(**value)
+    head = read_row(found.value(HEAD_KEY), Head)
     if head.number <= state.version:
         return True
     if state.version < head.snapshot_number:
@@ -123,5 +132,5 @@
     if not isinstance(found, Rows):
         return False
     for row in found.rows.values():
-        state.offer_delta(Delta(**row.value))
+        state.offer_delta(read_row(row.value, Delta))
     return True
--- a/src/godwitmast/config/rows.py
+++ b/src/godwitmast/config/rows.py
@@ -4,12 +4,15 @@
 its own, and a whole document is an object, written now and then.
 """
 
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 import msgspec
 
+from godwitmast.errors import ConfigInvalid
 from godwitmast.types import Json
 
+T = TypeVar("T")
+
 HEAD_KEY = "config/head"
 """The row with the number in force and where the newest snapshot is."""
 
@@ -61,6 +64,14 @@
     return f"{SNAPSHOT_PREFIX}{number:0{NUMBER_DIGITS}}-{patch_id}"
 
 
+def read_row(value: Json, shape: type[T]) -> T:
+    """Return a row's value as `shape`, or raise ConfigInvalid."""
+    try:
+        return shape(**value)
+    except TypeError as error:
+        raise ConfigInvalid(f"not a {shape.__name__}: {error}") from None
+
+
 def encode_snapshot(snapshot: Snapshot) -> bytes:
     return msgspec.json.encode(snapshot)
 
--- a/src/godwitmast/usage/windows.py
+++ b/src/godwitmast/usage/windows.py
@@ -48,7 +48,7 @@
 
     A window is frozen `grace_s` after its end, which is three flushes, so that an
     entry whose one write failed is still in time. The row of an entry that is silent
-    for `seal_s` is sealed.
+    for `seal_s` is sealed. A stopping entry tries for `stop_s` to write its last row.
     """
 
     window_s: int = 60
@@ -56,6 +56,7 @@
     grace_s: float = 15.0
     seal_s: float = 45.0
     keep_s: float = 3600.0
+    stop_s: float = 20.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/godwitmast/usage/writer.py
+++ b/src/godwitmast/usage/writer.py
@@ -18,8 +18,6 @@
 EARLIEST_S = 2.0
 """Least time between two writes, also when the configuration changes often."""
 
-CLOSE_TIMEOUT_S = 20.0
-
 
 class NodeWriter:
     """Flushes one entry's journal every few seconds, and when it stops."""
@@ -99,7 +97,7 @@
     async def close(self) -> None:
         """Write the last of the usage, once no request runs any more."""
         self.closing = True
-        with anyio.move_on_after(CLOSE_TIMEOUT_S):
+        with anyio.move_on_after(self.timing.stop_s):
             while not await self.flush_last():
                 await anyio.sleep(0.1)
             return
