--- a/src/godwitmast/load/fleet_model.py
+++ b/src/godwitmast/load/fleet_model.py
@@ -117,6 +117,7 @@
     ordered: int
     released: int
     evicted: int
+    harmed: float
     cheap_work: float
     zone_loss: dict[str, float]
 
@@ -152,6 +153,7 @@
         self.arrived_work: deque[dict[str, float]] = deque(maxlen=REPORT_LAG_S * 2)
         self.spend = self.seconds = self.work = self.cheap_work = 0.0
         self.ordered = self.released = self.evicted = 0
+        self.evicted_minutes: set[int] = set()
 
     def make_sums(self, item: ClassMix) -> ClassSums:
         prompt_rate = self.intention.prompt_tokens_per_s
@@ -283,6 +285,7 @@
         """
         server.leaves_at = now + NOTICE_S
         self.evicted += 1
+        self.evicted_minutes |= {now // 60, now // 60 + 1}
         if server.ready_at <= now:
             top = self.classes[0]
             tokens = sum(
@@ -356,10 +359,19 @@
             ordered=self.ordered,
             released=self.released,
             evicted=self.evicted,
+            harmed=self.harmed(),
             cheap_work=self.cheap_work / self.work if self.work else 0.0,
             zone_loss=self.loss_around_zone(),
         )
 
+    def harmed(self) -> float:
+        """Return the requests that missed in the minutes after any eviction."""
+        return sum(
+            sums.offered_by_minute.get(m, 0.0) - sums.met_by_minute.get(m, 0.0)
+            for sums in self.classes
+            for m in self.evicted_minutes
+        )
+
     def loss_around_zone(self) -> dict[str, float]:
         """Return the points of attainment lost in the minute after a zone's loss."""
         if self.zone_loss_at is None:
--- a/src/godwitmast/load/spend.py
+++ b/src/godwitmast/load/spend.py
@@ -126,10 +126,12 @@
     name: str, seeds: int, by_policy: dict[str, list[FleetResult]]
 ) -> Table:
     classes = list(by_policy["plan"][0].attainment)
-    table = Table(title=f"{name}: mean of {seeds} seeds (lowest seed in brackets)")
+    table = Table(
+        title=f"{name}: mean of {seeds} seeds; by class, missed of 100,000 (worst seed)"
+    )
     for heading in ("policy", "spend", "per 1000 met", "server h", *classes):
         table.add_column(heading)
-    for heading in ("orders/releases", "evicted", "cheap work"):
+    for heading in ("ordered/ released", "evicted", "harmed", "cheap work"):
         table.add_column(heading)
     for policy, results in by_policy.items():
         mean = partial(mean_of, results)
@@ -138,9 +140,10 @@
             f"{mean('spend'):.1f}",
             f"{mean('spend_per_1000_met'):.4f}",
             f"{mean('server_hours'):.1f}",
-            *(show_attainment(results, c) for c in classes),
+            *(show_missed(results, c) for c in classes),
             f"{mean('ordered'):.0f}/{mean('released'):.0f}",
             f"{mean('evicted'):.1f}",
+            f"{mean('harmed'):.1f}",
             f"{mean('cheap_work'):.0%}",
         )
     return table
@@ -150,9 +153,9 @@
     return statistics.fmean(getattr(r, field) for r in results)
 
 
-def show_attainment(results: list[FleetResult], name: str) -> str:
-    seen = [r.attainment[name] for r in results]
-    return f"{statistics.fmean(seen):.3%} ({min(seen):.2%})"
+def show_missed(results: list[FleetResult], name: str) -> str:
+    missed = [100_000 * (1 - r.attainment[name]) for r in results]
+    return f"{statistics.fmean(missed):.1f} ({max(missed):.1f})"
 
 
 def print_verdict(console: Console, by_policy: dict[str, list[FleetResult]]) -> bool:
