--- a/src/godwitmast/entry/daemon.py
+++ b/src/godwitmast/entry/daemon.py
@@ -4,6 +4,7 @@
 from anyio.abc import TaskGroup
 
 from godwitmast.backends.client import BackendClient
+from godwitmast.capacity.follower import FleetFollower
 from godwitmast.claims.keeper import ClaimKeeper
 from godwitmast.clock import SystemClock
 from godwitmast.config.follower import ConfigFollower
@@ -59,6 +60,13 @@
                 self.follower,
                 self.app,
             )
+        self.fleet = FleetFollower(
+            self.platform,
+            settings.node,
+            self.app.demand,
+            self.app.waiting,
+            self.driver.fleet_changed,
+        )
         self.server = HttpServer(
             self.app, settings.listen, settings.tls, settings.stop_timeout_s
         )
@@ -71,6 +79,7 @@
         await self.follower.start(tasks)
         await self.claims.start(tasks)
         await self.node_writer.start(tasks)
+        await self.fleet.start(tasks)
         await self.server.start(tasks)
         log_event("entry_started", node=self.settings.node, url=self.server.url)
 
@@ -88,6 +97,7 @@
         await self.node_writer.close()
         if self.peering:
             await self.peering.close()
+        await self.fleet.close()
         await self.client.close()
         await self.platform.close()
         log_event("entry_stopped", node=self.settings.node)
--- a/src/godwitmast/load/spend.py
+++ b/src/godwitmast/load/spend.py
@@ -20,6 +20,9 @@
 from godwitmast.program import EXIT_FAILED
 from godwitmast.types import PoolName, ZoneName
 
+ROUNDING = 1e-9
+"""Sums of fractions of requests differ by this much from run to run of the same day."""
+
 POLICIES = ("plan", "fixed", "utilisation")
 
 
@@ -126,10 +129,12 @@
     name: str, seeds: int, by_policy: dict[str, list[FleetResult]]
 ) -> Table:
     classes = list(by_policy["plan"][0].attainment)
-    table = Table(title=f"{name}: mean of {seeds} seeds (lowest seed in brackets)")
+    table = Table(
+        title=f"{name}: mean of {seeds} seeds; by class, missed of 100,000 (worst seed)"
+    )
     for heading in ("policy", "spend", "per 1000 met", "server h", *classes):
         table.add_column(heading)
-    for heading in ("orders/releases", "evicted", "cheap work"):
+    for heading in ("ordered/ released", "evicted", "harmed", "cheap work"):
         table.add_column(heading)
     for policy, results in by_policy.items():
         mean = partial(mean_of, results)
@@ -138,9 +143,10 @@
             f"{mean('spend'):.1f}",
             f"{mean('spend_per_1000_met'):.4f}",
             f"{mean('server_hours'):.1f}",
-            *(show_attainment(results, c) for c in classes),
+            *(show_missed(results, c) for c in classes),
             f"{mean('ordered'):.0f}/{mean('released'):.0f}",
             f"{mean('evicted'):.1f}",
+            f"{mean('harmed'):.1f}",
             f"{mean('cheap_work'):.0%}",
         )
     return table
@@ -150,9 +156,9 @@
     return statistics.fmean(getattr(r, field) for r in results)
 
 
-def show_attainment(results: list[FleetResult], name: str) -> str:
-    seen = [r.attainment[name] for r in results]
-    return f"{statistics.fmean(seen):.3%} ({min(seen):.2%})"
+def show_missed(results: list[FleetResult], name: str) -> str:
+    missed = [max(0.0, 100_000 * (1 - r.attainment[name])) for r in results]
+    return f"{statistics.fmean(missed):.1f} ({max(missed):.1f})"
 
 
 def print_verdict(console: Console, by_policy: dict[str, list[FleetResult]]) -> bool:
@@ -170,7 +176,10 @@
     )
     aims = [
         (saved >= 0.30, f"spend against fixed: {-saved:+.1%} (aim at most -30%)"),
-        (worst >= 0, f"worst class against fixed: {100 * worst:+.3f} points (aim 0)"),
+        (
+            worst >= -ROUNDING,
+            f"worst class against fixed: {100 * worst:+.3f} points (aim 0)",
+        ),
         (cheap >= 0.5, f"work on cheap servers: {cheap:.0%} (aim 50%)"),
     ]
     if plan[0].zone_loss:
