--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,8 @@
 from godwitmast.dev.system import DevSystem
 from processes import Processes
 
+pytest_plugins = ["known_red"]
+
 
 @pytest.fixture
 def anyio_backend() -> str:
