--- a/src/godwitmast/admission/pool_queues.py
+++ b/src/godwitmast/admission/pool_queues.py
@@ -28,13 +28,15 @@
         self.by_tier = sorted(self.classes.values(), key=lambda q: (q.tier, q.name))
 
     def mean_hold_s(self) -> float | None:
-        """Return how long requests hold a place, over what runs; None if unknown."""
-        known = [q for q in self.by_tier if q.hold_s]
+        """Return how long requests hold a place, over what runs.
+
+        It is None if nothing that was timed runs now: that says nothing of the places
+        that there are.
+        """
+        known = [q for q in self.by_tier if q.hold_s and q.running]
         if not known:
             return None
         places = sum(q.running for q in known)
-        if not places:
-            return max(q.hold_s or 0.0 for q in known)
         return sum(q.running * (q.hold_s or 0.0) for q in known) / places
 
     def class_rate(self, queue: ClassQueue, now: float) -> float | None:
