--- a/src/godwitmast/control/daemon.py
+++ b/src/godwitmast/control/daemon.py
@@ -8,6 +8,8 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from godwitmast.backends.client import BackendClient
+from godwitmast.capacity.duty import CapacityDuty
 from godwitmast.clock import SystemClock
 from godwitmast.config.follower import ConfigFollower
 from godwitmast.control.settings import ControlSettings
@@ -15,6 +17,7 @@
 from godwitmast.lease.driver import Duty, LeaseDriver
 from godwitmast.logs import log_event
 from godwitmast.platform_api.client import PlatformClient
+from godwitmast.usage.duty import UsageDuty
 
 
 class Control:
@@ -27,6 +30,15 @@
         self.registry = CollectorRegistry()
         self.clock = SystemClock()
         self.leases: list[LeaseDriver] = []
+        self.add_duty(
+            UsageDuty(self.platform, self.clock, settings.usage, self.registry)
+        )
+        self.client = BackendClient()
+        self.add_duty(
+            CapacityDuty(
+                self.platform, self.follower, self.client, self.clock, self.registry
+            )
+        )
         self.app = Starlette(
             routes=[
                 Route("/livez", self.livez),
@@ -56,6 +68,7 @@
             for lease in self.leases:
                 tasks.start_soon(lease.close)
         await self.server.close()
+        await self.client.close()
         await self.platform.close()
         log_event("control_stopped", node=self.settings.node)
 
--- a/src/godwitmast/platform_api/client.py
+++ b/src/godwitmast/platform_api/client.py
@@ -87,11 +87,20 @@
         answer = await self.send("GET", "/fleet")
         return [FleetServer(**item) for item in answer.json()["servers"]]
 
+    async def order(self, body: Json, timeout_s: float) -> httpx.Response:
+        """Give a backend server order; 409 says why it was not taken."""
+        good = (200, 409)
+        return await self.send("POST", "/orders", good, json=body, timeout=timeout_s)
+
     async def vms(self) -> list[Vm]:
         """Return the platform's list of VMs, which lags."""
         answer = await self.send("GET", "/vms")
         return [Vm(**item) for item in answer.json()["vms"]]
 
+    async def report_usage(self, report: Json) -> None:
+        """Hand a usage report to the intake; it may be sent again, alike."""
+        await self.post("/usage", report)
+
     async def get_object(self, name: str) -> bytes | None:
         answer = await self.send("GET", f"/objects/{name}", good=(200, 404))
         return answer.content if answer.status_code == 200 else None
--- a/tests/test_peers_entries.py
+++ b/tests/test_peers_entries.py
@@ -13,6 +13,7 @@
 from godwitmast.settings import Listen, PlatformSettings
 from godwitmast.standins.platform import StandinPlatform
 from godwitmast.standins.settings import PlatformStandinSettings
+from godwitmast.usage.windows import UsageTiming
 from running import running
 
 pytestmark = pytest.mark.anyio
@@ -20,11 +21,22 @@
 NOWHERE = PlatformSettings("http://127.0.0.1:9", 0.2)
 
 
+def put_config(platform: StandinPlatform, number: int) -> None:
+    assert platform.put_config(dev_document([], "http://127.0.0.1:9")) == number
+
+
 def make_entry(name: str, platform: PlatformSettings, seeds: list[str]) -> Entry:
     zone = name.rpartition("-")[0]
     host = f"127.0.1.{sum(name.encode()) % 200 + 1}"
     peers = PeerSettings("off", Listen(host), seeds=seeds)
-    settings = EntrySettings(name, zone, platform, peers=peers, balancer_wait_s=0.0)
+    settings = EntrySettings(
+        name,
+        zone,
+        platform,
+        peers=peers,
+        balancer_wait_s=0.0,
+        usage=UsageTiming(stop_s=0.2),
+    )
     return Entry(settings)
 
 
@@ -34,7 +46,7 @@
     async with AsyncExitStack() as stack:
         platform = StandinPlatform(PlatformStandinSettings())
         await stack.enter_async_context(running(platform))
-        platform.put_config(dev_document([], "http://127.0.0.1:9"))
+        put_config(platform, 1)
         entries: list[Entry] = []
         for name in names:
             where = NOWHERE if entries else PlatformSettings(platform.server.url)
@@ -54,7 +66,7 @@
         with anyio.fail_after(10):
             await second.follower.ready.wait()
             assert second.app.ready
-            platform.put_config(dev_document([], "http://127.0.0.1:9"))
+            put_config(platform, 2)
             while second.follower.current.version < 2:
                 await anyio.sleep(0.02)
         assert first.follower.current.version == 2
