Measure what a decision of admission costs

Change: godwitmast.load.admission_cost times offer, next and ended at several numbers of teams and of waiting requests.

--- /dev/null
+++ b/src/godwitmast/load/admission_cost.py
@@ -0,0 +1,95 @@
+"""What one decision of admission costs, and how that grows with what waits."""
+
+import random
+import time
+from typing import NamedTuple
+
+from godwitmast.admission.queue import Admission
+from godwitmast.config.document import parse_document
+from godwitmast.dispatch.messages import RequestSpec
+from godwitmast.types import ClassName, PoolName, RequestId, TeamName
+
+POOL = PoolName("godwit-lm")
+TIERS = 7
+
+
+class AdmissionCost(NamedTuple):
+    """Median cost of each step, in microseconds."""
+
+    teams: int
+    waiting: int
+    offer_us: float
+    next_us: float
+    ended_us: float
+
+
+def make_admission(teams: int) -> Admission:
+    """Return admission with seven tiers and so many teams."""
+    document = parse_document(
+        {
+            "classes": {
+                f"tier-{tier}": {"tier": tier, "completion_s": 1e6}
+                for tier in range(1, TIERS + 1)
+            },
+            "teams": {f"team-{n}": {"requests_per_s": 1e6} for n in range(teams)},
+            "models": {POOL: {}},
+        }
+    )
+    return Admission(document, max_waiting=10**9)
+
+
+def measure_admission(
+    teams: int, waiting: int, rounds: int = 20_000, seed: int = 1
+) -> AdmissionCost:
+    """Time each step while `waiting` requests of `teams` teams wait.
+
+    Each round takes the request that goes next, ends it, and offers another, so that
+    as many wait all the time.
+    """
+    draw = random.Random(seed)
+    admission = make_admission(teams)
+
+    def make(number: int) -> RequestSpec:
+        team = TeamName(f"team-{draw.randrange(teams)}")
+        class_name = ClassName(f"tier-{draw.randrange(TIERS) + 1}")
+        return RequestSpec(
+            RequestId(f"r{number}"), team, class_name, POOL, 0.0, 200, 256
+        )
+
+    for number in range(waiting):
+        admission.offer(make(number), 0.0)
+    times: list[tuple[float, float, float]] = []
+    for number in range(waiting, waiting + rounds):
+        now = number * 1e-4
+        fresh = make(number)
+        start = time.perf_counter()
+        admission.offer(fresh, now)
+        offered = time.perf_counter()
+        request = admission.next(POOL, now)
+        taken = time.perf_counter()
+        assert request is not None
+        admission.tokens_came(request, 100, now)
+        ending = time.perf_counter()
+        admission.ended(request, now, whole=True)
+        times.append((offered - start, taken - offered, time.perf_counter() - ending))
+    middle = [
+        sorted(column)[len(times) // 2] * 1e6 for column in zip(*times, strict=True)
+    ]
+    return AdmissionCost(teams, waiting, *middle)
+
+
+SIZES = ((10, 100), (10, 1000), (630, 1000), (6300, 1000), (6300, 10_000))
+
+
+def main() -> None:
+    """Print the costs at several sizes."""
+    for teams, waiting in SIZES:
+        cost = measure_admission(teams, waiting)
+        print(
+            f"teams={teams} waiting={waiting} offer_us={cost.offer_us:.1f}"
+            f" next_us={cost.next_us:.1f} ended_us={cost.ended_us:.1f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
