--- a/src/godwitmast/load/cli.py
+++ b/src/godwitmast/load/cli.py
@@ -2,6 +2,7 @@
 
 import typer
 
+from godwitmast.load.decision_cost import decision_cost
 from godwitmast.load.passthrough import passthrough
 from godwitmast.load.play import play
 from godwitmast.load.run import compare, run
@@ -20,6 +21,7 @@
 
 
 app.command("play")(play)
+app.command("decision-cost")(decision_cost)
 app.command("passthrough")(passthrough)
 app.command("spend")(spend)
 app.command("run")(run)
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,380 @@
+"""The router as the entry drives it, without a network."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from godwitmast.config.document import Document, parse_document
+from godwitmast.dispatch.messages import (
+    Action,
+    BackendSpec,
+    Cancel,
+    CancelReason,
+    FailureKind,
+    NotRun,
+    RefusalCode,
+    Refuse,
+    RequestSpec,
+    Start,
+)
+from godwitmast.dispatch.retries import RESERVE
+from godwitmast.dispatch.router import MAX_FAILURES, Router
+from godwitmast.types import AttemptId, BackendId, RequestId, ZoneName
+
+POOL = "godwit-lm"
+SERVICE = "pool-app"
+
+
+@pytest.fixture(scope="module")
+def document() -> Document:
+    return parse_document(
+        {
+            "classes": {
+                "question": {"tier": 1, "first_token_s": 1.2, "between_tokens_s": 0.04},
+                "draft": {"tier": 2, "completion_s": 120.0},
+            },
+            "teams": {"arima": {}},
+            "models": {POOL: {}},
+            "services": {SERVICE: {}},
+        }
+    )
+
+
+def server(number: int, **changes: Any) -> BackendSpec:
+    name = BackendId(f"engine-{number}")
+    pools = frozenset([POOL, SERVICE])
+    return BackendSpec(name, ZoneName("a"), pools)._replace(**changes)
+
+
+@pytest.fixture
+def router(document: Document) -> Router:
+    made = Router(document, ZoneName("a"), seed=7)
+    made.update_backends([server(n) for n in range(4)], 0.0)
+    return made
+
+
+def request(number: int, **changes: Any) -> RequestSpec:
+    spec = RequestSpec(
+        RequestId(f"r{number}"),
+        "arima",  # type: ignore[arg-type]
+        "question",  # type: ignore[arg-type]
+        POOL,  # type: ignore[arg-type]
+        0.0,
+        fingerprint=f"f{number}",
+    )
+    return spec._replace(**changes)
+
+
+def only(actions: list[Action], kind: type) -> Any:
+    [found] = [action for action in actions if isinstance(action, kind)]
+    return found
+
+
+def started(router: Router, spec: RequestSpec, now: float = 0.0) -> Start:
+    return only(router.submit(spec, now), Start)
+
+
+def run_until(
+    router: Router, now: float, end: float, wanted: Callable[[Action], bool]
+) -> tuple[float, Any]:
+    """Tick until an action is `wanted`; return when, and the action."""
+    while now < end:
+        now += 0.05
+        for action in router.tick(now):
+            if wanted(action):
+                return now, action
+    raise AssertionError(f"not by {end}")
+
+
+def is_start(action: Action) -> bool:
+    return isinstance(action, Start)
+
+
+def test_cut_stream_resumes_elsewhere_after_the_last_token(router: Router) -> None:
+    first = started(router, request(1))
+    router.tokens_came(first.request_id, first.attempt_id, 5, 0.5)
+    router.failed(first.request_id, first.attempt_id, FailureKind.CUT, 0.6)
+    _, second = run_until(router, 0.6, 2.0, is_start)
+    assert second.resume_from == 5
+    assert second.backend_id != first.backend_id
+    assert router.tokens_came(first.request_id, first.attempt_id, 9, 1.5) == []
+    assert router.book.flights[first.request_id].tokens == 5
+
+
+@pytest.mark.parametrize("kind", list(FailureKind))
+def test_non_idempotent_call_runs_again_only_if_nothing_ran(
+    router: Router, kind: FailureKind
+) -> None:
+    """A payment's attempt fails. Only if no byte left, or the server itself says that
+    it ran nothing, may another attempt be made; else the caller hears that the outcome
+    is not known, and at once."""
+    first = started(router, request(1, pool=SERVICE, idempotent=False, resumable=False))
+    actions = router.failed(first.request_id, first.attempt_id, kind, 0.1)
+    if kind in (FailureKind.CONNECT, FailureKind.REFUSED):
+        assert not actions
+        run_until(router, 0.1, 2.0, is_start)
+        return
+    refusal = only(actions, Refuse)
+    assert refusal.code is RefusalCode.BACKEND_FAILED
+    assert refusal.not_run is NotRun.UNKNOWN
+
+
+def test_non_idempotent_call_is_moved_by_no_time_out_and_no_eviction(
+    router: Router,
+) -> None:
+    first = started(router, request(1, idempotent=False))
+    warm_up(router, 10)
+    leaving = server(int(first.backend_id[-1]), leaving=True, gone_at=16.0)
+    rest = [server(n) for n in range(4) if server(n).backend_id != first.backend_id]
+    router.update_backends([leaving, *rest], 11.0)
+    now = 11.0
+    while now < 30.0:
+        now += 0.05
+        assert not [a for a in router.tick(now) if isinstance(a, Cancel)]
+
+
+def warm_up(router: Router, until: float) -> None:
+    """Let answers come at 20 ms a token, so that the pool's pace is known."""
+    for number in range(100, 120):
+        now = until - 1.0
+        start = started(router, request(number, arrived=now), now)
+        for _ in range(10):
+            now += 0.02
+            router.tokens_came(start.request_id, start.attempt_id, 1, now)
+        router.finished(start.request_id, start.attempt_id, now)
+
+
+def test_hung_attempt_is_moved_and_its_server_left_out(router: Router) -> None:
+    """An engine hangs: its connections stay open and no stream gets a token.
+
+    Each stream is cancelled after its patience and goes on elsewhere from its last
+    token; after the second one the server gets no more new work.
+    """
+    warm_up(router, 10.0)
+    streams = [started(router, request(n, arrived=10.0), 10.0) for n in range(1, 9)]
+    hung = streams[0].backend_id
+    stuck = {s.request_id: s for s in streams if s.backend_id == hung}
+    assert len(stuck) >= 2
+    now, cancelled, again = 10.0, {}, {}
+    while now < 14.0:
+        now += 0.02
+        for start in streams:
+            if start.backend_id != hung:
+                router.tokens_came(start.request_id, start.attempt_id, 1, now)
+        for action in router.tick(now):
+            if isinstance(action, Cancel):
+                cancelled[action.request_id] = action
+            elif isinstance(action, Start):
+                again[action.request_id] = action
+        for start in again.values():
+            router.tokens_came(start.request_id, start.attempt_id, 1, now)
+    assert cancelled.keys() == again.keys() == stuck.keys()
+    assert {a.reason for a in cancelled.values()} == {CancelReason.SLOW}
+    assert hung not in {start.backend_id for start in again.values()}
+    assert not router.backends.states[hung].health.is_in()
+
+
+def test_streams_leave_an_evicted_server_before_its_end(router: Router) -> None:
+    streams = [started(router, request(n)) for n in range(8)]
+    gone = streams[0].backend_id
+    aboard = {s.request_id for s in streams if s.backend_id == gone}
+    specs = [server(n) for n in range(4)]
+    router.update_backends(
+        [
+            s._replace(leaving=True, gone_at=6.0) if s.backend_id == gone else s
+            for s in specs
+        ],
+        1.0,
+    )
+    moved, now = set(), 1.0
+    while now < 5.05:
+        now += 0.05
+        for action in router.tick(now):
+            if isinstance(action, Cancel):
+                assert action.reason is CancelReason.EVICTED
+                moved.add(action.request_id)
+            if isinstance(action, Start):
+                assert action.backend_id != gone
+    assert moved == aboard
+
+
+def test_refused_connection_takes_the_server_out_at_once(router: Router) -> None:
+    first = started(router, request(1))
+    router.failed(first.request_id, first.attempt_id, FailureKind.CONNECT, 0.0)
+    others = [started(router, request(n)) for n in range(2, 20)]
+    assert first.backend_id not in {start.backend_id for start in others}
+
+
+def test_poison_crashes_two_servers_and_is_then_refused(router: Router) -> None:
+    """A request crashes its engine, and the next; its caller sends it each second.
+
+    The streams that shared those engines go on. The third copy reaches no server.
+    """
+    innocent = [started(router, request(n)) for n in range(2, 14)]
+    bad = started(router, request(1, fingerprint="bad"))
+    now, crashed = 0.1, []
+    owners = {s.request_id: s for s in [*innocent, bad]}
+    while bad is not None:
+        crashed.append(bad.backend_id)
+        for start in [s for s in owners.values() if s.backend_id == bad.backend_id]:
+            del owners[start.request_id]
+            ids = (start.request_id, start.attempt_id)
+            for action in router.failed(*ids, FailureKind.CUT, now):
+                refused_poison(action)
+        bad = None
+        for _ in range(60):
+            now += 0.05
+            for action in router.tick(now):
+                if isinstance(action, Start):
+                    owners[action.request_id] = action
+                    bad = action if action.request_id == "r1" else bad
+            if bad is not None:
+                break
+    assert len(set(crashed)) == 2
+    again = router.submit(request(50, fingerprint="bad"), now)
+    assert only(again, Refuse).code is RefusalCode.QUARANTINED
+    assert only(again, Refuse).not_run is NotRun.TRUE
+    for start in owners.values():
+        router.tokens_came(start.request_id, start.attempt_id, 1, now + 5)
+        router.finished(start.request_id, start.attempt_id, now + 5)
+    assert len(router.book.flights) + len(owners) <= len(innocent)
+
+
+def refused_poison(action: Action) -> None:
+    if isinstance(action, Refuse):
+        assert (action.request_id, action.code) == ("r1", RefusalCode.QUARANTINED)
+
+
+def test_no_backend_server_is_said_at_once(document: Document) -> None:
+    router = Router(document, ZoneName("a"))
+    router.update_backends([server(1, leaving=True)], 0.0)
+    refusal = only(router.submit(request(1), 0.0), Refuse)
+    assert (refusal.code, refusal.not_run) == (RefusalCode.NO_BACKEND, NotRun.TRUE)
+    assert refusal.retry_after_s
+
+
+def test_spent_retry_budget_ends_retries_until_successes_fill_it(
+    router: Router,
+) -> None:
+    router.budget.left = 0.5
+    first = started(router, request(1))
+    actions = router.failed(first.request_id, first.attempt_id, FailureKind.ERROR, 0.1)
+    assert only(actions, Refuse).retry_after_s
+    for number in range(2, 12):
+        start = started(router, request(number))
+        router.finished(start.request_id, start.attempt_id, 0.2)
+    assert 1 <= router.budget.left < RESERVE
+    second = started(router, request(20))
+    ids = (second.request_id, second.attempt_id)
+    assert not router.failed(*ids, FailureKind.ERROR, 0.3)
+
+
+def test_request_that_fails_everywhere_ends_after_its_last_attempt(
+    router: Router,
+) -> None:
+    start, now, tries = started(router, request(1)), 0.1, 1
+    while True:
+        ids = (start.request_id, start.attempt_id)
+        actions = router.failed(*ids, FailureKind.ERROR, now)
+        if actions:
+            break
+        now, start = run_until(router, now, now + 10, is_start)
+        tries += 1
+    assert tries == MAX_FAILURES
+    assert only(actions, Refuse).not_run is NotRun.UNKNOWN
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["submit", "token", "finish", "withdraw", "tick", "poison"])
+        | st.sampled_from(list(FailureKind)),
+        st.integers(0, 30),
+    ),
+    max_size=120,
+)
+
+
+class Caller:
+    """Drives a router with any event, and checks what comes back."""
+
+    def __init__(self, router: Router) -> None:
+        self.router = router
+        self.owner: dict[RequestId, AttemptId] = {}
+        self.ran: set[RequestId] = set()
+        self.open: set[RequestId] = set()
+
+    def note(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Start(request_id, attempt_id):
+                    assert request_id in self.open
+                    assert request_id not in self.owner, "two attempts at once"
+                    self.owner[request_id] = attempt_id
+                case Cancel(request_id, attempt_id):
+                    assert self.owner.pop(request_id, attempt_id) == attempt_id
+                    self.ran.add(request_id)
+                case Refuse(request_id, _, not_run):
+                    self.open.remove(request_id)
+                    self.owner.pop(request_id, None)
+                    assert not (not_run is NotRun.TRUE and request_id in self.ran)
+
+    def submit(self, spec: RequestSpec) -> None:
+        self.open.add(spec.request_id)
+        self.note(self.router.submit(spec, spec.arrived))
+
+    def happen(self, event: Any, pick: int, now: float) -> None:
+        """Let something happen to one of the attempts that run."""
+        request_id = sorted(self.owner)[pick % len(self.owner)]
+        attempt_id = self.owner[request_id]
+        router = self.router
+        match event:
+            case "token":
+                self.ran.add(request_id)
+                self.note(router.tokens_came(request_id, attempt_id, 1, now))
+            case "finish":
+                del self.owner[request_id]
+                self.open.remove(request_id)
+                self.note(router.finished(request_id, attempt_id, now))
+            case "withdraw":
+                self.open.remove(request_id)
+                reason = CancelReason.CALLER_GONE
+                self.note(router.withdraw(request_id, reason, now))
+            case _:
+                del self.owner[request_id]
+                if event not in (FailureKind.CONNECT, FailureKind.REFUSED):
+                    self.ran.add(request_id)
+                self.note(router.failed(request_id, attempt_id, event, now))
+
+    def check(self) -> None:
+        book, states = self.router.book, self.router.backends.states
+        assert set(book.flights) == self.open
+        for name, state in states.items():
+            assert state.in_flight == len(book.aboard.get(name, {}))
+
+
+@settings(derandomize=True, max_examples=120, deadline=None)
+@given(EVENTS)
+def test_every_request_has_one_owner_and_one_end(
+    document: Document, events: list[tuple[Any, int]]
+) -> None:
+    """Whatever happens in whatever order: one attempt at a time, one refusal at most,
+    nothing on a server that is not counted there, and "not run" only if so."""
+    router = Router(document, ZoneName("a"), seed=3)
+    router.update_backends([server(n) for n in range(3)], 0.0)
+    caller = Caller(router)
+    now = 0.0
+    for number, (event, pick) in enumerate(events):
+        now += 0.05
+        if event in ("submit", "poison"):
+            name = "bad" if event == "poison" else f"f{pick}"
+            changes = {"arrived": now, "fingerprint": name, "idempotent": pick != 3}
+            caller.submit(request(number, **changes))
+        elif event == "tick":
+            now += pick / 10
+            caller.note(router.tick(now))
+        elif caller.owner:
+            caller.happen(event, pick, now)
+        caller.check()
