Take a server's base pace from when it idles

Cause: a unit test of an engine with 2 ms a sequence and a target of 40 ms settled at 17 requests instead of 8: the best pace seen was that of a server at work, and the floor for targets that cannot be met, a multiple of it, lay above the target. Change: the base is what a server with at most two requests shows.

--- a/src/godwitmast/dispatch/limits.py
+++ b/src/godwitmast/dispatch/limits.py
@@ -20,6 +20,7 @@
   a request that came between two batch steps waits for some milliseconds in any engine.
 """
 
+import math
 from dataclasses import dataclass
 
 START_LIMIT = 8.0
@@ -45,14 +46,23 @@
 """A limit that is not used this far says nothing of what lies beyond it."""
 
 BASE_FACTOR = 1.5
-"""Never aim below this many times the best pace seen. A target that the server cannot
-meet even when it is idle would else bring the limit to one, and gain nothing."""
+"""Never aim below this many times the pace of the idle server. A target that it cannot
+meet even then would else bring the limit to its least, and gain nothing."""
 
 DEFAULT_FACTOR = 3.0
-"""The aim as a multiple of the best pace seen, where no class names a target."""
+"""The aim as a multiple of the idle pace, where no class names a target."""
 
 LATENCY_FACTOR = 2.0
-"""For plain services: the latency, as a multiple of the best, that is too much."""
+"""For plain services: the latency, as a multiple of the idle one, that is too much."""
+
+LATENCY_STEP = 0.05
+"""A plain answer moves the limit by this, where a window of many tokens moves it by 1."""
+
+IDLE_USED = 2.0
+"""A server with so few requests shows its idle pace. Taking the best pace at any load
+for it let the aim drift up with the load, to twice the target."""
+
+IDLE_WEIGHT = 0.1
 
 
 @dataclass(slots=True)
@@ -65,25 +75,27 @@
 
     def paced(self, gap_s: float, used: float, target_s: float | None) -> None:
         """Take a window's mean time between tokens, with `used` requests there."""
-        self.note_base(gap_s)
-        assert self.base_s is not None
-        aim = self.base_s * DEFAULT_FACTOR
+        self.note_base(gap_s, used)
+        base_s = self.base_s or 0.0
         if target_s is not None:
-            aim = max(target_s * TARGET_SHARE, self.base_s * BASE_FACTOR)
+            aim = max(target_s * TARGET_SHARE, base_s * BASE_FACTOR)
+        else:
+            aim = base_s * DEFAULT_FACTOR or math.inf
         self.move(gap_s, aim, used)
 
     def answered(self, latency_s: float, used: float) -> None:
         """Take the latency of an answer from a server without tokens."""
-        self.note_base(latency_s)
-        assert self.base_s is not None
-        self.move(latency_s, max(self.base_s * LATENCY_FACTOR, 0.005), used, 0.05)
+        self.note_base(latency_s, used)
+        aim = (self.base_s or math.inf) * LATENCY_FACTOR
+        self.move(latency_s, aim, used, LATENCY_STEP)
 
-    def note_base(self, seconds: float) -> None:
-        """Remember the best pace; it fades, as models and prompts change."""
+    def note_base(self, seconds: float, used: float) -> None:
+        """Follow the pace of the idle server, and any better one."""
         if self.base_s is None or seconds < self.base_s:
-            self.base_s = seconds
-        else:
-            self.base_s *= 1.0005
+            if self.base_s is not None or used <= IDLE_USED:
+                self.base_s = seconds
+        elif used <= IDLE_USED:
+            self.base_s += IDLE_WEIGHT * (seconds - self.base_s)
 
     def move(self, measured: float, aim: float, used: float, step: float = 1.0) -> None:
         in_use = used >= self.value * IN_USE_SHARE
