Let load ride on answers, and pass each token on and count it, or neither

Cause: every entry polls every server; and the router may cancel an attempt between giving the caller a token and counting it, and the next attempt then gives it again. Change: Engine-Load on an answer's head is a report of age 0, by the same way in as polls; what was read of a stream is passed on and counted without a break.

--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -5,13 +5,14 @@
 
 import httpx
 
-from godwitmast.dispatch.messages import FailureKind
+from godwitmast.dispatch.messages import FailureKind, LoadReport
 
 CONNECT_TIMEOUT_S = 1.0
 """A backend server in reach accepts within milliseconds; one that is gone never."""
 
 READ_TIMEOUT_S = 120.0
 NOT_RUN_HEADER = "engine-not-run"
+LOAD_HEADER = "engine-load"
 
 
 class AttemptFailed(Exception):
@@ -76,6 +77,19 @@
         raise AttemptFailed(FailureKind.ERROR, f"status {answer.status_code}")
 
 
+def read_load(answer: httpx.Response) -> LoadReport | None:
+    """Return the load that a server told with its answer: `Engine-Load: 3;1`.
+
+    That is how many requests it runs and how many wait inside it, just now. Load that
+    rides on answers costs no request of its own, and is newest where it matters most:
+    on the servers that get the work.
+    """
+    running, _, waiting = answer.headers.get(LOAD_HEADER, "").partition(";")
+    if not (running.isdecimal() and waiting.isdecimal()):
+        return None
+    return LoadReport(int(running), int(waiting))
+
+
 def failure_kind(error: httpx.HTTPError) -> FailureKind:
     """Return how an exchange failed, and so whether any of it may have run."""
     match error:
--- a/src/godwitmast/dispatch/loads.py
+++ b/src/godwitmast/dispatch/loads.py
@@ -24,6 +24,9 @@
 OWN_SMOOTHING_S = 1.0
 """Our own count is smoothed over the reports' usual age, to be subtracted from them."""
 
+FRESH_S = 0.2
+"""From a report of this age, such as came with an answer, our count as it is now."""
+
 LEAST_SHARE = 0.1
 """An entry with nothing on a server still claims this part of its room: with eight or
 nine entries, about its equal share."""
@@ -61,11 +64,12 @@
         self.own_changed(in_flight, now)
         total = report.running + report.waiting
         self.reported_at = made_at
-        self.others = max(0.0, total - self.own_mean)
+        own = in_flight if report.age_s < FRESH_S else self.own_mean
+        self.others = max(0.0, total - own)
         if self.others < 1:
             self.claims = math.inf
             return
-        share = max(LEAST_SHARE, min(1.0, self.own_mean / total))
+        share = max(LEAST_SHARE, min(1.0, own / total))
         room = max(0.0, limit - self.estimate(now) - in_flight)
         whole, part = divmod(room * share, 1.0)
         self.claims = whole + (draw.random() < part)
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -176,5 +176,9 @@
         except (KeyError, TypeError, ValueError) as error:
             log_event("load_report_bad", backend=backend_id, error=repr(error))
             return
+        self.load_reported(backend_id, report)
+
+    def load_reported(self, backend_id: BackendId, report: LoadReport) -> None:
+        """Take a server's load, whether polled, told by a peer or by an answer."""
         now = self.clock.now()
         self.carry_out(self.policy.load_reported(backend_id, report, now))
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -10,7 +10,12 @@
 import msgspec
 from anyio.lowlevel import checkpoint
 
-from godwitmast.backends.client import AttemptFailed, BackendClient
+from godwitmast.backends.client import (
+    LOAD_HEADER,
+    AttemptFailed,
+    BackendClient,
+    read_load,
+)
 from godwitmast.claims.keeper import ClaimedCall
 from godwitmast.claims.machine import (
     Answer,
@@ -51,7 +56,15 @@
 ]
 
 HOP_HEADERS = frozenset(
-    ["connection", "content-length", "keep-alive", "transfer-encoding", "date"]
+    [
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "transfer-encoding",
+        # Not of any hop, but not the caller's to know either.
+        LOAD_HEADER,
+    ]
 )
 
 REPLAYED = (b"godwit-replayed", b"true")
@@ -273,6 +286,9 @@
             outbound.method, url, outbound.headers, content, is_model
         ) as answer:
             self.reached_backend = True
+            load = read_load(answer) if is_model else None
+            if load is not None:
+                self.driver.load_reported(start.backend_id, load)
             if outbound.stream and answer.status_code == 200:
                 await self.pass_stream(start, answer)
             else:
@@ -282,17 +298,11 @@
         """Pass on whole events until the stream says that it is done."""
         reader = self.reader
         async for data in answer.aiter_raw():
-            before = len(reader.texts)
-            whole = reader.feed(data)
-            if not whole:
-                continue
-            await self.send_head()
-            if self.claimed is not None:
-                self.streamed.append(whole)
-            self.answered = reader.done
-            body = {"type": "http.response.body", "body": whole, "more_body": True}
-            await self.send(body)
-            self.count_tokens(start, len(reader.texts) - before)
+            # The router may move the attempt at any await. Were that to fall between
+            # giving the caller a token and counting it, the next attempt would give
+            # it again; what was read here is passed on and counted, or neither.
+            with anyio.CancelScope(shield=True):
+                await self.pass_events(start, data)
         if not reader.done:
             raise AttemptFailed(FailureKind.CUT, "the stream ended early")
         if self.claimed is not None:
@@ -300,6 +310,21 @@
             await self.settle(Answer(200, head, b"".join(self.streamed)))
         await self.send({"type": "http.response.body", "body": b""})
 
+    async def pass_events(self, start: Start, data: bytes) -> None:
+        """Pass on the events that `data` completes, and count their tokens."""
+        reader = self.reader
+        before = len(reader.texts)
+        whole = reader.feed(data)
+        if not whole:
+            return
+        await self.send_head()
+        if self.claimed is not None:
+            self.streamed.append(whole)
+        self.answered = reader.done
+        body = {"type": "http.response.body", "body": whole, "more_body": True}
+        await self.send(body)
+        self.count_tokens(start, len(reader.texts) - before)
+
     async def send_head(self) -> None:
         """Send the head of a stream, once there is something to stream.
 
--- a/src/godwitmast/standins/engine.py
+++ b/src/godwitmast/standins/engine.py
@@ -163,12 +163,19 @@
             events = stream_events(
                 tokens, request_id, body["model"], chat, sequence, bool(wants_usage)
             )
-            return StreamingResponse(events, media_type="text/event-stream")
+            return StreamingResponse(
+                events, headers=self.load_headers(), media_type="text/event-stream"
+            )
         text = "".join([token async for token in tokens])
         return JSONResponse(
-            whole_answer(text, request_id, body["model"], chat, sequence)
+            whole_answer(text, request_id, body["model"], chat, sequence),
+            headers=self.load_headers(),
         )
 
+    def load_headers(self) -> dict[str, str]:
+        model = self.model
+        return {"Engine-Load": f"{len(model.running)};{len(model.waiting)}"}
+
     async def tokens(
         self,
         sequence: Sequence,
