Let an urgent request of the highest tier go to a full server

Cause: of three entries that share servers, one was squeezed out in saturation: it ran nothing, had nobody to interrupt, and refused its questions, while the other two held every place, partly with lower tiers. Change: a request of the highest tier that is about to be too late, with nobody to give way here, goes to a full server, one at a time for each server until its first token; engines serve priorities first. Conclusion: kept for the highest tier.

--- a/src/godwitmast/admission/preemption.py
+++ b/src/godwitmast/admission/preemption.py
@@ -10,6 +10,11 @@
 Only a request whose wait is about to end in a refusal interrupts another, and only one
 of a lower tier. Without a bound, one draft could be interrupted by every question of an
 evening and read its prompt a hundred times without an end.
+
+Entries share servers and do not see each other's queues. One whose places have all gone
+to lower tiers of the others has nobody to interrupt; its urgent request goes to a full
+server then, as engines serve the highest priority first. Only the highest tier may: with
+every tier but the lowest, engines were so overfull that twice the tokens came late.
 """
 
 from typing import NamedTuple
@@ -36,9 +41,13 @@
 
 
 class Preemption(NamedTuple):
-    """`victim` gives its place to `request`; it waits already, to be resumed."""
+    """`victim` gives its place to `request`; it waits already, to be resumed.
+
+    Without a victim here, `request` is to go to a full server, where its priority
+    brings it before the lower tiers of other entries.
+    """
 
-    victim: RequestSpec
+    victim: RequestSpec | None
     request: RequestSpec
 
 
--- a/src/godwitmast/admission/queue.py
+++ b/src/godwitmast/admission/queue.py
@@ -46,6 +46,7 @@
         self, document: Document, seed: int = 0, max_waiting: int = MAX_WAITING
     ) -> None:
         self.document = document
+        self.highest_tier = find_highest_tier(document)
         self.max_waiting = max_waiting
         self.random = random.Random(seed)
         self.jobs: dict[RequestId, Job] = {}
@@ -58,6 +59,7 @@
     def update_config(self, document: Document) -> None:
         """Take a configuration; what waits keeps its place and its deadline."""
         self.document = document
+        self.highest_tier = find_highest_tier(document)
         for pool in self.pools.values():
             for queue in pool.by_tier:
                 queue.target = document.classes.get(queue.name, queue.target)
@@ -154,10 +156,14 @@
             queue.fair.advance()
         return self.start(job, queue, now)
 
-    def preempt(self, pool_name: str, now: float) -> Preemption | None:
+    def preempt(
+        self, pool_name: str, now: float, may_overcommit: bool = False
+    ) -> Preemption | None:
         """Take a request that is about to be too late, and who gives way to it.
 
         The one that gives way waits again, before those of its class that never ran.
+        If nobody can, and the caller has a server that takes one more than its limit,
+        a request of the highest tier comes alone.
         """
         pool = self.pools.get(pool_name)
         if pool is None or not pool.waiting:
@@ -167,12 +173,14 @@
             if request_id is None or self.jobs[request_id].urgent_at > now:
                 continue
             victim = find_victim(pool, queue.tier)
-            if victim is None:
-                return None
-            victim.preemptions += 1
-            self.put_back(victim.request, now)
+            if victim is not None:
+                victim.preemptions += 1
+                self.put_back(victim.request, now)
+            elif not may_overcommit or queue.tier > self.highest_tier:
+                continue
             return Preemption(
-                victim.request, self.start(self.jobs[request_id], queue, now)
+                victim.request if victim else None,
+                self.start(self.jobs[request_id], queue, now),
             )
         return None
 
@@ -327,6 +335,10 @@
         self.waiting += change
 
 
+def find_highest_tier(document: Document) -> int:
+    return min((item.tier for item in document.classes.values()), default=1)
+
+
 def refuse(request: RequestSpec, code: RefusalCode, after_s: float) -> Refuse:
     """Return a refusal; who turns away what ran before corrects `not_run`."""
     return Refuse(request.request_id, code, NotRun.TRUE, after_s)
--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -283,6 +283,21 @@
         step = 1 + int(self.random.random() * (len(items) - 1))
         return [items[first], items[(first + step) % len(items)]]
 
+    def draw_any(self, pool: str) -> BackendId | None:
+        """Return the better of two random servers in the choice, full or not.
+
+        They are of the own zone, unless it has none for the pool.
+        """
+        view = self.pools.get(pool)
+        if view is None:
+            return None
+        cell = view.cells.get(self.zone) or next(iter(view.cells.values()))
+        members = list(cell.members.values())
+        drawn = [self.random.choice(members) for _ in range(2)]
+        states = [state for state in drawn if state.health.is_in()]
+        best = min(states, key=lambda s: s.in_flight / s.limit.value, default=None)
+        return best.spec.backend_id if best else None
+
     def choose_apart(
         self, request: RequestSpec, avoid: set[BackendId]
     ) -> BackendId | None:
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -106,6 +106,7 @@
         self.random = random.Random(seed)
         self.notices: dict[BackendId, Notice] = {}
         self.crashed_at: dict[BackendId, float] = {}
+        self.overcommitted: dict[BackendId, Flight] = {}
         self.expire_at = 0.0
 
     def update_config(self, document: Document, now: float) -> list[Action]:
@@ -459,22 +460,43 @@
         request does not claim otherwise.
         """
         actions: list[Action] = []
-        while preemption := self.admission.preempt(pool, now):
-            victim = self.book.flights[preemption.victim.request_id]
-            place = victim.backend_id
-            assert victim.attempt_id is not None, "only what runs is interrupted"
-            actions.append(
-                Cancel(
-                    victim.request.request_id,
-                    victim.attempt_id,
-                    CancelReason.PREEMPTED,
-                )
-            )
-            victim.may_have_run = True
-            self.release(victim, now)
+        while True:
+            place = self.spare_server(pool)
+            preemption = self.admission.preempt(pool, now, place is not None)
+            if preemption is None:
+                return actions
             flight = self.book.flights[preemption.request.request_id]
+            if preemption.victim is not None:
+                victim = self.book.flights[preemption.victim.request_id]
+                place = victim.backend_id
+                actions.append(self.interrupt(victim, now))
+            elif place is not None:
+                self.overcommitted[place] = flight
             actions += self.start(flight, now, place)
-        return actions
+
+    def interrupt(self, victim: Flight, now: float) -> Cancel:
+        """Cancel the attempt of a request that admission has queued again."""
+        assert victim.attempt_id is not None, "only what runs is interrupted"
+        victim.may_have_run = True
+        request_id, attempt_id = victim.request.request_id, victim.attempt_id
+        self.release(victim, now)
+        return Cancel(request_id, attempt_id, CancelReason.PREEMPTED)
+
+    def spare_server(self, pool: str) -> BackendId | None:
+        """Return a server that an urgent request may go to although it is full.
+
+        Only engines put it before the rest. Each takes one such request of ours until
+        its first token, so that a flood of them does not wait inside the engines.
+        """
+        if pool not in self.document.models:
+            return None
+        backend_id = self.backends.draw_any(pool)
+        if backend_id is None:
+            return None
+        waits = self.overcommitted.get(backend_id)
+        if waits and waits.backend_id == backend_id and waits.first_token_at is None:
+            return None
+        return backend_id
 
     def start(
         self, flight: Flight, now: float, place: BackendId | None = None
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -267,6 +267,19 @@
     assert desk.admission.preempt(POOL, desk.now + 1.0) is None
 
 
+def test_only_the_highest_tier_goes_to_a_full_server(desk: Desk) -> None:
+    """This entry has nothing running: other entries hold every place."""
+    desk.offer("summary")
+    question = desk.offer("question")
+    desk.now += 1.0
+    assert desk.admission.preempt(POOL, desk.now) is None
+    alone = desk.admission.preempt(POOL, desk.now, may_overcommit=True)
+    assert alone is not None and alone.victim is None
+    assert alone.request.request_id == question
+    desk.now += 28.0
+    assert desk.admission.preempt(POOL, desk.now, may_overcommit=True) is None
+
+
 def test_same_tier_is_not_preempted(desk: Desk) -> None:
     desk.begin("question")
     desk.offer("question", "couva")
