Move streams off evicted servers before their end, in the entry and the player

Cause: the entry and the player said that a server leaves, but not when, so that its streams were cut at its end; an entry's random choices had the same seed as every other's; and the end of a leaving server put its streams under suspicion.

--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -414,6 +414,10 @@
         state = self.states.get(backend_id)
         return state.token_at if state is not None else 0.0
 
+    def is_leaving(self, backend_id: BackendId) -> bool:
+        state = self.states.get(backend_id)
+        return state is None or state.spec.leaving
+
     def went_down(self, backend_id: BackendId, now: float) -> None:
         """Take that a server refused a connection, or broke one."""
         state = self.states.get(backend_id)
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -235,11 +235,12 @@
         """Take a broken connection as the crash of its server.
 
         Each request on the server reports its own broken connection. The first one
-        puts all of them under suspicion; the others are the same crash.
+        puts all of them under suspicion; the others are the same crash. The end of a
+        server that was leaving is no crash, and hundreds may end at once.
         """
         self.backends.went_down(backend_id, now)
         last = self.crashed_at.get(backend_id, -SAME_CRASH_S)
-        leaving = backend_id in self.notices
+        leaving = self.backends.is_leaving(backend_id)
         if leaving or (now - last < SAME_CRASH_S and flight.started_at <= last):
             return []
         self.crashed_at[backend_id] = now
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -1,5 +1,6 @@
 """Carries out the router's actions, and tells it what became of them."""
 
+import secrets
 from collections.abc import Callable
 from functools import partial
 
@@ -29,6 +30,9 @@
 LOAD_EVERY_S = 1.0
 LOAD_TIMEOUT_S = 0.8
 
+EVICTION_LEFT_S = 3.0
+"""Of five seconds' notice, what is left when the fleet's row was written and read."""
+
 Mailbox = MemoryObjectReceiveStream[Action]
 
 
@@ -61,7 +65,8 @@
         self.document = document
         now = self.clock.now()
         if self.router is None:
-            self.router = Router(document, self.zone)
+            # Entries that drew alike would all choose the same server at once.
+            self.router = Router(document, self.zone, secrets.randbits(32))
         else:
             self.carry_out(self.router.update_config(document, now))
         self.update_backends()
@@ -75,6 +80,7 @@
     def update_backends(self) -> None:
         """Hand the router every backend server, configured or ordered."""
         assert self.document is not None
+        now = self.clock.now()
         self.backends = merge_backends(self.document.backends, self.fleet)
         specs = [
             BackendSpec(
@@ -83,11 +89,17 @@
                 item.pools,
                 item.kind == "cheap",
                 item.leaving,
+                now + EVICTION_LEFT_S if self.is_evicted(name) else None,
             )
             for name, item in self.backends.items()
         ]
         self.urls = {BackendId(n): item.url for n, item in self.backends.items()}
-        self.carry_out(self.policy.update_backends(specs, self.clock.now()))
+        self.carry_out(self.policy.update_backends(specs, now))
+
+    def is_evicted(self, name: str) -> bool:
+        """Return whether a server is taken away, rather than drained in our own time."""
+        server = self.fleet.servers.get(name)
+        return server is not None and server.leaving and server.draining_since is None
 
     def kind_of(self, backend_id: BackendId) -> str:
         """Return whether a backend server is cheap or on demand, for the metrics."""
--- a/src/godwitmast/load/world.py
+++ b/src/godwitmast/load/world.py
@@ -77,6 +77,7 @@
     up: bool = True
     gone: bool = False
     leaving: bool = False
+    gone_at: float | None = None
     stepping: bool = False
     report_lag_s: float = REPORT_LAG_S
     reports: list[tuple[float, LoadReport]] = field(default_factory=list)
@@ -338,6 +339,7 @@
                 frozenset([MODEL]),
                 engine.spec.cheap,
                 engine.leaving,
+                engine.gone_at,
             )
             for engine in self.engines.values()
             if not engine.gone
@@ -494,6 +496,7 @@
         for engine in self.engines.values():
             if engine.spec.cheap and engine.spec.zone == fault.zone:
                 engine.leaving = True
+                engine.gone_at = self.now + fault.notice_s
                 self.at(self.now + fault.notice_s, self.vanish, engine)
 
     def vanish(self, engine: Engine) -> None:
