--- a/src/godwitmast/entry/refusals.py
+++ b/src/godwitmast/entry/refusals.py
@@ -40,10 +40,13 @@
     RefusalCode.STOPPING: "This entry is stopping.",
 }
 
+CUT_OFF_RETRY_S = 10.0
+
 STATUS_OF_DENIAL = {
     Denial.MISSING: 401,
     Denial.UNKNOWN: 401,
     Denial.EXPIRED: 401,
+    Denial.CUT_OFF: 503,
     Denial.CLASS: 403,
     Denial.MODEL: 403,
 }
@@ -52,6 +55,7 @@
     Denial.MISSING: "No key was given.",
     Denial.UNKNOWN: "The key is not known, or was withdrawn.",
     Denial.EXPIRED: "The key has expired.",
+    Denial.CUT_OFF: "This zone is cut off, and the team allows no keys unchecked.",
     Denial.CLASS: "This class does not exist, or the key does not allow it.",
     Denial.MODEL: "The key does not allow this model or service.",
 }
@@ -71,7 +75,10 @@
 def answer_denial(denial: Denial) -> ErrorAnswer:
     """Return what the caller is told of its key."""
     return ErrorAnswer(
-        STATUS_OF_DENIAL[denial], denial.value, MESSAGE_OF_DENIAL[denial]
+        STATUS_OF_DENIAL[denial],
+        denial.value,
+        MESSAGE_OF_DENIAL[denial],
+        retry_after_s=CUT_OFF_RETRY_S if denial is Denial.CUT_OFF else None,
     )
 
 
