--- a/src/godwitmast/control/daemon.py
+++ b/src/godwitmast/control/daemon.py
@@ -8,6 +8,8 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from godwitmast.backends.client import BackendClient
+from godwitmast.capacity.duty import CapacityDuty
 from godwitmast.clock import SystemClock
 from godwitmast.config.follower import ConfigFollower
 from godwitmast.control.settings import ControlSettings
@@ -31,6 +33,12 @@
         self.add_duty(
             UsageDuty(self.platform, self.clock, settings.usage, self.registry)
         )
+        self.client = BackendClient()
+        self.add_duty(
+            CapacityDuty(
+                self.platform, self.follower, self.client, self.clock, self.registry
+            )
+        )
         self.app = Starlette(
             routes=[
                 Route("/livez", self.livez),
@@ -60,6 +68,8 @@
             for lease in self.leases:
                 tasks.start_soon(lease.close)
         await self.server.close()
+        await self.follower.close()
+        await self.client.close()
         await self.platform.close()
         log_event("control_stopped", node=self.settings.node)
 
--- a/src/godwitmast/entry/daemon.py
+++ b/src/godwitmast/entry/daemon.py
@@ -4,6 +4,7 @@
 from anyio.abc import TaskGroup
 
 from godwitmast.backends.client import BackendClient
+from godwitmast.capacity.follower import FleetFollower
 from godwitmast.claims.keeper import ClaimKeeper
 from godwitmast.clock import SystemClock
 from godwitmast.config.follower import ConfigFollower
@@ -61,6 +62,13 @@
                 self.follower,
                 self.app,
             )
+        self.fleet = FleetFollower(
+            self.platform,
+            settings.node,
+            self.app.demand,
+            self.app.waiting,
+            self.driver.fleet_changed,
+        )
         self.server = HttpServer(
             self.app, settings.listen, settings.tls, settings.stop_timeout_s
         )
@@ -74,6 +82,7 @@
         tasks.start_soon(self.run_key_checks)
         await self.claims.start(tasks)
         await self.node_writer.start(tasks)
+        await self.fleet.start(tasks)
         await self.server.start(tasks)
         log_event("entry_started", node=self.settings.node, url=self.server.url)
 
@@ -101,6 +110,9 @@
         await self.node_writer.close()
         if self.peering:
             await self.peering.close()
+        await self.fleet.close()
+        await self.follower.close()
+        await self.driver.close()
         await self.client.close()
         await self.platform.close()
         log_event("entry_stopped", node=self.settings.node)
--- a/tests/test_peers_entries.py
+++ b/tests/test_peers_entries.py
@@ -6,7 +6,6 @@
 import anyio
 import pytest
 
-from godwitmast.dev.document import dev_document
 from godwitmast.entry.daemon import Entry
 from godwitmast.entry.settings import EntrySettings
 from godwitmast.peers.settings import PeerSettings
@@ -42,7 +41,7 @@
     async with AsyncExitStack() as stack:
         platform = StandinPlatform(PlatformStandinSettings())
         await stack.enter_async_context(running(platform))
-        platform.put_config(dev_document([], "http://127.0.0.1:9"))
+        put_config(platform, 1)
         entries: list[Entry] = []
         for name in names:
             where = NOWHERE if entries else PlatformSettings(platform.server.url)
@@ -62,7 +61,7 @@
         with anyio.fail_after(10):
             await second.follower.ready.wait()
             assert second.app.ready
-            platform.put_config(dev_document([], "http://127.0.0.1:9"))
+            put_config(platform, 2)
             while second.follower.current.version < 2:
                 await anyio.sleep(0.02)
         assert first.follower.current.version == 2
