--- a/tests/test_peers_entries.py
+++ b/tests/test_peers_entries.py
@@ -6,6 +6,7 @@
 import anyio
 import pytest
 
+from godwitmast.dev.document import dev_document
 from godwitmast.entry.daemon import Entry
 from godwitmast.entry.settings import EntrySettings
 from godwitmast.peers.settings import PeerSettings
@@ -20,6 +21,10 @@
 NOWHERE = PlatformSettings("http://127.0.0.1:9", 0.2)
 
 
+def put_config(platform: StandinPlatform, number: int) -> None:
+    assert platform.put_config(dev_document([], "http://127.0.0.1:9")) == number
+
+
 def make_entry(name: str, platform: PlatformSettings, seeds: list[str]) -> Entry:
     zone = name.rpartition("-")[0]
     host = f"127.0.1.{sum(name.encode()) % 200 + 1}"
