--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -79,6 +79,7 @@
         self.exchanges: dict[RequestId, Exchange] = {}
         self.numbers = itertools.count(1)
         self.ready_checks: list[Callable[[], bool]] = []
+        self.cut_off_s: Callable[[], float] = lambda: 0.0
 
     def config_changed(self, config: NumberedConfig) -> None:
         """Take a configuration, and end the streams of keys that it withdraws."""
@@ -107,9 +108,10 @@
                 exchange.end(CancelReason.KEY_WITHDRAWN)
 
     def end_withdrawn(self) -> None:
-        wall = self.clock.wall()
+        """End the streams of keys that are withdrawn, expired or past their grace."""
+        wall, cut_off_s = self.clock.wall(), self.cut_off_s()
         for exchange in list(self.exchanges.values()):
-            if not still_granted(self.document, exchange.caller, wall):
+            if not still_granted(self.document, exchange.caller, wall, cut_off_s):
                 exchange.end(CancelReason.KEY_WITHDRAWN)
 
     @property
@@ -167,7 +169,9 @@
         envelope = open_envelope(scope)
         if isinstance(envelope, ErrorAnswer):
             return envelope
-        caller = identify(self.document, envelope.key, self.clock.wall())
+        caller = identify(
+            self.document, envelope.key, self.clock.wall(), self.cut_off_s()
+        )
         if isinstance(caller, Denial):
             return answer_denial(caller)
         if caller.key_hash in self.withdrawn:
--- a/src/godwitmast/entry/daemon.py
+++ b/src/godwitmast/entry/daemon.py
@@ -19,6 +19,8 @@
 from godwitmast.usage.meter import Meter
 from godwitmast.usage.writer import NodeWriter
 
+KEY_CHECK_S = 1.0
+
 
 class Entry:
     """One entry; several can live in one process."""
@@ -77,12 +79,23 @@
         if self.peering:
             await self.peering.start(tasks)
         await self.follower.start(tasks)
+        tasks.start_soon(self.run_key_checks)
         await self.claims.start(tasks)
         await self.node_writer.start(tasks)
         await self.fleet.start(tasks)
         await self.server.start(tasks)
         log_event("entry_started", node=self.settings.node, url=self.server.url)
 
+    async def run_key_checks(self) -> None:
+        """End streams whose keys expire, or whose team allows no more time cut off."""
+        self.app.cut_off_s = self.follower.cut_off_s
+        while True:
+            await anyio.sleep(KEY_CHECK_S)
+            if self.peering and self.peering.reaches_other_zones():
+                self.follower.heard()
+            if self.follower.current:
+                self.app.end_withdrawn()
+
     async def close(self) -> None:
         """Stop without cutting a request.
 
--- a/src/godwitmast/entry/peering.py
+++ b/src/godwitmast/entry/peering.py
@@ -76,6 +76,12 @@
     async def close(self) -> None:
         await self.driver.close()
 
+    def reaches_other_zones(self) -> bool:
+        """Return whether a peer of another zone is linked, so news can come."""
+        machine = self.driver.machine
+        links = machine.links.values() if machine else []
+        return any(link.node and link.zone != self.driver.zone for link in links)
+
     async def run_vm_list(self) -> None:
         """Take the platform's list of VMs as places to look for peers."""
         while True:
