--- a/src/godwitmast/control/settings.py
+++ b/src/godwitmast/control/settings.py
@@ -2,7 +2,9 @@
 
 from typing import NamedTuple
 
+from godwitmast.lease.machine import LeaseTiming
 from godwitmast.settings import Listen, LogSettings, PlatformSettings
+from godwitmast.usage.windows import UsageTiming
 
 
 class ControlSettings(NamedTuple):
@@ -13,4 +15,6 @@
     platform: PlatformSettings
     region: str = "default"
     listen: Listen = Listen()
+    lease: LeaseTiming = LeaseTiming()
+    usage: UsageTiming = UsageTiming()
     log: LogSettings = LogSettings()
--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -1,12 +1,15 @@
 """The entry's HTTP application."""
 
 import itertools
+from collections import Counter
 from collections.abc import Callable
 
 import msgspec
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
 
 from godwitmast.backends.client import BackendClient
+from godwitmast.capacity.demand import DemandKey, DemandMeter
+from godwitmast.claims.keeper import ClaimKeeper
 from godwitmast.clock import Clock
 from godwitmast.config.document import Document, NumberedConfig
 from godwitmast.dispatch.messages import CancelReason, RequestSpec
@@ -60,13 +63,16 @@
         driver: RouterDriver,
         client: BackendClient,
         meter: Meter,
+        claims: ClaimKeeper,
     ) -> None:
         self.settings = settings
         self.clock = clock
         self.driver = driver
         self.client = client
         self.meter = meter
+        self.claims = claims
         self.metrics = EntryMetrics()
+        self.demand = DemandMeter()
         self.config: NumberedConfig | None = None
         self.stopping = False
         self.withdrawn: dict[str, int] = {}
@@ -77,7 +83,7 @@
     def config_changed(self, config: NumberedConfig) -> None:
         """Take a configuration, and end the streams of keys that it withdraws."""
         self.config = config
-        self.metrics.config_version.set(config.version)
+        self.metrics.config_changed(config)
         self.driver.config_changed(config)
         self.withdrawn = {
             key_hash: version
@@ -131,9 +137,9 @@
             case "/readyz":
                 await send_json(send, 200 if self.ready else 503, self.readiness())
             case "/metrics":
-                headers = [(b"content-type", CONTENT_TYPE_LATEST.encode())]
-                body = generate_latest(self.metrics.registry)
-                await send_whole(send, 200, headers, body)
+                await send_metrics(send, self.metrics.registry)
+            case "/metrics/teams":
+                await send_metrics(send, self.metrics.team_registry)
             case _:
                 answer = await self.serve(scope, receive, send)
                 if answer is not None:
@@ -218,6 +224,7 @@
             max_tokens=limit,
             idempotent=model.idempotent,
             prefix=call.prefix,
+            resumable=call.stream,
         )
         outbound = self.model_outbound(envelope, call, spec, limit)
         return self.make_exchange(caller, envelope, spec, outbound, receive, send)
@@ -261,7 +268,7 @@
             path.startswith(start) for start in service.idempotent_paths
         )
         spec = self.make_spec(envelope, caller, class_name, name, body)._replace(
-            idempotent=idempotent
+            idempotent=idempotent, resumable=False
         )
         query = f"?{envelope.query}" if envelope.query else ""
         headers = [*envelope.headers, ("accept-encoding", "identity")]
@@ -297,13 +304,24 @@
         receive: Receive,
         send: Send,
     ) -> Exchange:
-        return Exchange(
+        exchange = Exchange(
             self.driver, self.client, caller, envelope, spec, outbound, receive, send
         )
+        if envelope.idempotency_key is not None and not spec.idempotent:
+            # What the caller sent, not what goes out: that holds our priority, which
+            # the next configuration may change.
+            exchange.claimed = self.claims.open_call(
+                spec.team,
+                envelope.idempotency_key,
+                [outbound.method, outbound.path, spec.fingerprint],
+            )
+        return exchange
 
     async def run(self, exchange: Exchange) -> None:
         """Run an exchange, then meter it and count how it ended."""
-        self.exchanges[exchange.spec.request_id] = exchange
+        spec = exchange.spec
+        self.exchanges[spec.request_id] = exchange
+        self.demand.arrived(demand_key(spec), spec.prompt_tokens)
         self.metrics.open_requests.inc()
         try:
             await exchange.run()
@@ -312,20 +330,47 @@
             self.metrics.open_requests.dec()
             self.account(exchange)
 
+    def waiting(self) -> dict[DemandKey, int]:
+        """Return how many requests wait for a backend server."""
+        return Counter(
+            demand_key(exchange.spec)
+            for exchange in self.exchanges.values()
+            if not exchange.reached_backend
+        )
+
     def account(self, exchange: Exchange) -> None:
         """Meter what reached a backend server, and count the outcome."""
         spec = exchange.spec
+        for kind, tokens in exchange.kind_tokens.items():
+            self.metrics.came_from(kind, tokens)
         if exchange.reached_backend:
             key = UsageKey(spec.team, spec.class_name, spec.pool)
             self.meter.add(key, exchange.tokens)
         if exchange.error_code:
-            self.metrics.refused(spec.team, spec.class_name, exchange.error_code)
+            self.metrics.refused(
+                spec.team,
+                spec.class_name,
+                exchange.error_code,
+                len(exchange.reader.texts),
+            )
             return
+        if exchange.replayed:
+            return
+        self.demand.answered(demand_key(spec), exchange.tokens.output)
         target = self.document.classes.get(spec.class_name)
         if target:
             self.metrics.answered(spec.team, spec.class_name, target, exchange.timing)
 
 
+async def send_metrics(send: Send, registry: CollectorRegistry) -> None:
+    headers = [(b"content-type", CONTENT_TYPE_LATEST.encode())]
+    await send_whole(send, 200, headers, generate_latest(registry))
+
+
+def demand_key(spec: RequestSpec) -> DemandKey:
+    return DemandKey(spec.pool, spec.class_name)
+
+
 def list_models(document: Document, caller: Caller) -> dict[str, object]:
     """Return the models that the caller may use, as OpenAI's API lists them."""
     data = [
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -8,8 +8,9 @@
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
 from godwitmast.backends.client import BackendClient
+from godwitmast.capacity.fleet import EMPTY, FleetRow, merge_backends
 from godwitmast.clock import Clock
-from godwitmast.config.document import Document, NumberedConfig
+from godwitmast.config.document import Backend, Document, NumberedConfig
 from godwitmast.dispatch.messages import (
     Action,
     BackendSpec,
@@ -39,9 +40,12 @@
         self.client = client
         self.router: Policy | None = None
         self.document: Document | None = None
+        self.backends: dict[str, Backend] = {}
+        self.fleet = EMPTY
         self.urls: dict[BackendId, str] = {}
         self.mailboxes: dict[RequestId, MemoryObjectSendStream[Action]] = {}
         self.cancels: dict[AttemptId, Callable[[CancelReason], None]] = {}
+        self.cancelled: set[AttemptId] = set()
 
     async def start(self, tasks: TaskGroup) -> None:
         tasks.start_soon(self.run_ticks)
@@ -52,6 +56,22 @@
         document = config.document
         self.document = document
         now = self.clock.now()
+        if self.router is None:
+            self.router = Router(document, self.zone)
+        else:
+            self.carry_out(self.router.update_config(document, now))
+        self.update_backends()
+
+    def fleet_changed(self, fleet: FleetRow) -> None:
+        """Take the servers that were ordered, beside the configured ones."""
+        self.fleet = fleet
+        if self.router is not None:
+            self.update_backends()
+
+    def update_backends(self) -> None:
+        """Hand the router every backend server, configured or ordered."""
+        assert self.document is not None
+        self.backends = merge_backends(self.document.backends, self.fleet)
         specs = [
             BackendSpec(
                 BackendId(name),
@@ -60,14 +80,15 @@
                 item.kind == "cheap",
                 item.leaving,
             )
-            for name, item in document.backends.items()
+            for name, item in self.backends.items()
         ]
-        self.urls = {BackendId(n): item.url for n, item in document.backends.items()}
-        if self.router is None:
-            self.router = Router(document, self.zone)
-        else:
-            self.carry_out(self.router.update_config(document, now))
-        self.carry_out(self.router.update_backends(specs, now))
+        self.urls = {BackendId(n): item.url for n, item in self.backends.items()}
+        self.carry_out(self.policy.update_backends(specs, self.clock.now()))
+
+    def kind_of(self, backend_id: BackendId) -> str:
+        """Return whether a backend server is cheap or on demand, for the metrics."""
+        backend = self.backends.get(backend_id)
+        return backend.kind if backend else "unknown"
 
     def submit(self, request: RequestSpec) -> Mailbox:
         """Hand a request to the router; its mailbox gets Start, Refuse or both."""
@@ -110,14 +131,24 @@
         """Put each action where the task that it concerns finds it."""
         for action in actions:
             if isinstance(action, Cancel):
-                cancel = self.cancels.get(action.attempt_id)
-                if cancel is not None:
-                    cancel(action.reason)
+                self.cancel(action)
                 continue
             mailbox = self.mailboxes.get(action.request_id)
             if mailbox is not None:
                 mailbox.send_nowait(action)
 
+    def cancel(self, action: Cancel) -> None:
+        """End an attempt, or see to it that it does not begin.
+
+        An attempt may be preempted while its Start is still in the mailbox. Were that
+        cancel lost, the attempt would run on beside the one that takes its place.
+        """
+        cancel = self.cancels.get(action.attempt_id)
+        if cancel is not None:
+            cancel(action.reason)
+        elif action.request_id in self.mailboxes:
+            self.cancelled.add(action.attempt_id)
+
     async def run_ticks(self) -> None:
         while True:
             await anyio.sleep(TICK_S)
--- a/src/godwitmast/load/cli.py
+++ b/src/godwitmast/load/cli.py
@@ -2,7 +2,10 @@
 
 import typer
 
+from godwitmast.load.passthrough import passthrough
 from godwitmast.load.play import play
+from godwitmast.load.run import compare, run
+from godwitmast.load.spend import spend
 from godwitmast.program import VersionOption
 
 app = typer.Typer(add_completion=False, no_args_is_help=True)
@@ -17,6 +20,10 @@
 
 
 app.command("play")(play)
+app.command("passthrough")(passthrough)
+app.command("spend")(spend)
+app.command("run")(run)
+app.command("compare")(compare)
 
 
 def main() -> None:
--- a/src/godwitmast/platform_api/client.py
+++ b/src/godwitmast/platform_api/client.py
@@ -59,10 +59,12 @@
         answer = await self.post("/table/read", {"keys": keys})
         return {key: Row(**row) for key, row in answer.json()["rows"].items()}
 
-    async def scan(self, prefix: str) -> dict[str, Row]:
-        """Return every row whose key starts with `prefix`, page by page."""
+    async def scan(self, prefix: str, after: str = "") -> dict[str, Row]:
+        """Return every row whose key starts with `prefix`, page by page.
+
+        With `after`, only those whose keys are past it.
+        """
         rows: dict[str, Row] = {}
-        after = ""
         while True:
             answer = await self.post("/table/scan", {"prefix": prefix, "after": after})
             page = answer.json()
@@ -85,11 +87,20 @@
         answer = await self.send("GET", "/fleet")
         return [FleetServer(**item) for item in answer.json()["servers"]]
 
+    async def order(self, body: Json, timeout_s: float) -> httpx.Response:
+        """Give a backend server order; 409 says why it was not taken."""
+        good = (200, 409)
+        return await self.send("POST", "/orders", good, json=body, timeout=timeout_s)
+
     async def vms(self) -> list[Vm]:
         """Return the platform's list of VMs, which lags."""
         answer = await self.send("GET", "/vms")
         return [Vm(**item) for item in answer.json()["vms"]]
 
+    async def report_usage(self, report: Json) -> None:
+        """Hand a usage report to the intake; it may be sent again, alike."""
+        await self.post("/usage", report)
+
     async def get_object(self, name: str) -> bytes | None:
         answer = await self.send("GET", f"/objects/{name}", good=(200, 404))
         return answer.content if answer.status_code == 200 else None
@@ -106,6 +117,8 @@
         self, method: str, path: str, good: tuple[int, ...] = (200,), **content: Any
     ) -> httpx.Response:
         """Return an answer with a status in `good`, or raise a PlatformError."""
+        if self.http.is_closed:
+            raise PlatformUnavailable(f"{path}: closed")
         try:
             answer = await self.http.request(method, path, **content)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
--- a/src/godwitmast/standins/platform.py
+++ b/src/godwitmast/standins/platform.py
@@ -15,7 +15,17 @@
 from starlette.types import ASGIApp, Receive, Scope, Send
 
 from godwitmast.config.document import parse_document
-from godwitmast.config.rows import HEAD_KEY
+from godwitmast.config.rows import (
+    HEAD_KEY,
+    Delta,
+    Head,
+    Snapshot,
+    delta_key,
+    encode_snapshot,
+    first_objects,
+    first_rows,
+    snapshot_name,
+)
 from godwitmast.http_server import HttpServer
 from godwitmast.standins.settings import (
     PlatformStandinSettings,
@@ -23,6 +33,7 @@
     VmEntry,
 )
 from godwitmast.standins.table import Table
+from godwitmast.types import Json
 
 LOST_ANSWER_S = 30.0
 """How long a lost answer keeps its client waiting, which is longer than it waits."""
@@ -46,9 +57,11 @@
     """A token bucket for the platform's limits."""
 
     rate: float
-    level: float = 0.0
     filled_at: float = 0.0
 
+    def __post_init__(self) -> None:
+        self.level = self.rate
+
     def take(self, amount: float, now: float) -> bool:
         grown = self.level + (now - self.filled_at) * self.rate
         self.level = min(self.rate, grown)
@@ -84,6 +97,7 @@
         self.reads = Bucket(settings.reads_per_s)
         self.writes = Bucket(settings.writes_per_s)
         self.random = random.Random(1)
+        self.closing = anyio.Event()
         self.requests: dict[str, int] = {}
         self.order_log: list[dict[str, Any]] = []
         self.usage_log: list[dict[str, Any]] = []
@@ -116,16 +130,32 @@
 
     def load_config(self, path: Path) -> None:
         """Put a first configuration in force, as version 1."""
-        document = json.loads(path.read_text())
+        self.put_config(json.loads(path.read_text()))
+
+    def put_config(self, document: Json) -> int:
+        """Accept a whole document, as if one patch had led to it; return its number."""
         parse_document(document)
+        row = self.table.read([HEAD_KEY]).get(HEAD_KEY)
+        if row is None:
+            self.objects |= first_objects(document)
+            self.table.transact({HEAD_KEY: 0}, first_rows(document))
+            return 1
+        number = row.value["number"] + 1
+        name = snapshot_name(number, "whole")
+        self.objects[name] = encode_snapshot(Snapshot(number, document))
+        head = Head(number, name, number)
+        delta = Delta(number, document, f"whole-{number}", reason="whole document")
         self.table.transact(
-            {HEAD_KEY: 0}, {HEAD_KEY: {"number": 1, "document": document}}
+            {HEAD_KEY: row.version},
+            {HEAD_KEY: head._asdict(), delta_key(number): delta._asdict()},
         )
+        return number
 
     async def start(self, tasks: TaskGroup) -> None:
         await self.server.start(tasks)
 
     async def close(self) -> None:
+        self.closing.set()
         await self.server.close()
 
     async def read(self, request: Request) -> Response:
@@ -157,7 +187,8 @@
             self.faults.lose_answers -= 1
         elif self.random.random() >= self.faults.lose_answers_share:
             return
-        await anyio.sleep(LOST_ANSWER_S)
+        with anyio.move_on_after(LOST_ANSWER_S):
+            await self.closing.wait()
 
     async def get_object(self, request: Request) -> Response:
         if not self.reads.take(1, anyio.current_time()):
@@ -185,7 +216,7 @@
             return JSONResponse({"error": "stale_fence"}, 409)
         self.fence = max(self.fence, fence)
         if body["action"] == "release":
-            self.servers.pop(body["backend_id"], None)
+            self.release(body["backend_id"], body.get("of_order"))
             return JSONResponse({"state": "released"})
         if body["order_id"] not in self.orders:
             spare = self.find_spare(body["zone"], body["kind"])
@@ -198,6 +229,12 @@
         await self.maybe_lose_answer()
         return JSONResponse({"backend_id": self.orders[body["order_id"]]})
 
+    def release(self, backend_id: str, of_order: str | None) -> None:
+        """Take a server back, unless it was handed out again under another order."""
+        server = self.servers.get(backend_id)
+        if server is not None and of_order in (None, server.order_id):
+            del self.servers[backend_id]
+
     def find_spare(self, zone: str, kind: str) -> SpareServer | None:
         if kind == "cheap" and zone in self.faults.cheap_unavailable:
             return None
--- a/tests/test_peers_entries.py
+++ b/tests/test_peers_entries.py
@@ -6,7 +6,6 @@
 import anyio
 import pytest
 
-from godwitmast.config.rows import HEAD_KEY
 from godwitmast.dev.document import dev_document
 from godwitmast.entry.daemon import Entry
 from godwitmast.entry.settings import EntrySettings
@@ -14,6 +13,7 @@
 from godwitmast.settings import Listen, PlatformSettings
 from godwitmast.standins.platform import StandinPlatform
 from godwitmast.standins.settings import PlatformStandinSettings
+from godwitmast.usage.windows import UsageTiming
 from running import running
 
 pytestmark = pytest.mark.anyio
@@ -22,16 +22,21 @@
 
 
 def put_config(platform: StandinPlatform, number: int) -> None:
-    head = {"number": number, "document": dev_document([], "http://127.0.0.1:9")}
-    row = platform.table.read([HEAD_KEY]).get(HEAD_KEY)
-    platform.table.transact({HEAD_KEY: row.version if row else 0}, {HEAD_KEY: head})
+    assert platform.put_config(dev_document([], "http://127.0.0.1:9")) == number
 
 
 def make_entry(name: str, platform: PlatformSettings, seeds: list[str]) -> Entry:
     zone = name.rpartition("-")[0]
     host = f"127.0.1.{sum(name.encode()) % 200 + 1}"
     peers = PeerSettings("off", Listen(host), seeds=seeds)
-    settings = EntrySettings(name, zone, platform, peers=peers, balancer_wait_s=0.0)
+    settings = EntrySettings(
+        name,
+        zone,
+        platform,
+        peers=peers,
+        balancer_wait_s=0.0,
+        usage=UsageTiming(stop_s=0.2),
+    )
     return Entry(settings)
 
 
