--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -76,6 +76,8 @@
         self.config: NumberedConfig | None = None
         self.stopping = False
         self.withdrawn: dict[str, int] = {}
+        self.fault_hook: Callable[[frozenset[str]], None] | None = None
+        self.peers_listed: Callable[[], list[str]] = list
         self.exchanges: dict[RequestId, Exchange] = {}
         self.numbers = itertools.count(1)
         self.ready_checks: list[Callable[[], bool]] = []
@@ -136,6 +138,11 @@
                 await send_json(send, 200, {"live": True})
             case "/readyz":
                 await send_json(send, 200 if self.ready else 503, self.readiness())
+            case "/_peers/cut" if self.fault_hook:
+                body = await read_body(receive, self.settings.limits)
+                assert isinstance(body, bytes), "tests send a short list"
+                self.fault_hook(msgspec.json.decode(body, type=frozenset[str]))
+                await send_json(send, 200, {})
             case "/metrics":
                 await send_metrics(send, self.metrics.registry)
             case "/metrics/teams":
@@ -150,6 +157,7 @@
             "ready": self.ready,
             "stopping": self.stopping,
             "config": self.config.version if self.config else None,
+            "peers": self.peers_listed(),
         }
 
     async def serve(
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -46,6 +46,9 @@
         self.mailboxes: dict[RequestId, MemoryObjectSendStream[Action]] = {}
         self.cancels: dict[AttemptId, Callable[[CancelReason], None]] = {}
         self.cancelled: set[AttemptId] = set()
+        self.polls: Callable[[BackendId], bool] = lambda backend_id: True
+        self.load_listeners: list[Callable[[BackendId, LoadReport], None]] = []
+        self.told_leaving: dict[BackendId, float] = {}
 
     async def start(self, tasks: TaskGroup) -> None:
         tasks.start_soon(self.run_ticks)
@@ -78,13 +81,36 @@
                 ZoneName(item.zone),
                 item.pools,
                 item.kind == "cheap",
-                item.leaving,
+                item.leaving or BackendId(name) in self.told_leaving,
             )
             for name, item in self.backends.items()
         ]
         self.urls = {BackendId(n): item.url for n, item in self.backends.items()}
         self.carry_out(self.policy.update_backends(specs, self.clock.now()))
 
+    def leaving(self) -> set[str]:
+        """Return the backend servers that configuration or fleet say are leaving."""
+        return {name for name, item in self.backends.items() if item.leaving}
+
+    def leaving_told(self, backend_id: BackendId, left_s: float) -> None:
+        """Give a backend server no new work, as a peer says that it is leaving.
+
+        The platform's list lags by seconds and is read by each entry on its own; the
+        first one that sees it tells the others.
+        """
+        known = backend_id in self.told_leaving
+        self.told_leaving[backend_id] = self.clock.now() + left_s
+        if not known and self.router is not None:
+            self.update_backends()
+
+    def forget_told(self) -> None:
+        """Forget what peers told long ago; it is in the configuration or wrong."""
+        now = self.clock.now()
+        kept = {name: at for name, at in self.told_leaving.items() if at > now}
+        if len(kept) < len(self.told_leaving):
+            self.told_leaving = kept
+            self.update_backends()
+
     def kind_of(self, backend_id: BackendId) -> str:
         """Return whether a backend server is cheap or on demand, for the metrics."""
         backend = self.backends.get(backend_id)
@@ -156,12 +182,13 @@
                 self.carry_out(self.router.tick(self.clock.now()))
 
     async def run_load_polls(self) -> None:
-        """Ask each backend server for its load, once a second."""
+        """Ask the backend servers that fall to this entry for their load."""
         while True:
             await anyio.sleep(LOAD_EVERY_S)
             async with anyio.create_task_group() as tasks:
                 for backend_id, url in self.urls.items():
-                    tasks.start_soon(partial(self.poll_load, backend_id, url))
+                    if self.polls(backend_id):
+                        tasks.start_soon(partial(self.poll_load, backend_id, url))
 
     async def poll_load(self, backend_id: BackendId, url: str) -> None:
         said = await self.client.get_json(f"{url}/load", LOAD_TIMEOUT_S)
@@ -176,5 +203,12 @@
         except (KeyError, TypeError, ValueError) as error:
             log_event("load_report_bad", backend=backend_id, error=repr(error))
             return
-        now = self.clock.now()
-        self.carry_out(self.policy.load_reported(backend_id, report, now))
+        for listener in self.load_listeners:
+            listener(backend_id, report)
+        self.load_came(backend_id, report)
+
+    def load_came(self, backend_id: BackendId, report: LoadReport) -> None:
+        """Hand the router a load report, polled here or by a peer."""
+        if self.router is not None:
+            now = self.clock.now()
+            self.carry_out(self.router.load_reported(backend_id, report, now))
--- a/src/godwitmast/entry/peering.py
+++ b/src/godwitmast/entry/peering.py
@@ -1,14 +1,24 @@
 """The entry's part among its peers: what it tells them, and what it takes."""
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 
 from godwitmast.clock import Clock
 from godwitmast.config.document import NumberedConfig
 from godwitmast.config.follower import ConfigFollower
+from godwitmast.config.machine import Offered
+from godwitmast.config.rows import Delta, Snapshot
 from godwitmast.entry.app import EntryApp
 from godwitmast.entry.settings import EntrySettings
+from godwitmast.entry.spreading import (
+    LeavingSpreading,
+    LoadSpreading,
+    PoisonSpreading,
+    ServiceSpreading,
+)
 from godwitmast.errors import PlatformError
+from godwitmast.logs import log_event
 from godwitmast.peers.driver import PeerDriver
 from godwitmast.peers.messages import KnownVm, Record, Topic
 from godwitmast.peers.settings import PeerSettings
@@ -16,31 +26,41 @@
 from godwitmast.types import Json
 
 VMS_EVERY_S = 5.0
+TELL_EVERY_S = 0.1
+"""A quarantine must be known elsewhere before the caller has sent its request again."""
+
 WITHDRAWAL_LEFT_S = 120.0
 """Far longer than the configuration that withdraws the key takes to arrive."""
 
 
 class FollowedConfig:
-    """The follower's configuration as peers spread it, always as a whole."""
+    """The follower's configuration as peers spread it."""
 
     def __init__(self, follower: ConfigFollower) -> None:
         self.follower = follower
 
     @property
     def version(self) -> int:
-        return self.follower.current.version if self.follower.current else 0
+        return self.follower.version
 
     def deltas(self, after: int) -> Json | None:
-        return None
+        kept = self.follower.deltas_after(after)
+        return msgspec.to_builtins(kept) if kept else None
 
     def snapshot(self) -> Json | None:
-        return self.follower.current.raw if self.follower.current else None
+        whole = self.follower.snapshot()
+        return whole.document if whole else None
 
     def adopt_deltas(self, after: int, number: int, payload: Json) -> bool:
-        return False
+        try:
+            deltas = msgspec.convert(payload, list[Delta])
+        except msgspec.ValidationError as error:
+            log_event("peer_deltas_bad", level="WARNING", error=error)
+            return False
+        return self.follower.offer_deltas(deltas) is Offered.ADOPTED
 
     def adopt_snapshot(self, number: int, payload: Json) -> bool:
-        return self.follower.adopt(number, payload)
+        return self.follower.offer_snapshot(Snapshot(number, payload))
 
 
 class Peering:
@@ -55,7 +75,9 @@
         follower: ConfigFollower,
         app: EntryApp,
     ) -> None:
+        self.settings = settings
         self.platform = platform
+        self.follower = follower
         self.app = app
         self.key_hashes: frozenset[str] = frozenset()
         self.driver = PeerDriver(
@@ -67,15 +89,29 @@
             clock,
         )
         self.driver.on_record = self.take
+        self.load = LoadSpreading(app.driver, self.driver, clock)
+        self.service = ServiceSpreading(app.driver, self.driver, clock)
+        self.poison = PoisonSpreading(app.driver, self.driver, clock)
+        self.leaving = LeavingSpreading(app.driver, self.driver)
         follower.listeners.append(self.config_changed)
+        app.metrics.count_peers(self.driver)
+        app.peers_listed = self.listed
+        if peer_settings.fault_hook:
+            app.fault_hook = self.driver.cut
 
     async def start(self, tasks: TaskGroup) -> None:
         await self.driver.start(tasks)
         tasks.start_soon(self.run_vm_list)
+        tasks.start_soon(self.run_telling)
 
     async def close(self) -> None:
         await self.driver.close()
 
+    def listed(self) -> list[str]:
+        """Return the nodes that this one takes for live, itself among them."""
+        machine = self.driver.machine
+        return sorted(m.node for m in machine.listed()) if machine else []
+
     async def run_vm_list(self) -> None:
         """Take the platform's list of VMs as places to look for peers."""
         while True:
@@ -87,6 +123,24 @@
                 pass
             await anyio.sleep(VMS_EVERY_S)
 
+    async def run_telling(self) -> None:
+        """Tell the peers what became known here since the last time."""
+        while True:
+            await anyio.sleep(TELL_EVERY_S)
+            self.poison.tell()
+            self.leaving.tell()
+            self.load.tell()
+            self.service.tell()
+            self.app.driver.forget_told()
+            if self.hears_other_zone():
+                self.follower.heard()
+
+    def hears_other_zone(self) -> bool:
+        """Return whether this node is in touch with more than its own zone."""
+        machine = self.driver.machine
+        links = machine.by_node.values() if machine else []
+        return any(link.zone != self.settings.zone for link in links)
+
     def config_changed(self, config: NumberedConfig) -> None:
         """Tell the withdrawn keys first, then push the configuration itself."""
         hashes = frozenset(config.document.keys)
@@ -102,3 +156,11 @@
         match record.topic:
             case Topic.WITHDRAWN_KEY:
                 self.app.withdraw_key(record.key, record.version)
+            case Topic.LEAVING_BACKEND:
+                self.leaving.take(record)
+            case Topic.QUARANTINE | Topic.CRASH_SUSPICION:
+                self.poison.take(record)
+            case Topic.LOAD:
+                self.load.take(record)
+            case Topic.SERVICE:
+                self.service.take(record)
--- a/src/godwitmast/peers/codec.py
+++ b/src/godwitmast/peers/codec.py
@@ -6,7 +6,15 @@
 import msgspec
 
 from godwitmast.errors import PeerError
-from godwitmast.peers.messages import Frame, LoadEntry, Place, Record, Topic
+from godwitmast.peers.messages import (
+    Frame,
+    LoadEntry,
+    NotNegative,
+    Place,
+    Record,
+    Topic,
+    Whole,
+)
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 """A whole configuration of 6,300 teams with their keys is about 2 MB."""
@@ -21,7 +29,7 @@
     Topic.QUARANTINE: dict[str, Any],
     Topic.CRASH_SUSPICION: dict[str, Any],
     Topic.LOAD: tuple[LoadEntry, ...],
-    Topic.SERVICE: dict[str, float],
+    Topic.SERVICE: dict[str, tuple[Whole, NotNegative]],
 }
 
 FRAME_LENGTH = len(Frame._fields)
--- a/src/godwitmast/peers/driver.py
+++ b/src/godwitmast/peers/driver.py
@@ -13,6 +13,7 @@
 from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.frames import CloseCode
 
 from godwitmast.clock import Clock
 from godwitmast.errors import PeerError
@@ -84,6 +85,7 @@
         self.cut_zones: frozenset[str] = frozenset()
         self.bytes_sent = 0
         self.bad_frames = 0
+        self.frames_read = 0
 
     @property
     def address(self) -> str:
@@ -296,17 +298,34 @@
             async for data in socket:
                 await anyio.sleep(len(data) / self.settings.bytes_per_s)
                 frame = decode_frame(data if isinstance(data, bytes) else b"")
+                self.frames_read += 1
                 if self.is_cut(link_id, frame):
                     continue
                 self.machine.received(link_id, frame, self.clock.now())
                 self.carry_out()
-        except ConnectionClosed:
-            return
+        except ConnectionClosed as closed:
+            if closed.sent is not None and not closed.rcvd_then_sent:
+                # The library ends a link by itself for what is no websocket frame, or
+                # one too large; it says so in the code that it sends.
+                self.note_bad_frame(socket, closed)
         except PeerError as error:
-            self.bad_frames += 1
-            remote = socket.remote_address
-            log_event("peer_bad_frame", level="WARNING", peer=remote, error=error)
-            await socket.close(1002)
+            self.note_bad_frame(socket, error)
+            await socket.close(CloseCode.PROTOCOL_ERROR)
+
+    def note_bad_frame(self, socket: Connection, error: Exception) -> None:
+        if (
+            isinstance(error, ConnectionClosed)
+            and error.sent
+            and error.sent.code
+            in (
+                CloseCode.NORMAL_CLOSURE,
+                CloseCode.GOING_AWAY,
+            )
+        ):
+            return
+        self.bad_frames += 1
+        remote = socket.remote_address
+        log_event("peer_bad_frame", level="WARNING", peer=remote, error=error)
 
     def is_cut(self, link_id: int, frame: Frame | None = None) -> bool:
         """Return whether the fault hook loses a frame of this link."""
--- a/src/godwitmast/peers/messages.py
+++ b/src/godwitmast/peers/messages.py
@@ -21,6 +21,7 @@
 
 Text = Annotated[str, Meta(max_length=128)]
 Whole = Annotated[int, Meta(ge=0, le=2**62)]
+NotNegative = Annotated[float, Meta(ge=0, le=1e18)]
 Digest = Annotated[int, Meta(ge=0, lt=2**32)]
 TimeLeft = Annotated[float, Meta(ge=0, le=86_400)]
 
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -34,7 +34,7 @@
         Record(Topic.LOAD, "n1", 9, 5.0, (LoadEntry(1, 2, 3, 4, 0.5),)),
         Record(Topic.WITHDRAWN_KEY, "hash", 3, 60.0, None),
         Record(Topic.LEAVING_BACKEND, "b1", 3, 60.0, True),
-        Record(Topic.SERVICE, "n1", 3, 60.0, {"arima": 12.0}),
+        Record(Topic.SERVICE, "n1", 3, 60.0, {"arima": (2, 12.0)}),
     ),
     Hello("n1", 1, PLACE),
     ConfigPart(ConfigKind.DELTAS, 2, 3, {"any": ["thing"]}),
@@ -113,7 +113,9 @@
         b"\x81" * 100_000 + b"\x00",
         b"\x00" * (MAX_FRAME_BYTES + 1),
         cbor2.dumps([list(BEAT), [[1, "h", 1, 60.0, None]] * 257]),
-        cbor2.dumps([list(BEAT), [[6, "n", 1, 60.0, {"t" * MAX_VALUE_BYTES: 1.0}]]]),
+        cbor2.dumps(
+            [list(BEAT), [[6, "n", 1, 60.0, {"t" * MAX_VALUE_BYTES: [1, 1.0]}]]]
+        ),
         cbor2.dumps([list(BEAT), [[1, "h" * 129, 1, 60.0, None]]]),
         cbor2.dumps([list(BEAT), [[1, "h", -1, 60.0, None]]]),
         cbor2.dumps([list(BEAT), [[1, "h", 1, float("nan"), None]]]),
--- a/tests/test_peers_entries.py
+++ b/tests/test_peers_entries.py
@@ -4,11 +4,18 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import anyio
+import httpx
 import pytest
 
-from godwitmast.dev.document import dev_document
+from godwitmast.admission.service import ServiceKey
+from godwitmast.config.document import Backend
+from godwitmast.dev.document import MODEL, dev_document, dev_key
+from godwitmast.dispatch.messages import LoadReport, Quarantine
 from godwitmast.entry.daemon import Entry
 from godwitmast.entry.settings import EntrySettings
+from godwitmast.entry.spreading import SEPARATOR
+from godwitmast.keys.hashing import hash_key
+from godwitmast.peers.messages import Topic
 from godwitmast.peers.settings import PeerSettings
 from godwitmast.settings import Listen, PlatformSettings
 from godwitmast.standins.platform import StandinPlatform
@@ -70,3 +77,71 @@
             while second.follower.current.version < 2:
                 await anyio.sleep(0.02)
         assert first.follower.current.version == 2
+
+
+async def test_soft_state_reaches_the_entries_of_the_zone() -> None:
+    """One entry learns something; the other acts on it without a request of its own."""
+    async with started("a-1", "a-2") as (platform, (first, second)):
+        with anyio.fail_after(10):
+            await second.follower.ready.wait()
+            first.driver.router.guard.quarantine("poison", 1e12)
+            first.driver.router.guard.news.append(Quarantine("poison", 600.0))
+            first.driver.leaving = lambda: {"backend-x"}
+            key = ServiceKey("arima", "question", MODEL)
+            served = first.driver.router.admission.served
+            served.add(key, 1, 10.0)
+            while "a-1" not in second.peering.service.heard:
+                await anyio.sleep(0.02)
+            served.add(key, 2, 50.0)
+            while second.peering.service.heard["a-1"][SEPARATOR.join(key)][1] < 60:
+                await anyio.sleep(0.02)
+        now = second.clock.now()
+        assert second.driver.router.guard.quarantine_left("poison", now) > 590
+        assert "backend-x" in second.driver.told_leaving
+
+
+async def test_withdrawn_key_is_refused_before_its_configuration_is_here() -> None:
+    async with started("a-1", "b-1") as (platform, (first, second)):
+        with anyio.fail_after(10):
+            await second.follower.ready.wait()
+            digest = hash_key(dev_key("arima"))
+            first.peering.driver.tell(Topic.WITHDRAWN_KEY, digest, None, 60, version=9)
+            async with httpx.AsyncClient(trust_env=False) as http:
+                url = f"{second.server.url}/v1/models"
+                headers = {"Authorization": f"Bearer {dev_key('arima')}"}
+                while (await http.get(url, headers=headers)).status_code != 401:
+                    await anyio.sleep(0.02)
+        assert second.follower.version == 1
+
+
+async def test_each_backend_server_is_polled_by_two_nodes_of_its_zone() -> None:
+    async with started("a-1", "a-2", "a-3", "a-4") as (platform, entries):
+        for entry in entries:
+            with anyio.fail_after(10):
+                await entry.follower.ready.wait()
+            entry.driver.backends = {
+                f"s{n}": Backend("http://127.0.0.1:9", "a", frozenset())
+                for n in range(50)
+            }
+        with anyio.fail_after(10):
+            while any(len(entry.peering.listed()) < 4 for entry in entries):
+                await anyio.sleep(0.05)
+        for number in range(50):
+            polls = [e.driver.polls(f"s{number}") for e in entries]
+            assert sum(polls) == 2
+
+
+async def test_load_that_one_entry_polls_reaches_the_others() -> None:
+    async with started("a-1", "a-2") as (platform, (first, second)):
+        backends = {"s1": Backend("http://127.0.0.1:9", "a", frozenset())}
+        first.driver.backends = second.driver.backends = backends
+        came = []
+        second.driver.load_came = lambda name, report: came.append((name, report))
+        with anyio.fail_after(10):
+            while not came:
+                first.peering.load.polled("s1", LoadReport(3, 4, 100.0, 0.5))
+                first.peering.load.heard = {}
+                await anyio.sleep(0.5)
+        name, report = came[0]
+        assert name == "s1"
+        assert (report.running, report.waiting, report.tokens_per_s) == (3, 4, 100)
