Close connections with the last answers of an entry that stops

Cause: a caller that keeps its connection sends its next request into the close. Change: answers of a stopping entry say that the connection ends.

--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -3,6 +3,7 @@
 import itertools
 from collections import Counter
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
@@ -127,6 +128,8 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] != "http":
             return
+        if self.stopping and scope["http_version"].startswith("1"):
+            send = closing(send)
         try:
             await self.route(scope, receive, send)
         except CallerGone:
@@ -379,6 +382,22 @@
     return DemandKey(spec.pool, spec.class_name)
 
 
+def closing(send: Send) -> Send:
+    """Return a `send` whose answer tells the caller that its connection ends.
+
+    A caller that keeps its connection would else send its next request just when the
+    entry closes it, and lose it.
+    """
+
+    async def send_and_close(message: dict[str, Any]) -> None:
+        if message["type"] == "http.response.start":
+            headers = [*message["headers"], (b"connection", b"close")]
+            message = {**message, "headers": headers}
+        await send(message)
+
+    return send_and_close
+
+
 def list_models(document: Document, caller: Caller) -> dict[str, object]:
     """Return the models that the caller may use, as OpenAI's API lists them."""
     data = [
--- /dev/null
+++ b/tests/test_peers_processes.py
@@ -0,0 +1,213 @@
+"""Entries as real processes, one per zone, each at a loopback address of its own."""
+
+import json
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import anyio
+import httpx
+import pytest
+
+from godwitmast.dev.document import dev_document, dev_key
+from godwitmast.dev.system import DevSystem
+from processes import Process, Processes, free_port
+from running import running
+from test_stopping import streamed, words_of
+
+pytestmark = pytest.mark.anyio
+
+ZONES = ("a", "b", "c")
+BEARER = {"Authorization": f"Bearer {dev_key('arima')}"}
+WAIT_S = 40
+"""Generous: the bounds in seconds are asserted in virtual time."""
+
+NOWHERE = "http://127.0.0.1:9"
+
+
+@dataclass
+class Fleet:
+    """The outside systems in this process, and entries in their own."""
+
+    processes: Processes
+    system: DevSystem
+    http: httpx.AsyncClient
+    ports: dict[str, int] = field(default_factory=dict)
+    entries: dict[str, Process] = field(default_factory=dict)
+
+    def address(self, zone: str) -> str:
+        return f"127.0.1.{ZONES.index(zone) + 1}:{self.ports[zone]}"
+
+    def spawn(self, zone: str, platform: str | None = None) -> None:
+        """Start the entry of a zone, at the address that it had before."""
+        self.ports.setdefault(zone, free_port())
+        host, port = self.address(zone).split(":")
+        seeds = json.dumps([self.address(z) for z in self.ports if z != zone])
+        url = platform or self.system.platform.server.url
+        self.entries[zone] = self.processes.spawn(
+            f"entry-{zone}",
+            "godwitmast.entry.cli",
+            settings=f'node = "n-{zone}"\nzone = "{zone}"\nplatform.url = "{url}"\n'
+            f"balancer_wait_s = 1.0\nplatform.timeout_s = 0.5\n"
+            f'[peers]\ntls = "off"\nseeds = {seeds}\nfault_hook = true\n'
+            f'[peers.listen]\nhost = "{host}"\nport = {port}\n',
+        )
+
+    async def status(self, zone: str) -> dict:
+        """Return what an entry says of itself, or nothing if it does not answer."""
+        try:
+            answer = await self.http.get(f"{self.entries[zone].url}/readyz", timeout=1)
+            return answer.json()
+        except httpx.HTTPError:
+            return {}
+
+    async def until(self, done: Callable[[dict[str, dict]], bool]) -> None:
+        """Wait until what all entries say of themselves is `done`."""
+        seen: dict[str, dict] = {}
+        with anyio.move_on_after(WAIT_S):
+            while True:
+                seen = {zone: await self.status(zone) for zone in self.entries}
+                if done(seen):
+                    return
+                await anyio.sleep(0.1)
+        raise AssertionError(f"still {seen}")
+
+    async def until_peers(self, zones: str, of: str) -> None:
+        """Wait until the entries of `zones` list exactly the nodes of zones `of`."""
+        names = [f"n-{zone}" for zone in of]
+        await self.until(lambda s: all(s[z].get("peers") == names for z in zones))
+
+    async def until_config(self, zones: str, number: int) -> None:
+        await self.until(lambda s: all(s[z].get("config") == number for z in zones))
+
+    async def cut(self, cuts: dict[str, list[str]]) -> None:
+        """Lose what goes between a zone and others, at the entry of that zone."""
+        for zone, others in cuts.items():
+            url = f"{self.entries[zone].url}/_peers/cut"
+            assert (await self.http.post(url, json=others)).status_code == 200
+
+    def put_config(self) -> int:
+        urls = [engine.server.url for engine in self.system.engines]
+        document = dev_document(urls, self.system.service.server.url)
+        return self.system.platform.put_config(document)
+
+    async def stream(self, zone: str, length: int = 10) -> None:
+        """Send a request to a zone's entry; its answer must be whole."""
+        url = f"{self.entries[zone].url}/v1/chat/completions"
+        answer = await self.http.post(url, headers=BEARER, json=streamed(length))
+        assert answer.status_code == 200, answer.text
+        assert words_of(answer.text) == list(range(1, length + 1))
+
+
+@asynccontextmanager
+async def make_fleet(processes: Processes) -> AsyncIterator[Fleet]:
+    system = DevSystem(entries=0)
+    async with running(system), httpx.AsyncClient(timeout=30, trust_env=False) as http:
+        yield Fleet(processes, system, http)
+
+
+async def test_zone_cut_off_from_all_serves_on_and_catches_up(
+    processes: Processes,
+) -> None:
+    """Zone c has never reached the platform, and is then cut off from the others too.
+
+    It started with what its peers told it. While it is cut off, a new configuration
+    comes into force elsewhere; c serves on under the old one. Each side drops the
+    other. When the links heal, all list each other again and c has the new one.
+    """
+    async with make_fleet(processes) as fleet:
+        for zone in "ab":
+            fleet.spawn(zone)
+        fleet.spawn("c", platform=NOWHERE)
+        await fleet.until_peers("abc", "abc")
+        await fleet.until_config("abc", 1)
+        await fleet.cut({"a": ["c"], "b": ["c"], "c": ["a", "b"]})
+        assert fleet.put_config() == 2
+        await fleet.until_config("ab", 2)
+        await fleet.stream("c")
+        await fleet.until_peers("ab", "ab")
+        await fleet.until_peers("c", "c")
+        assert (await fleet.status("c"))["config"] == 1
+        await fleet.stream("c")
+        await fleet.cut({"a": [], "b": [], "c": []})
+        await fleet.until_peers("abc", "abc")
+        await fleet.until_config("abc", 2)
+
+
+async def test_killed_and_paused_entries_are_dropped_and_come_back(
+    processes: Processes,
+) -> None:
+    """One entry is killed and started again at its address; another one is paused."""
+    async with make_fleet(processes) as fleet:
+        for zone in ZONES:
+            fleet.spawn(zone)
+        await fleet.until_peers("abc", "abc")
+        fleet.entries["b"].kill()
+        await fleet.until_peers("ac", "ac")
+        await fleet.stream("a")
+        fleet.spawn("b")
+        await fleet.until_peers("abc", "abc")
+        fleet.entries["c"].pause()
+        await fleet.until_peers("ab", "ab")
+        fleet.entries["c"].resume()
+        await fleet.until_peers("abc", "abc")
+        await fleet.stream("c")
+
+
+@dataclass
+class Balancer:
+    """Sends each request to an entry that said lately that it is ready."""
+
+    fleet: Fleet
+    ready: list[str] = field(default_factory=list)
+    sent: int = 0
+    whole: int = 0
+    failures: list[str] = field(default_factory=list)
+    stopping: bool = False
+
+    async def watch(self) -> None:
+        while not self.stopping:
+            seen = {zone: await self.fleet.status(zone) for zone in ZONES}
+            self.ready = [zone for zone, said in seen.items() if said.get("ready")]
+            await anyio.sleep(0.1)
+
+    async def send(self, start: int) -> None:
+        """Send one stream after the other, each over a connection of its own."""
+        turn = start
+        while not self.stopping:
+            turn += 1
+            zone = self.ready[turn % len(self.ready)]
+            self.sent += 1
+            try:
+                await self.fleet.stream(zone, length=60)
+                self.whole += 1
+            except (AssertionError, httpx.HTTPError) as error:
+                self.failures.append(f"{zone}: {error!r}")
+
+
+async def test_rolling_replacement_cuts_no_request(processes: Processes) -> None:
+    """Every entry is replaced, one after the other, while callers stream.
+
+    Each is told to stop, goes on serving while the balancer still sends, ends what
+    runs, and exits; a new process takes its place. No caller notices.
+    """
+    async with make_fleet(processes) as fleet:
+        fleet.http.headers["Connection"] = "close"
+        for zone in ZONES:
+            fleet.spawn(zone)
+        await fleet.until_peers("abc", "abc")
+        balancer = Balancer(fleet, list(ZONES))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(balancer.watch)
+            for number in range(6):
+                tasks.start_soon(balancer.send, number)
+            for zone in ZONES:
+                old = fleet.entries[zone]
+                assert await anyio.to_thread.run_sync(old.terminate) == 0
+                fleet.spawn(zone)
+                await fleet.until(lambda s, z=zone: s[z].get("ready") is True)
+                await fleet.until_peers("abc", "abc")
+            balancer.stopping = True
+        assert not balancer.failures
+        assert balancer.whole == balancer.sent
+        assert balancer.sent > 20
