--- a/src/godwitmast/load/cli.py
+++ b/src/godwitmast/load/cli.py
@@ -4,6 +4,7 @@
 
 from godwitmast.load.decision_cost import decision_cost
 from godwitmast.load.passthrough import passthrough
+from godwitmast.load.peers import peers
 from godwitmast.load.play import play
 from godwitmast.load.run import compare, run
 from godwitmast.load.spend import spend
@@ -24,6 +25,7 @@
 app.command("decision-cost")(decision_cost)
 app.command("passthrough")(passthrough)
 app.command("spend")(spend)
+app.command("peers")(peers)
 app.command("run")(run)
 app.command("compare")(compare)
 
