--- a/src/godwitmast/entry/daemon.py
+++ b/src/godwitmast/entry/daemon.py
@@ -10,6 +10,7 @@
 from godwitmast.config.follower import ConfigFollower
 from godwitmast.entry.app import EntryApp
 from godwitmast.entry.driver import RouterDriver
+from godwitmast.entry.peering import Peering
 from godwitmast.entry.settings import EntrySettings
 from godwitmast.http_server import HttpServer
 from godwitmast.logs import log_event
@@ -39,14 +40,26 @@
             self.app.waiting,
             self.driver.fleet_changed,
         )
+        self.follower.listeners.append(self.app.config_changed)
+        self.peering: Peering | None = None
+        if settings.peers:
+            self.peering = Peering(
+                settings,
+                settings.peers,
+                self.clock,
+                self.platform,
+                self.follower,
+                self.app,
+            )
         self.server = HttpServer(
             self.app, settings.listen, settings.tls, settings.stop_timeout_s
         )
 
     async def start(self, tasks: TaskGroup) -> None:
         """Listen, and follow the configuration; not ready before there is one."""
-        self.follower.listeners.append(self.app.config_changed)
         await self.driver.start(tasks)
+        if self.peering:
+            await self.peering.start(tasks)
         await self.follower.start(tasks)
         await self.claims.start(tasks)
         await self.fleet.start(tasks)
@@ -65,6 +78,8 @@
         await self.server.close()
         await self.claims.close()
         await self.fleet.close()
+        if self.peering:
+            await self.peering.close()
         await self.client.close()
         await self.platform.close()
         log_event("entry_stopped", node=self.settings.node)
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -21,6 +21,7 @@
     Won,
 )
 from godwitmast.dispatch.messages import (
+    Action,
     CancelReason,
     FailureKind,
     NotRun,
@@ -29,7 +30,7 @@
     Start,
 )
 from godwitmast.entry.claim_answers import OUTCOME_UNKNOWN, answer_claim
-from godwitmast.entry.driver import RouterDriver
+from godwitmast.entry.driver import Mailbox, RouterDriver
 from godwitmast.entry.events import EventReader, usage_of_answer
 from godwitmast.entry.intake import Envelope
 from godwitmast.entry.metrics import Timing
@@ -61,6 +62,18 @@
 )
 
 
+async def next_action(mailbox: Mailbox) -> Action:
+    """Return the next action, without a turn of the event loop if it is there.
+
+    Most requests start at once; waiting a turn for what has come already costs more
+    than the decision did.
+    """
+    try:
+        return mailbox.receive_nowait()
+    except anyio.WouldBlock:
+        return await mailbox.receive()
+
+
 async def send_nothing(message: dict[str, Any]) -> None:
     """Stand in for the connection of a caller that has gone."""
 
@@ -104,13 +117,13 @@
     counted: TokenCount | None = None
     end_reason: CancelReason | None = None
     error_code: str | None = None
-    answered: bool = False
-    """The caller was sent its whole answer; a hang-up after that is the usual end."""
-    kind_tokens: Counter[str] = field(default_factory=Counter)
     claimed: ClaimedCall | None = None
     may_have_run: bool = False
     streamed: list[bytes] = field(default_factory=list)
     replayed: bool = False
+    answered: bool = False
+    """The caller was sent its whole answer; a hang-up after that is the usual end."""
+    kind_tokens: Counter[str] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
         self.scope = anyio.CancelScope()
@@ -124,9 +137,8 @@
             with self.scope:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self.watch_caller)
-                    async for action in mailbox:
-                        if await self.carry_out(action):
-                            break
+                    while not await self.carry_out(await next_action(mailbox)):
+                        pass
                     tasks.cancel_scope.cancel()
         finally:
             reason = self.end_reason or CancelReason.CALLER_GONE
@@ -145,13 +157,11 @@
         """
         while (await self.receive())["type"] != "http.disconnect":
             pass
-        # The server reports the end of every exchange as a hang-up. Taken for one, a
-        # finished answer was counted as given up, and its tokens as wasted.
-        if self.answered:
-            return
         if self.claimed is not None and self.may_have_run:
             self.send = send_nothing
-        else:
+        # The server reports the end of every exchange as a hang-up. Taken for one, a
+        # finished answer was counted as given up, and its tokens as wasted.
+        elif not self.answered:
             self.end(CancelReason.CALLER_GONE)
 
     def end(self, reason: CancelReason) -> None:
@@ -175,6 +185,9 @@
 
     async def attempt(self, start: Start) -> bool:
         """Run one attempt; return whether the caller has its whole answer."""
+        if start.attempt_id in self.driver.cancelled:
+            self.driver.cancelled.remove(start.attempt_id)
+            return False
         url = self.driver.urls.get(start.backend_id)
         if url is None:
             self.fail(start, FailureKind.CONNECT)
@@ -274,9 +287,9 @@
             if not whole:
                 continue
             await self.send_head()
-            self.answered = reader.done
             if self.claimed is not None:
                 self.streamed.append(whole)
+            self.answered = reader.done
             body = {"type": "http.response.body", "body": whole, "more_body": True}
             await self.send(body)
             self.count_tokens(start, len(reader.texts) - before)
--- a/src/godwitmast/load/world.py
+++ b/src/godwitmast/load/world.py
@@ -1,7 +1,7 @@
 """Plays a scenario in virtual time: policies, modelled engines and callers.
 
 It is a small model of what surrounds the decisions, not a cluster simulator: entries
-do not talk to each other, and links take a fixed time.
+tell each other of suspects and nothing else, and links take a fixed time.
 """
 
 import heapq
@@ -21,6 +21,7 @@
     FailureKind,
     LoadReport,
     NotRun,
+    PoisonNews,
     Refuse,
     RequestSpec,
     Start,
@@ -52,6 +53,9 @@
 LIST_LAG_S = 1.0
 """How long after an eviction notice the entries hear of it."""
 
+PEER_S = 0.1
+"""From one entry to another, by way of a few between them."""
+
 POISON_FUSE_S = 0.1
 POISON_DOWN_S = 10.0
 SPREAD = 0.6
@@ -139,6 +143,7 @@
         ]
         self.requests: dict[RequestId, Need] = {}
         self.attempts: dict[tuple[int, AttemptId], Attempt] = {}
+        self.cancelled: set[tuple[int, AttemptId]] = set()
         self.started: set[RequestId] = set()
         self.withdrawn_teams: set[str] = set()
         self.numbers = itertools.count(1)
@@ -268,9 +273,24 @@
     # Policies
 
     def tick(self, number: int) -> None:
-        self.act(number, self.policies[number].tick(self.now))
+        policy = self.policies[number]
+        self.act(number, policy.tick(self.now))
+        if isinstance(policy, Router):
+            self.spread(number, policy)
         self.at(self.now + TICK_S, self.tick, number)
 
+    def spread(self, number: int, router: Router) -> None:
+        """Tell the other entries of suspects, as the peers' links do."""
+        news = router.take_poison_news()
+        for other in range(len(self.policies)):
+            if news and other != number:
+                self.at(self.now + PEER_S, self.hear, other, news)
+
+    def hear(self, number: int, news: list[PoisonNews]) -> None:
+        router = self.policies[number]
+        assert isinstance(router, Router)
+        self.act(number, router.import_poison(news, self.now))
+
     def act(self, entry: int, actions: list[Action]) -> None:
         """Carry out what a policy said."""
         for action in actions:
@@ -282,6 +302,8 @@
                     attempt = self.attempts.pop((entry, action.attempt_id), None)
                     if attempt:
                         attempt.engine.model.cancel(sequence_id(attempt))
+                    else:
+                        self.cancelled.add((entry, action.attempt_id))
                 case Refuse():
                     self.refused(entry, action)
 
@@ -326,9 +348,9 @@
     # Engines
 
     def start(self, entry: int, start: Start) -> None:
-        """Hand an attempt to its engine."""
+        """Hand an attempt to its engine, unless a cancel has overtaken it."""
         need = self.requests.get(start.request_id)
-        if need is None:
+        if need is None or (entry, start.attempt_id) in self.cancelled:
             return
         engine = self.engines[start.backend_id]
         if not engine.up:
