--- a/src/godwitmast/load/cli.py
+++ b/src/godwitmast/load/cli.py
@@ -5,6 +5,7 @@
 from godwitmast.load.passthrough import passthrough
 from godwitmast.load.play import play
 from godwitmast.load.run import compare, run
+from godwitmast.load.slopes import slopes
 from godwitmast.load.spend import spend
 from godwitmast.program import VersionOption
 
@@ -22,6 +23,7 @@
 app.command("play")(play)
 app.command("passthrough")(passthrough)
 app.command("spend")(spend)
+app.command("slopes")(slopes)
 app.command("run")(run)
 app.command("compare")(compare)
 
--- a/src/godwitmast/load/run.py
+++ b/src/godwitmast/load/run.py
@@ -1,8 +1,9 @@
 """The commands `godwit-load run` and `godwit-load compare`."""
 
+import os
 from functools import partial
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, NamedTuple
 
 import anyio
 import typer
@@ -35,6 +36,12 @@
     hog: Annotated[str | None, typer.Option(help="A team that sends more.")] = None,
     hog_factor: float = 10.0,
     resend: Annotated[float, typer.Option(help="Share of callers that resend.")] = 0.0,
+    answer_tokens: Annotated[
+        int | None, typer.Option(help="Every answer's length.")
+    ] = None,
+    cpu_of: Annotated[
+        int | None, typer.Option(help="Process whose processor time is shown.")
+    ] = None,
     key_prefix: Annotated[str, typer.Option(help="Before the team.")] = KEY_PREFIX,
     most_open: Annotated[int, typer.Option(min=1, max=10_000)] = MOST_OPEN,
     out: Annotated[Path | None, typer.Option(help="Result file.")] = None,
@@ -53,10 +60,14 @@
             "hog": hog,
             "hog_factor": hog_factor,
             "resend": resend,
+            "answer_tokens": answer_tokens,
         }
     )
     console = Console()
+    before = read_process(cpu_of) if cpu_of else None
     result = run_shown(plan, url, key_prefix, most_open, console)
+    if cpu_of and before:
+        show_process(before, read_process(cpu_of), result, console)
     if out:
         save_result(result, out)
     if against:
@@ -66,6 +77,44 @@
         console.print(compare_table(bare, result))
 
 
+class ProcessUse(NamedTuple):
+    """What Linux says that a process has used."""
+
+    cpu_s: float
+    resident_mib: float
+    peak_mib: float
+
+
+def read_process(pid: int) -> ProcessUse:
+    """Return a process's processor time and memory, from /proc."""
+    place = Path(f"/proc/{pid}")
+    try:
+        fields = (place / "stat").read_text().rpartition(")")[2].split()
+        status = (place / "status").read_text()
+    except OSError as error:
+        typer.echo(f"error: --cpu-of {pid}: {error.strerror}", err=True)
+        raise typer.Exit(EXIT_USAGE) from None
+    ticks = int(fields[11]) + int(fields[12])
+    sizes = dict(line.split(":", 1) for line in status.splitlines() if ":" in line)
+    resident, peak = (int(sizes[name].split()[0]) / 1024 for name in ("VmRSS", "VmHWM"))
+    return ProcessUse(ticks / os.sysconf("SC_CLK_TCK"), resident, peak)
+
+
+def show_process(
+    before: ProcessUse, after: ProcessUse, result: RunResult, console: Console
+) -> None:
+    """Print what the watched process used in the run, by request and by token."""
+    used = 1000 * (after.cpu_s - before.cpu_s)
+    requests = sum(item.total for item in result.classes.values())
+    tokens = sum(item.tokens for item in result.classes.values())
+    console.print(
+        f"watched process: {used:.0f} ms of processor time for {requests} requests and "
+        f"{tokens} tokens, {used / max(1, requests):.2f} ms a request; resident "
+        f"{before.resident_mib:.0f} MiB before, {after.resident_mib:.0f} after, "
+        f"{after.peak_mib:.0f} at its peak"
+    )
+
+
 def check_plan(raw: dict[str, object]) -> RunPlan:
     """Return the plan, or end the program naming what is wrong with it."""
     if raw["mix"] not in MIXES:
--- a/src/godwitmast/load/schedule.py
+++ b/src/godwitmast/load/schedule.py
@@ -26,6 +26,8 @@
     hog: str | None = None
     hog_factor: Annotated[float, Field(ge=1)] = 10.0
     resend: Annotated[float, Field(ge=0, le=1)] = 0.0
+    answer_tokens: Annotated[int, Field(gt=0)] | None = None
+    """Every answer's length, in place of the mix's."""
 
 
 class Planned(NamedTuple):
@@ -62,7 +64,7 @@
                 source.choices(teams, shares)[0],
                 asked.name,
                 asked.prompt.draw(source),
-                asked.answer.draw(source),
+                plan.answer_tokens or asked.answer.draw(source),
                 source.random() < plan.resend,
             )
         )
--- /dev/null
+++ b/src/godwitmast/load/slopes.py
@@ -0,0 +1,348 @@
+"""Measures how costs grow with the size of a deployment, one slope at a time.
+
+Each is processor time or bytes of the real code at several sizes, with a straight
+line fitted through the points; docs/CAPACITY.md works the sizes of later from these.
+"""
+
+import gc
+import json
+import time
+import tracemalloc
+from collections.abc import Callable
+from functools import partial
+from typing import Any, NamedTuple
+
+from prometheus_client import generate_latest
+from rich.console import Console
+from rich.table import Table
+
+from godwitmast.capacity.demand import DemandBook, DemandKey, DemandMeter
+from godwitmast.capacity.fleet import FleetRow, PublishedServer, dump_fleet, load_fleet
+from godwitmast.capacity.messages import ClassDemand, ServerState, ServerView, View
+from godwitmast.capacity.planner import Planner
+from godwitmast.config.document import CapacityIntention, RequestClass, parse_document
+from godwitmast.dispatch.messages import BackendSpec, RequestSpec, Start
+from godwitmast.dispatch.router import Router
+from godwitmast.entry.metrics import EntryMetrics, Timing
+from godwitmast.keys.hashing import hash_key
+from godwitmast.types import (
+    BackendId,
+    ClassName,
+    PoolName,
+    RequestId,
+    TeamName,
+    ZoneName,
+)
+
+REPEATS = 3
+CLASSES = 7
+POOLS = 28
+
+
+class Slope(NamedTuple):
+    """A cost at several sizes, and the line through it."""
+
+    name: str
+    per: str
+    unit: str
+    points: list[tuple[int, float]]
+
+    @property
+    def fit(self) -> tuple[float, float]:
+        """Return the fixed part and the slope, by least squares."""
+        count = len(self.points)
+        mean_x = sum(x for x, _ in self.points) / count
+        mean_y = sum(y for _, y in self.points) / count
+        spread = sum((x - mean_x) ** 2 for x, _ in self.points)
+        slope = sum((x - mean_x) * (y - mean_y) for x, y in self.points) / spread
+        return mean_y - slope * mean_x, slope
+
+
+def slopes() -> None:
+    """Measure the slopes that docs/CAPACITY.md is worked out from."""
+    console = Console(width=110)
+    table = Table(title="Slopes, processor time of this machine")
+    for heading in ("cost", "points", "fixed", "slope", "per"):
+        table.add_column(heading)
+    for measure in (
+        config_size,
+        config_parse,
+        config_memory,
+        scrape_size,
+        scrape_time,
+        class_scrape_size,
+        router_cost,
+        fleet_row_size,
+        fleet_row_parse,
+        demand_row_size,
+        demand_take,
+        plan_step,
+    ):
+        slope = measure()
+        fixed, rise = slope.fit
+        points = ", ".join(f"{x}: {y:.4g}" for x, y in slope.points)
+        table.add_row(
+            f"{slope.name}, {slope.unit}",
+            points,
+            f"{fixed:.3g}",
+            f"{rise:.3g}",
+            slope.per,
+        )
+    console.print(table)
+
+
+def best_cpu_ms(work: Callable[[], object]) -> float:
+    """Return the least processor time of a few tries, in milliseconds."""
+    times = []
+    for _ in range(REPEATS):
+        gc.collect()
+        began = time.process_time()
+        work()
+        times.append(time.process_time() - began)
+    return 1000 * min(times)
+
+
+def make_document(teams: int) -> dict[str, Any]:
+    """Return a configuration with two keys for each team and the later sizes' rest."""
+    zones = [f"zone-{n}" for n in range(7)]
+    models = {f"model-{n}": {} for n in range(POOLS)}
+    return {
+        "classes": {
+            f"class-{n}": {"tier": n + 1, "first_token_s": 1.2} for n in range(CLASSES)
+        },
+        "teams": {
+            f"team-{n:05}": {"weight": 1.0 + n % 3, "tokens_per_s": 5000.0}
+            for n in range(teams)
+        },
+        "keys": {
+            hash_key(f"key-{n}"): {
+                "team": f"team-{n // 2:05}",
+                "default_class": "class-0",
+            }
+            for n in range(2 * teams)
+        },
+        "models": models,
+        "backends": {
+            f"server-{n:04}": {
+                "url": f"http://10.0.{n // 250}.{n % 250}:8000",
+                "zone": zones[n % 7],
+                "pools": [f"model-{n % POOLS}"],
+            }
+            for n in range(850)
+        },
+        "capacity": {name: {} for name in models},
+    }
+
+
+TEAMS = (100, 1600, 3200, 6300)
+
+
+def config_size() -> Slope:
+    points = [(n, len(json.dumps(make_document(n))) / 1024) for n in TEAMS]
+    return Slope("configuration document", "team with 2 keys", "KiB", points)
+
+
+def config_parse() -> Slope:
+    points = []
+    for teams in TEAMS:
+        raw = make_document(teams)
+        points.append((teams, best_cpu_ms(partial(parse_document, raw))))
+    return Slope("parse and check a configuration", "team", "ms", points)
+
+
+def config_memory() -> Slope:
+    """Measure the parsed document, with the raw one that it is kept beside."""
+    points = []
+    for teams in TEAMS:
+        text = json.dumps(make_document(teams))
+        tracemalloc.start()
+        raw = json.loads(text)
+        kept = (raw, parse_document(raw))
+        points.append((teams, tracemalloc.get_traced_memory()[0] / 2**20))
+        tracemalloc.stop()
+        del kept
+    return Slope("configuration in memory", "team", "MiB", points)
+
+
+def fill_metrics(teams: int) -> EntryMetrics:
+    """Return metrics after each team used two classes, with both ends."""
+    metrics = EntryMetrics()
+    target = RequestClass(1, first_token_s=1.2)
+    for team in range(teams):
+        for number in range(2):
+            name = f"class-{(team + number) % CLASSES}"
+            metrics.answered(f"team-{team:05}", name, target, Timing(0.5, 2.0, 50))
+            metrics.refused(f"team-{team:05}", name, "shed")
+    return metrics
+
+
+def scrape_size() -> Slope:
+    points = [
+        (n, len(generate_latest(fill_metrics(n).team_registry)) / 1024) for n in TEAMS
+    ]
+    return Slope("/metrics/teams", "team", "KiB", points)
+
+
+def scrape_time() -> Slope:
+    points = []
+    for teams in TEAMS:
+        registry = fill_metrics(teams).team_registry
+        points.append((teams, best_cpu_ms(partial(generate_latest, registry))))
+    return Slope("write /metrics/teams", "team", "ms", points)
+
+
+def class_scrape_size() -> Slope:
+    points = [(n, len(generate_latest(fill_metrics(n).registry)) / 1024) for n in TEAMS]
+    return Slope("/metrics", "team", "KiB", points)
+
+
+ROUTED = 3000
+
+
+def router_cost() -> Slope:
+    """Measure requests from submission to their end, by the zone's servers."""
+    document = parse_document(make_document(1600))
+    points = []
+    for servers in (20, 120, 400, 850):
+        specs = [
+            BackendSpec(
+                BackendId(f"s{n}"), ZoneName(f"zone-{n % 7}"), frozenset(["model-0"])
+            )
+            for n in range(servers)
+        ]
+        router = Router(document, ZoneName("zone-0"))
+        router.update_backends(specs, 0.0)
+        points.append((servers, 1000 * best_cpu_ms(partial(route, router)) / ROUTED))
+    return Slope("decisions of a request", "server of its model", "us", points)
+
+
+def route(router: Router) -> None:
+    """Take requests from their submission to their end, a hundred at a time."""
+    now = 0.0
+    started: list[Start] = []
+    for number in range(ROUTED):
+        now += 0.01
+        request = RequestSpec(
+            RequestId(f"r{number}"),
+            TeamName(f"team-{number % 1600:05}"),
+            ClassName(f"class-{number % CLASSES}"),
+            PoolName("model-0"),
+            now,
+            prompt_tokens=300,
+        )
+        started += [a for a in router.submit(request, now) if isinstance(a, Start)]
+        if len(started) > 100:
+            first = started.pop(0)
+            router.tokens_came(first.request_id, first.attempt_id, 100, now)
+            router.finished(first.request_id, first.attempt_id, now)
+    for start in started:
+        router.finished(start.request_id, start.attempt_id, now)
+
+
+SERVERS = (50, 200, 400, 850)
+
+
+def make_fleet(servers: int) -> FleetRow:
+    return FleetRow(
+        1,
+        {
+            f"server-{n:04}": PublishedServer(
+                f"http://10.0.{n // 250}.{n % 250}:8000",
+                f"zone-{n % 7}",
+                "cheap",
+                [f"model-{n % POOLS}"],
+                f"7-{n}",
+            )
+            for n in range(servers)
+        },
+    )
+
+
+def fleet_row_size() -> Slope:
+    points = [(n, len(json.dumps(dump_fleet(make_fleet(n)))) / 1024) for n in SERVERS]
+    return Slope("fleet row", "server", "KiB", points)
+
+
+def fleet_row_parse() -> Slope:
+    points = []
+    for servers in SERVERS:
+        text = json.dumps(dump_fleet(make_fleet(servers)))
+        points.append((servers, best_cpu_ms(partial(read_fleet, text))))
+    return Slope("read the fleet row", "server", "ms", points)
+
+
+def make_demand(pools: int) -> DemandMeter:
+    meter = DemandMeter()
+    for pool in range(pools):
+        for number in range(CLASSES):
+            key = DemandKey(f"model-{pool}", f"class-{number}")
+            meter.arrived(key, 123_456)
+            meter.answered(key, 12_345)
+    return meter
+
+
+def read_fleet(text: str) -> FleetRow:
+    return load_fleet(json.loads(text))
+
+
+def demand_row_size() -> Slope:
+    points = [
+        (n, len(json.dumps(make_demand(n).dump("0a1b2c3d", {}))) / 1024)
+        for n in (1, 7, 14, POOLS)
+    ]
+    return Slope("an entry's demand row", "model with 7 classes", "KiB", points)
+
+
+CHANGED = 0.22
+"""Share of an entry's 196 counts that change in 5 s, when 350 entries share 3,000
+requests a second."""
+
+
+def demand_take() -> Slope:
+    """Measure adding up the rows of all entries, as the orders' holder does."""
+    points = []
+    for nodes in (9, 100, 200, 350):
+        meter, book = make_demand(POOLS), DemandBook()
+        first = meter.dump("0a1b2c3d", {})
+        keys = sorted(meter.sums)
+        for key in keys[: int(CHANGED * len(keys))]:
+            meter.arrived(key, 300)
+        pair = [first, meter.dump("0a1b2c3d", {})]
+        points.append((nodes, best_cpu_ms(partial(take_twice, book, nodes, pair)) / 2))
+    return Slope("add up the demand rows", "entry", "ms", points)
+
+
+def take_twice(book: DemandBook, nodes: int, pair: list[Any]) -> None:
+    """Take two rounds of rows, each new to the book."""
+    for value in pair:
+        now = (book.seen_at or 0.0) + 5.0
+        rows = {f"demand/{n}": (int(now), value) for n in range(nodes)}
+        book.take(rows, now)
+
+
+def plan_step() -> Slope:
+    """Measure a round of the plans of all 28 models."""
+    zones = [ZoneName(f"zone-{n}") for n in range(7)]
+    points = []
+    for servers in SERVERS:
+        planners = [
+            Planner(PoolName(f"model-{n}"), zones, CapacityIntention())
+            for n in range(POOLS)
+        ]
+        views = [make_view(servers // POOLS, zones) for _ in planners]
+        points.append((servers, best_cpu_ms(partial(plan, planners, views))))
+    return Slope("plan a round for 28 models", "server", "ms", points)
+
+
+def plan(planners: list[Planner], views: list[View]) -> None:
+    for planner, view in zip(planners, views, strict=True):
+        planner.step(view)
+
+
+def make_view(servers: int, zones: list[ZoneName]) -> View:
+    demand = [ClassDemand(ClassName(f"c{n}"), n + 1, servers / 12) for n in range(7)]
+    views = [
+        ServerView(BackendId(f"s{n}"), zones[n % 7], "cheap", ServerState.SERVING)
+        for n in range(servers)
+    ]
+    return View(0.0, demand, views)
