--- a/src/godwitmast/control/daemon.py
+++ b/src/godwitmast/control/daemon.py
@@ -17,6 +17,7 @@
 from godwitmast.lease.driver import Duty, LeaseDriver
 from godwitmast.logs import log_event
 from godwitmast.platform_api.client import PlatformClient
+from godwitmast.usage.duty import UsageDuty
 
 
 class Control:
@@ -29,6 +30,9 @@
         self.registry = CollectorRegistry()
         self.clock = SystemClock()
         self.leases: list[LeaseDriver] = []
+        self.add_duty(
+            UsageDuty(self.platform, self.clock, settings.usage, self.registry)
+        )
         self.client = BackendClient()
         self.add_duty(
             CapacityDuty(
@@ -64,6 +68,7 @@
             for lease in self.leases:
                 tasks.start_soon(lease.close)
         await self.server.close()
+        await self.follower.close()
         await self.client.close()
         await self.platform.close()
         log_event("control_stopped", node=self.settings.node)
--- a/src/godwitmast/entry/daemon.py
+++ b/src/godwitmast/entry/daemon.py
@@ -15,7 +15,9 @@
 from godwitmast.http_server import HttpServer
 from godwitmast.logs import log_event
 from godwitmast.platform_api.client import PlatformClient
+from godwitmast.usage.journal import Journal
 from godwitmast.usage.meter import Meter
+from godwitmast.usage.writer import NodeWriter
 
 
 class Entry:
@@ -28,19 +30,26 @@
         self.client = BackendClient()
         self.meter = Meter()
         self.follower = ConfigFollower(self.platform)
+        usage = settings.usage
+        self.journal = Journal(settings.node, settings.zone, usage.window_s)
+        self.node_writer = NodeWriter(
+            self.platform,
+            self.clock,
+            self.journal,
+            usage,
+            lambda: self.follower.version,
+            lambda: {"open": len(self.app.exchanges)},
+        )
+        self.meter.listeners.append(self.node_writer.count)
         self.driver = RouterDriver(settings.zone, self.clock, self.client)
         self.claims = ClaimKeeper(self.platform, self.clock, settings.node)
         self.app = EntryApp(
             settings, self.clock, self.driver, self.client, self.meter, self.claims
         )
-        self.fleet = FleetFollower(
-            self.platform,
-            settings.node,
-            self.app.demand,
-            self.app.waiting,
-            self.driver.fleet_changed,
-        )
-        self.follower.listeners.append(self.app.config_changed)
+        self.follower.listeners += [
+            self.app.config_changed,
+            self.node_writer.config_changed,
+        ]
         self.peering: Peering | None = None
         if settings.peers:
             self.peering = Peering(
@@ -51,6 +60,13 @@
                 self.follower,
                 self.app,
             )
+        self.fleet = FleetFollower(
+            self.platform,
+            settings.node,
+            self.app.demand,
+            self.app.waiting,
+            self.driver.fleet_changed,
+        )
         self.server = HttpServer(
             self.app, settings.listen, settings.tls, settings.stop_timeout_s
         )
@@ -62,6 +78,7 @@
             await self.peering.start(tasks)
         await self.follower.start(tasks)
         await self.claims.start(tasks)
+        await self.node_writer.start(tasks)
         await self.fleet.start(tasks)
         await self.server.start(tasks)
         log_event("entry_started", node=self.settings.node, url=self.server.url)
@@ -77,9 +94,12 @@
         await anyio.sleep(self.settings.balancer_wait_s)
         await self.server.close()
         await self.claims.close()
-        await self.fleet.close()
+        await self.node_writer.close()
         if self.peering:
             await self.peering.close()
+        await self.fleet.close()
+        await self.follower.close()
+        await self.driver.close()
         await self.client.close()
         await self.platform.close()
         log_event("entry_stopped", node=self.settings.node)
