Let entries ask for the fleet's number before the fleet

At 850 servers the fleet row has 141 KiB (godwit-load slopes); read every 2 s that is 70 KB/s a node. The number is a row of its own now, and the rest is read when it rises.

--- a/src/godwitmast/capacity/duty.py
+++ b/src/godwitmast/capacity/duty.py
@@ -10,7 +10,7 @@
 from godwitmast.capacity.demand import DEMAND_PREFIX, DemandBook
 from godwitmast.capacity.fleet import (
     EMPTY,
-    FLEET_KEY,
+    SERVERS_KEY,
     FleetRow,
     dump_fleet,
     load_fleet,
@@ -121,10 +121,10 @@
         if intents is None:
             return False
         try:
-            rows = await self.platform.read([FLEET_KEY])
+            rows = await self.platform.read([SERVERS_KEY])
         except PlatformError:
             return False
-        row = rows.get(FLEET_KEY)
+        row = rows.get(SERVERS_KEY)
         self.book = OrderBook()
         self.book.resume(intents, load_fleet(row.value) if row else EMPTY)
         return True
@@ -263,9 +263,7 @@
         if row == self.book.published:
             return True
         try:
-            written = await self.platform.transact(
-                guard.checks, {FLEET_KEY: dump_fleet(row)}
-            )
+            written = await self.platform.transact(guard.checks, dump_fleet(row))
         except PlatformError as error:
             log_event("fleet_not_published", level="WARNING", error=error)
             self.book.unsure = True
--- a/src/godwitmast/capacity/fleet.py
+++ b/src/godwitmast/capacity/fleet.py
@@ -5,11 +5,15 @@
 from godwitmast.config.document import Backend
 from godwitmast.types import Json
 
-FLEET_KEY = "fleet/head"
+HEAD_KEY = "fleet/head"
+"""The number of the fleet row: entries ask for this often, as it is small."""
+
+SERVERS_KEY = "fleet/servers"
 """One row with every ordered server that serves, drains or leaves.
 
-Entries read this one row in place of the platform's fleet: 350 of them would ask for
-a list that one process has already checked, and could not know what is draining.
+Entries read it when its number rose, in place of the platform's fleet: 350 of them
+would ask for a list that one process has already checked, and could not know what is
+draining. At 850 servers it has 140 KiB, too much to be read every two seconds.
 """
 
 
@@ -35,14 +39,17 @@
 EMPTY = FleetRow(0, {})
 
 
-def dump_fleet(row: FleetRow) -> Json:
+def dump_fleet(row: FleetRow) -> dict[str, Json]:
+    """Return both rows, which are written together."""
+    servers = {name: server._asdict() for name, server in row.servers.items()}
     return {
-        "number": row.number,
-        "servers": {name: server._asdict() for name, server in row.servers.items()},
+        HEAD_KEY: {"number": row.number},
+        SERVERS_KEY: {"number": row.number, "servers": servers},
     }
 
 
 def load_fleet(value: Json) -> FleetRow:
+    """Return the fleet in the value of the servers' row."""
     servers = {n: PublishedServer(**item) for n, item in value["servers"].items()}
     return FleetRow(value["number"], servers)
 
--- a/src/godwitmast/capacity/follower.py
+++ b/src/godwitmast/capacity/follower.py
@@ -9,7 +9,7 @@
 
 from godwitmast.background import Background
 from godwitmast.capacity.demand import DEMAND_PREFIX, DemandKey, DemandMeter
-from godwitmast.capacity.fleet import EMPTY, FLEET_KEY, FleetRow, load_fleet
+from godwitmast.capacity.fleet import EMPTY, HEAD_KEY, SERVERS_KEY, FleetRow, load_fleet
 from godwitmast.errors import PlatformError
 from godwitmast.logs import log_event
 from godwitmast.platform_api.client import PlatformClient
@@ -54,14 +54,17 @@
             await anyio.sleep(READ_EVERY_S * random.uniform(0.8, 1.2))
 
     async def read(self) -> None:
-        """Take the row if its number is higher; without the table the last one holds."""
+        """Take the fleet if its number is higher; without the table the last holds."""
         try:
-            rows = await self.platform.read([FLEET_KEY])
+            head = (await self.platform.read([HEAD_KEY])).get(HEAD_KEY)
+            if head is None or head.value["number"] <= self.current.number:
+                return
+            row = (await self.platform.read([SERVERS_KEY])).get(SERVERS_KEY)
         except PlatformError:
             return
-        if FLEET_KEY not in rows:
+        if row is None:
             return
-        fleet = load_fleet(rows[FLEET_KEY].value)
+        fleet = load_fleet(row.value)
         if fleet.number > self.current.number:
             self.current = fleet
             log_event("fleet_in_force", number=fleet.number, servers=len(fleet.servers))
--- a/src/godwitmast/load/slopes.py
+++ b/src/godwitmast/load/slopes.py
@@ -17,7 +17,13 @@
 from rich.table import Table
 
 from godwitmast.capacity.demand import DemandBook, DemandKey, DemandMeter
-from godwitmast.capacity.fleet import FleetRow, PublishedServer, dump_fleet, load_fleet
+from godwitmast.capacity.fleet import (
+    SERVERS_KEY,
+    FleetRow,
+    PublishedServer,
+    dump_fleet,
+    load_fleet,
+)
 from godwitmast.capacity.messages import ClassDemand, ServerState, ServerView, View
 from godwitmast.capacity.planner import Planner
 from godwitmast.config.document import CapacityIntention, RequestClass, parse_document
@@ -259,14 +265,17 @@
 
 
 def fleet_row_size() -> Slope:
-    points = [(n, len(json.dumps(dump_fleet(make_fleet(n)))) / 1024) for n in SERVERS]
+    points = [
+        (n, len(json.dumps(dump_fleet(make_fleet(n))[SERVERS_KEY])) / 1024)
+        for n in SERVERS
+    ]
     return Slope("fleet row", "server", "KiB", points)
 
 
 def fleet_row_parse() -> Slope:
     points = []
     for servers in SERVERS:
-        text = json.dumps(dump_fleet(make_fleet(servers)))
+        text = json.dumps(dump_fleet(make_fleet(servers))[SERVERS_KEY])
         points.append((servers, best_cpu_ms(partial(read_fleet, text))))
     return Slope("read the fleet row", "server", "ms", points)
 
--- a/tests/test_capacity_orders.py
+++ b/tests/test_capacity_orders.py
@@ -11,7 +11,7 @@
 from godwitmast.backends.client import BackendClient
 from godwitmast.capacity.demand import DemandBook, DemandKey, DemandMeter
 from godwitmast.capacity.duty import CapacityDuty
-from godwitmast.capacity.fleet import FLEET_KEY, FleetRow, load_fleet, merge_backends
+from godwitmast.capacity.fleet import SERVERS_KEY, FleetRow, load_fleet, merge_backends
 from godwitmast.capacity.messages import Drain, Order, Release, ServerState
 from godwitmast.capacity.orders import DRAIN_LEAST_S, SILENT_DRAIN_S, OrderBook
 from godwitmast.clock import ManualClock
@@ -130,7 +130,7 @@
 async def test_a_cold_start_orders_the_minimum_and_publishes_it(site: Site) -> None:
     await site.rounds(4)
     assert len(site.platform.servers) == 2
-    row = load_fleet(site.platform.table.rows[FLEET_KEY].value)
+    row = load_fleet(site.platform.table.rows[SERVERS_KEY].value)
     assert set(row.servers) == set(site.platform.servers)
     assert not [k for k in site.platform.table.rows if k.startswith("intent/")]
 
@@ -182,7 +182,7 @@
     site.guard.fence = None
     await site.rounds(2)
     assert site.platform.order_log == []
-    assert FLEET_KEY not in site.platform.table.rows
+    assert SERVERS_KEY not in site.platform.table.rows
 
 
 async def test_an_outage_freezes_the_fleet(site: Site) -> None:
@@ -208,7 +208,7 @@
         f"{url}/_standin/evict", json={"zone": cheap.zone, "notice_s": 60.0}
     )
     await site.rounds(4)
-    row = load_fleet(site.platform.table.rows[FLEET_KEY].value)
+    row = load_fleet(site.platform.table.rows[SERVERS_KEY].value)
     assert row.servers[cheap.backend_id].leaving
     staying = [s for s in row.servers.values() if not s.leaving]
     assert len(staying) == 2
