--- a/src/godwitmast/load/cli.py
+++ b/src/godwitmast/load/cli.py
@@ -2,6 +2,7 @@
 
 import typer
 
+from godwitmast.load.moves import moves
 from godwitmast.load.passthrough import passthrough
 from godwitmast.load.play import play
 from godwitmast.load.run import compare, run
@@ -23,6 +24,7 @@
 app.command("play")(play)
 app.command("passthrough")(passthrough)
 app.command("spend")(spend)
+app.command("moves")(moves)
 app.command("slopes")(slopes)
 app.command("run")(run)
 app.command("compare")(compare)
--- a/src/godwitmast/standins/engine.py
+++ b/src/godwitmast/standins/engine.py
@@ -142,6 +142,7 @@
             self.crash()
         request_id = request.headers.get("x-request-id") or f"seq-{self.calls}"
         sequence = make_sequence(f"{request_id}/{self.calls}", body, prompt)
+        sequence.imported = self.kv.pop(request_id, 0)
         self.served.append(
             {
                 "request_id": request_id,
@@ -266,7 +267,7 @@
     async def import_kv(self, request: Request) -> Response:
         """Take the cache of a request that ran elsewhere."""
         body = await request.json()
-        self.model.remember(body["request_id"], int(body["tokens"]))
+        self.kv[body["request_id"]] = int(body["tokens"])
         return JSONResponse({"tokens": body["tokens"]})
 
     async def set_faults(self, request: Request) -> Response:
--- a/src/godwitmast/standins/engine_model.py
+++ b/src/godwitmast/standins/engine_model.py
@@ -36,6 +36,8 @@
     prefix: str = ""
     prefix_tokens: int = 0
     generated: int = 0
+    imported: int = 0
+    """Tokens whose KV cache came from another engine and need not be read."""
     unread: int = 0
     order: int = 0
 
@@ -127,9 +129,10 @@
 
     def admit(self, sequence: Sequence) -> None:
         """Move a sequence into the batch, sparing the part of its prompt in cache."""
-        known = 0
+        known = sequence.imported
         if sequence.prefix:
-            known = min(self.cache.get(sequence.prefix, 0), sequence.prompt_tokens - 1)
+            cached = min(self.cache.get(sequence.prefix, 0), sequence.prompt_tokens - 1)
+            known = max(known, cached)
             self.remember(sequence.prefix, sequence.prefix_tokens)
         sequence.unread = max(1, sequence.prompt_tokens + sequence.generated - known)
         self.running[sequence.sequence_id] = sequence
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -21,6 +21,7 @@
 from godwitmast.capacity.sizing import HIGH_USE, divide, servers_for, within_budget
 from godwitmast.config.document import CapacityIntention
 from godwitmast.load.fleet_model import STEP_S
+from godwitmast.load.moves import play_moves
 from godwitmast.load.spend import Trial, run_trial
 from godwitmast.standins.engine_model import EngineModel, Sequence
 from godwitmast.types import BackendId, ClassName, PoolName, ZoneName
@@ -232,3 +233,11 @@
         assert seen >= fixed.attainment[name] - 0.0005
     assert max(plan.zone_loss["question"], plan.zone_loss["summary"]) <= 1.0
     assert plan.cheap_work >= 0.5
+
+
+def test_a_moved_cache_spares_the_survivor_the_reading() -> None:
+    recomputed, moved = play_moves(4096, None), play_moves(4096, 100.0)
+    assert recomputed.resident_gap_s > 2 * moved.resident_gap_s
+    assert moved.pause_worst_s < recomputed.pause_worst_s
+    slow = play_moves(4096, 10.0)
+    assert slow.pause_worst_s > recomputed.pause_worst_s
