--- a/src/godwitmast/load/cli.py
+++ b/src/godwitmast/load/cli.py
@@ -3,10 +3,12 @@
 import typer
 
 from godwitmast.load.decision_cost import decision_cost
+from godwitmast.load.moves import moves
 from godwitmast.load.passthrough import passthrough
 from godwitmast.load.peers import peers
 from godwitmast.load.play import play
 from godwitmast.load.run import compare, run
+from godwitmast.load.slopes import slopes
 from godwitmast.load.spend import spend
 from godwitmast.program import VersionOption
 
@@ -26,6 +28,8 @@
 app.command("passthrough")(passthrough)
 app.command("spend")(spend)
 app.command("peers")(peers)
+app.command("moves")(moves)
+app.command("slopes")(slopes)
 app.command("run")(run)
 app.command("compare")(compare)
 
