Hold a cancel back with a flag while a token is passed on

A profile of 400 streams named a shielded cancel scope for each chunk, and the router's work a token. Ruled out: reading the events (0.4 of 8.1 s in the profile). Change: a flag holds a cancel back, and a resumed attempt goes on after the tokens that the caller was given, as the router's count can be one behind.

--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -1,6 +1,7 @@
 """The life of one caller's request, from the queue to the last byte."""
 
 from collections import Counter
+from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -91,6 +92,37 @@
     """Stand in for the connection of a caller that has gone."""
 
 
+class AttemptScope:
+    """Lets the router end an attempt, but not in the middle of passing a token on.
+
+    Were the attempt to end between giving the caller a token and counting it, the next
+    attempt would give it again. Between `hold` and `release` a cancel only waits, for
+    which anyio's shielded scope was used once, at five times the cost a token.
+    """
+
+    def __init__(self) -> None:
+        self.scope = anyio.CancelScope()
+        self.held = False
+        self.due = False
+
+    def cancel(self, reason: CancelReason) -> None:
+        self.due = True
+        if not self.held:
+            self.scope.cancel()
+
+    def hold(self) -> None:
+        self.held = True
+
+    def release(self) -> None:
+        self.held = False
+        if self.due:
+            self.scope.cancel()
+
+    @property
+    def cancelled(self) -> bool:
+        return self.scope.cancelled_caught
+
+
 @dataclass
 class Outbound:
     """What is sent to a backend server: the same for each attempt, but for resuming."""
@@ -102,11 +134,15 @@
     model_body: dict[str, Any] | None = None
     stream: bool = False
 
-    def body(self, resume_from: int, texts: list[str]) -> bytes:
-        """Return the body of an attempt that goes on after `resume_from` tokens."""
-        if not resume_from or self.model_body is None:
+    def body(self, texts: list[str]) -> bytes:
+        """Return the body of an attempt that goes on after the tokens `texts`.
+
+        They are what the caller was given. The router's count can be a token behind,
+        when it moved a stream while a token was being passed on.
+        """
+        if not texts or self.model_body is None:
             return self.content
-        resume = {"tokens": resume_from, "text": "".join(texts)}
+        resume = {"tokens": len(texts), "text": "".join(texts)}
         return msgspec.json.encode({**self.model_body, "resume": resume})
 
 
@@ -212,8 +248,8 @@
                 # If the attempt was cancelled during the claim, it ends here, while
                 # it is still certain that no byte has left.
                 await checkpoint()
-                await self.pass_on(start, url + self.outbound.path)
-            if scope.cancelled_caught:
+                await self.pass_on(start, url + self.outbound.path, scope)
+            if scope.cancelled:
                 self.reader.restart()
                 return False
         except AttemptFailed as failure:
@@ -267,19 +303,20 @@
             await self.claimed.settle(self.may_have_run, answer)
 
     @contextmanager
-    def cancellable(self, attempt_id: AttemptId) -> Any:
+    def cancellable(self, attempt_id: AttemptId) -> Iterator[AttemptScope]:
         """Let the router end this attempt, and no more than this attempt."""
-        with anyio.CancelScope() as scope:
-            self.driver.cancels[attempt_id] = lambda reason: scope.cancel()
+        attempt = AttemptScope()
+        self.driver.cancels[attempt_id] = attempt.cancel
+        with attempt.scope:
             try:
-                yield scope
+                yield attempt
             finally:
                 del self.driver.cancels[attempt_id]
 
-    async def pass_on(self, start: Start, url: str) -> None:
+    async def pass_on(self, start: Start, url: str, scope: AttemptScope) -> None:
         """Send the request and give the caller what comes back."""
         outbound = self.outbound
-        content = outbound.body(start.resume_from, self.reader.texts)
+        content = outbound.body(self.reader.texts)
         is_model = outbound.model_body is not None
         self.may_have_run = True
         async with self.client.exchange(
@@ -290,19 +327,19 @@
             if load is not None:
                 self.driver.load_reported(start.backend_id, load)
             if outbound.stream and answer.status_code == 200:
-                await self.pass_stream(start, answer)
+                await self.pass_stream(start, answer, scope)
             else:
                 await self.pass_whole(start, answer)
 
-    async def pass_stream(self, start: Start, answer: httpx.Response) -> None:
+    async def pass_stream(
+        self, start: Start, answer: httpx.Response, scope: AttemptScope
+    ) -> None:
         """Pass on whole events until the stream says that it is done."""
         reader = self.reader
         async for data in answer.aiter_raw():
-            # The router may move the attempt at any await. Were that to fall between
-            # giving the caller a token and counting it, the next attempt would give
-            # it again; what was read here is passed on and counted, or neither.
-            with anyio.CancelScope(shield=True):
-                await self.pass_events(start, data)
+            scope.hold()
+            await self.pass_events(start, data)
+            scope.release()
         if not reader.done:
             raise AttemptFailed(FailureKind.CUT, "the stream ended early")
         if self.claimed is not None:
