--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -62,6 +62,9 @@
 
     async def get_json(self, url: str, timeout_s: float) -> dict[str, object] | None:
         """Return what a backend server says at `url`, or None."""
+        if self.http.is_closed:
+            # A poll that comes due while its entry closes is no error.
+            return None
         try:
             answer = await self.http.get(url, timeout=timeout_s)
             return answer.json() if answer.status_code == 200 else None
--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -3,8 +3,10 @@
 import itertools
 from collections import Counter
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
+from anyio import to_thread
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
 
 from godwitmast.backends.client import BackendClient
@@ -76,9 +78,12 @@
         self.config: NumberedConfig | None = None
         self.stopping = False
         self.withdrawn: dict[str, int] = {}
+        self.fault_hook: Callable[[frozenset[str]], None] | None = None
+        self.peers_listed: Callable[[], list[str]] = list
         self.exchanges: dict[RequestId, Exchange] = {}
         self.numbers = itertools.count(1)
         self.ready_checks: list[Callable[[], bool]] = []
+        self.cut_off_s: Callable[[], float] = lambda: 0.0
 
     def config_changed(self, config: NumberedConfig) -> None:
         """Take a configuration, and end the streams of keys that it withdraws."""
@@ -107,9 +112,10 @@
                 exchange.end(CancelReason.KEY_WITHDRAWN)
 
     def end_withdrawn(self) -> None:
-        wall = self.clock.wall()
+        """End the streams of keys that are withdrawn, expired or past their grace."""
+        wall, cut_off_s = self.clock.wall(), self.cut_off_s()
         for exchange in list(self.exchanges.values()):
-            if not still_granted(self.document, exchange.caller, wall):
+            if not still_granted(self.document, exchange.caller, wall, cut_off_s):
                 exchange.end(CancelReason.KEY_WITHDRAWN)
 
     @property
@@ -125,6 +131,8 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] != "http":
             return
+        if self.stopping and scope["http_version"].startswith("1"):
+            send = closing(send)
         try:
             await self.route(scope, receive, send)
         except CallerGone:
@@ -136,6 +144,11 @@
                 await send_json(send, 200, {"live": True})
             case "/readyz":
                 await send_json(send, 200 if self.ready else 503, self.readiness())
+            case "/_peers/cut" if self.fault_hook:
+                body = await read_body(receive, self.settings.limits)
+                assert isinstance(body, bytes), "tests send a short list"
+                self.fault_hook(msgspec.json.decode(body, type=frozenset[str]))
+                await send_json(send, 200, {})
             case "/metrics":
                 await send_metrics(send, self.metrics.registry)
             case "/metrics/teams":
@@ -150,6 +163,7 @@
             "ready": self.ready,
             "stopping": self.stopping,
             "config": self.config.version if self.config else None,
+            "peers": self.peers_listed(),
         }
 
     async def serve(
@@ -167,7 +181,9 @@
         envelope = open_envelope(scope)
         if isinstance(envelope, ErrorAnswer):
             return envelope
-        caller = identify(self.document, envelope.key, self.clock.wall())
+        caller = identify(
+            self.document, envelope.key, self.clock.wall(), self.cut_off_s()
+        )
         if isinstance(caller, Denial):
             return answer_denial(caller)
         if caller.key_hash in self.withdrawn:
@@ -363,14 +379,36 @@
 
 
 async def send_metrics(send: Send, registry: CollectorRegistry) -> None:
+    """Send a page of metrics, written in a thread.
+
+    With thousands of teams writing it takes most of a second. On the event loop every
+    stream of the entry stood still for that long at each scrape.
+    """
     headers = [(b"content-type", CONTENT_TYPE_LATEST.encode())]
-    await send_whole(send, 200, headers, generate_latest(registry))
+    body = await to_thread.run_sync(generate_latest, registry)
+    await send_whole(send, 200, headers, body)
 
 
 def demand_key(spec: RequestSpec) -> DemandKey:
     return DemandKey(spec.pool, spec.class_name)
 
 
+def closing(send: Send) -> Send:
+    """Return a `send` whose answer tells the caller that its connection ends.
+
+    A caller that keeps its connection would else send its next request just when the
+    entry closes it, and lose it.
+    """
+
+    async def send_and_close(message: dict[str, Any]) -> None:
+        if message["type"] == "http.response.start":
+            headers = [*message["headers"], (b"connection", b"close")]
+            message = {**message, "headers": headers}
+        await send(message)
+
+    return send_and_close
+
+
 def list_models(document: Document, caller: Caller) -> dict[str, object]:
     """Return the models that the caller may use, as OpenAI's API lists them."""
     data = [
--- a/src/godwitmast/usage/writer.py
+++ b/src/godwitmast/usage/writer.py
@@ -57,10 +57,11 @@
 
     async def run(self) -> None:
         while not self.closing:
+            # Before the flush, so that a change which comes during it is not missed.
+            self.flush_early = anyio.Event()
             outcome = await self.flush()
             if outcome is Flushed.WRITTEN and self.journal.sequence == 1:
                 continue
-            self.flush_early = anyio.Event()
             await anyio.sleep(min(EARLIEST_S, self.timing.flush_s))
             rest = self.timing.flush_s * random.uniform(0.9, 1.1) - EARLIEST_S
             with anyio.move_on_after(max(0.0, rest)):
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,88 @@
+"""Callers' keys: expiry, withdrawal of connected callers, and zones cut off."""
+
+import time
+
+import anyio
+import httpx
+import pytest
+
+from godwitmast.dev.document import MODEL, SERVICE, dev_document, dev_key
+from godwitmast.dev.system import DevSystem
+from godwitmast.keys.hashing import hash_key
+from running import running
+
+pytestmark = pytest.mark.anyio
+
+BEARER = {"Authorization": f"Bearer {dev_key('arima')}"}
+LONG = {
+    "model": MODEL,
+    "stream": True,
+    "max_tokens": 1024,
+    "messages": [{"role": "user", "content": "length=1000"}],
+}
+
+
+async def put(system: DevSystem, team: dict | None = None, **grant: object) -> None:
+    """Accept a configuration with a changed team and key of arima."""
+    urls = [engine.server.url for engine in system.engines]
+    document = dev_document(urls, system.service.server.url)
+    document["teams"]["arima"] = team or {}
+    document["keys"][hash_key(dev_key("arima"))] |= grant
+    number = system.platform.put_config(document)
+    with anyio.fail_after(10):
+        while system.entries[0].follower.version < number:
+            await anyio.sleep(0.02)
+
+
+async def test_stream_of_a_key_that_expires_is_ended(
+    system: DevSystem, http: httpx.AsyncClient
+) -> None:
+    """The caller reads a long answer; its key expires on the way.
+
+    The stream ends with an error event within the second in which open streams are
+    looked through, rather than going on for as long as the answer is.
+    """
+    async with running(system):
+        await put(system, expires_at=time.time() + 4.0)
+        url = f"{system.entries[0].server.url}/v1/chat/completions"
+        answer = await http.post(url, headers=BEARER, json=LONG)
+        assert answer.status_code == 200
+        assert '"code":"invalid_key"' in answer.text
+        assert 0 < answer.text.count('"content"') < 1000
+        refused = await http.post(url, headers=BEARER, json=LONG)
+        assert refused.status_code == 401
+        assert refused.json()["error"]["code"] == "expired_key"
+
+
+async def test_zone_cut_off_refuses_only_teams_that_want_it(
+    system: DevSystem, http: httpx.AsyncClient
+) -> None:
+    """Nothing has been heard of the platform for a minute, and there are no peers.
+
+    A withdrawal could not have arrived. The team with a grace of 30 s is refused, as
+    not run; the others go on.
+    """
+    async with running(system):
+        await put(system, team={"offline_grace_s": 30.0})
+        url = f"{system.entries[0].server.url}/services/{SERVICE}/gifts"
+        assert (await http.get(url, headers=BEARER)).status_code == 200
+        system.entries[0].app.cut_off_s = lambda: 60.0
+        refused = await http.get(url, headers=BEARER)
+        assert refused.status_code == 503
+        assert refused.json()["error"]["code"] == "key_not_checkable"
+        assert refused.headers["godwit-not-run"] == "true"
+        other = {"Authorization": f"Bearer {dev_key('couva')}"}
+        assert (await http.get(url, headers=other)).status_code == 200
+
+
+async def test_follower_knows_for_how_long_it_was_cut_off(system: DevSystem) -> None:
+    async with running(system):
+        follower = system.entries[0].follower
+        assert follower.cut_off_s() < 5.0
+        system.platform.faults.outage = True
+        follower.last_contact = anyio.current_time() - 60.0
+        await follower.pull()
+        assert follower.cut_off_s() >= 60.0
+        system.platform.faults.outage = False
+        follower.heard()
+        assert follower.cut_off_s() < 5.0
