--- a/src/godwitmast/dispatch/limits.py
+++ b/src/godwitmast/dispatch/limits.py
@@ -114,9 +114,12 @@
         self.waited = waits
 
     def late(self, used: float) -> None:
-        """Take that first tokens come late with `used` requests on the server."""
-        if used >= self.value * IN_USE_SHARE:
-            self.value = max(MIN_LIMIT, self.decayed)
+        """Take that first tokens come late with `used` requests on the server.
+
+        An engine whose batch is full keeps its time between tokens, whatever waits
+        inside it: only this tells that the limit lies above the batch.
+        """
+        self.value = max(MIN_LIMIT, min(self.value, used * DECAY))
 
     @property
     def decayed(self) -> float:
