--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -21,6 +21,7 @@
     FailureKind,
     LoadReport,
     RequestSpec,
+    Start,
 )
 from godwitmast.dispatch.router import Policy, Router
 from godwitmast.logs import log_event
@@ -51,7 +52,7 @@
         self.mailboxes: dict[RequestId, MemoryObjectSendStream[Action]] = {}
         self.background = Background(self.run_ticks, self.run_load_polls)
         self.cancels: dict[AttemptId, Callable[[CancelReason], None]] = {}
-        self.cancelled: set[AttemptId] = set()
+        self.cancelled: dict[RequestId, set[AttemptId]] = {}
         self.polls: Callable[[BackendId], bool] = lambda backend_id: True
         self.load_listeners: list[Callable[[BackendId, LoadReport], None]] = []
         self.told_leaving: dict[BackendId, float] = {}
@@ -140,7 +141,8 @@
         return receive
 
     def forget(self, request_id: RequestId) -> None:
-        """Drop the mailbox of a request that ended."""
+        """Drop the mailbox of a request that ended, and cancels that came early."""
+        self.cancelled.pop(request_id, None)
         mailbox = self.mailboxes.pop(request_id, None)
         if mailbox is not None:
             mailbox.close()
@@ -189,7 +191,12 @@
         if cancel is not None:
             cancel(action.reason)
         elif action.request_id in self.mailboxes:
-            self.cancelled.add(action.attempt_id)
+            early = self.cancelled.setdefault(action.request_id, set())
+            early.add(action.attempt_id)
+
+    def is_cancelled(self, start: Start) -> bool:
+        """Return whether an attempt was cancelled before it could begin."""
+        return start.attempt_id in self.cancelled.get(start.request_id, ())
 
     async def run_ticks(self) -> None:
         while True:
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -198,8 +198,7 @@
 
     async def attempt(self, start: Start) -> bool:
         """Run one attempt; return whether the caller has its whole answer."""
-        if start.attempt_id in self.driver.cancelled:
-            self.driver.cancelled.remove(start.attempt_id)
+        if self.driver.is_cancelled(start):
             return False
         url = self.driver.urls.get(start.backend_id)
         if url is None:
--- /dev/null
+++ b/tests/test_admission_cancel.py
@@ -0,0 +1,40 @@
+"""A cancel that comes before the attempt that it ends."""
+
+import pytest
+
+from godwitmast.backends.client import BackendClient
+from godwitmast.clock import ManualClock
+from godwitmast.dispatch.messages import Cancel, CancelReason, RequestSpec, Start
+from godwitmast.entry.driver import RouterDriver
+
+
+class RecordingPolicy:
+    """Answers a submitted request with a Start that a Cancel follows at once."""
+
+    def submit(self, request: RequestSpec, now: float) -> list[Start | Cancel]:
+        request_id = request.request_id
+        return [
+            Start(request_id, 1, "b1"),
+            Cancel(request_id, 1, CancelReason.PREEMPTED),
+            Start(request_id, 2, "b2"),
+        ]
+
+
+@pytest.mark.anyio
+async def test_attempt_that_was_preempted_before_it_began_does_not_begin() -> None:
+    """The router may preempt a request whose Start is still in its mailbox.
+
+    Were the cancel lost, the attempt would run on its server beside the second one,
+    and the place that it was cancelled for would not be free.
+    """
+    client = BackendClient()
+    driver = RouterDriver("a", ManualClock(), client)
+    driver.router = RecordingPolicy()  # type: ignore[assignment]
+    mailbox = driver.submit(RequestSpec("r1", "arima", "draft", "godwit-lm", 0.0))
+    first, second = await mailbox.receive(), await mailbox.receive()
+    assert driver.is_cancelled(first)
+    assert not driver.is_cancelled(second)
+    driver.forget("r1")
+    assert not driver.cancelled
+    mailbox.close()
+    await client.close()
