--- a/src/godwitmast/config/follower.py
+++ b/src/godwitmast/config/follower.py
@@ -15,8 +15,12 @@
 from godwitmast.platform_api.runner import run_steps
 from godwitmast.types import Json
 
-PULL_EVERY_S = 1.5
-"""How often the head row is read: half of the 3 s in which a change is in force."""
+PULL_EVERY_S = 2.2
+"""How often an entry reads the head row, so that even without peers a change is in
+force within 3 s."""
+
+SLOW_PULL_S = 6.0
+"""How often a control does, which answers no caller."""
 
 Listener = Callable[[NumberedConfig], None]
 
--- a/src/godwitmast/lease/machine.py
+++ b/src/godwitmast/lease/machine.py
@@ -20,13 +20,14 @@
     """How long a lease lasts; `guard_s` must exceed the time-out of any order.
 
     `guard_s` also covers how much faster a challenger's clock may run than the
-    holder's: at the defaults, by a third.
+    holder's: at the defaults, by a third. A new holder is in place at most
+    `watch_s + ttl_s + guard_s` after the old one's last renewal.
     """
 
     ttl_s: float = 9.0
     guard_s: float = 3.0
     renew_s: float = 3.0
-    watch_s: float = 2.0
+    watch_s: float = 5.0
 
 
 class Guard(Protocol):
@@ -283,5 +284,7 @@
         seen = Watched(lease_version, beat_version, lease["fence"], lease["holder"])
         if seen != self.watched:
             self.watched, self.watched_since = seen, now
-        due = now if self.may_take(seen, now) else now + self.timing.watch_s
-        self.next_at = due
+        wait = self.timing.ttl_s + self.timing.guard_s
+        free = self.watched_since + (0.0 if seen.holder == NOBODY else wait)
+        # Taken over right then, without another read: the compare-and-set looks.
+        self.next_at = max(now, min(now + self.timing.watch_s, free))
