--- a/src/godwitmast/peers/links.py
+++ b/src/godwitmast/peers/links.py
@@ -34,7 +34,7 @@
     bulk: dict[Key, None] = field(default_factory=dict)
     pruned: set[str] = field(default_factory=set)
     to_prune: set[str] = field(default_factory=set)
-    to_graft: bool = False
+    to_graft: set[str] = field(default_factory=set)
     send_haves: bool = False
     ask_haves: bool = False
     config_part: ConfigPart | None = None
@@ -82,9 +82,10 @@
         return keys
 
     def take_prunes(self) -> tuple[str, ...]:
-        taken = tuple(sorted(self.to_prune)[:MAX_PRUNES])
-        self.to_prune.difference_update(taken)
-        return taken
+        return take_some(self.to_prune)
+
+    def take_grafts(self) -> tuple[str, ...]:
+        return take_some(self.to_graft)
 
     def came(self, record: Record, newer: bool) -> None:
         """Note that the peer has a record, as it has just sent it."""
@@ -94,6 +95,13 @@
             self.to_prune.add(record.key)
 
 
+def take_some(names: set[str]) -> tuple[str, ...]:
+    """Remove and return as many names as a frame may hold."""
+    taken = tuple(sorted(names)[:MAX_PRUNES])
+    names.difference_update(taken)
+    return taken
+
+
 URGENCY = {
     Topic.WITHDRAWN_KEY: 0,
     Topic.LEAVING_BACKEND: 1,
--- a/src/godwitmast/peers/machine.py
+++ b/src/godwitmast/peers/machine.py
@@ -121,6 +121,7 @@
         self.candidate_at = self.now - 1 + self.random.random()
         self.wanted_config_at = self.now - 1.0
         self.grafted_at = self.now
+        self.came_by: dict[str, int] = {}
         self.epoch = self.stamp = self.incarnation
         self.table.put(self.me, self.now)
 
@@ -219,8 +220,7 @@
             self.take_config(link, frame.config, now)
         if frame.haves is not None:
             self.compare(link, frame.haves, frame.answer_haves)
-        if frame.graft:
-            self.regraft(link)
+        self.regraft(link, frame.grafted)
         if len(link.pruned) < MAX_PRUNED:
             link.pruned.update(frame.pruned)
         self.note_digests(link, frame.beat, now)
@@ -279,6 +279,7 @@
             return
         self.records.expire(now)
         self.table.expire(now)
+        self.came_by = {k: v for k, v in self.came_by.items() if v in self.links}
         self.end_silent_links(now)
         self.end_suspicions(now)
         self.dial_neighbours(now)
@@ -374,6 +375,8 @@
             newer = self.records.offer(record, now)
             link.came(record, newer)
             if newer:
+                if rule.periodic:
+                    self.came_by[record.key] = link.link_id
                 self.mark(record, link)
                 self.outputs.append(RecordCame(record))
 
@@ -560,9 +563,7 @@
         link = self.links.pop(link_id, None)
         if link is not None and link.node and self.by_node.get(link.node) is link:
             del self.by_node[link.node]
-            for other in self.links.values():
-                if other.zone == link.zone == self.place.zone:
-                    other.to_graft = True
+            self.graft({key for key, by in self.came_by.items() if by == link_id})
         return link
 
     # Spreading.
@@ -642,17 +643,25 @@
         """
         if now - self.grafted_at < self.timing.silence:
             return
-        if self.records.has_stale(now):
+        stale = self.records.stale(now)
+        if stale:
             self.grafted_at = now
-            for link in self.links.values():
-                link.to_graft = link.to_graft or link.zone == self.place.zone
-
-    def regraft(self, link: Link) -> None:
-        """Send a peer everything periodic again, as its other way has broken."""
-        link.pruned.clear()
-        if link.zone == self.place.zone:
-            for key in self.records.periodic_keys():
-                link.mark(key)
+            self.graft(stale)
+
+    def graft(self, origins: set[str]) -> None:
+        """Ask all neighbours in the zone for what comes from these origins."""
+        for link in self.links.values():
+            if link.zone == self.place.zone:
+                link.to_graft |= origins
+                link.to_prune -= origins
+
+    def regraft(self, link: Link, origins: tuple[str, ...]) -> None:
+        """Send a peer these origins' records again, as its other way has broken."""
+        link.pruned.difference_update(origins)
+        for topic, rule in RULES.items():
+            if rule.periodic and link.zone == self.place.zone:
+                for origin in origins:
+                    link.mark((topic, origin))
 
     def take_config(self, link: Link, part: ConfigPart, now: float) -> None:
         """Answer a request for the configuration, or adopt what came."""
@@ -742,10 +751,10 @@
             haves,
             link.ask_haves,
             link.take_prunes(),
-            link.to_graft,
+            link.take_grafts(),
         )
         link.config_part = None
-        link.send_haves = link.ask_haves = link.to_graft = False
+        link.send_haves = link.ask_haves = False
         self.send(link, frame, now)
 
     def lookup(self, key: Key, now: float) -> Record | None:
--- a/src/godwitmast/peers/messages.py
+++ b/src/godwitmast/peers/messages.py
@@ -131,7 +131,7 @@
     haves: Annotated[tuple[Have, ...], Meta(max_length=MAX_HAVES)] | None = None
     answer_haves: bool = False
     pruned: Annotated[tuple[Text, ...], Meta(max_length=MAX_PRUNES)] = ()
-    graft: bool = False
+    grafted: Annotated[tuple[Text, ...], Meta(max_length=MAX_PRUNES)] = ()
     bye: bool = False
 
 
--- a/src/godwitmast/peers/records.py
+++ b/src/godwitmast/peers/records.py
@@ -112,13 +112,14 @@
                 for key in shelf:
                     yield topic, key
 
-    def has_stale(self, now: float) -> bool:
-        """Return whether a periodic record has used up half of its time."""
-        return any(
-            held.expires_at - now < held.record.left_s / 2
+    def stale(self, now: float) -> set[str]:
+        """Return the origins of periodic records that used up half of their time."""
+        return {
+            key
             for topic, key in self.periodic_keys()
             for held in (self.held[topic][key],)
-        )
+            if held.expires_at - now < held.record.left_s / 2
+        }
 
     def expire(self, now: float) -> None:
         for topic, shelf in self.held.items():
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -41,7 +41,7 @@
     (Have(Topic.MEMBER, "n1", 4),),
     True,
     ("n2",),
-    True,
+    ("n3",),
     True,
 )
 
