--- a/src/godwitmast/load/slopes.py
+++ b/src/godwitmast/load/slopes.py
@@ -39,6 +39,8 @@
     TeamName,
     ZoneName,
 )
+from godwitmast.usage.meter import UsageKey, UsageSum
+from godwitmast.usage.rows import NodeRow, dump_node
 
 REPEATS = 3
 CLASSES = 7
@@ -78,6 +80,7 @@
         scrape_time,
         class_scrape_size,
         router_cost,
+        usage_row_size,
         fleet_row_size,
         fleet_row_parse,
         demand_row_size,
@@ -264,6 +267,21 @@
     )
 
 
+def usage_row_size() -> Slope:
+    """Measure an entry's journal row by the team, class and model sums in it."""
+    points = []
+    for count in (50, 250, 500, 1000):
+        sums = {
+            UsageKey(f"team-{n:05}", f"class-{n % CLASSES}", f"model-{n % POOLS}"): (
+                UsageSum(n, 300 * n, 450 * n)
+            )
+            for n in range(count)
+        }
+        row = NodeRow("node-1", "zone-1", "node-1.0a1b", 9, 9, 60, {60: sums}, {})
+        points.append((count, len(json.dumps(dump_node(row))) / 1024))
+    return Slope("an entry's usage row", "team, class and model", "KiB", points)
+
+
 def fleet_row_size() -> Slope:
     points = [
         (n, len(json.dumps(dump_fleet(make_fleet(n))[SERVERS_KEY])) / 1024)
