--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -42,3 +42,13 @@
     scenario = read_scenarios(SCENARIOS / "crash.feature")[0]._replace(run_s=70.0)
     result = play_once(scenario, "fifo", 1)
     assert any(failure.startswith("cut") for failure in result.failures)
+
+
+@pytest.mark.parametrize("name", sorted(p.stem for p in SCENARIOS.glob("*.feature")))
+def test_checks_of_the_scenario_hold(name: str) -> None:
+    """Every check that the file's scenarios state, for the product's policy, seed 1."""
+    failures = {
+        scenario.name: play_once(scenario, "godwit", 1).failures
+        for scenario in read_scenarios(SCENARIOS / f"{name}.feature")
+    }
+    assert not {name: found for name, found in failures.items() if found}
