Let suspects wait in the queue for a place

Cause: streams cut by a crash looked for a free server each 0.1 s outside of the queue. With every server full and others waiting none of them got a place for as long as the burst lasted: none of 8 in 12 s, in a test with the limits at rest. Change: a suspect waits in the queue, by its turn, unless a copy of it runs or each server in the choice has another suspect on probation. The test's 8 resume within 8 s.

--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -14,6 +14,7 @@
 """
 
 import random
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from godwitmast.dispatch.affinity import PrefixOrders, rendezvous, within_bound
@@ -298,6 +299,18 @@
         best = min(states, key=lambda s: s.in_flight / s.limit.value, default=None)
         return best.spec.backend_id if best else None
 
+    def has_other(self, pool: str, taken: Collection[BackendId]) -> bool:
+        """Return whether a server in the choice is not `taken`, or none is left."""
+        view = self.pools.get(pool)
+        cells = view.cells.values() if view is not None else ()
+        left = [
+            state.spec.backend_id in taken
+            for cell in cells
+            for state in cell.members.values()
+            if state.health.is_in()
+        ]
+        return not left or not all(left)
+
     def choose_apart(
         self, request: RequestSpec, avoid: set[BackendId]
     ) -> BackendId | None:
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -427,7 +427,7 @@
             self.end(flight, now)
             code = RefusalCode.DEADLINE
             return [refuse(flight.request, code, None, flight.may_have_run)]
-        if self.is_kept_apart(flight) and self.place_apart(flight) is None:
+        if self.is_kept_apart(flight) and not self.may_be_placed_apart(flight):
             self.retries.add(request_id, now + APART_EVERY_S)
             return []
         self.admission.put_back(flight.request, now)
@@ -558,6 +558,17 @@
             return None
         return self.backends.choose_apart(flight.request, set(self.guard.placed))
 
+    def may_be_placed_apart(self, flight: Flight) -> bool:
+        """Return whether a suspect may wait in the queue for a place.
+
+        The server need not have room now: what waits outside of the queue until one
+        has would find each place taken by what waits in it.
+        """
+        request = flight.request
+        if self.guard.must_wait(request.fingerprint):
+            return False
+        return self.backends.has_other(request.pool, self.guard.placed.keys())
+
     def watch_over(self, flight: Flight, now: float) -> None:
         """Look at the attempt when it should have given a sign of life."""
         view = self.backends.pools.get(flight.request.pool)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -378,3 +378,45 @@
         elif caller.owner:
             caller.happen(event, pick, now)
         caller.check()
+
+
+def test_cut_streams_resume_although_every_place_is_wanted(router: Router) -> None:
+    """A server crashes while all are full and others wait for each place.
+
+    Its streams are suspects and may not share a server for a while. Were they to look
+    for a free place only now and then, the queue would take each one before them, and
+    their callers would wait with half an answer for as long as the burst lasts.
+    """
+    running: dict[RequestId, Start] = {}
+    numbers = iter(range(1000))
+
+    def note(actions: list[Action]) -> None:
+        running.update({a.request_id: a for a in actions if isinstance(a, Start)})
+
+    def submit(now: float) -> None:
+        changes = {"class_name": "draft", "arrived": now}
+        note(router.submit(request(next(numbers), **changes), now))
+
+    while len(running) < 32:
+        submit(0.0)
+    for _ in range(20):
+        submit(0.0)
+    crashed = running[RequestId("r0")].backend_id
+    cut = {name for name, start in running.items() if start.backend_id == crashed}
+    for name in cut:
+        start = running.pop(name)
+        note(router.failed(name, start.attempt_id, FailureKind.CUT, 0.1))
+    now, resumed = 0.1, {}
+    while now < 12.0 and cut - resumed.keys():
+        now += 0.05
+        note(router.tick(now))
+        resumed.update({n: now for n in cut & running.keys() if n not in resumed})
+        for name in cut & running.keys():
+            note(router.tokens_came(name, running[name].attempt_id, 1, now))
+        oldest = next((name for name in running if name not in cut), None)
+        if oldest is not None:
+            start = running.pop(oldest)
+            note(router.finished(oldest, start.attempt_id, now))
+            submit(now)
+    assert resumed.keys() == cut
+    assert max(resumed.values()) < 8.0
