--- a/src/godwitmast/admission/queue.py
+++ b/src/godwitmast/admission/queue.py
@@ -16,6 +16,7 @@
 from godwitmast.admission.preemption import (
     Preemption,
     find_victim,
+    frees_soon,
     may_be_preempted,
     most_urgent,
     urgent_at,
@@ -46,6 +47,7 @@
         self, document: Document, seed: int = 0, max_waiting: int = MAX_WAITING
     ) -> None:
         self.document = document
+        self.highest_tier = find_highest_tier(document)
         self.max_waiting = max_waiting
         self.random = random.Random(seed)
         self.jobs: dict[RequestId, Job] = {}
@@ -58,6 +60,7 @@
     def update_config(self, document: Document) -> None:
         """Take a configuration; what waits keeps its place and its deadline."""
         self.document = document
+        self.highest_tier = find_highest_tier(document)
         for pool in self.pools.values():
             for queue in pool.by_tier:
                 queue.target = document.classes.get(queue.name, queue.target)
@@ -154,26 +157,35 @@
             queue.fair.advance()
         return self.start(job, queue, now)
 
-    def preempt(self, pool_name: str, now: float) -> Preemption | None:
+    def preempt(
+        self, pool_name: str, now: float, may_overcommit: bool = False
+    ) -> Preemption | None:
         """Take a request that is about to be too late, and who gives way to it.
 
         The one that gives way waits again, before those of its class that never ran.
+        Where the caller has a server that takes one more than its limit, a request of
+        the highest tier comes alone if places come free soon, or if nobody can give way.
         """
         pool = self.pools.get(pool_name)
         if pool is None or not pool.waiting:
             return None
         for queue in pool.by_tier:
             request_id = most_urgent(queue)
-            if request_id is None or self.jobs[request_id].urgent_at > now:
+            if request_id is None:
+                continue
+            job = self.jobs[request_id]
+            may_go_alone = may_overcommit and queue.tier <= self.highest_tier
+            if may_go_alone and frees_soon(pool):
+                return Preemption(None, self.start(job, queue, now))
+            if job.urgent_at > now:
                 continue
             victim = find_victim(pool, queue.tier)
-            if victim is None:
-                return None
-            victim.preemptions += 1
-            self.put_back(victim.request, now)
-            return Preemption(
-                victim.request, self.start(self.jobs[request_id], queue, now)
-            )
+            if victim is not None:
+                victim.preemptions += 1
+                self.put_back(victim.request, now)
+                return Preemption(victim.request, self.start(job, queue, now))
+            if may_go_alone:
+                return Preemption(None, self.start(job, queue, now))
         return None
 
     def start(self, job: Job, queue: ClassQueue, now: float) -> RequestSpec:
@@ -327,6 +339,10 @@
         self.waiting += change
 
 
+def find_highest_tier(document: Document) -> int:
+    return min((item.tier for item in document.classes.values()), default=1)
+
+
 def refuse(request: RequestSpec, code: RefusalCode, after_s: float) -> Refuse:
     """Return a refusal; who turns away what ran before corrects `not_run`."""
     return Refuse(request.request_id, code, NotRun.TRUE, after_s)
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -1,5 +1,6 @@
 """Carries out the router's actions, and tells it what became of them."""
 
+import secrets
 from collections.abc import Callable
 from functools import partial
 
@@ -20,6 +21,7 @@
     FailureKind,
     LoadReport,
     RequestSpec,
+    Start,
 )
 from godwitmast.dispatch.router import Policy, Router
 from godwitmast.logs import log_event
@@ -29,6 +31,9 @@
 LOAD_EVERY_S = 1.0
 LOAD_TIMEOUT_S = 0.8
 
+EVICTION_LEFT_S = 3.0
+"""Of five seconds' notice, what is left when the fleet's row was written and read."""
+
 Mailbox = MemoryObjectReceiveStream[Action]
 
 
@@ -47,7 +52,10 @@
         self.mailboxes: dict[RequestId, MemoryObjectSendStream[Action]] = {}
         self.background = Background(self.run_ticks, self.run_load_polls)
         self.cancels: dict[AttemptId, Callable[[CancelReason], None]] = {}
-        self.cancelled: set[AttemptId] = set()
+        self.cancelled: dict[RequestId, set[AttemptId]] = {}
+        self.polls: Callable[[BackendId], bool] = lambda backend_id: True
+        self.load_listeners: list[Callable[[BackendId, LoadReport], None]] = []
+        self.told_leaving: dict[BackendId, float] = {}
 
     async def start(self, tasks: TaskGroup) -> None:
         await self.background.start(tasks)
@@ -61,7 +69,8 @@
         self.document = document
         now = self.clock.now()
         if self.router is None:
-            self.router = Router(document, self.zone)
+            # Entries that drew alike would all choose the same server at once.
+            self.router = Router(document, self.zone, secrets.randbits(32))
         else:
             self.carry_out(self.router.update_config(document, now))
         self.update_backends()
@@ -75,6 +84,7 @@
     def update_backends(self) -> None:
         """Hand the router every backend server, configured or ordered."""
         assert self.document is not None
+        now = self.clock.now()
         self.backends = merge_backends(self.document.backends, self.fleet)
         specs = [
             BackendSpec(
@@ -82,12 +92,41 @@
                 ZoneName(item.zone),
                 item.pools,
                 item.kind == "cheap",
-                item.leaving,
+                item.leaving or BackendId(name) in self.told_leaving,
+                now + EVICTION_LEFT_S if self.is_evicted(name) else None,
             )
             for name, item in self.backends.items()
         ]
         self.urls = {BackendId(n): item.url for n, item in self.backends.items()}
-        self.carry_out(self.policy.update_backends(specs, self.clock.now()))
+        self.carry_out(self.policy.update_backends(specs, now))
+
+    def is_evicted(self, name: str) -> bool:
+        """Return whether a server is taken away, rather than drained in our own time."""
+        server = self.fleet.servers.get(name)
+        return server is not None and server.leaving and server.draining_since is None
+
+    def leaving(self) -> set[str]:
+        """Return the backend servers that configuration or fleet say are leaving."""
+        return {name for name, item in self.backends.items() if item.leaving}
+
+    def leaving_told(self, backend_id: BackendId, left_s: float) -> None:
+        """Give a backend server no new work, as a peer says that it is leaving.
+
+        The platform's list lags by seconds and is read by each entry on its own; the
+        first one that sees it tells the others.
+        """
+        known = backend_id in self.told_leaving
+        self.told_leaving[backend_id] = self.clock.now() + left_s
+        if not known and self.router is not None:
+            self.update_backends()
+
+    def forget_told(self) -> None:
+        """Forget what peers told long ago; it is in the configuration or wrong."""
+        now = self.clock.now()
+        kept = {name: at for name, at in self.told_leaving.items() if at > now}
+        if len(kept) < len(self.told_leaving):
+            self.told_leaving = kept
+            self.update_backends()
 
     def kind_of(self, backend_id: BackendId) -> str:
         """Return whether a backend server is cheap or on demand, for the metrics."""
@@ -102,7 +141,8 @@
         return receive
 
     def forget(self, request_id: RequestId) -> None:
-        """Drop the mailbox of a request that ended."""
+        """Drop the mailbox of a request that ended, and cancels that came early."""
+        self.cancelled.pop(request_id, None)
         mailbox = self.mailboxes.pop(request_id, None)
         if mailbox is not None:
             mailbox.close()
@@ -151,7 +191,12 @@
         if cancel is not None:
             cancel(action.reason)
         elif action.request_id in self.mailboxes:
-            self.cancelled.add(action.attempt_id)
+            early = self.cancelled.setdefault(action.request_id, set())
+            early.add(action.attempt_id)
+
+    def is_cancelled(self, start: Start) -> bool:
+        """Return whether an attempt was cancelled before it could begin."""
+        return start.attempt_id in self.cancelled.get(start.request_id, ())
 
     async def run_ticks(self) -> None:
         while True:
@@ -160,12 +205,13 @@
                 self.carry_out(self.router.tick(self.clock.now()))
 
     async def run_load_polls(self) -> None:
-        """Ask each backend server for its load, once a second."""
+        """Ask the backend servers that fall to this entry for their load."""
         while True:
             await anyio.sleep(LOAD_EVERY_S)
             async with anyio.create_task_group() as tasks:
                 for backend_id, url in self.urls.items():
-                    tasks.start_soon(partial(self.poll_load, backend_id, url))
+                    if self.polls(backend_id):
+                        tasks.start_soon(partial(self.poll_load, backend_id, url))
 
     async def poll_load(self, backend_id: BackendId, url: str) -> None:
         said = await self.client.get_json(f"{url}/load", LOAD_TIMEOUT_S)
@@ -180,5 +226,12 @@
         except (KeyError, TypeError, ValueError) as error:
             log_event("load_report_bad", backend=backend_id, error=repr(error))
             return
-        now = self.clock.now()
-        self.carry_out(self.policy.load_reported(backend_id, report, now))
+        for listener in self.load_listeners:
+            listener(backend_id, report)
+        self.load_reported(backend_id, report)
+
+    def load_reported(self, backend_id: BackendId, report: LoadReport) -> None:
+        """Take a server's load, whether polled, told by a peer or by an answer."""
+        if self.router is not None:
+            now = self.clock.now()
+            self.carry_out(self.router.load_reported(backend_id, report, now))
--- a/src/godwitmast/peers/messages.py
+++ b/src/godwitmast/peers/messages.py
@@ -21,6 +21,7 @@
 
 Text = Annotated[str, Meta(max_length=128)]
 Whole = Annotated[int, Meta(ge=0, le=2**62)]
+NotNegative = Annotated[float, Meta(ge=0, le=1e18)]
 Digest = Annotated[int, Meta(ge=0, lt=2**32)]
 TimeLeft = Annotated[float, Meta(ge=0, le=86_400)]
 
@@ -61,7 +62,7 @@
     running: Annotated[int, Meta(ge=0, le=65_535)]
     waiting: Annotated[int, Meta(ge=0, le=65_535)]
     tokens_per_s: Annotated[int, Meta(ge=0, le=10_000_000)]
-    age_s: Annotated[float, Meta(ge=0, le=600)]
+    age_tenths: Annotated[int, Meta(ge=0, le=6_000)]
 
 
 class Record(NamedTuple):
@@ -130,7 +131,7 @@
     haves: Annotated[tuple[Have, ...], Meta(max_length=MAX_HAVES)] | None = None
     answer_haves: bool = False
     pruned: Annotated[tuple[Text, ...], Meta(max_length=MAX_PRUNES)] = ()
-    graft: bool = False
+    grafted: Annotated[tuple[Text, ...], Meta(max_length=MAX_PRUNES)] = ()
     bye: bool = False
 
 
--- a/src/godwitmast/standins/engine.py
+++ b/src/godwitmast/standins/engine.py
@@ -142,6 +142,7 @@
             self.crash()
         request_id = request.headers.get("x-request-id") or f"seq-{self.calls}"
         sequence = make_sequence(f"{request_id}/{self.calls}", body, prompt)
+        sequence.imported = self.kv.pop(request_id, 0)
         self.served.append(
             {
                 "request_id": request_id,
@@ -163,12 +164,19 @@
             events = stream_events(
                 tokens, request_id, body["model"], chat, sequence, bool(wants_usage)
             )
-            return StreamingResponse(events, media_type="text/event-stream")
+            return StreamingResponse(
+                events, headers=self.load_headers(), media_type="text/event-stream"
+            )
         text = "".join([token async for token in tokens])
         return JSONResponse(
-            whole_answer(text, request_id, body["model"], chat, sequence)
+            whole_answer(text, request_id, body["model"], chat, sequence),
+            headers=self.load_headers(),
         )
 
+    def load_headers(self) -> dict[str, str]:
+        model = self.model
+        return {"Engine-Load": f"{len(model.running)};{len(model.waiting)}"}
+
     async def tokens(
         self,
         sequence: Sequence,
@@ -266,7 +274,7 @@
     async def import_kv(self, request: Request) -> Response:
         """Take the cache of a request that ran elsewhere."""
         body = await request.json()
-        self.model.remember(body["request_id"], int(body["tokens"]))
+        self.kv[body["request_id"]] = int(body["tokens"])
         return JSONResponse({"tokens": body["tokens"]})
 
     async def set_faults(self, request: Request) -> Response:
