--- a/src/godwitmast/load/peer_network.py
+++ b/src/godwitmast/load/peer_network.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from godwitmast.peers.codec import decode_frame, encode_frame
-from godwitmast.peers.machine import PeerMachine, Timing
+from godwitmast.peers.machine import PeerMachine
 from godwitmast.peers.messages import (
     Dial,
     Frame,
@@ -23,6 +23,7 @@
     RecordCame,
     Send,
 )
+from godwitmast.peers.timing import Timing
 from godwitmast.types import Json
 
 TICK_S = 0.25
--- a/src/godwitmast/peers/driver.py
+++ b/src/godwitmast/peers/driver.py
@@ -21,7 +21,7 @@
 from godwitmast.logs import log_event
 from godwitmast.peers.codec import MAX_FRAME_BYTES, decode_frame, encode_frame
 from godwitmast.peers.config_source import ConfigSource
-from godwitmast.peers.machine import MAX_LINKS, PeerMachine, Timing
+from godwitmast.peers.machine import MAX_LINKS, PeerMachine
 from godwitmast.peers.messages import (
     Dial,
     Frame,
@@ -36,6 +36,7 @@
     Topic,
 )
 from godwitmast.peers.settings import PeerSettings
+from godwitmast.peers.timing import Timing
 from godwitmast.tls import TlsContext, peer_client_tls, peer_server_tls
 from godwitmast.types import Json
 
--- a/src/godwitmast/peers/machine.py
+++ b/src/godwitmast/peers/machine.py
@@ -6,15 +6,13 @@
 
 import random
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 from godwitmast.peers.config_source import ConfigSource
+from godwitmast.peers.config_spread import ConfigSpread
 from godwitmast.peers.links import Link
 from godwitmast.peers.members import Member, MemberTable, member_of
 from godwitmast.peers.messages import (
     Beat,
-    ConfigKind,
-    ConfigPart,
     Dial,
     Frame,
     HangUp,
@@ -31,48 +29,14 @@
     Topic,
 )
 from godwitmast.peers.overlay import choose_neighbours
+from godwitmast.peers.reach import Reach
 from godwitmast.peers.records import RULES, Key, RecordStore
 from godwitmast.peers.rendezvous import short_hash
+from godwitmast.peers.timing import Timing
 from godwitmast.types import Json
 
-
-class Timing(NamedTuple):
-    """The machine's time constants, in seconds."""
-
-    beat: float = 1.0
-    """A link on which nothing else went out carries a frame this often."""
-    flush: float = 0.5
-    """What is not urgent waits for this, so that many facts share a frame."""
-    link_timeout: float = 3.5
-    """Three beats can be lost or late before a link counts as dead."""
-    suspicion: float = 4.0
-    """A suspect has this long to refute: several times what news takes to cross."""
-    dial_timeout: float = 2.0
-    backoff: float = 5.0
-    backoff_max: float = 160.0
-    sync: float = 3.0
-    """A link compares all it has at most this often."""
-    differs: float = 1.5
-    """Digests that differ for longer are no news on its way, but news lost."""
-    surplus: float = 10.0
-    pause: float = 2.0
-    """Ticks further apart than this mean that this process was paused."""
-    busy: float = 8.0
-    silence: float = 5.0
-    """Records that were not renewed in time are asked for at most this often."""
-
-
 MAX_LINKS = 64
 MAX_PRUNED = 2048
-MAX_ADDRESSES = 1024
-
-
-@dataclass(slots=True)
-class Unreached:
-    """A member or a zone that this node could not dial."""
-
-    until: float
-    backoff: float
 
 
 @dataclass(slots=True)
@@ -107,10 +71,9 @@
     def __post_init__(self) -> None:
         self.random = random.Random(f"{self.seed}/{self.node}")
         self.outputs: list[Output] = []
-        self.addresses: dict[str, str | None] = {}
         self.dialling: dict[str, float] = {}
-        self.unreached: dict[str, Unreached] = {}
-        self.cut_zones: dict[str, Unreached] = {}
+        self.reach = Reach(self.place, self.random, self.timing)
+        self.spread = ConfigSpread(self.config, self.random, self.now)
         self.suspects: dict[str, float] = {}
         self.neighbours: set[str] = set()
         self.overlay_stale = True
@@ -119,7 +82,6 @@
         self.ticked_at = self.dialled_at = self.now
         self.flushed_at = self.now
         self.candidate_at = self.now - 1 + self.random.random()
-        self.wanted_config_at = self.now - 1.0
         self.grafted_at = self.now
         self.came_by: dict[str, int] = {}
         self.epoch = self.stamp = self.incarnation
@@ -152,9 +114,7 @@
         They are only places to try. A VM on the list is no member before it answers,
         and a member that is not on it stays one, as the list may be minutes old.
         """
-        for vm in vms[:MAX_ADDRESSES]:
-            if vm.address != self.place.address:
-                self.addresses[vm.address] = vm.node
+        self.reach.learn(vms)
 
     def link_opened(self, link_id: int, address: str | None, now: float) -> None:
         """Take a new connection; `address` is what was dialled, None if it came in."""
@@ -173,9 +133,7 @@
         for member in self.table.at_address(address):
             if not member.listed or member.node in self.by_node:
                 continue
-            if member.place.zone in self.cut_zones:
-                self.back_off(self.cut_zones, member.place.zone, now)
-            self.back_off(self.unreached, member.node, now)
+            self.leave_alone(member, now)
             self.suspect(member.node, now)
 
     def link_closed(self, link_id: int, now: float) -> None:
@@ -217,7 +175,9 @@
         link.config_version = frame.beat.config_version
         self.merge_records(link, frame.records, now)
         if frame.config:
-            self.take_config(link, frame.config, now)
+            self.has_news = True
+            if self.spread.take(link, frame.config):
+                self.config_changed(now)
         if frame.haves is not None:
             self.compare(link, frame.haves, frame.answer_haves)
         self.regraft(link, frame.grafted)
@@ -245,7 +205,8 @@
     def config_changed(self, now: float) -> None:
         """Push the configuration in force to every neighbour that lacks it."""
         for link in self.links.values():
-            self.push_config(link)
+            self.spread.push(link)
+        self.has_news = True
         self.push_all(now)
 
     def leave(self, now: float) -> None:
@@ -267,7 +228,9 @@
         self.outputs.append(HangUp(link.link_id, "peer hung up"))
         self.merge_records(link, frame.records, now)
         if link.node and link.node not in self.by_node:
-            self.back_off(self.unreached, link.node, now)
+            member = self.table.members.get(link.node)
+            if member is not None:
+                self.leave_alone(member, now)
         self.push_all(now)
 
     def tick(self, now: float) -> None:
@@ -285,7 +248,7 @@
         self.dial_neighbours(now)
         self.dial_candidate(now)
         self.drop_surplus(now)
-        self.want_config(now)
+        self.spread.ask(self.links.values(), now)
         self.graft_stale(now)
         flush = now - self.flushed_at >= self.timing.flush - 1e-6
         if flush:
@@ -316,7 +279,7 @@
     def greet(self, link: Link, hello: Hello, now: float) -> bool:
         """Take a peer's hello; return whether the link is kept."""
         if hello.node == self.node:
-            self.addresses.pop(link.address or "", None)
+            self.reach.addresses.discard(link.address or "")
             self.hang_up(link, "own address", now)
             return False
         if link.node is not None:
@@ -332,8 +295,7 @@
         link.zone = hello.place.zone
         link.incarnation = hello.incarnation
         self.by_node[hello.node] = link
-        self.unreached.pop(hello.node, None)
-        self.cut_zones.pop(hello.place.zone, None)
+        self.reach.reached(hello.node, hello.place.zone)
         member = Member(hello.node, hello.place, hello.incarnation)
         self.merge_member(member, None, now)
         known = self.table.members.get(hello.node)
@@ -397,7 +359,7 @@
             self.suspects[member.node] = now + self.timing.suspicion
         if member.state is MemberState.ALIVE:
             self.end_predecessors(member, now)
-            self.note_cut_zone(member, now)
+            self.reach.refuted(member, now)
         if not member.listed:
             self.forget_gone(member, link, now)
         self.outputs.append(MembersChanged(member.node, member.state))
@@ -422,8 +384,7 @@
 
     def forget_gone(self, member: Member, link: Link | None, now: float) -> None:
         """Drop the link to a member that is gone, unless it has just spoken on it."""
-        self.unreached.pop(member.node, None)
-        self.cut_zones.pop(member.place.zone, None)
+        self.reach.reached(member.node, member.place.zone)
         gone = self.by_node.get(member.node)
         if member.state is MemberState.LEFT and gone is not None and gone is not link:
             self.hang_up(gone, "peer left", now)
@@ -459,8 +420,7 @@
 
     def dial_neighbours(self, now: float) -> None:
         """Work the overlay out anew if members changed, and dial what is missing."""
-        waiting = [*self.unreached.values(), *self.cut_zones.values()]
-        if any(self.dialled_at < item.until <= now for item in waiting):
+        if self.reach.some_due(self.dialled_at, now):
             self.overlay_stale = True
         self.dialled_at = now
         if self.overlay_stale:
@@ -477,58 +437,21 @@
                 self.dial_failed(address, now)
 
     def reachable(self, member: Member, now: float) -> bool:
-        """Return whether a member is worth a dial now."""
-        if member.node in self.by_node:
-            return True
-        names = (
-            self.unreached.get(member.node),
-            self.cut_zones.get(member.place.zone),
-        )
-        return all(item is None or item.until <= now for item in names)
-
-    def back_off(self, where: dict[str, Unreached], name: str, now: float) -> None:
-        """Leave a member or a zone out of the overlay for a while, longer each time."""
-        old = where.get(name)
-        wait = self.timing.backoff
-        if old is not None:
-            wait = min(old.backoff * 2, self.timing.backoff_max)
-        jitter = 0.75 + 0.5 * self.random.random()
-        where[name] = Unreached(now + wait * jitter, wait)
-        self.overlay_stale = True
-
-    def note_cut_zone(self, member: Member, now: float) -> None:
-        """Learn that a whole zone is out of reach, by a member that refuted.
+        return member.node in self.by_node or self.reach.worth_a_dial(member, now)
 
-        Between two zones that are cut off from each other every dial fails, while the
-        members are alive and say so by way of a third zone. Suspecting one after the
-        other would flood all zones with suspicions and refutations for as long as the
-        partition lasts; instead one of the zone is tried now and then. Once one does
-        not refute, the zone is dead rather than cut off, and each is tried again.
-        """
-        zone = member.place.zone
-        if zone == self.place.zone or member.node not in self.unreached:
-            return
-        if zone not in self.cut_zones:
-            self.back_off(self.cut_zones, zone, now)
+    def leave_alone(self, member: Member, now: float) -> None:
+        """Leave a member out of the overlay for a while."""
+        self.reach.failed(member, now)
+        self.overlay_stale = True
 
     def dial_candidate(self, now: float) -> None:
-        """Try one address a second at which no live member is known.
-
-        So a new node finds its first peer, and so the halves of a healed partition,
-        which hold each other for dead, find each other again.
-        """
+        """Try one address a second at which no live member is known."""
         if now - self.candidate_at < 1.0:
             return
         self.candidate_at = now
-        listed = {member.place.address for member in self.table.listed()}
-        candidates = {address for address in self.addresses if address not in listed}
-        for node in self.table.gone_at:
-            member = self.table.members[node]
-            if member.state is MemberState.DEAD:
-                candidates.add(member.place.address)
-        candidates -= listed
-        if candidates:
-            self.dial(self.random.choice(sorted(candidates)), now)
+        address = self.reach.choose_candidate(self.table)
+        if address is not None:
+            self.dial(address, now)
 
     def dial(self, address: str, now: float) -> None:
         if address not in self.dialling and not self.leaving:
@@ -663,60 +586,6 @@
                 for origin in origins:
                     link.mark((topic, origin))
 
-    def take_config(self, link: Link, part: ConfigPart, now: float) -> None:
-        """Answer a request for the configuration, or adopt what came."""
-        before = self.config.version
-        match part.kind:
-            case ConfigKind.WANT:
-                self.give_config(link, part.after)
-            case ConfigKind.DELTAS if part.after <= before < part.number:
-                self.config.adopt_deltas(part.after, part.number, part.payload)
-            case ConfigKind.SNAPSHOT if part.number > before:
-                self.config.adopt_snapshot(part.number, part.payload)
-        if self.config.version > before:
-            link.config_version = max(link.config_version, self.config.version)
-            self.config_changed(now)
-
-    def give_config(self, link: Link, after: int) -> None:
-        """Send deltas if they are kept that far back, else the whole."""
-        number = self.config.version
-        if number <= after:
-            return
-        self.has_news = True
-        deltas = self.config.deltas(after) if after else None
-        if deltas is not None:
-            link.config_part = ConfigPart(ConfigKind.DELTAS, after, number, deltas)
-        else:
-            whole = self.config.snapshot()
-            link.config_part = ConfigPart(ConfigKind.SNAPSHOT, after, number, whole)
-
-    def push_config(self, link: Link) -> None:
-        """Push deltas to a peer, or tell it of the number and let it ask.
-
-        A whole configuration is only ever sent to one that asked: pushed by every
-        neighbour at once it would come ten times.
-        """
-        number = self.config.version
-        after = max(link.config_version, link.pushed_config)
-        if link.node is None or number <= after:
-            return
-        link.beat_due = True
-        self.has_news = True
-        deltas = self.config.deltas(after) if after else None
-        if deltas is not None:
-            link.pushed_config = number
-            link.config_part = ConfigPart(ConfigKind.DELTAS, after, number, deltas)
-
-    def want_config(self, now: float) -> None:
-        """Ask one peer at a time for a configuration that is ahead of this node's."""
-        version = self.config.version
-        ahead = [k for k in self.links.values() if k.config_version > version]
-        if not ahead or now - self.wanted_config_at < 1.0:
-            return
-        self.wanted_config_at = now
-        best = max(ahead, key=lambda link: (link.config_version, self.random.random()))
-        best.config_part = ConfigPart(ConfigKind.WANT, version)
-
     # Sending.
 
     def hello(self, bye: bool = False) -> Frame:
