--- a/src/godwitmast/load/peers.py
+++ b/src/godwitmast/load/peers.py
@@ -5,8 +5,6 @@
 from typing import Annotated, NamedTuple
 
 import typer
-from rich.console import Console
-from rich.table import Table
 
 from godwitmast.entry.spreading import (
     HEAVY_KEYS,
@@ -25,6 +23,10 @@
 LOSSES = [0.0, 0.01, 0.05]
 SETTLE_S = 20.0
 STEADY_S = 30.0
+COLUMNS = (
+    "nodes", "loss", "links", "B/s", "most B/s", "mesh B/s", "frames/s", "core %",
+    "state KB", "50%", "99%", "100%", "dead", "suspected", "dropped", "heal",
+)  # fmt: skip
 SAMPLES = 5
 LIMIT_S = 60.0
 REPLICAS_PER_NODE = 850 / 350
@@ -222,19 +224,16 @@
 def peers(
     nodes: Sizes = SIZES, loss: Losses = LOSSES, seed: Seed = 1, heal: Heal = True
 ) -> None:
-    """Measure the overlay of entries in virtual time, at several sizes and losses."""
-    console = Console(width=140)
-    table = Table(title="A node of the overlay; times in seconds")
-    for name in (
-        "nodes", "loss", "links", "B/s", "B/s most", "mesh B/s", "frames/s", "core %",
-        "state KB", "50%", "99%", "100%", "dead", "suspected", "wrong dead", "heal",
-    ):  # fmt: skip
-        table.add_column(name, justify="right")
+    """Measure the overlay of entries in virtual time, at several sizes and losses.
+
+    Each row is printed when it is measured; 350 nodes take minutes.
+    """
+    typer.echo("A node of the overlay; times in seconds.")
+    typer.echo("".join(f"{name:>10}" for name in COLUMNS))
     for share in loss:
         for count in nodes:
-            table.add_row(*measure_row(count, share, seed, heal))
-            console.print(f"{count} nodes at loss {share}: done", style="dim")
-    console.print(table)
+            row = measure_row(count, share, seed, heal)
+            typer.echo("".join(f"{value:>10}" for value in row))
 
 
 def measure_row(count: int, loss: float, seed: int, heal: bool) -> list[str]:
