--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,93 @@
+"""Leases and intents, step by step on a table in memory."""
+
+import pytest
+
+from fakes import FakePlatform, Fate
+from godwitmast.lease.intents import (
+    Intent,
+    Recorded,
+    read_intents,
+    record_intent,
+    settle_intent,
+)
+from godwitmast.lease.machine import LeaseMachine, LeaseTiming
+
+TIMING = LeaseTiming()
+
+
+def play(platform: FakePlatform, machine: LeaseMachine, now: float, fate: Fate) -> None:
+    """Let a contender take the step that is due, if one is."""
+    step = machine.step(now, now)
+    if step is not None:
+        machine.took(platform.take(step, fate), now)
+
+
+def hold(platform: FakePlatform, name: str, now: float) -> LeaseMachine:
+    """Return a contender that has gained the lease at `now`."""
+    machine = LeaseMachine("orders", name, TIMING)
+    for _ in range(3):
+        play(platform, machine, now, Fate.ANSWERED)
+    assert machine.fence_if_held(now, now) is not None
+    return machine
+
+
+def test_dead_holder_is_replaced_within_two_lease_times() -> None:
+    platform = FakePlatform()
+    hold(platform, "a", 100.0)
+    challenger = LeaseMachine("orders", "b", TIMING)
+    now = 100.0
+    while challenger.fence_if_held(now, now) is None:
+        play(platform, challenger, now, Fate.ANSWERED)
+        now += 0.1
+    assert TIMING.ttl_s < now - 100.0 <= 2 * TIMING.ttl_s
+    assert challenger.fence_if_held(now, now) == 2
+
+
+def test_lease_that_was_given_up_is_taken_at_once() -> None:
+    platform = FakePlatform()
+    first = hold(platform, "a", 100.0)
+    first.give_up()
+    assert first.fence_if_held(100.0, 100.0) is None
+    while not first.released:
+        play(platform, first, 100.0, Fate.ANSWERED)
+    assert hold(platform, "b", 100.1).tenure.fence == 2
+
+
+def test_renewal_whose_answer_is_lost_counts_only_once_read_back() -> None:
+    platform = FakePlatform()
+    machine = hold(platform, "a", 100.0)
+    play(platform, machine, 103.0, Fate.ANSWER_LOST)
+    assert machine.tenure.sent_now == 100.0
+    play(platform, machine, 104.0, Fate.ANSWERED)
+    assert machine.tenure.sent_now == 103.0
+    assert machine.fence_if_held(111.9, 111.9) == 1
+    assert machine.fence_if_held(112.0, 112.0) is None
+
+
+def test_deposed_holder_cannot_write_an_intent_and_the_next_one_finds_it() -> None:
+    """An order is written down, its answer lost, and its holder then replaced.
+
+    The successor finds the intent without an outcome and goes on with its id. The old
+    holder, which still believes in its lease, can write neither intent nor outcome.
+    """
+    platform = FakePlatform()
+    old = hold(platform, "a", 100.0)
+    intent = Intent("order-1", 1, {"zone": "a"})
+    write = record_intent("orders", old, intent)
+    step = next(write)
+    read = write.send(platform.take(step, Fate.ANSWER_LOST))
+    with pytest.raises(StopIteration) as ended:
+        write.send(platform.take(read))
+    assert ended.value.value is Recorded.WRITTEN
+    late = 100.0 + TIMING.ttl_s + TIMING.guard_s
+    new = LeaseMachine("orders", "b", TIMING)
+    play(platform, new, 100.0, Fate.ANSWERED)
+    play(platform, new, late + 0.1, Fate.ANSWERED)
+    assert new.fence_if_held(late + 0.1, late + 0.1) == 2
+    assert platform.run(read_intents("orders")) == [intent]
+    other = Intent("order-2", 1, {"zone": "b"})
+    assert platform.run(record_intent("orders", old, other)) is Recorded.DEPOSED
+    assert platform.run(settle_intent("orders", old, intent, {"id": "x"})) is False
+    assert platform.run(settle_intent("orders", new, intent, {"id": "y"})) is True
+    again = record_intent("orders", new, intent)
+    assert platform.run(again) is Recorded.EXISTS
