--- a/src/godwitmast/burn/tables.py
+++ b/src/godwitmast/burn/tables.py
@@ -85,8 +85,12 @@
         ("share of tokens from cheap servers", service.cheap_share, ".1%"),
         ("spend", service.spend, ",.2f"),
         ("spend per 1000 within targets", service.spend_per_1000_met, ",.4f"),
-        ("usage windows reported late", service.late_windows, ",.0f"),
-        ("usage windows corrected", service.corrected_windows, ",.0f"),
+        ("last usage window reported after, s", service.report_lag_s, ",.1f"),
+        (
+            "usage windows with late usage of earlier ones",
+            service.corrected_windows,
+            ",.0f",
+        ),
     ]
     for what, value, form in rows:
         table.add_row(what, "not reported" if value is None else format(value, form))
