--- a/src/godwitmast/burn/report.py
+++ b/src/godwitmast/burn/report.py
@@ -17,14 +17,15 @@
 from godwitmast.burn.snapshot import Snapshot, value_growth
 
 GOAL = "godwit_attainment_goal"
-LATE_WINDOWS = "godwit_usage_windows_late_total"
-CORRECTED_WINDOWS = "godwit_usage_windows_corrected_total"
+REPORT_LAG = "godwit_usage_report_lag_seconds"
+CORRECTED_WINDOWS = "godwit_usage_late_windows_total"
 
 
 class Service(NamedTuple):
     """What the callers got and what it cost, over the longest window.
 
-    None stands for what no daemon reported: it is not the same as nothing.
+    `report_lag_s` is how long after its end the last usage window was reported, and
+    `corrected_windows` how many hold usage that came late for an earlier one. None stands for what no daemon reported: it is not the same as nothing.
     """
 
     met: float
@@ -32,7 +33,7 @@
     wasted_tokens: float
     cheap_share: float | None
     spend: float | None
-    late_windows: float | None
+    report_lag_s: float | None
     corrected_windows: float | None
 
     @property
@@ -100,6 +101,7 @@
         known = any(s.partition("{")[0] == name for s in series)
         return grown(name) if known else None
 
+    lags = [v[REPORT_LAG] for v in newest.values.values() if REPORT_LAG in v]
     tokens = grown("godwit_server_tokens_total")
     cheap = grown("godwit_server_tokens_total{kind=cheap}")
     return Service(
@@ -108,7 +110,7 @@
         grown("godwit_wasted_tokens_total"),
         cheap / tokens if tokens else None,
         reported("godwit_spend_total"),
-        reported(LATE_WINDOWS),
+        max(lags, default=None),
         reported(CORRECTED_WINDOWS),
     )
 
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -29,9 +29,12 @@
     save,
     scrape,
 )
+from godwitmast.capacity.duty import CapacityMetrics
+from godwitmast.clock import SystemClock
 from godwitmast.dev.document import MODEL, dev_key
 from godwitmast.dev.system import DevSystem
 from godwitmast.entry.metrics import CALLERS_DOING, EntryMetrics
+from godwitmast.usage.duty import UsageDuty
 from running import running
 
 GOAL_SERIES = "godwit_attainment_goal{class_name=question}"
@@ -119,7 +122,7 @@
 
 def test_figures_that_nobody_reported_are_not_zero() -> None:
     made = as_json(make_report([at(0, 1, 0), at(5, 10, 1)]))
-    assert made["service"]["late_windows"] is None
+    assert made["service"]["report_lag_s"] is None
     assert made["service"]["spend"] is None
     named = {"godwit_spend_total{kind=cheap}": 4.0, "godwit_spend_total{kind=x}": 5.0}
     again = as_json(make_report([at(0, 1, 0), at(5, 10, 1, **named)]))
@@ -160,9 +163,12 @@
         for long, short, rate in zip(burns[::4], burns[2::4], rates[::2], strict=False)
     }
     assert seen == {(rule.long_s, rule.short_s, rule.burn) for rule in RULES}
-    metrics = EntryMetrics()
-    families = {family.name for family in metrics.registry.collect()}
-    assert {"godwit_requests", "godwit_attainment_goal"} <= families
+    registry = EntryMetrics().registry
+    CapacityMetrics(registry)
+    UsageDuty(None, SystemClock(), registry=registry)  # type: ignore[arg-type]
+    known = {family.name for family in registry.collect()}
+    named = set(re.findall(r"godwit_\w+", text))
+    assert {name.removesuffix("_total") for name in named} <= known
     own = "|".join(("team_limit", "caller_gone", "key_withdrawn"))
     assert text.count(f'outcome!~"{own}"') == text.count(f'outcome!~"met|{own}"')
     assert set(own.split("|")) == CALLERS_DOING
