Share full servers among teams by their turns

Cause: what went to full servers at once went in the order of arrival, past the fair order of teams, which matters where the highest tier alone is past capacity.

--- a/src/godwitmast/admission/fairness.py
+++ b/src/godwitmast/admission/fairness.py
@@ -26,8 +26,8 @@
 counter, there taken from what providers charge."""
 
 MAX_LEAD_TOKENS = 100_000.0
-"""How far service by other entries may put a team behind the others here: about two
-minutes of a busy backend server. Without a bound, a team that moved from one entry to
+"""How far service by other entries may put a team behind the others here: about a
+minute of a busy backend server. Without a bound, a team that moved from one entry to
 another would wait there until the other teams had used as much."""
 
 
--- a/src/godwitmast/admission/queue.py
+++ b/src/godwitmast/admission/queue.py
@@ -153,6 +153,11 @@
         queue, guarded = choose_class((q for q in pool.by_tier if q.waiting), now)
         job = self.jobs[queue.peek()]
         job.guarded = job.guarded or guarded
+        return self.start_next(queue, now)
+
+    def start_next(self, queue: ClassQueue, now: float) -> RequestSpec:
+        """Take out the request of a class whose team's turn it is."""
+        job = self.jobs[queue.peek()]
         if not queue.resumed:
             queue.fair.advance()
         return self.start(job, queue, now)
@@ -176,7 +181,7 @@
             job = self.jobs[request_id]
             may_go_alone = may_overcommit and queue.tier <= self.highest_tier
             if may_go_alone and frees_soon(pool):
-                return Preemption(None, self.start(job, queue, now))
+                return Preemption(None, self.start_next(queue, now))
             if job.urgent_at > now:
                 continue
             victim = find_victim(pool, queue.tier)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -280,6 +280,16 @@
     assert desk.admission.preempt(POOL, desk.now, may_overcommit=True) is None
 
 
+def test_full_servers_are_shared_by_the_teams_as_the_others_are(desk: Desk) -> None:
+    desk.run("question", hold_s=0.1)
+    desk.begin("question", "tobago")
+    for _ in range(4):
+        desk.offer("question", "arima")
+    couva = desk.offer("question", "couva")
+    first = [desk.admission.preempt(POOL, desk.now, True) for _ in range(2)]
+    assert couva in [item.request.request_id for item in first if item]
+
+
 def test_same_tier_is_not_preempted(desk: Desk) -> None:
     desk.begin("question")
     desk.offer("question", "couva")
