--- a/src/godwitmast/peers/driver.py
+++ b/src/godwitmast/peers/driver.py
@@ -21,7 +21,7 @@
 from godwitmast.logs import log_event
 from godwitmast.peers.codec import MAX_FRAME_BYTES, decode_frame, encode_frame
 from godwitmast.peers.config_source import ConfigSource
-from godwitmast.peers.machine import MAX_LINKS, PeerMachine, Timing
+from godwitmast.peers.machine import MAX_LINKS, PeerMachine
 from godwitmast.peers.messages import (
     Dial,
     Frame,
@@ -36,6 +36,7 @@
     Topic,
 )
 from godwitmast.peers.settings import PeerSettings
+from godwitmast.peers.timing import Timing
 from godwitmast.tls import TlsContext, peer_client_tls, peer_server_tls
 from godwitmast.types import Json
 
@@ -104,7 +105,7 @@
         self.machine = PeerMachine(
             self.node, place, incarnation, self.config, now, timing=self.timing
         )
-        self.learn([KnownVm(address) for address in self.settings.seeds])
+        self.learn([])
         for context in self.tls or ():
             tasks.start_soon(context.run)
         self.server = await serve(
@@ -143,9 +144,10 @@
     # What the application tells.
 
     def learn(self, vms: list[KnownVm]) -> None:
-        """Take addresses at which there may be peers."""
+        """Take the platform's list of VMs, beside the seeds of the settings."""
         if self.machine is not None:
-            self.machine.learn_addresses(vms, self.clock.now())
+            seeds = [KnownVm(address) for address in self.settings.seeds]
+            self.machine.learn_addresses(seeds + vms, self.clock.now())
 
     def config_changed(self) -> None:
         """Push the configuration that is now in force."""
