Let the test's balancer know entries by address

Cause: test_rolling_replacement failed in whole runs on a busy machine with 503 not_ready: its balancer sent to a zone whose old entry had said that it was ready, while the new one was starting; waiting for the new one's address also held up the engines in its process. Ruled out: the entry, which refused truthfully. Change: the balancer keeps addresses of processes that said that they are ready, as a real one does, and never blocks.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -29,6 +29,12 @@
         """Return the address that the program says it listens on."""
         return self.urls(1)[0]
 
+    @property
+    def known_url(self) -> str | None:
+        """Return the address if the program listens by now; this does not wait."""
+        found = LISTENING.findall(self.log.read_text())
+        return found[0] if found else None
+
     def urls(self, count: int) -> list[str]:
         """Wait until the program listens on `count` addresses, and return them."""
         deadline = time.monotonic() + START_TIMEOUT_S
--- a/tests/test_peers_processes.py
+++ b/tests/test_peers_processes.py
@@ -55,9 +55,10 @@
 
     async def status(self, zone: str) -> dict:
         """Return what an entry says of itself, or nothing if it does not answer."""
+        url = self.entries[zone].known_url
         try:
-            answer = await self.http.get(f"{self.entries[zone].url}/readyz", timeout=1)
-            return answer.json()
+            answer = await self.http.get(f"{url}/readyz", timeout=1) if url else None
+            return {"url": url, **answer.json()} if answer else {}
         except httpx.HTTPError:
             return {}
 
@@ -93,7 +94,11 @@
 
     async def stream(self, zone: str, length: int = 10) -> None:
         """Send a request to a zone's entry; its answer must be whole."""
-        url = f"{self.entries[zone].url}/v1/chat/completions"
+        await self.stream_from(self.entries[zone].url, length)
+
+    async def stream_from(self, base: str, length: int) -> None:
+        """Send a request to the entry at an address; its answer must be whole."""
+        url = f"{base}/v1/chat/completions"
         answer = await self.http.post(url, headers=BEARER, json=streamed(length))
         assert answer.status_code == 200, answer.text
         assert words_of(answer.text) == list(range(1, length + 1))
@@ -156,10 +161,14 @@
 
 @dataclass
 class Balancer:
-    """Sends each request to an entry that said lately that it is ready."""
+    """Sends each request to an entry that said lately that it is ready.
+
+    Entries are known by address: a new entry of a zone is not ready because the one
+    before it was.
+    """
 
     fleet: Fleet
-    ready: list[str] = field(default_factory=list)
+    ready: list[str]
     sent: int = 0
     whole: int = 0
     failures: list[str] = field(default_factory=list)
@@ -167,8 +176,8 @@
 
     async def watch(self) -> None:
         while not self.stopping:
-            seen = {zone: await self.fleet.status(zone) for zone in ZONES}
-            self.ready = [zone for zone, said in seen.items() if said.get("ready")]
+            seen = [await self.fleet.status(zone) for zone in ZONES]
+            self.ready = [said["url"] for said in seen if said.get("ready")]
             await anyio.sleep(0.1)
 
     async def send(self, start: int) -> None:
@@ -176,13 +185,13 @@
         turn = start
         while not self.stopping:
             turn += 1
-            zone = self.ready[turn % len(self.ready)]
+            url = self.ready[turn % len(self.ready)]
             self.sent += 1
             try:
-                await self.fleet.stream(zone, length=60)
+                await self.fleet.stream_from(url, length=60)
                 self.whole += 1
             except (AssertionError, httpx.HTTPError) as error:
-                self.failures.append(f"{zone}: {error!r}")
+                self.failures.append(f"{url}: {error!r}")
 
 
 async def test_rolling_replacement_cuts_no_request(processes: Processes) -> None:
@@ -196,7 +205,7 @@
         for zone in ZONES:
             fleet.spawn(zone)
         await fleet.until_peers("abc", "abc")
-        balancer = Balancer(fleet, list(ZONES))
+        balancer = Balancer(fleet, [fleet.entries[zone].url for zone in ZONES])
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(balancer.watch)
             for number in range(6):
