Yield to a cancel only where a claim was waited for

Cause: each attempt took a turn of the event loop so that a cancel during a claim ends it; calls without a claim paid for it too. Change: only claimed calls yield.

--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -244,9 +244,10 @@
             with self.cancellable(start.attempt_id) as scope:
                 if not await self.may_send():
                     return True
-                # If the attempt was cancelled during the claim, it ends here, while
-                # it is still certain that no byte has left.
-                await checkpoint()
+                if self.claimed is not None:
+                    # If the attempt was cancelled during the claim, it ends here,
+                    # while it is still certain that no byte has left.
+                    await checkpoint()
                 await self.pass_on(start, url + self.outbound.path, scope)
             if scope.cancelled:
                 self.reader.restart()
