Take a path with dot segments for what it leads to, and pass paths on as they came

Cause, found in the read-through: POST /services/pool-app/drafts/../charge counted as idempotent where /drafts is, so a charge whose connection broke could be sent twice; and a decoded %3F in a path became the start of a query at the service. Change: a path is below an idempotent one by whole segments and without dot segments; the raw path is passed on.

--- a/src/godwitmast/config/document.py
+++ b/src/godwitmast/config/document.py
@@ -66,7 +66,7 @@
 class Service(NamedTuple):
     """A plain service beside the engines.
 
-    A path that starts with one of `idempotent_paths` may be repeated whatever its
+    A path that is one of `idempotent_paths` or below one may be repeated whatever its
     method; all else but GET and HEAD may not.
     """
 
--- /dev/null
+++ b/src/godwitmast/dispatch/policy.py
@@ -0,0 +1,55 @@
+"""What the entry and the scenario player ask of a routing policy.
+
+The product's is `dispatch.router.Router`; the player also plays baselines.
+"""
+
+from typing import Protocol
+
+from godwitmast.config.document import Document
+from godwitmast.dispatch.messages import (
+    Action,
+    BackendSpec,
+    CancelReason,
+    FailureKind,
+    LoadReport,
+    RequestSpec,
+)
+from godwitmast.types import AttemptId, BackendId, RequestId
+
+
+class Policy(Protocol):
+    """What the entry and the scenario player need of a routing policy."""
+
+    def update_config(self, document: Document, now: float) -> list[Action]: ...
+
+    def update_backends(
+        self, backends: list[BackendSpec], now: float
+    ) -> list[Action]: ...
+
+    def submit(self, request: RequestSpec, now: float) -> list[Action]: ...
+
+    def tokens_came(
+        self, request_id: RequestId, attempt_id: AttemptId, count: int, now: float
+    ) -> list[Action]: ...
+
+    def finished(
+        self, request_id: RequestId, attempt_id: AttemptId, now: float
+    ) -> list[Action]: ...
+
+    def failed(
+        self,
+        request_id: RequestId,
+        attempt_id: AttemptId,
+        kind: FailureKind,
+        now: float,
+    ) -> list[Action]: ...
+
+    def withdraw(
+        self, request_id: RequestId, reason: CancelReason, now: float
+    ) -> list[Action]: ...
+
+    def load_reported(
+        self, backend_id: BackendId, report: LoadReport, now: float
+    ) -> list[Action]: ...
+
+    def tick(self, now: float) -> list[Action]: ...
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -6,7 +6,6 @@
 
 import random
 from collections.abc import Iterable
-from typing import Protocol
 
 from godwitmast.admission.queue import Admission
 from godwitmast.config.document import Document
@@ -54,44 +53,6 @@
 0.5, most questions that were late had been sent to a server with a full batch."""
 
 
-class Policy(Protocol):
-    """What the entry and the scenario player need of a routing policy."""
-
-    def update_config(self, document: Document, now: float) -> list[Action]: ...
-
-    def update_backends(
-        self, backends: list[BackendSpec], now: float
-    ) -> list[Action]: ...
-
-    def submit(self, request: RequestSpec, now: float) -> list[Action]: ...
-
-    def tokens_came(
-        self, request_id: RequestId, attempt_id: AttemptId, count: int, now: float
-    ) -> list[Action]: ...
-
-    def finished(
-        self, request_id: RequestId, attempt_id: AttemptId, now: float
-    ) -> list[Action]: ...
-
-    def failed(
-        self,
-        request_id: RequestId,
-        attempt_id: AttemptId,
-        kind: FailureKind,
-        now: float,
-    ) -> list[Action]: ...
-
-    def withdraw(
-        self, request_id: RequestId, reason: CancelReason, now: float
-    ) -> list[Action]: ...
-
-    def load_reported(
-        self, backend_id: BackendId, report: LoadReport, now: float
-    ) -> list[Action]: ...
-
-    def tick(self, now: float) -> list[Action]: ...
-
-
 class Router:
     """The policy that the product runs."""
 
--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -2,8 +2,8 @@
 
 import itertools
 from collections import Counter
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
 
 import msgspec
 from anyio import to_thread
@@ -55,6 +55,16 @@
 )
 
 
+class Incoming(NamedTuple):
+    """A request whose head, key and body were read."""
+
+    envelope: Envelope
+    caller: Caller
+    body: bytes
+    receive: Receive
+    send: Send
+
+
 class EntryApp:
     """Takes callers' requests, from the key check to the metering."""
 
@@ -191,38 +201,26 @@
         if envelope.path == "/v1/models":
             await send_json(send, 200, list_models(self.document, caller))
             return None
-        exchange = self.prepare(envelope, caller, body, receive, send)
+        exchange = self.prepare(Incoming(envelope, caller, body, receive, send))
         if isinstance(exchange, ErrorAnswer):
             return exchange
         await self.run(exchange)
         return None
 
-    def prepare(
-        self,
-        envelope: Envelope,
-        caller: Caller,
-        body: bytes,
-        receive: Receive,
-        send: Send,
-    ) -> Exchange | ErrorAnswer:
+    def prepare(self, incoming: Incoming) -> Exchange | ErrorAnswer:
         """Return the exchange that serves a request, or the error to answer with."""
-        if envelope.path in COMPLETION_PATHS:
-            return self.prepare_model(envelope, caller, body, receive, send)
-        if envelope.path.startswith(SERVICES):
-            return self.prepare_service(envelope, caller, body, receive, send)
-        return ErrorAnswer(404, "not_found", f"There is nothing at {envelope.path}.")
-
-    def prepare_model(
-        self,
-        envelope: Envelope,
-        caller: Caller,
-        body: bytes,
-        receive: Receive,
-        send: Send,
-    ) -> Exchange | ErrorAnswer:
+        path = incoming.envelope.path
+        if path in COMPLETION_PATHS:
+            return self.prepare_model(incoming)
+        if path.startswith(SERVICES):
+            return self.prepare_service(incoming)
+        return ErrorAnswer(404, "not_found", f"There is nothing at {path}.")
+
+    def prepare_model(self, incoming: Incoming) -> Exchange | ErrorAnswer:
+        envelope, caller = incoming.envelope, incoming.caller
         if envelope.method != "POST":
             return ErrorAnswer(405, "method_not_allowed", "Completions take POST.")
-        call = read_model_call(body, COMPLETION_PATHS[envelope.path])
+        call = read_model_call(incoming.body, COMPLETION_PATHS[envelope.path])
         if isinstance(call, ErrorAnswer):
             return call
         model = self.document.models.get(call.model)
@@ -235,7 +233,7 @@
         if isinstance(class_name, Denial):
             return answer_denial(class_name)
         limit = min(call.max_tokens or model.max_output_tokens, model.max_output_tokens)
-        spec = self.make_spec(envelope, caller, class_name, call.model, body)._replace(
+        spec = self.make_spec(incoming, class_name, call.model)._replace(
             prompt_tokens=call.prompt_tokens,
             max_tokens=limit,
             idempotent=model.idempotent,
@@ -243,7 +241,7 @@
             resumable=call.stream,
         )
         outbound = self.model_outbound(envelope, call, spec, limit)
-        return self.make_exchange(caller, envelope, spec, outbound, receive, send)
+        return self.make_exchange(incoming, spec, outbound)
 
     def model_outbound(
         self, envelope: Envelope, call: ModelCall, spec: RequestSpec, limit: int
@@ -259,14 +257,8 @@
         content = msgspec.json.encode(body)
         return Outbound("POST", envelope.path, headers, content, body, call.stream)
 
-    def prepare_service(
-        self,
-        envelope: Envelope,
-        caller: Caller,
-        body: bytes,
-        receive: Receive,
-        send: Send,
-    ) -> Exchange | ErrorAnswer:
+    def prepare_service(self, incoming: Incoming) -> Exchange | ErrorAnswer:
+        envelope, caller = incoming.envelope, incoming.caller
         name, _, rest = envelope.path.removeprefix(SERVICES).partition("/")
         service = self.document.services.get(name)
         if service is None:
@@ -279,47 +271,36 @@
         class_name = choose_class(self.document, caller, wanted)
         if isinstance(class_name, Denial):
             return answer_denial(class_name)
-        path = f"/{rest}"
-        idempotent = envelope.method in SAFE_METHODS or any(
-            path.startswith(start) for start in service.idempotent_paths
+        idempotent = envelope.method in SAFE_METHODS or is_below(
+            f"/{rest}", service.idempotent_paths
         )
-        spec = self.make_spec(envelope, caller, class_name, name, body)._replace(
+        spec = self.make_spec(incoming, class_name, name)._replace(
             idempotent=idempotent, resumable=False
         )
         query = f"?{envelope.query}" if envelope.query else ""
+        path = service_path(envelope.raw_path) + query
         headers = [*envelope.headers, ("accept-encoding", "identity")]
-        outbound = Outbound(envelope.method, path + query, headers, body)
-        return self.make_exchange(caller, envelope, spec, outbound, receive, send)
+        outbound = Outbound(envelope.method, path, headers, incoming.body)
+        return self.make_exchange(incoming, spec, outbound)
 
-    def make_spec(
-        self,
-        envelope: Envelope,
-        caller: Caller,
-        class_name: str,
-        pool: str,
-        body: bytes,
-    ) -> RequestSpec:
+    def make_spec(self, incoming: Incoming, class_name: str, pool: str) -> RequestSpec:
+        envelope, team = incoming.envelope, incoming.caller.team_name
         now = self.clock.now()
         deadline = None if envelope.deadline_s is None else now + envelope.deadline_s
         return RequestSpec(
             RequestId(f"{self.settings.node}-{next(self.numbers)}"),
-            TeamName(caller.team_name),
+            TeamName(team),
             ClassName(class_name),
             PoolName(pool),
             now,
             deadline=deadline,
-            fingerprint=fingerprint(caller.team_name, envelope.path, body),
+            fingerprint=fingerprint(team, envelope.path, incoming.body),
         )
 
     def make_exchange(
-        self,
-        caller: Caller,
-        envelope: Envelope,
-        spec: RequestSpec,
-        outbound: Outbound,
-        receive: Receive,
-        send: Send,
+        self, incoming: Incoming, spec: RequestSpec, outbound: Outbound
     ) -> Exchange:
+        envelope, caller, _, receive, send = incoming
         exchange = Exchange(
             self.driver, self.client, caller, envelope, spec, outbound, receive, send
         )
@@ -409,6 +390,27 @@
     return send_and_close
 
 
+def service_path(raw_path: str) -> str:
+    """Return what follows the service's name, still encoded as the caller sent it.
+
+    Decoded, a `%3F` in a path would become the start of a query.
+    """
+    return "/" + raw_path.split("/", 3)[3] if raw_path.count("/") > 2 else "/"
+
+
+def is_below(path: str, starts: Iterable[str]) -> bool:
+    """Return whether `path` is one of `starts` or below it.
+
+    A path with dot segments is below nothing: a service that resolves
+    `/drafts/../charge` runs a charge, which must not be repeated as a draft may.
+    """
+    if any(segment in (".", "..") for segment in path.split("/")):
+        return False
+    return any(
+        path == start or path.startswith(start.rstrip("/") + "/") for start in starts
+    )
+
+
 def list_models(document: Document, caller: Caller) -> dict[str, object]:
     """Return the models that the caller may use, as OpenAI's API lists them."""
     data = [
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -23,7 +23,8 @@
     RequestSpec,
     Start,
 )
-from godwitmast.dispatch.router import Policy, Router
+from godwitmast.dispatch.policy import Policy
+from godwitmast.dispatch.router import Router
 from godwitmast.logs import log_event
 from godwitmast.types import AttemptId, BackendId, RequestId, ZoneName
 
--- a/src/godwitmast/entry/intake.py
+++ b/src/godwitmast/entry/intake.py
@@ -45,10 +45,14 @@
 
 
 class Envelope(NamedTuple):
-    """A request's head, with the key taken out of it."""
+    """A request's head, with the key taken out of it.
+
+    `path` is decoded, for deciding; `raw_path` is as it came, for passing on.
+    """
 
     method: str
     path: str
+    raw_path: str
     query: str
     headers: list[tuple[str, str]]
     key: str | None
@@ -91,6 +95,7 @@
     return Envelope(
         scope["method"],
         scope["path"],
+        scope["raw_path"].decode("latin-1"),
         urlencode([p for p in parameters if not carries_key(*p, key, KEY_PARAMETERS)]),
         clean_headers(pairs, cookies, key),
         key,
--- a/src/godwitmast/load/world.py
+++ b/src/godwitmast/load/world.py
@@ -26,7 +26,8 @@
     RequestSpec,
     Start,
 )
-from godwitmast.dispatch.router import Policy, Router
+from godwitmast.dispatch.policy import Policy
+from godwitmast.dispatch.router import Router
 from godwitmast.load.baselines import FifoLeastOutstanding, StrictRoundRobin
 from godwitmast.load.scenario import (
     MODEL,
--- a/src/godwitmast/standins/service.py
+++ b/src/godwitmast/standins/service.py
@@ -70,7 +70,7 @@
         record = {
             "number": len(self.records) + 1,
             "method": request.method,
-            "path": request.url.path,
+            "path": request.scope["path"],
             "query": str(request.url.query),
             "headers": dict(request.headers),
             "idempotency_key": request.headers.get("idempotency-key"),
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -9,6 +9,7 @@
 
 from godwitmast.dev.document import MODEL, SERVICE, dev_key
 from godwitmast.dev.system import DevSystem
+from godwitmast.entry.app import is_below
 from godwitmast.standins.engine import EngineCrashed
 from godwitmast.usage.meter import UsageKey
 from running import running
@@ -176,3 +177,35 @@
         assert answer.startswith(b"HTTP/1.1 408")
         assert b"godwit-not-run: true" in answer.lower()
         assert not any(engine.served for engine in system.engines)
+
+
+@pytest.mark.parametrize(
+    ("path", "below"),
+    [
+        ("/drafts", True),
+        ("/drafts/7", True),
+        ("/draftsale", False),
+        ("/drafts/../charge", False),
+        ("/drafts/./../charge", False),
+        ("/charge", False),
+    ],
+)
+async def test_path_that_climbs_out_of_an_idempotent_one_is_not_below_it(
+    path: str, below: bool
+) -> None:
+    """`/drafts` may be repeated, `/charge` may not, and `/drafts/../charge` is a charge.
+
+    Were it taken for a draft, a charge whose connection broke would be sent again.
+    """
+    assert is_below(path, ["/drafts"]) is below
+
+
+async def test_path_is_passed_on_as_it_was_encoded(
+    system: DevSystem, http: httpx.AsyncClient
+) -> None:
+    async with running(system):
+        url = f"{system.entries[0].server.url}/services/{SERVICE}/a%3Fb%20c?page=2"
+        answer = await http.get(url, headers=BEARER)
+        assert answer.status_code == 200
+        [record] = system.service.records
+        assert (record["path"], record["query"]) == ("/a?b c", "page=2")
