Pull the configuration every 3 s while peers push it

Cause: nine nodes read 1.07 times a second each at rest, 1 wanted; 0.45 of it were pulls that peers made needless: a change reached all nine in 0.23 s (median). Change: an entry with a link pulls every 3 s, one without every 2.2 s as before.

--- a/src/godwitmast/config/follower.py
+++ b/src/godwitmast/config/follower.py
@@ -19,6 +19,9 @@
 """How often an entry reads the head row, so that even without peers a change is in
 force within 3 s."""
 
+PUSHED_PULL_S = 3.0
+"""How often it does while it has peers, which push each change at once."""
+
 SLOW_PULL_S = 6.0
 """How often a control does, which answers no caller."""
 
@@ -40,6 +43,7 @@
         self.state = ConfigState()
         self.listeners: list[Listener] = []
         self.watchers: dict[str, Callable[[Json], None]] = {}
+        self.is_pushed: Callable[[], bool] = lambda: False
         self.ready = anyio.Event()
         self.told = 0
         self.last_contact: float | None = None
@@ -64,7 +68,8 @@
         while True:
             await self.pull()
             # Jittered, so that nodes which started together do not read together.
-            await anyio.sleep(self.pull_every_s * random.uniform(0.8, 1.2))
+            every_s = PUSHED_PULL_S if self.is_pushed() else self.pull_every_s
+            await anyio.sleep(every_s * random.uniform(0.8, 1.2))
 
     async def pull(self) -> None:
         """Read the head row, and what it leads to if its number is higher."""
--- a/src/godwitmast/entry/peering.py
+++ b/src/godwitmast/entry/peering.py
@@ -95,6 +95,7 @@
         self.poison = PoisonSpreading(app.driver, self.driver, clock)
         self.leaving = LeavingSpreading(app.driver, self.driver)
         follower.listeners.append(self.config_changed)
+        follower.is_pushed = self.is_linked
         app.metrics.count_peers(self.driver)
         app.peers_listed = self.listed
         if peer_settings.fault_hook:
@@ -119,6 +120,10 @@
         machine = self.driver.machine
         return sorted(m.node for m in machine.listed()) if machine else []
 
+    def is_linked(self) -> bool:
+        """Return whether this node has a link to any peer."""
+        return self.driver.machine is not None and bool(self.driver.machine.links)
+
     async def run_vm_list(self) -> None:
         """Take the platform's list of VMs as places to look for peers."""
         while True:
@@ -129,8 +134,7 @@
                 # The last list and what peers say do for as long as it is away.
                 pass
             # Who is linked hears of new nodes from its peers, long before this list.
-            linked = self.driver.machine is not None and self.driver.machine.links
-            await anyio.sleep(VMS_WHEN_LINKED_S if linked else VMS_EVERY_S)
+            await anyio.sleep(VMS_WHEN_LINKED_S if self.is_linked() else VMS_EVERY_S)
 
     async def run_telling(self) -> None:
         """Tell the peers what became known here since the last time."""
