Let a lease be renewed before its takeover is timed

Cause: a takeover took 3.6 s, less than lease and guard. Ruled out: a challenger that does not wait; the outage of the trial before had stopped the beat, so part of the wait was over. Change: the benchmark rests for 25 s first.

--- a/benchmarks/coordination_cost.py
+++ b/benchmarks/coordination_cost.py
@@ -40,6 +40,7 @@
 
 REST_S = 30.0
 OUTAGE_S = 10.0
+SETTLE_S = 25.0
 BEARER = {"Authorization": f"Bearer {dev_key('arima')}"}
 STREAM = {
     "model": MODEL,
@@ -243,6 +244,8 @@
         answer = await http.post(f"{bench.platform.url}/table/read", json=body)
         return answer.json()["rows"]["lease/usage"]["value"]
 
+    # The outage before this let the lease lapse; part of the wait would be over already.
+    await anyio.sleep(SETTLE_S)
     before = await row()
     number = int(before["holder"].split("/")[0].removeprefix("n-"))
     bench.controls[number].kill()
