End the peering's loops before the platform's client is closed

Cause, found on a last read: the VM list was still read by a loop that outlived the client of an entry that stops, the same fault that Background was made for. Change: the peering uses it too.

--- a/src/godwitmast/entry/peering.py
+++ b/src/godwitmast/entry/peering.py
@@ -4,6 +4,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
+from godwitmast.background import Background
 from godwitmast.clock import Clock
 from godwitmast.config.document import NumberedConfig
 from godwitmast.config.follower import ConfigFollower
@@ -94,6 +95,7 @@
         self.service = ServiceSpreading(app.driver, self.driver, clock)
         self.poison = PoisonSpreading(app.driver, self.driver, clock)
         self.leaving = LeavingSpreading(app.driver, self.driver)
+        self.background = Background(self.run_vm_list, self.run_telling)
         follower.listeners.append(self.config_changed)
         follower.is_pushed = self.is_linked
         app.metrics.count_peers(self.driver)
@@ -103,10 +105,10 @@
 
     async def start(self, tasks: TaskGroup) -> None:
         await self.driver.start(tasks)
-        tasks.start_soon(self.run_vm_list)
-        tasks.start_soon(self.run_telling)
+        await self.background.start(tasks)
 
     async def close(self) -> None:
+        await self.background.close()
         await self.driver.close()
 
     def reaches_other_zones(self) -> bool:
