Share the broken variant without compare-and-set between two models

Cause: claims and usage each wrote it out. Change: one function in tests/models.py; the assertions are as they were.

--- a/tests/models.py
+++ b/tests/models.py
@@ -1,10 +1,13 @@
 """Runs a protocol's model under hypothesis, and says how much it explored."""
 
 from collections import Counter
+from typing import Any
 
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
+from godwitmast.platform_api.steps import Steps, Transact
+
 EXPLORED: Counter[str] = Counter()
 """Steps taken by each model; a model counts its own."""
 
@@ -15,6 +18,19 @@
 one now and then."""
 
 
+def without_compare(steps: Steps[Any]) -> Steps[Any]:
+    """Return the protocol with each compare-and-set made a plain write."""
+    result: Any = None
+    try:
+        while True:
+            step = steps.send(result)
+            if isinstance(step, Transact):
+                step = Transact({}, step.writes)
+            result = yield step
+    except StopIteration as stop:
+        return stop.value
+
+
 def explore(
     model: type[RuleBasedStateMachine], examples: int = 150, steps: int = 60
 ) -> None:
--- a/tests/test_claims_model.py
+++ b/tests/test_claims_model.py
@@ -24,7 +24,7 @@
 )
 from godwitmast.platform_api.messages import Row
 from godwitmast.platform_api.steps import Failure, PutObject, Rows, Steps, Transact
-from models import BROKEN_EXAMPLES, EXPLORED, explore
+from models import BROKEN_EXAMPLES, EXPLORED, explore, without_compare
 
 ENTRIES = st.integers(0, 2)
 FATES = st.sampled_from([Fate.ANSWERED] * 6 + list(Fate))
@@ -218,15 +218,7 @@
     """Writes its claim over whatever is there."""
 
     def alter(self, steps: Steps) -> Steps:
-        result: Any = None
-        try:
-            while True:
-                step = steps.send(result)
-                if isinstance(step, Transact):
-                    step = Transact({}, step.writes)
-                result = yield step
-        except StopIteration as stop:
-            return stop.value
+        return without_compare(steps)
 
 
 def test_a_claimed_call_runs_at_most_once_whatever_fails() -> None:
--- a/tests/test_usage_model.py
+++ b/tests/test_usage_model.py
@@ -31,7 +31,7 @@
     next_report,
     seal,
 )
-from models import BROKEN_EXAMPLES, EXPLORED, explore
+from models import BROKEN_EXAMPLES, EXPLORED, explore, without_compare
 
 TIMING = UsageTiming(window_s=10, flush_s=1, grace_s=2, seal_s=5, keep_s=20)
 KEY = UsageKey("team", "question", "godwit-lm")
@@ -263,15 +263,7 @@
     """Freezes and seals without looking whether another did first."""
 
     def alter(self, steps: Steps) -> Steps:
-        result: Any = None
-        try:
-            while True:
-                step = steps.send(result)
-                if isinstance(step, Transact):
-                    step = Transact({}, step.writes)
-                result = yield step
-        except StopIteration as stop:
-            return stop.value
+        return without_compare(steps)
 
 
 def test_usage_is_reported_once_with_one_set_of_figures() -> None:
