Let one exchange serve more than one interface to callers

Cause: a second interface, that of the users' platform, needs the same admission, router, exchange and usage, and all of it knew the OpenAI shape and the platform's paths.

Ruled out: a second exchange beside the first, since every later fault would have to be mended twice.

Change: ports. entry/front.py says what a request is and how outcomes are answered, entry/outbound.py what a server is sent and how its answer is read, platform_api/port.py what table, feed and intake are. The OpenAI shape moves to entry/openai.py and the HTTP plumbing of the platform's client to platform_api/http.py. A request is counted when a server begins on it, its tokens when they are known. An attempt's failure is logged with its cause; what an earlier attempt may have run is no longer forgotten when a later one does not connect. An exchange can end at a set time, and can keep what a failing server said for when no other makes it good.

--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -1,7 +1,8 @@
 """HTTP to backend servers, with every failure named."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
+from typing import Protocol, TypeAlias
 
 import httpx
 
@@ -11,6 +12,7 @@
 """A backend server in reach accepts within milliseconds; one that is gone never."""
 
 READ_TIMEOUT_S = 120.0
+SocketOptions: TypeAlias = Iterable[tuple[int, int, int]]
 NOT_RUN_HEADER = "engine-not-run"
 LOAD_HEADER = "engine-load"
 
@@ -21,15 +23,45 @@
     def __init__(self, kind: FailureKind, detail: str) -> None:
         super().__init__(f"{kind.value}: {detail}")
         self.kind = kind
+        self.detail = detail
+
+
+class BackendWire(Protocol):
+    """What backend servers say of themselves in the head of an answer."""
+
+    def said_not_run(self, answer: httpx.Response) -> bool:
+        """Return whether the server did not run the request, and never will."""
+
+    def read_load(self, answer: httpx.Response) -> LoadReport | None:
+        """Return the load that the server told, if it did."""
+
+
+class EngineWire:
+    """The heads of this project's own backend server interface."""
+
+    def said_not_run(self, answer: httpx.Response) -> bool:
+        return NOT_RUN_HEADER in answer.headers
+
+    def read_load(self, answer: httpx.Response) -> LoadReport | None:
+        return read_load(answer)
 
 
 class BackendClient:
     """Connections to backend servers, kept open between requests."""
 
-    def __init__(self, read_timeout_s: float = READ_TIMEOUT_S) -> None:
+    def __init__(
+        self,
+        read_timeout_s: float = READ_TIMEOUT_S,
+        wire: BackendWire | None = None,
+        socket_options: SocketOptions = (),
+    ) -> None:
+        self.wire = wire or EngineWire()
+        limits = httpx.Limits(max_connections=None, max_keepalive_connections=512)
         self.http = httpx.AsyncClient(
             timeout=httpx.Timeout(read_timeout_s, connect=CONNECT_TIMEOUT_S),
-            limits=httpx.Limits(max_connections=None, max_keepalive_connections=512),
+            transport=httpx.AsyncHTTPTransport(
+                limits=limits, trust_env=False, socket_options=list(socket_options)
+            ),
             trust_env=False,
             follow_redirects=False,
         )
@@ -39,24 +71,28 @@
 
     @asynccontextmanager
     async def exchange(
-        self,
-        method: str,
-        url: str,
-        headers: list[tuple[str, str]],
-        content: bytes,
-        errors_are_failures: bool = True,
+        self, method: str, url: str, headers: list[tuple[str, str]], content: bytes
     ) -> AsyncIterator[httpx.Response]:
         """Send a request and give the answer's head, or raise AttemptFailed.
 
-        A plain service's 5xx is its answer, which is the caller's to read; an
-        engine's is a failure that another engine can make good.
+        Only the headers given are sent, beside those of the connection.
         """
+        request = httpx.Request(
+            method,
+            url,
+            headers=headers,
+            content=content,
+            extensions={"timeout": self.http.timeout.as_dict()},
+        )
         try:
-            async with self.http.stream(
-                method, url, headers=headers, content=content
-            ) as answer:
-                check_refused(answer, errors_are_failures)
+            answer = await self.http.send(request, stream=True)
+            try:
+                if self.wire.said_not_run(answer):
+                    detail = f"status {answer.status_code}"
+                    raise AttemptFailed(FailureKind.REFUSED, detail)
                 yield answer
+            finally:
+                await answer.aclose()
         except httpx.HTTPError as error:
             raise AttemptFailed(failure_kind(error), repr(error)) from None
 
@@ -72,14 +108,6 @@
             return None
 
 
-def check_refused(answer: httpx.Response, errors_are_failures: bool) -> None:
-    """Raise AttemptFailed for an answer that is the server's own failure."""
-    if NOT_RUN_HEADER in answer.headers:
-        raise AttemptFailed(FailureKind.REFUSED, f"status {answer.status_code}")
-    if errors_are_failures and answer.status_code >= 500:
-        raise AttemptFailed(FailureKind.ERROR, f"status {answer.status_code}")
-
-
 def read_load(answer: httpx.Response) -> LoadReport | None:
     """Return the load that a server told with its answer: `Engine-Load: 3;1`.
 
--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -1,9 +1,9 @@
-"""The entry's HTTP application."""
+"""The entry's HTTP application, whatever interface its callers speak."""
 
-import itertools
 from collections import Counter
-from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple
+from collections.abc import Callable
+from functools import partial
+from typing import Any
 
 import msgspec
 from anyio import to_thread
@@ -11,78 +11,46 @@
 
 from godwitmast.backends.client import BackendClient
 from godwitmast.capacity.demand import DemandKey, DemandMeter
-from godwitmast.claims.keeper import ClaimKeeper
 from godwitmast.clock import Clock
 from godwitmast.config.document import Document, NumberedConfig
 from godwitmast.dispatch.messages import CancelReason, RequestSpec
 from godwitmast.entry.driver import RouterDriver
-from godwitmast.entry.exchange import Exchange, Outbound
-from godwitmast.entry.intake import (
-    CallerGone,
-    Envelope,
-    ModelCall,
-    fingerprint,
-    open_envelope,
-    read_body,
-    read_model_call,
-)
+from godwitmast.entry.exchange import Exchange
+from godwitmast.entry.front import Front, Incoming, Prepared, Reply
+from godwitmast.entry.intake import CallerGone, read_body
 from godwitmast.entry.metrics import EntryMetrics
 from godwitmast.entry.refusals import (
     ErrorAnswer,
     answer_denial,
-    send_error,
     send_json,
     send_whole,
 )
-from godwitmast.entry.settings import EntrySettings
 from godwitmast.http_server import Receive, Scope, Send
-from godwitmast.keys.authorizer import (
-    Caller,
-    Denial,
-    choose_class,
-    identify,
-    may_use,
-    still_granted,
-)
-from godwitmast.types import ClassName, PoolName, RequestId, TeamName
+from godwitmast.keys.authorizer import Caller, Denial, still_granted
+from godwitmast.types import RequestId
 from godwitmast.usage.meter import Meter, UsageKey
 
-COMPLETION_PATHS = {"/v1/chat/completions": True, "/v1/completions": False}
-SERVICES = "/services/"
-SAFE_METHODS = frozenset(["GET", "HEAD"])
 NOT_READY = ErrorAnswer(
     503, "not_ready", "No configuration is in force here yet.", retry_after_s=1.0
 )
 
 
-class Incoming(NamedTuple):
-    """A request whose head, key and body were read."""
-
-    envelope: Envelope
-    caller: Caller
-    body: bytes
-    receive: Receive
-    send: Send
-
-
 class EntryApp:
     """Takes callers' requests, from the key check to the metering."""
 
     def __init__(
         self,
-        settings: EntrySettings,
         clock: Clock,
         driver: RouterDriver,
         client: BackendClient,
         meter: Meter,
-        claims: ClaimKeeper,
+        front: Front,
     ) -> None:
-        self.settings = settings
         self.clock = clock
         self.driver = driver
         self.client = client
         self.meter = meter
-        self.claims = claims
+        self.front = front
         self.metrics = EntryMetrics()
         self.demand = DemandMeter()
         self.config: NumberedConfig | None = None
@@ -91,13 +59,15 @@
         self.fault_hook: Callable[[frozenset[str]], None] | None = None
         self.peers_listed: Callable[[], list[str]] = list
         self.exchanges: dict[RequestId, Exchange] = {}
-        self.numbers = itertools.count(1)
         self.ready_checks: list[Callable[[], bool]] = []
         self.cut_off_s: Callable[[], float] = lambda: 0.0
+        self.ends_withdrawn = True
+        """Whether an open stream ends once its key is withdrawn."""
 
     def config_changed(self, config: NumberedConfig) -> None:
         """Take a configuration, and end the streams of keys that it withdraws."""
         self.config = config
+        self.front.config_changed(config)
         self.metrics.config_changed(config)
         self.driver.config_changed(config)
         self.withdrawn = {
@@ -118,14 +88,17 @@
             return
         self.withdrawn[key_hash] = version
         for exchange in list(self.exchanges.values()):
-            if exchange.caller.key_hash == key_hash:
+            if exchange.caller and exchange.caller.key_hash == key_hash:
                 exchange.end(CancelReason.KEY_WITHDRAWN)
 
     def end_withdrawn(self) -> None:
         """End the streams of keys that are withdrawn, expired or past their grace."""
+        if not self.ends_withdrawn:
+            return
         wall, cut_off_s = self.clock.wall(), self.cut_off_s()
         for exchange in list(self.exchanges.values()):
-            if not still_granted(self.document, exchange.caller, wall, cut_off_s):
+            caller = exchange.caller
+            if caller and not still_granted(self.document, caller, wall, cut_off_s):
                 exchange.end(CancelReason.KEY_WITHDRAWN)
 
     @property
@@ -155,7 +128,7 @@
             case "/readyz":
                 await send_json(send, 200 if self.ready else 503, self.readiness())
             case "/_peers/cut" if self.fault_hook:
-                body = await read_body(receive, self.settings.limits)
+                body = await read_body(receive, self.front.limits())
                 assert isinstance(body, bytes), "tests send a short list"
                 self.fault_hook(msgspec.json.decode(body, type=frozenset[str]))
                 await send_json(send, 200, {})
@@ -164,9 +137,7 @@
             case "/metrics/teams":
                 await send_metrics(send, self.metrics.team_registry)
             case _:
-                answer = await self.serve(scope, receive, send)
-                if answer is not None:
-                    await send_error(send, answer)
+                await self.take(scope, receive, send)
 
     def readiness(self) -> dict[str, object]:
         return {
@@ -176,6 +147,12 @@
             "peers": self.peers_listed(),
         }
 
+    async def take(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve a caller, or tell it what is wrong with its request."""
+        error = await self.serve(scope, receive, send)
+        if error is not None:
+            await self.front.send_error(send, error, False)
+
     async def serve(
         self, scope: Scope, receive: Receive, send: Send
     ) -> ErrorAnswer | None:
@@ -183,135 +160,45 @@
 
         The body is read before any error is given: see `read_body`.
         """
-        body = await read_body(receive, self.settings.limits)
+        arrived = self.clock.now()
+        body = await read_body(receive, self.front.limits())
         if isinstance(body, ErrorAnswer):
             return body
         if self.config is None:
             return NOT_READY
-        envelope = open_envelope(scope)
+        envelope = self.front.open(scope)
         if isinstance(envelope, ErrorAnswer):
             return envelope
-        caller = identify(
-            self.document, envelope.key, self.clock.wall(), self.cut_off_s()
-        )
-        if isinstance(caller, Denial):
-            return answer_denial(caller)
-        if caller.key_hash in self.withdrawn:
+        caller = self.front.identify(envelope, self.cut_off_s())
+        if isinstance(caller, ErrorAnswer):
+            return caller
+        if caller is not None and caller.key_hash in self.withdrawn:
             return answer_denial(Denial.UNKNOWN)
-        if envelope.path == "/v1/models":
-            await send_json(send, 200, list_models(self.document, caller))
-            return None
-        exchange = self.prepare(Incoming(envelope, caller, body, receive, send))
-        if isinstance(exchange, ErrorAnswer):
-            return exchange
-        await self.run(exchange)
+        match self.front.prepare(Incoming(envelope, caller, body, arrived)):
+            case Prepared() as prepared:
+                await self.run(self.make_exchange(prepared, caller, receive, send))
+            case Reply(status, content):
+                await send_json(send, status, content)
+            case ErrorAnswer() as error:
+                return error
         return None
 
-    def prepare(self, incoming: Incoming) -> Exchange | ErrorAnswer:
-        """Return the exchange that serves a request, or the error to answer with."""
-        path = incoming.envelope.path
-        if path in COMPLETION_PATHS:
-            return self.prepare_model(incoming)
-        if path.startswith(SERVICES):
-            return self.prepare_service(incoming)
-        return ErrorAnswer(404, "not_found", f"There is nothing at {path}.")
-
-    def prepare_model(self, incoming: Incoming) -> Exchange | ErrorAnswer:
-        envelope, caller = incoming.envelope, incoming.caller
-        if envelope.method != "POST":
-            return ErrorAnswer(405, "method_not_allowed", "Completions take POST.")
-        call = read_model_call(incoming.body, COMPLETION_PATHS[envelope.path])
-        if isinstance(call, ErrorAnswer):
-            return call
-        model = self.document.models.get(call.model)
-        if model is None:
-            message = f"There is no model {call.model!r}."
-            return ErrorAnswer(404, "model_not_found", message)
-        if not may_use(caller, call.model):
-            return answer_denial(Denial.MODEL)
-        class_name = choose_class(self.document, caller, envelope.class_name)
-        if isinstance(class_name, Denial):
-            return answer_denial(class_name)
-        limit = min(call.max_tokens or model.max_output_tokens, model.max_output_tokens)
-        spec = self.make_spec(incoming, class_name, call.model)._replace(
-            prompt_tokens=call.prompt_tokens,
-            max_tokens=limit,
-            idempotent=model.idempotent,
-            prefix=call.prefix,
-            resumable=call.stream,
-        )
-        outbound = self.model_outbound(envelope, call, spec, limit)
-        return self.make_exchange(incoming, spec, outbound)
-
-    def model_outbound(
-        self, envelope: Envelope, call: ModelCall, spec: RequestSpec, limit: int
-    ) -> Outbound:
-        """Return what an engine is sent: the caller's body, with our priority."""
-        tier = self.document.classes[spec.class_name].tier
-        body = {**call.body, "priority": tier, "max_tokens": limit}
-        body.pop("max_completion_tokens", None)
-        headers = [
-            ("content-type", "application/json"),
-            ("x-request-id", spec.request_id),
-        ]
-        content = msgspec.json.encode(body)
-        return Outbound("POST", envelope.path, headers, content, body, call.stream)
-
-    def prepare_service(self, incoming: Incoming) -> Exchange | ErrorAnswer:
-        envelope, caller = incoming.envelope, incoming.caller
-        name, _, rest = envelope.path.removeprefix(SERVICES).partition("/")
-        service = self.document.services.get(name)
-        if service is None:
-            return ErrorAnswer(
-                404, "service_not_found", f"There is no service {name!r}."
-            )
-        if not may_use(caller, name):
-            return answer_denial(Denial.MODEL)
-        wanted = envelope.class_name or service.default_class
-        class_name = choose_class(self.document, caller, wanted)
-        if isinstance(class_name, Denial):
-            return answer_denial(class_name)
-        idempotent = envelope.method in SAFE_METHODS or is_below(
-            f"/{rest}", service.idempotent_paths
-        )
-        spec = self.make_spec(incoming, class_name, name)._replace(
-            idempotent=idempotent, resumable=False
-        )
-        query = f"?{envelope.query}" if envelope.query else ""
-        path = service_path(envelope.raw_path) + query
-        headers = [*envelope.headers, ("accept-encoding", "identity")]
-        outbound = Outbound(envelope.method, path, headers, incoming.body)
-        return self.make_exchange(incoming, spec, outbound)
-
-    def make_spec(self, incoming: Incoming, class_name: str, pool: str) -> RequestSpec:
-        envelope, team = incoming.envelope, incoming.caller.team_name
-        now = self.clock.now()
-        deadline = None if envelope.deadline_s is None else now + envelope.deadline_s
-        return RequestSpec(
-            RequestId(f"{self.settings.node}-{next(self.numbers)}"),
-            TeamName(team),
-            ClassName(class_name),
-            PoolName(pool),
-            now,
-            deadline=deadline,
-            fingerprint=fingerprint(team, envelope.path, incoming.body),
-        )
-
     def make_exchange(
-        self, incoming: Incoming, spec: RequestSpec, outbound: Outbound
+        self, prepared: Prepared, caller: Caller | None, receive: Receive, send: Send
     ) -> Exchange:
-        envelope, caller, _, receive, send = incoming
         exchange = Exchange(
-            self.driver, self.client, caller, envelope, spec, outbound, receive, send
+            self.driver,
+            self.client,
+            self.front,
+            caller,
+            prepared.spec,
+            prepared.outbound,
+            receive,
+            send,
+            give_up_at=prepared.give_up_at,
+            claimed=prepared.claimed,
         )
-        if envelope.idempotency_key is not None and not spec.idempotent:
-            # What the caller sent, not what goes out: that holds our priority, which
-            # the next configuration may change.
-            exchange.claimed = self.claims.open_call(
-                spec.team,
-                envelope.idempotency_key,
-                [outbound.method, outbound.path, spec.fingerprint],
-            )
+        exchange.began = partial(self.meter.began, usage_key(prepared.spec))
         return exchange
 
     async def run(self, exchange: Exchange) -> None:
@@ -341,14 +228,14 @@
         for kind, tokens in exchange.kind_tokens.items():
             self.metrics.came_from(kind, tokens)
         if exchange.reached_backend:
-            key = UsageKey(spec.team, spec.class_name, spec.pool)
-            self.meter.add(key, exchange.tokens)
+            exchange.note_begun()
+            self.meter.add(usage_key(spec), exchange.tokens)
         if exchange.error_code:
             self.metrics.refused(
                 spec.team,
                 spec.class_name,
                 exchange.error_code,
-                len(exchange.reader.texts),
+                exchange.reader.given,
             )
             return
         if exchange.replayed:
@@ -374,6 +261,10 @@
     return DemandKey(spec.pool, spec.class_name)
 
 
+def usage_key(spec: RequestSpec) -> UsageKey:
+    return UsageKey(spec.team, spec.class_name, spec.pool)
+
+
 def closing(send: Send) -> Send:
     """Return a `send` whose answer tells the caller that its connection ends.
 
@@ -388,34 +279,3 @@
         await send(message)
 
     return send_and_close
-
-
-def service_path(raw_path: str) -> str:
-    """Return what follows the service's name, still encoded as the caller sent it.
-
-    Decoded, a `%3F` in a path would become the start of a query.
-    """
-    return "/" + raw_path.split("/", 3)[3] if raw_path.count("/") > 2 else "/"
-
-
-def is_below(path: str, starts: Iterable[str]) -> bool:
-    """Return whether `path` is one of `starts` or below it.
-
-    A path with dot segments is below nothing: a service that resolves
-    `/drafts/../charge` runs a charge, which must not be repeated as a draft may.
-    """
-    if any(segment in (".", "..") for segment in path.split("/")):
-        return False
-    return any(
-        path == start or path.startswith(start.rstrip("/") + "/") for start in starts
-    )
-
-
-def list_models(document: Document, caller: Caller) -> dict[str, object]:
-    """Return the models that the caller may use, as OpenAI's API lists them."""
-    data = [
-        {"id": name, "object": "model", "created": 0, "owned_by": "godwitmast"}
-        for name in sorted(document.models)
-        if may_use(caller, name)
-    ]
-    return {"object": "list", "data": data}
--- a/src/godwitmast/entry/events.py
+++ b/src/godwitmast/entry/events.py
@@ -85,6 +85,15 @@
         if chunk.usage:
             self.usage = token_count(chunk.usage)
 
+    @property
+    def given(self) -> int:
+        """Return how many tokens were given to the caller."""
+        return len(self.texts)
+
+    def end(self) -> bytes:
+        """Return nothing: these streams say by a last event that they are whole."""
+        return b""
+
     def restart(self) -> None:
         """Drop half an event, before another attempt goes on with the stream."""
         self.tail = b""
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -1,22 +1,16 @@
 """The life of one caller's request, from the queue to the last byte."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
 import httpx
-import msgspec
 from anyio.lowlevel import checkpoint
 
-from godwitmast.backends.client import (
-    LOAD_HEADER,
-    AttemptFailed,
-    BackendClient,
-    read_load,
-)
+from godwitmast.backends.client import AttemptFailed, BackendClient
 from godwitmast.claims.keeper import ClaimedCall
 from godwitmast.claims.machine import (
     Answer,
@@ -31,43 +25,28 @@
     CancelReason,
     FailureKind,
     NotRun,
+    RefusalCode,
     Refuse,
     RequestSpec,
     Start,
 )
 from godwitmast.entry.claim_answers import OUTCOME_UNKNOWN, answer_claim
 from godwitmast.entry.driver import Mailbox, RouterDriver
-from godwitmast.entry.events import EventReader, usage_of_answer
-from godwitmast.entry.intake import Envelope
+from godwitmast.entry.front import Front
 from godwitmast.entry.metrics import Timing
-from godwitmast.entry.refusals import (
-    ErrorAnswer,
-    answer_refusal,
-    error_body,
-    send_error,
-    send_whole,
+from godwitmast.entry.outbound import (
+    EVENT_STREAM,
+    ErrorPolicy,
+    Outbound,
+    StreamReader,
+    WholeAnswer,
 )
+from godwitmast.entry.refusals import ErrorAnswer, send_whole
 from godwitmast.http_server import Receive, Send
 from godwitmast.keys.authorizer import Caller
+from godwitmast.logs import log_event
 from godwitmast.types import AttemptId, TokenCount
 
-EVENT_STREAM = [
-    (b"content-type", b"text/event-stream"),
-    (b"cache-control", b"no-cache"),
-]
-
-HOP_HEADERS = frozenset(
-    [
-        "connection",
-        "content-length",
-        "date",
-        "keep-alive",
-        "transfer-encoding",
-        # Not of any hop, but not the caller's to know either.
-        LOAD_HEADER,
-    ]
-)
-
 REPLAYED = (b"godwit-replayed", b"true")
 """Says that an answer is the stored one of an earlier call with the same key."""
 
@@ -88,6 +67,15 @@
         return await mailbox.receive()
 
 
+def nothing() -> None:
+    """Do nothing."""
+
+
+async def read_raw(answer: httpx.Response) -> bytes:
+    """Return a body as it came over the wire, encoded as it may be."""
+    return b"".join([piece async for piece in answer.aiter_raw()])
+
+
 async def send_nothing(message: dict[str, Any]) -> None:
     """Stand in for the connection of a caller that has gone."""
 
@@ -123,42 +111,25 @@
         return self.scope.cancelled_caught
 
 
-@dataclass
-class Outbound:
-    """What is sent to a backend server: the same for each attempt, but for resuming."""
-
-    method: str
-    path: str
-    headers: list[tuple[str, str]]
-    content: bytes
-    model_body: dict[str, Any] | None = None
-    stream: bool = False
-
-    def body(self, texts: list[str]) -> bytes:
-        """Return the body of an attempt that goes on after the tokens `texts`.
-
-        They are what the caller was given. The router's count can be a token behind,
-        when it moved a stream while a token was being passed on.
-        """
-        if not texts or self.model_body is None:
-            return self.content
-        resume = {"tokens": len(texts), "text": "".join(texts)}
-        return msgspec.json.encode({**self.model_body, "resume": resume})
-
-
 @dataclass
 class Exchange:
     """One request with its caller's connection."""
 
     driver: RouterDriver
     client: BackendClient
-    caller: Caller
-    envelope: Envelope
+    front: Front
+    caller: Caller | None
     spec: RequestSpec
     outbound: Outbound
     receive: Receive
     send: Send
-    reader: EventReader = field(default_factory=EventReader)
+    began: Callable[[], None] = nothing
+    """Called once, when a backend server is known to have begun on the request."""
+    give_up_at: float | None = None
+    """When the caller gets its final answer, whatever there is by then."""
+    has_begun: bool = False
+    failed_answer: WholeAnswer | None = None
+    """What a server answered that failed, for when no other makes it good."""
     head_sent: bool = False
     reached_backend: bool = False
     first_token_at: float | None = None
@@ -168,6 +139,7 @@
     error_code: str | None = None
     claimed: ClaimedCall | None = None
     may_have_run: bool = False
+    ran_before: bool = False
     streamed: list[bytes] = field(default_factory=list)
     replayed: bool = False
     answered: bool = False
@@ -177,6 +149,10 @@
     def __post_init__(self) -> None:
         self.scope = anyio.CancelScope()
 
+    @property
+    def reader(self) -> StreamReader:
+        return self.outbound.reader
+
     async def run(self) -> None:
         """Serve the request until it has its whole answer or its one refusal."""
         if not await self.look_up_claim():
@@ -186,6 +162,8 @@
             with self.scope:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self.watch_caller)
+                    if self.give_up_at is not None:
+                        tasks.start_soon(self.watch_time, self.give_up_at)
                     while not await self.carry_out(await next_action(mailbox)):
                         pass
                     tasks.cancel_scope.cancel()
@@ -195,8 +173,11 @@
             self.driver.forget(self.spec.request_id)
             mailbox.close()
             await self.settle()
-        if self.end_reason is CancelReason.KEY_WITHDRAWN:
-            await self.send_failure(KEY_WITHDRAWN)
+        match self.end_reason:
+            case CancelReason.KEY_WITHDRAWN:
+                await self.send_failure(KEY_WITHDRAWN)
+            case CancelReason.DEADLINE:
+                await self.give_up()
 
     async def watch_caller(self) -> None:
         """End the exchange when the caller hangs up.
@@ -213,6 +194,21 @@
         elif not self.answered:
             self.end(CancelReason.CALLER_GONE)
 
+    async def watch_time(self, at: float) -> None:
+        """End the exchange when the caller is to be kept waiting no longer."""
+        await anyio.sleep(at - self.driver.clock.now())
+        if not self.answered:
+            self.end(CancelReason.DEADLINE)
+
+    async def give_up(self) -> None:
+        """Give the caller what there is at the end of its time."""
+        if self.failed_answer is not None and not self.head_sent:
+            await self.send_answer(self.failed_answer)
+            return
+        not_run = NotRun.UNKNOWN if self.may_have_run else NotRun.TRUE
+        refusal = Refuse(self.spec.request_id, RefusalCode.DEADLINE, not_run)
+        await self.send_failure(self.front.answer_refusal(refusal))
+
     def end(self, reason: CancelReason) -> None:
         """Stop serving, whatever is going on."""
         self.end_reason = reason
@@ -228,7 +224,10 @@
                 # A claim is given back before its caller hears "not run", so that
                 # the caller's next try does not find it in the way.
                 await self.settle()
-                await self.send_failure(answer_refusal(action))
+                if self.failed_answer is not None and not self.head_sent:
+                    await self.send_answer(self.failed_answer)
+                    return True
+                await self.send_failure(self.front.answer_refusal(action))
                 return True
         return False
 
@@ -254,6 +253,14 @@
                 return False
         except AttemptFailed as failure:
             self.reader.restart()
+            log_event(
+                "attempt_failed",
+                request=self.spec.request_id,
+                backend=start.backend_id,
+                attempt=start.attempt_id,
+                kind=failure.kind.value,
+                detail=failure.detail,
+            )
             self.fail(start, failure.kind)
             return False
         self.driver.finished(self.spec.request_id, start.attempt_id)
@@ -316,21 +323,38 @@
     async def pass_on(self, start: Start, url: str, scope: AttemptScope) -> None:
         """Send the request and give the caller what comes back."""
         outbound = self.outbound
-        content = outbound.body(self.reader.texts)
-        is_model = outbound.model_body is not None
+        sending = outbound.attempt(start.backend_id, self.driver.clock.now())
+        self.ran_before = self.may_have_run
         self.may_have_run = True
         async with self.client.exchange(
-            outbound.method, url, outbound.headers, content, is_model
+            outbound.method, url, sending.headers, sending.content
         ) as answer:
+            if not outbound.is_ours(answer):
+                # What an earlier request left on the connection; the answer to this
+                # one may follow, and would in turn be taken for the next one's.
+                await answer.extensions["network_stream"].aclose()
+                raise AttemptFailed(FailureKind.CUT, "another request's answer")
             self.reached_backend = True
-            load = read_load(answer) if is_model else None
+            load = self.client.wire.read_load(answer) if outbound.reports_load else None
             if load is not None:
                 self.driver.load_reported(start.backend_id, load)
-            if outbound.stream and answer.status_code == 200:
+            if answer.status_code >= 500 and outbound.errors is not ErrorPolicy.ANSWER:
+                await self.keep_failure(answer)
+            if outbound.streams and answer.status_code == 200:
                 await self.pass_stream(start, answer, scope)
             else:
                 await self.pass_whole(start, answer)
 
+    async def keep_failure(self, answer: httpx.Response) -> None:
+        """Fail the attempt, and keep what the server said if the caller may see it."""
+        if self.outbound.errors is ErrorPolicy.RETRY_OR_ANSWER:
+            self.failed_answer = WholeAnswer(
+                answer.status_code,
+                self.outbound.whole_head(answer),
+                await read_raw(answer),
+            )
+        raise AttemptFailed(FailureKind.ERROR, f"status {answer.status_code}")
+
     async def pass_stream(
         self, start: Start, answer: httpx.Response, scope: AttemptScope
     ) -> None:
@@ -338,42 +362,56 @@
         reader = self.reader
         async for data in answer.aiter_raw():
             scope.hold()
-            await self.pass_events(start, data)
+            await self.pass_events(start, answer, data)
             scope.release()
+        rest = reader.end()
         if not reader.done:
             raise AttemptFailed(FailureKind.CUT, "the stream ended early")
+        await self.send_head(answer)
+        self.answered = True
         if self.claimed is not None:
             head = [(name.decode(), value.decode()) for name, value in EVENT_STREAM]
             await self.settle(Answer(200, head, b"".join(self.streamed)))
-        await self.send({"type": "http.response.body", "body": b""})
+        await self.send({"type": "http.response.body", "body": rest})
 
-    async def pass_events(self, start: Start, data: bytes) -> None:
+    async def pass_events(
+        self, start: Start, answer: httpx.Response, data: bytes
+    ) -> None:
         """Pass on the events that `data` completes, and count their tokens."""
         reader = self.reader
-        before = len(reader.texts)
+        before = reader.given
         whole = reader.feed(data)
         if not whole:
             return
-        await self.send_head()
+        self.note_begun()
+        await self.send_head(answer)
         if self.claimed is not None:
             self.streamed.append(whole)
         self.answered = reader.done
         body = {"type": "http.response.body", "body": whole, "more_body": True}
         await self.send(body)
-        self.count_tokens(start, len(reader.texts) - before)
+        self.count_tokens(start, reader.given - before)
 
-    async def send_head(self) -> None:
+    async def send_head(self, answer: httpx.Response) -> None:
         """Send the head of a stream, once there is something to stream.
 
-        Until then a failure can still be answered with a status of its own.
+        Until then a failure can still be answered with a status of its own. A stream
+        that another server goes on with keeps the head of the first one.
         """
         if self.head_sent:
             return
         self.head_sent = True
+        headers = self.outbound.stream_head(answer)
         await self.send(
-            {"type": "http.response.start", "status": 200, "headers": EVENT_STREAM}
+            {"type": "http.response.start", "status": 200, "headers": headers}
         )
 
+    def note_begun(self) -> None:
+        """Count the request as begun, once."""
+        if not self.has_begun:
+            self.has_begun = True
+            self.began()
+
     def count_tokens(self, start: Start, count: int) -> None:
         """Note tokens that were passed on."""
         if not count:
@@ -386,26 +424,32 @@
 
     async def pass_whole(self, start: Start, answer: httpx.Response) -> None:
         """Pass on an answer that does not stream, with its status."""
-        body = await answer.aread()
-        passed = [pair for pair in answer.headers.items() if pair[0] not in HOP_HEADERS]
-        headers = [(name.encode(), value.encode()) for name, value in passed]
+        body = await read_raw(answer)
+        self.note_begun()
         self.last_token_at = self.driver.clock.now()
-        if self.outbound.model_body is not None:
-            self.counted = usage_of_answer(body)
+        self.counted = self.outbound.usage(body)
         if self.counted:
             kind = self.driver.kind_of(start.backend_id)
             self.kind_tokens[kind] += self.counted.output
             self.driver.tokens_came(
                 self.spec.request_id, start.attempt_id, self.counted.output
             )
-        await self.settle(Answer(answer.status_code, passed, body))
+        headers = self.outbound.whole_head(answer)
+        if self.claimed is not None:
+            kept = [(name.decode(), value.decode()) for name, value in headers]
+            await self.settle(Answer(answer.status_code, kept, body))
+        await self.send_answer(WholeAnswer(answer.status_code, headers, body))
+
+    async def send_answer(self, answer: WholeAnswer) -> None:
+        """Give the caller a backend server's answer as it was."""
         self.head_sent = self.answered = True
-        await send_whole(self.send, answer.status_code, headers, body)
+        await send_whole(self.send, *answer)
 
     def fail(self, start: Start, kind: FailureKind) -> None:
         if kind in (FailureKind.CONNECT, FailureKind.REFUSED):
-            # No byte left, or the server itself says that it did not run it.
-            self.may_have_run = False
+            # No byte left, or the server itself says that it did not run it. What is
+            # known of an earlier attempt stays.
+            self.may_have_run = self.ran_before
         if kind is not FailureKind.CONNECT:
             self.reached_backend = True
         self.driver.failed(self.spec.request_id, start.attempt_id, kind)
@@ -413,12 +457,8 @@
     async def send_failure(self, answer: ErrorAnswer) -> None:
         """Tell the caller that there is no answer, or no more of it."""
         self.error_code = answer.code
-        if not self.head_sent:
-            self.head_sent = True
-            await send_error(self.send, answer)
-            return
-        event = b"data: " + error_body(answer) + b"\n\n"
-        await self.send({"type": "http.response.body", "body": event})
+        began, self.head_sent = self.head_sent, True
+        await self.front.send_error(self.send, answer, began)
 
     @property
     def tokens(self) -> TokenCount:
@@ -426,7 +466,7 @@
         counted = self.counted or self.reader.usage
         if counted:
             return counted
-        return TokenCount(self.spec.prompt_tokens, len(self.reader.texts))
+        return TokenCount(self.spec.prompt_tokens, self.reader.given)
 
     @property
     def timing(self) -> Timing:
--- /dev/null
+++ b/src/godwitmast/entry/openai.py
@@ -0,0 +1,224 @@
+"""The entry's own interface to callers: what OpenAI clients speak."""
+
+import itertools
+from collections.abc import Iterable
+
+import msgspec
+
+from godwitmast.backends.client import LOAD_HEADER
+from godwitmast.claims.keeper import ClaimKeeper
+from godwitmast.clock import Clock
+from godwitmast.config.document import Document, NumberedConfig
+from godwitmast.dispatch.messages import Refuse, RequestSpec
+from godwitmast.entry.front import Incoming, Prepared, Reply
+from godwitmast.entry.intake import (
+    Envelope,
+    Limits,
+    ModelCall,
+    fingerprint,
+    open_envelope,
+    read_model_call,
+)
+from godwitmast.entry.outbound import ModelOutbound, Outbound, PlainOutbound
+from godwitmast.entry.refusals import (
+    ErrorAnswer,
+    answer_denial,
+    answer_refusal,
+    error_body,
+    send_error,
+)
+from godwitmast.http_server import Scope, Send
+from godwitmast.keys.authorizer import Caller, Denial, choose_class, identify, may_use
+from godwitmast.types import ClassName, PoolName, RequestId, TeamName
+
+COMPLETION_PATHS = {"/v1/chat/completions": True, "/v1/completions": False}
+SERVICES = "/services/"
+SAFE_METHODS = frozenset(["GET", "HEAD"])
+
+
+class OpenAiFront:
+    """Completions, models and plain services, for callers with a key."""
+
+    def __init__(
+        self, node: str, limits: Limits, clock: Clock, claims: ClaimKeeper
+    ) -> None:
+        self.node = node
+        self.taken = limits
+        self.clock = clock
+        self.claims = claims
+        self.config: NumberedConfig | None = None
+        self.numbers = itertools.count(1)
+
+    def config_changed(self, config: NumberedConfig) -> None:
+        """Take the configuration that is now in force."""
+        self.config = config
+
+    @property
+    def document(self) -> Document:
+        assert self.config is not None, "requests are taken only once ready"
+        return self.config.document
+
+    def limits(self) -> Limits:
+        return self.taken
+
+    def open(self, scope: Scope) -> Envelope | ErrorAnswer:
+        return open_envelope(scope)
+
+    def identify(self, envelope: Envelope, cut_off_s: float) -> Caller | ErrorAnswer:
+        wall = self.clock.wall()
+        caller = identify(self.document, envelope.key, wall, cut_off_s)
+        return answer_denial(caller) if isinstance(caller, Denial) else caller
+
+    def answer_refusal(self, refusal: Refuse) -> ErrorAnswer:
+        return answer_refusal(refusal)
+
+    async def send_error(self, send: Send, answer: ErrorAnswer, began: bool) -> None:
+        if not began:
+            await send_error(send, answer)
+            return
+        event = b"data: " + error_body(answer) + b"\n\n"
+        await send({"type": "http.response.body", "body": event})
+
+    def prepare(self, incoming: Incoming) -> Prepared | Reply | ErrorAnswer:
+        path = incoming.envelope.path
+        if path == "/v1/models":
+            return Reply(200, list_models(self.document, known(incoming.caller)))
+        if path in COMPLETION_PATHS:
+            return self.prepare_model(incoming)
+        if path.startswith(SERVICES):
+            return self.prepare_service(incoming)
+        return ErrorAnswer(404, "not_found", f"There is nothing at {path}.")
+
+    def prepare_model(self, incoming: Incoming) -> Prepared | ErrorAnswer:
+        envelope, caller = incoming.envelope, known(incoming.caller)
+        if envelope.method != "POST":
+            return ErrorAnswer(405, "method_not_allowed", "Completions take POST.")
+        call = read_model_call(incoming.body, COMPLETION_PATHS[envelope.path])
+        if isinstance(call, ErrorAnswer):
+            return call
+        model = self.document.models.get(call.model)
+        if model is None:
+            message = f"There is no model {call.model!r}."
+            return ErrorAnswer(404, "model_not_found", message)
+        if not may_use(caller, call.model):
+            return answer_denial(Denial.MODEL)
+        class_name = choose_class(self.document, caller, envelope.class_name)
+        if isinstance(class_name, Denial):
+            return answer_denial(class_name)
+        limit = min(call.max_tokens or model.max_output_tokens, model.max_output_tokens)
+        spec = self.make_spec(incoming, class_name, call.model)._replace(
+            prompt_tokens=call.prompt_tokens,
+            max_tokens=limit,
+            idempotent=model.idempotent,
+            prefix=call.prefix,
+            resumable=call.stream,
+        )
+        outbound = self.model_outbound(envelope, call, spec, limit)
+        return self.claimed(incoming, spec, outbound)
+
+    def model_outbound(
+        self, envelope: Envelope, call: ModelCall, spec: RequestSpec, limit: int
+    ) -> ModelOutbound:
+        """Return what an engine is sent: the caller's body, with our priority."""
+        tier = self.document.classes[spec.class_name].tier
+        body = {**call.body, "priority": tier, "max_tokens": limit}
+        body.pop("max_completion_tokens", None)
+        headers = [
+            ("content-type", "application/json"),
+            ("x-request-id", spec.request_id),
+        ]
+        content = msgspec.json.encode(body)
+        return ModelOutbound(
+            "POST", envelope.path, headers, content, LOAD_HEADER, call.stream, body=body
+        )
+
+    def prepare_service(self, incoming: Incoming) -> Prepared | ErrorAnswer:
+        envelope, caller = incoming.envelope, known(incoming.caller)
+        name, _, rest = envelope.path.removeprefix(SERVICES).partition("/")
+        service = self.document.services.get(name)
+        if service is None:
+            return ErrorAnswer(
+                404, "service_not_found", f"There is no service {name!r}."
+            )
+        if not may_use(caller, name):
+            return answer_denial(Denial.MODEL)
+        wanted = envelope.class_name or service.default_class
+        class_name = choose_class(self.document, caller, wanted)
+        if isinstance(class_name, Denial):
+            return answer_denial(class_name)
+        idempotent = envelope.method in SAFE_METHODS or is_below(
+            f"/{rest}", service.idempotent_paths
+        )
+        spec = self.make_spec(incoming, class_name, name)._replace(
+            idempotent=idempotent, resumable=False
+        )
+        query = f"?{envelope.query}" if envelope.query else ""
+        path = service_path(envelope.raw_path) + query
+        headers = [*envelope.headers, ("accept-encoding", "identity")]
+        outbound = PlainOutbound(
+            envelope.method, path, headers, incoming.body, LOAD_HEADER
+        )
+        return self.claimed(incoming, spec, outbound)
+
+    def make_spec(self, incoming: Incoming, class_name: str, pool: str) -> RequestSpec:
+        envelope, team = incoming.envelope, known(incoming.caller).team_name
+        now = self.clock.now()
+        deadline = None if envelope.deadline_s is None else now + envelope.deadline_s
+        return RequestSpec(
+            RequestId(f"{self.node}-{next(self.numbers)}"),
+            TeamName(team),
+            ClassName(class_name),
+            PoolName(pool),
+            now,
+            deadline=deadline,
+            fingerprint=fingerprint(team, envelope.path, incoming.body),
+        )
+
+    def claimed(
+        self, incoming: Incoming, spec: RequestSpec, outbound: Outbound
+    ) -> Prepared:
+        """Return the prepared request, with the claim that its caller's key asks for."""
+        key = incoming.envelope.idempotency_key
+        if key is None or spec.idempotent:
+            return Prepared(spec, outbound)
+        # What the caller sent, not what goes out: that holds our priority, which the
+        # next configuration may change.
+        content = [outbound.method, outbound.path, spec.fingerprint]
+        return Prepared(spec, outbound, self.claims.open_call(spec.team, key, content))
+
+
+def known(caller: Caller | None) -> Caller:
+    """Return the caller; this interface lets nobody in without a key."""
+    assert caller is not None, "a request without a key was denied"
+    return caller
+
+
+def service_path(raw_path: str) -> str:
+    """Return what follows the service's name, still encoded as the caller sent it.
+
+    Decoded, a `%3F` in a path would become the start of a query.
+    """
+    return "/" + raw_path.split("/", 3)[3] if raw_path.count("/") > 2 else "/"
+
+
+def is_below(path: str, starts: Iterable[str]) -> bool:
+    """Return whether `path` is one of `starts` or below it.
+
+    A path with dot segments is below nothing: a service that resolves
+    `/drafts/../charge` runs a charge, which must not be repeated as a draft may.
+    """
+    if any(segment in (".", "..") for segment in path.split("/")):
+        return False
+    return any(
+        path == start or path.startswith(start.rstrip("/") + "/") for start in starts
+    )
+
+
+def list_models(document: Document, caller: Caller) -> dict[str, object]:
+    """Return the models that the caller may use, as OpenAI's API lists them."""
+    data = [
+        {"id": name, "object": "model", "created": 0, "owned_by": "godwitmast"}
+        for name in sorted(document.models)
+        if may_use(caller, name)
+    ]
+    return {"object": "list", "data": data}
--- a/src/godwitmast/lease/driver.py
+++ b/src/godwitmast/lease/driver.py
@@ -9,7 +9,7 @@
 from godwitmast.clock import Clock
 from godwitmast.lease.machine import Guard, LeaseMachine, LeaseTiming
 from godwitmast.logs import log_event
-from godwitmast.platform_api.client import PlatformClient
+from godwitmast.platform_api.port import Table
 from godwitmast.platform_api.runner import take_step
 
 POLL_S = 0.1
@@ -35,7 +35,7 @@
 
     def __init__(
         self,
-        platform: PlatformClient,
+        platform: Table,
         clock: Clock,
         duty: Duty,
         node: str,
--- a/src/godwitmast/platform_api/client.py
+++ b/src/godwitmast/platform_api/client.py
@@ -1,22 +1,14 @@
 """The platform over HTTP."""
 
 import copy
-import random
-import time
 from types import TracebackType
-from typing import Any, Self
+from typing import Self
 
-import anyio
 import httpx
 
-from godwitmast.errors import (
-    PlatformError,
-    PlatformOutcomeUnknown,
-    PlatformThrottled,
-    PlatformUnavailable,
-)
 from godwitmast.platform_api.group_commit import GroupCommit
-from godwitmast.platform_api.limits import Breaker, Budget, Priority
+from godwitmast.platform_api.http import PlatformHttp
+from godwitmast.platform_api.limits import Budget, Priority
 from godwitmast.platform_api.messages import (
     Conflict,
     FleetServer,
@@ -32,27 +24,18 @@
 WRITE_PATHS = frozenset(["/table/transact", "/orders", "/usage"])
 
 
-class PlatformClient:
-    """Calls to the platform; each either answers or raises a PlatformError.
-
-    Calls wait for this process's own budget, and fail at once while the platform was
-    found not to answer. PlatformUnavailable says that nothing took effect; PlatformOutcomeUnknown says
-    that a write may have, and its caller settles that by reading again.
-    """
+class PlatformClient(PlatformHttp):
+    """The platform's table, objects, orders, VM list and usage intake."""
 
     def __init__(self, settings: PlatformSettings, node: str) -> None:
-        self.http = httpx.AsyncClient(
+        http = httpx.AsyncClient(
             base_url=settings.url,
             timeout=settings.timeout_s,
             headers={"Godwit-Node": node},
             limits=httpx.Limits(max_connections=CONNECTIONS),
             trust_env=False,
         )
-        self.timeout_s = settings.timeout_s
-        self.priority = Priority.CONTROL
-        self.reads = Budget(settings.reads_per_s)
-        self.writes = Budget(settings.writes_per_s)
-        self.breaker = Breaker()
+        super().__init__(settings, http)
         self.group: GroupCommit | None = None
 
     def in_bulk(self) -> "PlatformClient":
@@ -76,8 +59,8 @@
     ) -> None:
         await self.close()
 
-    async def close(self) -> None:
-        await self.http.aclose()
+    def budget_of(self, method: str, path: str) -> Budget:
+        return self.writes if method == "PUT" or path in WRITE_PATHS else self.reads
 
     async def read(self, keys: list[str]) -> dict[str, Row]:
         """Return the rows among `keys` that exist, as of one moment."""
@@ -147,60 +130,3 @@
         self, path: str, body: Json, good: tuple[int, ...] = (200,), rows: int = 1
     ) -> httpx.Response:
         return await self.send("POST", path, good, rows, json=body)
-
-    async def send(
-        self,
-        method: str,
-        path: str,
-        good: tuple[int, ...] = (200,),
-        rows: int = 1,
-        **content: Any,
-    ) -> httpx.Response:
-        """Return an answer with a status in `good`, or raise a PlatformError."""
-        if self.http.is_closed:
-            raise PlatformUnavailable(f"{path}: closed")
-        if not self.breaker.may_try(time.monotonic()):
-            raise PlatformUnavailable(f"{path}: did not answer lately")
-        budget = self.writes if method == "PUT" or path in WRITE_PATHS else self.reads
-        try:
-            await self.wait_for_budget(budget, path, rows)
-            answer = await self.ask(method, path, **content)
-            return self.judge(path, answer, good, budget)
-        except PlatformThrottled:
-            raise
-        except PlatformError:
-            self.breaker.failed(time.monotonic())
-            raise
-        finally:
-            # Also for a call that was cancelled, or that our own budget held up.
-            self.breaker.ended()
-
-    async def wait_for_budget(self, budget: Budget, path: str, rows: int) -> None:
-        """Wait for our own share of the platform, no longer than for an answer."""
-        deadline = time.monotonic() + self.timeout_s
-        while delay := budget.delay(rows, self.priority, time.monotonic()):
-            if time.monotonic() + delay > deadline:
-                raise PlatformThrottled(f"{path}: own budget")
-            await anyio.sleep(delay * random.uniform(1.0, 1.2))
-
-    async def ask(self, method: str, path: str, **content: Any) -> httpx.Response:
-        try:
-            return await self.http.request(method, path, **content)
-        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
-            raise PlatformUnavailable(f"{path}: {error!r}") from None
-        except httpx.HTTPError as error:
-            raise PlatformOutcomeUnknown(f"{path}: {error!r}") from None
-
-    def judge(
-        self, path: str, answer: httpx.Response, good: tuple[int, ...], budget: Budget
-    ) -> httpx.Response:
-        """Return a good answer, or raise what another one means."""
-        if answer.status_code in good:
-            self.breaker.answered()
-            return answer
-        if answer.status_code == 429:
-            budget.throttled(time.monotonic())
-            raise PlatformThrottled(path)
-        if answer.status_code == 503:
-            raise PlatformUnavailable(f"{path}: 503")
-        raise PlatformOutcomeUnknown(f"{path}: {answer.status_code}")
--- /dev/null
+++ b/src/godwitmast/platform_api/http.py
@@ -0,0 +1,99 @@
+"""HTTP calls to a platform, within a budget and with every failure named."""
+
+import random
+import time
+from typing import Any
+
+import anyio
+import httpx
+
+from godwitmast.errors import (
+    PlatformError,
+    PlatformOutcomeUnknown,
+    PlatformThrottled,
+    PlatformUnavailable,
+)
+from godwitmast.platform_api.limits import Breaker, Budget, Priority
+from godwitmast.settings import PlatformSettings
+
+
+class PlatformHttp:
+    """Calls that either answer or raise a PlatformError.
+
+    Calls wait for this process's own budget, and fail at once while the platform was
+    found not to answer. PlatformUnavailable says that nothing took effect;
+    PlatformOutcomeUnknown says that a write may have, and its caller settles that by
+    reading again.
+    """
+
+    def __init__(self, settings: PlatformSettings, http: httpx.AsyncClient) -> None:
+        self.http = http
+        self.timeout_s = settings.timeout_s
+        self.priority = Priority.CONTROL
+        self.reads = Budget(settings.reads_per_s)
+        self.writes = Budget(settings.writes_per_s)
+        self.breaker = Breaker()
+
+    async def close(self) -> None:
+        await self.http.aclose()
+
+    def budget_of(self, method: str, path: str) -> Budget:
+        """Return the budget that a call is paid from."""
+        return self.reads if method == "GET" else self.writes
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        good: tuple[int, ...] = (200,),
+        rows: int = 1,
+        **content: Any,
+    ) -> httpx.Response:
+        """Return an answer with a status in `good`, or raise a PlatformError."""
+        if self.http.is_closed:
+            raise PlatformUnavailable(f"{path}: closed")
+        if not self.breaker.may_try(time.monotonic()):
+            raise PlatformUnavailable(f"{path}: did not answer lately")
+        budget = self.budget_of(method, path)
+        try:
+            await self.wait_for_budget(budget, path, rows)
+            answer = await self.ask(method, path, **content)
+            return self.judge(path, answer, good, budget)
+        except PlatformThrottled:
+            raise
+        except PlatformError:
+            self.breaker.failed(time.monotonic())
+            raise
+        finally:
+            # Also for a call that was cancelled, or that our own budget held up.
+            self.breaker.ended()
+
+    async def wait_for_budget(self, budget: Budget, path: str, rows: int) -> None:
+        """Wait for our own share of the platform, no longer than for an answer."""
+        deadline = time.monotonic() + self.timeout_s
+        while delay := budget.delay(rows, self.priority, time.monotonic()):
+            if time.monotonic() + delay > deadline:
+                raise PlatformThrottled(f"{path}: own budget")
+            await anyio.sleep(delay * random.uniform(1.0, 1.2))
+
+    async def ask(self, method: str, path: str, **content: Any) -> httpx.Response:
+        try:
+            return await self.http.request(method, path, **content)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            raise PlatformUnavailable(f"{path}: {error!r}") from None
+        except httpx.HTTPError as error:
+            raise PlatformOutcomeUnknown(f"{path}: {error!r}") from None
+
+    def judge(
+        self, path: str, answer: httpx.Response, good: tuple[int, ...], budget: Budget
+    ) -> httpx.Response:
+        """Return a good answer, or raise what another one means."""
+        if answer.status_code in good:
+            self.breaker.answered()
+            return answer
+        if answer.status_code == 429:
+            budget.throttled(time.monotonic())
+            raise PlatformThrottled(path)
+        if answer.status_code == 503:
+            raise PlatformUnavailable(f"{path}: 503")
+        raise PlatformOutcomeUnknown(f"{path}: {answer.status_code}")
--- a/src/godwitmast/platform_api/runner.py
+++ b/src/godwitmast/platform_api/runner.py
@@ -3,7 +3,7 @@
 from typing import TypeVar
 
 from godwitmast.errors import PlatformError, PlatformUnavailable
-from godwitmast.platform_api.client import PlatformClient
+from godwitmast.platform_api.port import Table
 from godwitmast.platform_api.steps import (
     Failure,
     GetObject,
@@ -22,7 +22,7 @@
 T = TypeVar("T")
 
 
-async def run_steps(platform: PlatformClient, steps: Steps[T]) -> T:
+async def run_steps(platform: Table, steps: Steps[T]) -> T:
     """Run a protocol to its end and return its outcome."""
     try:
         step = next(steps)
@@ -33,7 +33,7 @@
         return outcome
 
 
-async def take_step(platform: PlatformClient, step: Step) -> Result:
+async def take_step(platform: Table, step: Step) -> Result:
     """Take one step; what went wrong is a value, not an exception."""
     try:
         return await ask(platform, step)
@@ -43,7 +43,7 @@
         return Failure.UNKNOWN
 
 
-async def ask(platform: PlatformClient, step: Step) -> Result:
+async def ask(platform: Table, step: Step) -> Result:
     match step:
         case Read():
             return Rows(await platform.read(step.keys))
--- a/src/godwitmast/usage/duty.py
+++ b/src/godwitmast/usage/duty.py
@@ -9,7 +9,7 @@
 from godwitmast.errors import PlatformError
 from godwitmast.lease.machine import Guard
 from godwitmast.logs import log_event
-from godwitmast.platform_api.client import PlatformClient
+from godwitmast.platform_api.port import Reporting
 from godwitmast.platform_api.runner import run_steps
 from godwitmast.platform_api.steps import Rows, Scan, Steps
 from godwitmast.usage.rows import NODE_PREFIX, NodeRow, load_node
@@ -47,7 +47,7 @@
 
     def __init__(
         self,
-        platform: PlatformClient,
+        platform: Reporting,
         clock: Clock,
         timing: UsageTiming = UsageTiming(),
         registry: CollectorRegistry | None = None,
--- a/src/godwitmast/usage/meter.py
+++ b/src/godwitmast/usage/meter.py
@@ -50,9 +50,19 @@
         self.sums: Sums = {}
         self.listeners: list[Callable[[UsageKey, UsageSum], None]] = []
 
+    def began(self, key: UsageKey) -> None:
+        """Count a request on which a backend server has begun."""
+        self.count(key, UsageSum(requests=1))
+
     def add(self, key: UsageKey, tokens: TokenCount) -> None:
-        """Count one request that reached a backend server."""
-        increment = UsageSum(1, tokens.prompt, tokens.output)
+        """Count the tokens of a request that ended, apart from its beginning.
+
+        A request belongs to the window in which it began, its tokens to that in which
+        they are known.
+        """
+        self.count(key, UsageSum(0, tokens.prompt, tokens.output))
+
+    def count(self, key: UsageKey, increment: UsageSum) -> None:
         self.sums[key] = self.sums.get(key, UsageSum()).plus(increment)
         for listener in self.listeners:
             listener(key, increment)
--- a/src/godwitmast/usage/writer.py
+++ b/src/godwitmast/usage/writer.py
@@ -9,7 +9,7 @@
 
 from godwitmast.clock import Clock
 from godwitmast.logs import log_event
-from godwitmast.platform_api.client import PlatformClient
+from godwitmast.platform_api.port import Table
 from godwitmast.platform_api.runner import run_steps
 from godwitmast.usage.journal import Flushed, Journal, read_marks
 from godwitmast.usage.meter import UsageKey, UsageSum
@@ -24,7 +24,7 @@
 
     def __init__(
         self,
-        platform: PlatformClient,
+        platform: Table,
         clock: Clock,
         journal: Journal,
         timing: UsageTiming,
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -9,7 +9,7 @@
 
 from godwitmast.dev.document import MODEL, SERVICE, dev_key
 from godwitmast.dev.system import DevSystem
-from godwitmast.entry.app import is_below
+from godwitmast.entry.openai import OpenAiFront, is_below
 from godwitmast.standins.engine import EngineCrashed
 from godwitmast.usage.meter import UsageKey
 from running import running
@@ -163,9 +163,9 @@
     connections and memory for ever; the engines hear nothing.
     """
     async with running(system):
-        app = system.entries[0].app
-        limits = app.settings.limits._replace(body_timeout_s=0.2)
-        app.settings = app.settings._replace(limits=limits)
+        front = system.entries[0].app.front
+        assert isinstance(front, OpenAiFront)
+        front.taken = front.taken._replace(body_timeout_s=0.2)
         port = system.entries[0].server.port
         async with await anyio.connect_tcp("127.0.0.1", port) as stream:
             await stream.send(
