Run on the users' platform: the whole path, thin

Cause: the product had no way onto the platform: other tables, another list of servers, another interface to callers.

Ruled out: godwit-control as a second process of each VM; the lease and the usage duty run as tasks of the entry's process, with the same machines.

--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -20,8 +20,8 @@
 
     `arrived` and `deadline` are on the router's clock. `fingerprint` is the same for
     the same team and body; `prefix` is the same for prompts that open alike. An answer
-    is `resumable` if the caller takes it token by token, so that another attempt can go
-    on where one ended.
+    `streams` if the caller takes it token by token, and is `resumable` if another
+    attempt can go on where one ended. `attempts` is how many servers may run it.
     """
 
     request_id: RequestId
@@ -36,6 +36,8 @@
     fingerprint: str = ""
     prefix: str = ""
     resumable: bool = True
+    streams: bool = True
+    attempts: int = 3
 
 
 class BackendSpec(NamedTuple):
--- a/src/godwitmast/dispatch/retries.py
+++ b/src/godwitmast/dispatch/retries.py
@@ -31,13 +31,19 @@
 
 
 class RetryBudget:
-    """What may still be run again."""
+    """What may still be run again.
 
-    def __init__(self) -> None:
-        self.left = RESERVE
+    `reserve` is the most that it holds, and `share` what each success adds. Where
+    several routers draw on one allowance, each gets its part of the reserve.
+    """
+
+    def __init__(self, reserve: float = RESERVE, share: float = SUCCESS_SHARE) -> None:
+        self.reserve = reserve
+        self.share = share
+        self.left = reserve
 
     def succeeded(self) -> None:
-        self.left = min(RESERVE, self.left + SUCCESS_SHARE)
+        self.left = min(self.reserve, self.left + self.share)
 
     def take(self) -> bool:
         """Spend one repeat; return whether there was one to spend."""
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -56,13 +56,19 @@
 class Router:
     """The policy that the product runs."""
 
-    def __init__(self, document: Document, zone: ZoneName, seed: int = 0) -> None:
+    def __init__(
+        self,
+        document: Document,
+        zone: ZoneName,
+        seed: int = 0,
+        budget: RetryBudget | None = None,
+    ) -> None:
         self.document = document
         self.admission = Admission(document, seed)
         self.backends = BackendTable(zone, seed)
         self.book = FlightBook()
         self.guard = PoisonGuard()
-        self.budget = RetryBudget()
+        self.budget = budget or RetryBudget()
         self.retries = RetryQueue()
         self.watch = Watch()
         self.random = random.Random(seed)
@@ -111,7 +117,7 @@
             return []
         flight.tokens += count
         self.admission.tokens_came(flight.request, count, now)
-        if not flight.request.resumable:
+        if not flight.request.streams:
             return []
         slow = self.learn(flight, count, now)
         flight.last_token_at = now
@@ -250,7 +256,8 @@
     def retry(self, flight: Flight, now: float) -> list[Action]:
         """Let a failed request wait for its next attempt, or refuse it."""
         unsafe = flight.may_have_run and not flight.request.idempotent
-        too_many = flight.failures >= MAX_FAILURES or flight.unsent >= MAX_UNSENT
+        most = min(MAX_FAILURES, flight.request.attempts)
+        too_many = flight.failures >= most or flight.unsent >= MAX_UNSENT
         if unsafe or too_many or not self.budget.take():
             self.end(flight, now)
             code = RefusalCode.BACKEND_FAILED
--- a/src/godwitmast/dispatch/timeouts.py
+++ b/src/godwitmast/dispatch/timeouts.py
@@ -42,7 +42,7 @@
         return None
     first = clamp(pace.late_first_token_s or 0.0, FIRST_TOKEN_BOUNDS_S)
     gap = pace.median_gap_s or 0.0
-    if not flight.request.resumable:
+    if not flight.request.streams:
         return first + WHOLE_FACTOR * gap * flight.request.max_tokens
     if flight.first_token_at is None:
         return first
@@ -51,7 +51,7 @@
 
 def hangs_at(flight: Flight, server_token_at: float, patience: float) -> float:
     """Return when the attempt has to be given up, as far as is known now."""
-    if not flight.request.resumable:
+    if not flight.request.streams:
         return flight.started_at + patience
     last = max(flight.last_token_at, server_token_at)
     return min(last + patience, flight.last_token_at + STUCK_S)
--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -27,6 +27,7 @@
 )
 from godwitmast.http_server import Receive, Scope, Send
 from godwitmast.keys.authorizer import Caller, Denial, still_granted
+from godwitmast.logs import log_event
 from godwitmast.types import RequestId
 from godwitmast.usage.meter import Meter, UsageKey
 
@@ -223,8 +224,25 @@
         )
 
     def account(self, exchange: Exchange) -> None:
-        """Meter what reached a backend server, and count the outcome."""
+        """Meter what reached a backend server, and count and log the outcome."""
         spec = exchange.spec
+        first_s, total_s, tokens = exchange.timing
+        log_event(
+            "request_ended",
+            request=spec.request_id,
+            team=spec.team,
+            class_name=spec.class_name,
+            pool=spec.pool,
+            outcome=exchange.error_code or "answered",
+            status=exchange.status,
+            backend=exchange.last_backend,
+            attempts=exchange.attempts,
+            may_have_run=exchange.may_have_run,
+            first_s=first_s,
+            total_s=self.clock.now() - spec.arrived,
+            tokens=tokens,
+            config=self.config.version if self.config else None,
+        )
         for kind, tokens in exchange.kind_tokens.items():
             self.metrics.came_from(kind, tokens)
         if exchange.reached_backend:
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -24,6 +24,7 @@
     Start,
 )
 from godwitmast.dispatch.policy import Policy
+from godwitmast.dispatch.retries import RetryBudget
 from godwitmast.dispatch.router import Router
 from godwitmast.logs import log_event
 from godwitmast.types import AttemptId, BackendId, RequestId, ZoneName
@@ -41,7 +42,15 @@
 class RouterDriver:
     """One router, the mailboxes of its requests, and its clock."""
 
-    def __init__(self, zone: str, clock: Clock, client: BackendClient) -> None:
+    def __init__(
+        self,
+        zone: str,
+        clock: Clock,
+        client: BackendClient,
+        budget: RetryBudget | None = None,
+    ) -> None:
+        self.budget = budget or RetryBudget()
+        self.listed: dict[str, Backend] = {}
         self.zone = ZoneName(zone)
         self.clock = clock
         self.client = client
@@ -71,7 +80,8 @@
         now = self.clock.now()
         if self.router is None:
             # Entries that drew alike would all choose the same server at once.
-            self.router = Router(document, self.zone, secrets.randbits(32))
+            seed = secrets.randbits(32)
+            self.router = Router(document, self.zone, seed, self.budget)
         else:
             self.carry_out(self.router.update_config(document, now))
         self.update_backends()
@@ -82,11 +92,19 @@
         if self.router is not None:
             self.update_backends()
 
+    def backends_listed(self, listed: dict[str, Backend]) -> None:
+        """Take the servers that name themselves to the platform."""
+        self.listed = listed
+        if self.router is not None:
+            self.update_backends()
+
     def update_backends(self) -> None:
-        """Hand the router every backend server, configured or ordered."""
+        """Hand the router every backend server: configured, listed or ordered."""
         assert self.document is not None
         now = self.clock.now()
-        self.backends = merge_backends(self.document.backends, self.fleet)
+        self.backends = merge_backends(
+            {**self.document.backends, **self.listed}, self.fleet
+        )
         specs = [
             BackendSpec(
                 BackendId(name),
--- a/src/godwitmast/entry/events.py
+++ b/src/godwitmast/entry/events.py
@@ -8,6 +8,7 @@
 
 EVENT_END = b"\n\n"
 DATA = b"data:"
+EVENT_ID = b"id:"
 DONE = b"[DONE]"
 
 
@@ -99,6 +100,45 @@
         self.tail = b""
 
 
+class NumberedReader:
+    """Splits a stream into whole events, and knows the last one's id.
+
+    Such a stream has no last event of its own: it is whole when the answer's framing
+    says so.
+    """
+
+    def __init__(self) -> None:
+        self.tail = b""
+        self.given = 0
+        self.last_id: str | None = None
+        self.usage: TokenCount | None = None
+        self.done = False
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes off the wire; return the whole events that they complete."""
+        joined = self.tail + data
+        cut = joined.rfind(EVENT_END)
+        if cut < 0:
+            self.tail = joined
+            return b""
+        whole, self.tail = joined[: cut + 2], joined[cut + 2 :]
+        self.given += whole.count(EVENT_END)
+        for line in whole.splitlines():
+            if line.startswith(EVENT_ID):
+                self.last_id = line[len(EVENT_ID) :].strip().decode("latin-1")
+        return whole
+
+    def end(self) -> bytes:
+        """Return what is left after the last whole event; the stream is whole."""
+        self.done = True
+        rest, self.tail = self.tail, b""
+        return rest
+
+    def restart(self) -> None:
+        """Drop half an event, before another attempt goes on with the stream."""
+        self.tail = b""
+
+
 def token_count(usage: Usage) -> TokenCount:
     return TokenCount(usage.prompt_tokens, usage.completion_tokens)
 
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -45,7 +45,7 @@
 from godwitmast.http_server import Receive, Send
 from godwitmast.keys.authorizer import Caller
 from godwitmast.logs import log_event
-from godwitmast.types import AttemptId, TokenCount
+from godwitmast.types import AttemptId, BackendId, TokenCount
 
 REPLAYED = (b"godwit-replayed", b"true")
 """Says that an answer is the stored one of an earlier call with the same key."""
@@ -128,6 +128,10 @@
     give_up_at: float | None = None
     """When the caller gets its final answer, whatever there is by then."""
     has_begun: bool = False
+    attempts: int = 0
+    status: int | None = None
+    """What the caller was answered; None if it left before that."""
+    last_backend: BackendId | None = None
     failed_answer: WholeAnswer | None = None
     """What a server answered that failed, for when no other makes it good."""
     head_sent: bool = False
@@ -324,6 +328,8 @@
         """Send the request and give the caller what comes back."""
         outbound = self.outbound
         sending = outbound.attempt(start.backend_id, self.driver.clock.now())
+        self.attempts += 1
+        self.last_backend = start.backend_id
         self.ran_before = self.may_have_run
         self.may_have_run = True
         async with self.client.exchange(
@@ -401,6 +407,7 @@
         if self.head_sent:
             return
         self.head_sent = True
+        self.status = 200
         headers = self.outbound.stream_head(answer)
         await self.send(
             {"type": "http.response.start", "status": 200, "headers": headers}
@@ -443,6 +450,7 @@
     async def send_answer(self, answer: WholeAnswer) -> None:
         """Give the caller a backend server's answer as it was."""
         self.head_sent = self.answered = True
+        self.status = answer.status
         await send_whole(self.send, *answer)
 
     def fail(self, start: Start, kind: FailureKind) -> None:
@@ -458,6 +466,8 @@
         """Tell the caller that there is no answer, or no more of it."""
         self.error_code = answer.code
         began, self.head_sent = self.head_sent, True
+        if not began:
+            self.status = answer.status
         await self.front.send_error(self.send, answer, began)
 
     @property
--- a/src/godwitmast/entry/intake.py
+++ b/src/godwitmast/entry/intake.py
@@ -60,6 +60,7 @@
     deadline_s: float | None
     idempotency_key: str | None
     request_id: str | None
+    host: str = ""
 
 
 class ModelCall(NamedTuple):
--- a/src/godwitmast/entry/metrics.py
+++ b/src/godwitmast/entry/metrics.py
@@ -1,7 +1,5 @@
 """Metrics of an entry, in a registry of its own."""
 
-from collections.abc import Callable
-from functools import partial
 from typing import NamedTuple
 
 from prometheus_client import (
@@ -13,8 +11,6 @@
 )
 
 from godwitmast.config.document import NumberedConfig, RequestClass
-from godwitmast.peers.driver import PeerDriver
-from godwitmast.peers.machine import PeerMachine
 
 # A second series for each counter, with its birth, would double the pages by team.
 disable_created_metrics()
@@ -27,10 +23,6 @@
 and a key that its operator withdrew."""
 
 
-def read_peers(driver: PeerDriver, read: Callable[[PeerMachine], float]) -> float:
-    return read(driver.machine) if driver.machine else 0.0
-
-
 class Timing(NamedTuple):
     """When the parts of an answer came, in seconds after the request's arrival."""
 
@@ -139,22 +131,6 @@
         for name, item in config.document.classes.items():
             self.goal.labels(name).set(item.attainment_goal)
 
-    def count_peers(self, driver: PeerDriver) -> None:
-        """Show a node's part among its peers; read from the machine when scraped."""
-        readings: dict[str, tuple[str, Callable[[PeerMachine], float]]] = {
-            "members": ("Nodes that are listed.", lambda m: len(m.listed())),
-            "links": ("Peers linked to.", lambda m: len(m.by_node)),
-            "suspicions": ("Suspicions raised here.", lambda m: m.counts.suspicions),
-            "deaths": ("Deaths found here.", lambda m: m.counts.deaths),
-            "refutations": ("Suspicions refuted.", lambda m: m.counts.refutations),
-            "frames": ("Frames sent to peers.", lambda m: m.counts.frames),
-            "sent_bytes": ("Bytes sent to peers.", lambda m: driver.bytes_sent),
-            "bad_frames": ("Malformed frames.", lambda m: driver.bad_frames),
-        }
-        for name, (text, read) in readings.items():
-            gauge = Gauge(f"godwit_peer_{name}", text, registry=self.registry)
-            gauge.set_function(partial(read_peers, driver, read))
-
     def answered(
         self, team: str, class_name: str, target: RequestClass, timing: Timing
     ) -> None:
--- a/src/godwitmast/entry/openai.py
+++ b/src/godwitmast/entry/openai.py
@@ -112,6 +112,7 @@
             idempotent=model.idempotent,
             prefix=call.prefix,
             resumable=call.stream,
+            streams=call.stream,
         )
         outbound = self.model_outbound(envelope, call, spec, limit)
         return self.claimed(incoming, spec, outbound)
@@ -150,7 +151,7 @@
             f"/{rest}", service.idempotent_paths
         )
         spec = self.make_spec(incoming, class_name, name)._replace(
-            idempotent=idempotent, resumable=False
+            idempotent=idempotent, resumable=False, streams=False
         )
         query = f"?{envelope.query}" if envelope.query else ""
         path = service_path(envelope.raw_path) + query
--- a/src/godwitmast/entry/peering.py
+++ b/src/godwitmast/entry/peering.py
@@ -1,8 +1,12 @@
 """The entry's part among its peers: what it tells them, and what it takes."""
 
+from collections.abc import Callable
+from functools import partial
+
 import anyio
 import msgspec
 from anyio.abc import TaskGroup
+from prometheus_client import CollectorRegistry, Gauge
 
 from godwitmast.background import Background
 from godwitmast.clock import Clock
@@ -21,6 +25,7 @@
 from godwitmast.errors import PlatformError
 from godwitmast.logs import log_event
 from godwitmast.peers.driver import PeerDriver
+from godwitmast.peers.machine import PeerMachine
 from godwitmast.peers.messages import KnownVm, Record, Topic
 from godwitmast.peers.settings import PeerSettings
 from godwitmast.platform_api.client import PlatformClient
@@ -35,6 +40,27 @@
 """Far longer than the configuration that withdraws the key takes to arrive."""
 
 
+def read_peers(driver: PeerDriver, read: Callable[[PeerMachine], float]) -> float:
+    return read(driver.machine) if driver.machine else 0.0
+
+
+def count_peers(registry: CollectorRegistry, driver: PeerDriver) -> None:
+    """Show a node's part among its peers; read from the machine when scraped."""
+    readings: dict[str, tuple[str, Callable[[PeerMachine], float]]] = {
+        "members": ("Nodes that are listed.", lambda m: len(m.listed())),
+        "links": ("Peers linked to.", lambda m: len(m.by_node)),
+        "suspicions": ("Suspicions raised here.", lambda m: m.counts.suspicions),
+        "deaths": ("Deaths found here.", lambda m: m.counts.deaths),
+        "refutations": ("Suspicions refuted.", lambda m: m.counts.refutations),
+        "frames": ("Frames sent to peers.", lambda m: m.counts.frames),
+        "sent_bytes": ("Bytes sent to peers.", lambda m: driver.bytes_sent),
+        "bad_frames": ("Malformed frames.", lambda m: driver.bad_frames),
+    }
+    for name, (text, read) in readings.items():
+        gauge = Gauge(f"godwit_peer_{name}", text, registry=registry)
+        gauge.set_function(partial(read_peers, driver, read))
+
+
 class FollowedConfig:
     """The follower's configuration as peers spread it."""
 
@@ -98,7 +124,7 @@
         self.background = Background(self.run_vm_list, self.run_telling)
         follower.listeners.append(self.config_changed)
         follower.is_pushed = self.is_linked
-        app.metrics.count_peers(self.driver)
+        count_peers(app.metrics.registry, self.driver)
         app.peers_listed = self.listed
         if peer_settings.fault_hook:
             app.fault_hook = self.driver.cut
--- a/src/godwitmast/http_server.py
+++ b/src/godwitmast/http_server.py
@@ -57,9 +57,17 @@
         self.tls = server_tls(tls) if tls else None
         self.grace_s = grace_s
         self.port = 0
+        self.config = ServerConfig()
+        self.config.keep_alive_timeout = KEEP_ALIVE_S
+        self.config.h11_max_incomplete_size = MAX_HEADER_BYTES
         self.stopping = anyio.Event()
         self.stopped = anyio.Event()
 
+    def limit(self, max_header_bytes: int, keep_alive_s: float) -> None:
+        """Take limits for connections; open ones keep that of their headers."""
+        self.config.h11_max_incomplete_size = max_header_bytes
+        self.config.keep_alive_timeout = keep_alive_s
+
     @property
     def url(self) -> str:
         scheme = "https" if self.tls else "http"
@@ -76,14 +84,12 @@
 
     async def run(self, listener: socket.socket) -> None:
         """Serve until `close`, then let open requests end."""
-        config = ServerConfig()
+        config = self.config
         # Hypercorn closes the descriptor that it is given, so it owns a detached one.
         config.bind = [f"fd://{listener.detach()}"]
         config.backlog = BACKLOG
         config.graceful_timeout = self.grace_s
         config.shutdown_timeout = self.grace_s
-        config.keep_alive_timeout = KEEP_ALIVE_S
-        config.h11_max_incomplete_size = MAX_HEADER_BYTES
         config.include_server_header = False
         config.errorlog = None
         config.accesslog = None
--- a/src/godwitmast/logs.py
+++ b/src/godwitmast/logs.py
@@ -1,6 +1,9 @@
-"""Logs: one line of key=value pairs for each event."""
+"""Logs: one line of key=value pairs for each event, bounded and never in the way."""
 
+import os
 import sys
+import time
+from enum import Enum
 from typing import Any
 
 from loguru import logger
@@ -8,12 +11,88 @@
 SECRET_KEYS = frozenset({"key", "authorization", "token", "secret"})
 """Fields that are never written, whatever a caller of `log_event` passes."""
 
+LINES_PER_S = 400.0
+"""What one process writes at most: twice the lines of an entry at its share of 3,000
+requests a second among 350 nodes, with five lines to each request in a bad hour."""
 
-def setup_logs(program: str, level: str = "INFO") -> None:
-    """Send events to standard error as key=value lines."""
+BURST_LINES = 2_000.0
+"""A configuration of some hundred routes, or a fleet of servers, at once."""
+
+
+class LogTarget(Enum):
+    """Where a program writes its lines; the value is the descriptor."""
+
+    STDOUT = 1
+    STDERR = 2
+
+
+class LineSink:
+    """Writes lines to a descriptor that must not hold the process up.
+
+    Load pattern: whoever reads the pipe stands still, or an outage makes every request
+    log its failures. A write that blocks would stop the event loop, and with it every
+    stream of the entry. So a line that does not fit is dropped, and the next one that
+    does says how many were.
+    """
+
+    def __init__(
+        self,
+        descriptor: int,
+        lines_per_s: float = LINES_PER_S,
+        burst: float = BURST_LINES,
+    ) -> None:
+        self.descriptor = descriptor
+        self.lines_per_s = lines_per_s
+        self.burst = burst
+        self.level = burst
+        self.filled_at = time.monotonic()
+        self.dropped = 0
+
+    def __call__(self, line: str) -> None:
+        """Write a line, or count it as dropped."""
+        if not self.may_write(time.monotonic()):
+            self.dropped += 1
+            return
+        if self.dropped:
+            line = f"{line.rstrip()} dropped={self.dropped}\n"
+        if self.put_out(line.encode()):
+            self.dropped = 0
+        else:
+            self.dropped += 1
+
+    def may_write(self, now: float) -> bool:
+        """Take a line from what is allowed; return whether there was one left."""
+        grown = self.level + (now - self.filled_at) * self.lines_per_s
+        self.level = min(self.burst, grown)
+        self.filled_at = now
+        if self.level < 1:
+            return False
+        self.level -= 1
+        return True
+
+    def put_out(self, content: bytes) -> bool:
+        """Return whether the line is out, or the part of it that fitted."""
+        try:
+            os.write(self.descriptor, content)
+        except BlockingIOError:
+            return False
+        except OSError:
+            # Nobody reads the log any more; that is no reason to serve no one.
+            return False
+        return True
+
+
+def setup_logs(
+    program: str, level: str = "INFO", target: LogTarget = LogTarget.STDERR
+) -> None:
+    """Send events as key=value lines to standard error, or where `target` says."""
     logger.remove()
     logger.configure(extra={"program": program})
-    logger.add(sys.stderr, level=level, format=format_record, colorize=False)
+    sink: Any = sys.stderr
+    if target is LogTarget.STDOUT:
+        os.set_blocking(target.value, False)
+        sink = LineSink(target.value)
+    logger.add(sink, level=level, format=format_record, colorize=False)
 
 
 def format_record(record: Any) -> str:
--- /dev/null
+++ b/src/godwitmast/platform/daemon.py
@@ -0,0 +1,257 @@
+"""One process a VM: the entry with the duties inside, on the platform's ports."""
+
+from pathlib import Path
+
+import anyio
+from anyio.abc import TaskGroup
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from godwitmast.backends.client import BackendClient
+from godwitmast.clock import SystemClock
+from godwitmast.dispatch.retries import RetryBudget
+from godwitmast.entry.app import EntryApp, closing
+from godwitmast.entry.driver import RouterDriver
+from godwitmast.entry.intake import CallerGone
+from godwitmast.entry.refusals import send_json, send_whole
+from godwitmast.errors import ConfigInvalid, SettingsError
+from godwitmast.http_server import HttpServer, Receive, Scope, Send
+from godwitmast.lease.driver import LeaseDriver
+from godwitmast.lease.machine import LeaseTiming
+from godwitmast.logs import log_event
+from godwitmast.platform.catalog import read_config, read_servers
+from godwitmast.platform.front import ReplicaWire, RouteFront
+from godwitmast.platform.settings import BoundsTable, PlatformFile
+from godwitmast.platform.store import StoreClient
+from godwitmast.platform.wire import (
+    CONFIG_KEY,
+    OPERATOR_TABLE,
+    READY_PATH,
+    SERVERS_TABLE,
+)
+from godwitmast.platform_api.feed import FeedFollower
+from godwitmast.settings import Listen, load_settings
+from godwitmast.sockets import SILENCE_OPTIONS
+from godwitmast.usage.duty import UsageDuty
+from godwitmast.usage.journal import Journal
+from godwitmast.usage.meter import Meter
+from godwitmast.usage.windows import UsageTiming
+from godwitmast.usage.writer import NodeWriter
+
+METRICS_PORT = 9464
+"""The port that deploy/system.toml names for metrics."""
+
+BALANCER_WAIT_S = 2.5
+"""The balancer asks each second and takes a VM out after two misses."""
+
+CLOSING_S = 1.5
+"""What is left of the grace for the last usage and the leases, after the requests."""
+
+GATHER_SHARE = 0.125
+"""The part of the time to stop sending to a leaving server for which changes gather."""
+
+BUDGET_VMS = 12
+"""VMs among which the allowance of repeats is divided: the nine and eight of today,
+with the spare ones that may be added."""
+
+SETTINGS_EVERY_S = 1.0
+"""How often the settings file is looked at, as it may change without a signal."""
+
+
+def usage_timing(bounds: BoundsTable) -> UsageTiming:
+    """Return how usage is counted so that each window is reported in time.
+
+    Two writes a window; a VM that is silent for a window is closed before the next one
+    is frozen, at two thirds of the time that a report may take.
+    """
+    return UsageTiming(
+        window_s=bounds.window_s,
+        flush_s=bounds.window_s / 2,
+        grace_s=bounds.usage_late_s * 0.6,
+        seal_s=bounds.window_s,
+        keep_s=60.0,
+        stop_s=CLOSING_S,
+    )
+
+
+def lease_timing(bounds: BoundsTable) -> LeaseTiming:
+    """Return a lease that outlasts the platform's own, and is soon taken over."""
+    ttl_s = bounds.lease_ms / 1000
+    return LeaseTiming(ttl_s, guard_s=2.0, renew_s=ttl_s / 3, watch_s=ttl_s * 0.8)
+
+
+REPORT_TIMEOUT_S = 1.5
+"""Below the lease's guard of two seconds: see UsageDuty."""
+
+
+class Node:
+    """Everything that runs on one entry VM."""
+
+    def __init__(self, settings: PlatformFile, path: Path | None = None) -> None:
+        self.settings = settings
+        self.path = path
+        bounds = settings.bounds
+        self.clock = SystemClock()
+        self.store = StoreClient(settings)
+        self.client = BackendClient(wire=ReplicaWire(), socket_options=SILENCE_OPTIONS)
+        self.front = RouteFront()
+        budget = RetryBudget(
+            bounds.budget_slack / BUDGET_VMS, bounds.retry_budget_ratio / 2
+        )
+        self.driver = RouterDriver(settings.zone, self.clock, self.client, budget)
+        self.driver.polls = lambda backend_id: False
+        self.meter = Meter()
+        self.app = EntryApp(
+            self.clock, self.driver, self.client, self.meter, self.front
+        )
+        self.app.ends_withdrawn = bounds.strict_revoke
+        self.servers_known = False
+        self.app.ready_checks.append(lambda: self.servers_known)
+        gather_s = bounds.drain_ms / 1000 * GATHER_SHARE
+        self.followers = [
+            FeedFollower(self.store, self.clock, OPERATOR_TABLE, self.take_config),
+            FeedFollower(
+                self.store, self.clock, SERVERS_TABLE, self.take_servers, gather_s
+            ),
+        ]
+        timing = usage_timing(bounds)
+        journal = Journal(settings.node, settings.zone, timing.window_s)
+        self.writer = NodeWriter(
+            self.store, self.clock, journal, timing, self.config_version, dict
+        )
+        self.meter.listeners.append(self.writer.count)
+        duty = UsageDuty(
+            self.store, self.clock, timing, self.app.metrics.registry, REPORT_TIMEOUT_S
+        )
+        self.lease = LeaseDriver(
+            self.store, self.clock, duty, settings.node, lease_timing(bounds)
+        )
+        self.callers = HttpServer(
+            self.serve_caller,
+            settings.listen.front,
+            grace_s=bounds.grace_s - BALANCER_WAIT_S - CLOSING_S,
+        )
+        self.balancer = HttpServer(self.serve_own, settings.listen.ready, grace_s=0.1)
+        self.scrapes = HttpServer(
+            self.serve_own, Listen(settings.ip, METRICS_PORT), grace_s=0.1
+        )
+
+    def config_version(self) -> int:
+        return self.app.config.version if self.app.config else 0
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Listen, and follow configuration and servers; not ready before both."""
+        await self.driver.start(tasks)
+        for follower in self.followers:
+            await follower.start(tasks)
+        await self.writer.start(tasks)
+        await self.lease.start(tasks)
+        for server in (self.callers, self.balancer, self.scrapes):
+            await server.start(tasks)
+        tasks.start_soon(self.run_settings)
+        log_event("node_started", node=self.settings.node, zone=self.settings.zone)
+
+    async def close(self) -> None:
+        """Stop within the platform's grace, without cutting a request.
+
+        The balancer goes on sending for a while after it saw that this VM is not ready,
+        so new requests are still taken during that wait, and told to come elsewhere
+        with their next one.
+        """
+        log_event("node_stopping", node=self.settings.node)
+        self.app.stopping = True
+        async with anyio.create_task_group() as closing_tasks:
+            closing_tasks.start_soon(self.lease.close)
+            await anyio.sleep(BALANCER_WAIT_S)
+        await self.callers.close()
+        await self.writer.close()
+        for follower in self.followers:
+            await follower.close()
+        for server in (self.balancer, self.scrapes):
+            await server.close()
+        await self.driver.close()
+        await self.client.close()
+        await self.store.close()
+        log_event("node_stopped", node=self.settings.node)
+
+    def take_config(self, rows: dict[str, bytes]) -> None:
+        """Put the operator's configuration in force if it is newer."""
+        content = rows.get(CONFIG_KEY)
+        if content is None:
+            return
+        try:
+            catalog = read_config(content)
+        except ConfigInvalid as error:
+            log_event("config_rejected", level="ERROR", error=str(error))
+            return
+        if catalog.config.version <= self.config_version():
+            return
+        log_event("config_in_force", number=catalog.config.version)
+        self.front.take_catalog(catalog)
+        self.app.config_changed(catalog.config)
+        limits = catalog.limits
+        self.callers.limit(limits.max_header_bytes, limits.idle_timeout_ms / 1000)
+
+    def take_servers(self, rows: dict[str, bytes]) -> None:
+        """Take the backend servers that name themselves in the store."""
+        servers = read_servers(rows)
+        known = self.driver.listed
+        for name in servers.keys() | known.keys():
+            if servers.get(name) != known.get(name):
+                server = servers.get(name)
+                state = "gone" if server is None else "in"
+                if server is not None and server.leaving:
+                    state = "leaving"
+                log_event("server_listed", server=name, state=state)
+        self.servers_known = True
+        self.driver.backends_listed(servers)
+
+    async def serve_caller(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve the callers' address."""
+        if scope["type"] != "http":
+            return
+        if self.app.stopping:
+            send = closing(send)
+        try:
+            await self.app.take(scope, receive, send)
+        except CallerGone:
+            return
+
+    async def serve_own(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve the balancer's question, and the metrics."""
+        if scope["type"] != "http":
+            return
+        match scope["path"]:
+            case path if path == READY_PATH:
+                ready = self.app.ready
+                await send_json(send, 200 if ready else 503, {"ready": ready})
+            case "/metrics":
+                headers = [(b"content-type", CONTENT_TYPE_LATEST.encode())]
+                body = generate_latest(self.app.metrics.registry)
+                await send_whole(send, 200, headers, body)
+            case _:
+                await send_json(send, 404, {"error": "not found"})
+
+    async def run_settings(self) -> None:
+        """Notice a settings file that changed without a signal."""
+        while True:
+            await anyio.sleep(SETTINGS_EVERY_S)
+            self.reload()
+
+    def reload(self) -> None:
+        """Read the settings file again; a bad one changes nothing.
+
+        Addresses and identity are those of the start; what may change in place is the
+        rule for keys that were withdrawn.
+        """
+        if self.path is None:
+            return
+        try:
+            settings = load_settings(self.path, PlatformFile, {})
+        except SettingsError as error:
+            log_event("settings_rejected", level="ERROR", error=str(error))
+            return
+        if settings == self.settings:
+            return
+        self.settings = settings
+        self.app.ends_withdrawn = settings.bounds.strict_revoke
+        log_event("settings_reloaded", path=self.path)
--- /dev/null
+++ b/src/godwitmast/platform_api/feed.py
@@ -0,0 +1,168 @@
+"""Follows a table of somebody else's that tells its changes."""
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+
+from godwitmast.background import Background
+from godwitmast.clock import Clock
+from godwitmast.errors import PlatformError
+from godwitmast.logs import log_event
+from godwitmast.platform_api.port import Changes, Feed, FeedRow, HistoryLost, Snapshot
+
+WAIT_S = 10.0
+"""How long one call waits for a change. A longer wait saves calls and finds a silent
+connection later; the sockets' keep-alive finds that one sooner than either."""
+
+RETRY_S = (0.2, 1.0)
+"""First and longest pause after a failed call, each drawn at random below twice it. A
+change has to be in force within two seconds of the platform's return."""
+
+RETURN_GRACE_S = 2.5
+"""Rows that expired while the platform was away are written again within two seconds
+of its return by those that live; half a second is for the way here."""
+
+
+@dataclass
+class FeedView:
+    """A table's rows as far as they are known, without I/O.
+
+    Load pattern: the platform's store is away for longer than the rows of backend
+    servers last without a heartbeat. When it returns, its first answers say that every
+    server is gone, though all of them serve. Taken at its word, a whole fleet would
+    leave at once and every request be refused until the heartbeats come. So a row that
+    is missing right after an outage stays for `RETURN_GRACE_S`.
+    """
+
+    rows: dict[str, bytes] = field(default_factory=dict)
+    version: int | None = None
+    away_since: float | None = None
+    returned_at: float = float("-inf")
+    missing: set[str] = field(default_factory=set)
+
+    def failed(self, now: float) -> None:
+        """Note that the platform gave no answer."""
+        if self.away_since is None:
+            self.away_since = now
+
+    def answered(self, now: float) -> None:
+        """Note that it gave one."""
+        if self.away_since is not None:
+            self.away_since = None
+            self.returned_at = now
+
+    def replace(self, snapshot: Snapshot, now: float) -> None:
+        """Take all rows at once."""
+        self.answered(now)
+        self.version = snapshot.version
+        self.put(snapshot.rows, now)
+        present = {row.key for row in snapshot.rows}
+        for key in self.rows.keys() - present:
+            self.drop(key, now)
+
+    def change(self, changes: Changes, now: float) -> bool:
+        """Take changed rows; return whether there were any."""
+        self.answered(now)
+        self.version = changes.version
+        self.put(changes.rows, now)
+        return bool(changes.rows)
+
+    def put(self, rows: Iterable[FeedRow], now: float) -> None:
+        for row in rows:
+            if row.content is None:
+                self.drop(row.key, now)
+            else:
+                self.rows[row.key] = row.content
+                self.missing.discard(row.key)
+
+    def drop(self, key: str, now: float) -> None:
+        """Take out a row, at once or when its time to come back is over."""
+        if now < self.returned_at + RETURN_GRACE_S:
+            self.missing.add(key)
+        else:
+            self.rows.pop(key, None)
+            self.missing.discard(key)
+
+    def expire(self, now: float) -> bool:
+        """Take out what did not come back in time; return whether anything was."""
+        if not self.missing or now < self.returned_at + RETURN_GRACE_S:
+            return False
+        for key in self.missing:
+            self.rows.pop(key, None)
+        self.missing.clear()
+        return True
+
+
+class FeedFollower:
+    """One task that follows one table, and tells a listener of each change."""
+
+    def __init__(
+        self,
+        feed: Feed,
+        clock: Clock,
+        table: str,
+        listener: Callable[[dict[str, bytes]], None],
+        gather_s: float = 0.0,
+    ) -> None:
+        self.feed = feed
+        self.clock = clock
+        self.table = table
+        self.listener = listener
+        self.gather_s = gather_s
+        self.view = FeedView()
+        self.pause_s = RETRY_S[0]
+        self.background = Background(self.run, self.run_expiry)
+
+    async def start(self, tasks: TaskGroup) -> None:
+        await self.background.start(tasks)
+
+    async def close(self) -> None:
+        await self.background.close()
+
+    async def run(self) -> None:
+        while True:
+            try:
+                changed = await self.ask()
+            except PlatformError as error:
+                await self.wait_out(error)
+                continue
+            if self.pause_s > RETRY_S[0]:
+                log_event("feed_regained", table=self.table, version=self.view.version)
+                self.pause_s = RETRY_S[0]
+            if changed:
+                self.tell()
+                # Changes come in groups. One call for each of them would be as many
+                # calls from every VM as there are changes.
+                await anyio.sleep(self.gather_s)
+
+    async def ask(self) -> bool:
+        """Read on once; return whether anything changed."""
+        if self.view.version is None:
+            self.view.replace(await self.feed.snapshot(self.table), self.clock.now())
+            return True
+        match await self.feed.changes(self.table, self.view.version, WAIT_S):
+            case Changes() as changes:
+                return self.view.change(changes, self.clock.now())
+            case HistoryLost():
+                log_event("feed_history_lost", table=self.table)
+                self.view.version = None
+        return False
+
+    async def wait_out(self, error: PlatformError) -> None:
+        if self.view.away_since is None:
+            log_event("feed_lost", level="WARNING", table=self.table, error=str(error))
+        self.view.failed(self.clock.now())
+        await anyio.sleep(random.uniform(0.5, 1.5) * self.pause_s)
+        self.pause_s = min(RETRY_S[1], self.pause_s * 2)
+
+    async def run_expiry(self) -> None:
+        while True:
+            await anyio.sleep(RETURN_GRACE_S / 10)
+            if self.view.expire(self.clock.now()):
+                self.tell()
+
+    def tell(self) -> None:
+        self.listener(self.view.rows)
--- a/src/godwitmast/program.py
+++ b/src/godwitmast/program.py
@@ -3,7 +3,7 @@
 import signal
 from collections.abc import Callable
 from pathlib import Path
-from typing import Annotated, Protocol, TypeVar
+from typing import Annotated, Protocol, TypeVar, runtime_checkable
 
 import anyio
 import typer
@@ -11,7 +11,7 @@
 
 from godwitmast import __version__
 from godwitmast.errors import GodwitError, SettingsError
-from godwitmast.logs import log_event, setup_logs
+from godwitmast.logs import LogTarget, log_event, setup_logs
 from godwitmast.settings import LogSettings, load_settings
 
 EXIT_OK = 0
@@ -30,6 +30,13 @@
     async def close(self) -> None: ...
 
 
+@runtime_checkable
+class Reloadable(Protocol):
+    """A daemon whose settings file may change while it runs."""
+
+    def reload(self) -> None: ...
+
+
 def show_version(wanted: bool) -> None:
     if wanted:
         typer.echo(__version__)
@@ -67,9 +74,18 @@
     return settings
 
 
-def run_daemon(program: str, log: LogSettings, make: Callable[[], Daemon]) -> None:
-    """Run a daemon until SIGTERM or SIGINT, then close it; a second one kills."""
-    setup_logs(program, log.level)
+def run_daemon(
+    program: str,
+    log: LogSettings,
+    make: Callable[[], Daemon],
+    target: LogTarget = LogTarget.STDERR,
+) -> None:
+    """Run a daemon until SIGTERM or SIGINT, then close it; a second one kills.
+
+    SIGHUP says that the settings file has changed; a daemon that reads it only at its
+    start runs on as it is.
+    """
+    setup_logs(program, log.level, target)
     try:
         anyio.run(run_until_signal, make)
     except GodwitError as error:
@@ -79,11 +95,15 @@
 
 async def run_until_signal(make: Callable[[], Daemon]) -> None:
     daemon = make()
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    stops = (signal.SIGTERM, signal.SIGINT)
+    with anyio.open_signal_receiver(*stops, signal.SIGHUP) as signals:
         async with anyio.create_task_group() as tasks:
             await daemon.start(tasks)
-            async for _ in signals:
-                break
+            async for signum in signals:
+                if signum in stops:
+                    break
+                if isinstance(daemon, Reloadable):
+                    daemon.reload()
             async with anyio.create_task_group() as closing:
                 closing.start_soon(end_on_second_signal, signals, tasks)
                 await daemon.close()
@@ -92,5 +112,6 @@
 
 
 async def end_on_second_signal(signals: object, tasks: TaskGroup) -> None:
-    async for _ in signals:  # type: ignore[attr-defined]
-        tasks.cancel_scope.cancel()
+    async for signum in signals:  # type: ignore[attr-defined]
+        if signum != signal.SIGHUP:
+            tasks.cancel_scope.cancel()
--- a/src/godwitmast/usage/duty.py
+++ b/src/godwitmast/usage/duty.py
@@ -51,10 +51,12 @@
         clock: Clock,
         timing: UsageTiming = UsageTiming(),
         registry: CollectorRegistry | None = None,
+        report_timeout_s: float = REPORT_TIMEOUT_S,
     ) -> None:
         self.platform = platform
         self.clock = clock
         self.timing = timing
+        self.report_timeout_s = report_timeout_s
         self.watched: dict[str, Watched] = {}
         self.table_back_at = 0.0
         self.table_away = False
@@ -139,7 +141,7 @@
         if fence is None:
             return False
         try:
-            with anyio.fail_after(REPORT_TIMEOUT_S):
+            with anyio.fail_after(self.report_timeout_s):
                 await self.platform.report_usage({**report, "fence": fence})
         except (PlatformError, TimeoutError) as error:
             log_event("usage_report_failed", level="WARNING", error=repr(error))
