Place prompts by the tokens to be read, quick classes apart

Cause: an engine reads a long prompt in chunks between the tokens of all streams on it; chosen by requests in flight, quick streams missed their pauses, and shared openings were read again by each engine.

Ruled out: fewer requests an engine (the router's limits were not reached), zones first.

Change: dispatch/placement.py, and servers that say how many requests they run keep that as their limit.

--- a/src/godwitmast/config/document.py
+++ b/src/godwitmast/config/document.py
@@ -75,7 +75,10 @@
 
 
 class Backend(NamedTuple):
-    """A backend server; `pools` names the models and services that it serves."""
+    """A backend server; `pools` names the models and services that it serves.
+
+    `places` is how many requests it runs at a time; without it that is learned.
+    """
 
     url: str
     zone: str
@@ -83,6 +86,7 @@
     kind: Literal["on_demand", "cheap"] = "on_demand"
     checks_fences: bool = False
     leaving: bool = False
+    places: Annotated[int, Field(gt=0)] | None = None
 
 
 class CapacityIntention(NamedTuple):
--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -29,6 +29,7 @@
 from godwitmast.dispatch.loads import OtherLoad
 from godwitmast.dispatch.messages import BackendSpec, LoadReport, RequestSpec
 from godwitmast.dispatch.pace import GapWindow, PoolPace
+from godwitmast.dispatch.placement import Placement
 from godwitmast.types import BackendId, ZoneName
 
 TARGET_MEMORY_S = 60.0
@@ -60,7 +61,20 @@
         """Return the requests on the server, ours and others'."""
         return self.in_flight + self.other.estimate(now)
 
+    @property
+    def backend_id(self) -> BackendId:
+        return self.spec.backend_id
+
+    @property
+    def zone(self) -> ZoneName:
+        return self.spec.zone
+
     def has_room(self, now: float) -> bool:
+        if self.limit.fixed:
+            # What others have there is a guess that ages; one request of ours at a
+            # time finds out.
+            full = self.load(now) + 1 > self.limit.value
+            return self.health.is_in() and (not full or not self.in_flight)
         return (
             self.health.is_in()
             and self.load(now) + 1 <= max(1.0, self.limit.value)
@@ -118,6 +132,7 @@
     targets: dict[float, float] = field(default_factory=dict)
     servers: int = 0
     slow: int = 0
+    placement: Placement = field(default_factory=Placement)
 
     def target_gap(self, now: float) -> float | None:
         """Return the strictest time between tokens that classes lately asked for."""
@@ -147,6 +162,8 @@
         for spec in specs:
             state = old.get(spec.backend_id) or BackendState(spec)
             state.spec = spec
+            if spec.places is not None:
+                state.limit.value, state.limit.fixed = float(spec.places), True
             state.cells = []
             self.states[spec.backend_id] = state
             if not spec.leaving:
@@ -164,6 +181,7 @@
             known = old_pools.get(pool)
             if known is not None:
                 view.pace, view.targets = known.pace, known.targets
+                view.placement = known.placement
         cell = view.cells.setdefault(state.spec.zone, Cell(view))
         cell.members[state.spec.backend_id] = state
         cell.in_flight += state.in_flight
@@ -214,6 +232,10 @@
                 for state in cell.probes.items[:1]:
                     if state.spec.backend_id not in avoid:
                         return state.spec.backend_id
+        if request.parts:
+            placed = self.place_prompt(view, request, avoid, now)
+            if placed is not None:
+                return placed
         picked = self.pick_near(cells, request, avoid, now)
         if picked is not None:
             return picked.spec.backend_id
@@ -223,6 +245,35 @@
                     return state.spec.backend_id
         return None
 
+    def place_prompt(
+        self,
+        view: PoolView,
+        request: RequestSpec,
+        avoid: set[BackendId],
+        now: float,
+    ) -> BackendId | None:
+        """Return the engine for a prompt whose parts are known."""
+        members = [
+            state.backend_id
+            for cell in view.cells.values()
+            for state in cell.members.values()
+            if state.health.is_in()
+        ]
+        open_engines = [
+            state
+            for cell in view.cells.values()
+            for state in cell.open.items
+            if state.backend_id not in avoid
+        ]
+        return view.placement.choose(
+            request.prompt, members, open_engines, self.zone, now
+        )
+
+    def placement_of(self, request: RequestSpec) -> Placement | None:
+        """Return what is known of the prompts in the request's pool, if it has any."""
+        view = self.pools.get(request.pool)
+        return view.placement if view is not None and request.parts else None
+
     def pick_near(
         self,
         cells: list[Cell],
--- a/src/godwitmast/dispatch/flights.py
+++ b/src/godwitmast/dispatch/flights.py
@@ -26,6 +26,8 @@
     started_at: float = 0.0
     first_token_at: float | None = None
     last_token_at: float = 0.0
+    unread: float = 0.0
+    """Tokens of the prompt that the present server has still to read."""
 
     @property
     def may_move(self) -> bool:
--- a/src/godwitmast/dispatch/limits.py
+++ b/src/godwitmast/dispatch/limits.py
@@ -72,9 +72,13 @@
     value: float = START_LIMIT
     base_s: float | None = None
     waited: bool = False
+    fixed: bool = False
+    """The server said how many it runs at a time, so that nothing is to be learned."""
 
     def paced(self, gap_s: float, used: float, target_s: float | None) -> None:
         """Take a window's mean time between tokens, with `used` requests there."""
+        if self.fixed:
+            return
         self.note_base(gap_s, used)
         base_s = self.base_s or 0.0
         if target_s is not None:
@@ -85,6 +89,8 @@
 
     def answered(self, latency_s: float, used: float) -> None:
         """Take the latency of an answer from a server without tokens."""
+        if self.fixed:
+            return
         self.note_base(latency_s, used)
         aim = (self.base_s or math.inf) * LATENCY_FACTOR
         self.move(latency_s, aim, used, LATENCY_STEP)
@@ -108,6 +114,8 @@
 
     def reported(self, running: int, waiting: int) -> None:
         """Take how many requests the engine runs, and how many wait inside it."""
+        if self.fixed:
+            return
         waits = waiting > max(1.0, running * WAITING_SHARE)
         if waits and self.waited:
             self.value = max(MIN_LIMIT, min(self.value, max(running, self.decayed)))
@@ -119,7 +127,8 @@
         An engine whose batch is full keeps its time between tokens, whatever waits
         inside it: only this tells that the limit lies above the batch.
         """
-        self.value = max(MIN_LIMIT, min(self.value, used * DECAY))
+        if not self.fixed:
+            self.value = max(MIN_LIMIT, min(self.value, used * DECAY))
 
     @property
     def decayed(self) -> float:
@@ -127,4 +136,5 @@
 
     def restart(self) -> None:
         """Begin again, carefully, for a server that was away."""
-        self.value = SLOW_START_LIMIT
+        if not self.fixed:
+            self.value = SLOW_START_LIMIT
--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from godwitmast.dispatch.placement import Part, Prompt
 from godwitmast.types import (
     AttemptId,
     BackendId,
@@ -38,13 +39,19 @@
     resumable: bool = True
     streams: bool = True
     attempts: int = 3
+    parts: tuple[Part, ...] = ()
+
+    @property
+    def prompt(self) -> Prompt:
+        return Prompt(self.class_name, self.prompt_tokens, self.parts)
 
 
 class BackendSpec(NamedTuple):
     """A backend server as the decisions see it.
 
     A leaving server gets no new work; `gone_at`, on the router's clock, is when the
-    platform takes it away, if it said so.
+    platform takes it away, if it said so. `places` is how many requests it runs at a
+    time, if that is known.
     """
 
     backend_id: BackendId
@@ -53,6 +60,7 @@
     cheap: bool = False
     leaving: bool = False
     gone_at: float | None = None
+    places: int | None = None
 
 
 class LoadReport(NamedTuple):
--- /dev/null
+++ b/src/godwitmast/dispatch/placement.py
@@ -0,0 +1,230 @@
+"""Chooses the engine of a prompt by the tokens that it would have to read there.
+
+Load pattern: quick questions among long prompts, with openings that many share. An
+engine reads a prompt in chunks between the tokens of all that runs on it, and a chunk
+takes as long as eight steps without one. A stream beside a prompt of several chunks
+pauses at each event; placed by the number of requests alone, two in three quick
+streams missed their pause on a quiet day. And a prompt whose opening another engine
+has read is read again: a third of all tokens that day.
+
+So engines stand in one order that all routers agree on without talking, and the first
+of them, as many as the quick requests' share of the tokens asks for, take the quick
+classes; the rest take the others. Within its group a prompt goes where the fewest
+tokens stand before its first one: those to be read of itself, those that this router
+sent there and that are not read yet, and a little for each request that runs there.
+The engine that ranks highest for the deepest shared part is taken to hold it, so that
+routers which never talk send it to the same one.
+"""
+
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple, Protocol
+
+from xxhash import xxh3_64_intdigest
+
+from godwitmast.types import BackendId, ClassName, ZoneName
+
+QUICK_TOKENS = 2048.0
+"""Tokens of the prompts of a quick class, on average: one chunk of an engine's. Two
+chunks are the most that an event of three tokens can wait for within the shortest pause
+that callers asked for."""
+
+MEAN_WEIGHT = 0.05
+"""Weight of one prompt in its class's mean: the last twenty or so decide."""
+
+SHARE_MEMORY_S = 10.0
+"""Demand of this age counts half. A burst lasts some seconds; each move of the border
+between the groups costs reading again what the engine at the border held."""
+
+REREAD_FACTOR = 2.0
+"""How much worse a token of a shared part is than one that stands before: it takes the
+engine's time, and room in its memory that another part then lacks."""
+
+LOAD_TOKENS = 150.0
+"""What a running request counts for: the time of a token of each step that it shares,
+three milliseconds at fifty tokens a millisecond."""
+
+ZONE_TOKENS = 400.0
+"""What another availability zone counts for: eight milliseconds, several times the way
+there and back, since the bytes between zones are paid for."""
+
+PART_MEMORY_S = 20.0
+"""How long a part is taken to be where this router sent it, off its first engine."""
+
+MAX_PARTS = 4096
+
+
+class Part(NamedTuple):
+    """A part of a prompt, in order; equal ids are equal text after equal parts."""
+
+    part_id: str
+    tokens: int
+
+
+class Prompt(NamedTuple):
+    """What placement asks of a request."""
+
+    class_name: ClassName
+    tokens: int
+    parts: tuple[Part, ...]
+
+
+class Engine(Protocol):
+    """What placement asks of an engine."""
+
+    @property
+    def backend_id(self) -> BackendId: ...
+
+    @property
+    def zone(self) -> ZoneName: ...
+
+    def load(self, now: float) -> float:
+        """Return the requests that run or wait there."""
+
+
+@dataclass(slots=True)
+class Demand:
+    """Tokens of quick and of other requests, forgotten with time."""
+
+    quick: float = 0.0
+    other: float = 0.0
+    at: float = 0.0
+
+    def add(self, tokens: float, quick: bool, now: float) -> None:
+        kept = 0.5 ** (max(0.0, now - self.at) / SHARE_MEMORY_S)
+        self.quick = self.quick * kept + (tokens if quick else 0.0)
+        self.other = self.other * kept + (0.0 if quick else tokens)
+        self.at = now
+
+    @property
+    def share(self) -> float | None:
+        """Return the quick requests' part; None while only one kind was seen."""
+        if not self.quick or not self.other:
+            return None
+        return self.quick / (self.quick + self.other)
+
+
+@dataclass
+class Placement:
+    """The prompts of one pool, as one router sees them."""
+
+    demand: Demand = field(default_factory=Demand)
+    means: dict[ClassName, float] = field(default_factory=dict)
+    unread: dict[BackendId, float] = field(default_factory=dict)
+    sent: dict[tuple[BackendId, str], float] = field(default_factory=dict)
+
+    def is_quick(self, prompt: Prompt) -> bool:
+        """Return whether the prompts of its class are short."""
+        return self.means.get(prompt.class_name, prompt.tokens) <= QUICK_TOKENS
+
+    def arrived(self, prompt: Prompt, now: float) -> None:
+        """Take a prompt into the classes' means and the groups' demand."""
+        mean = self.means.get(prompt.class_name, float(prompt.tokens))
+        mean += MEAN_WEIGHT * (prompt.tokens - mean)
+        self.means[prompt.class_name] = mean
+        own = prompt.tokens - sum(part.tokens for part in prompt.parts[:-1])
+        self.demand.add(max(0, own), self.is_quick(prompt), now)
+
+    def group(
+        self, prompt: Prompt, engines: Iterable[BackendId]
+    ) -> Sequence[BackendId]:
+        """Return the engines for a prompt, of all that are in the choice."""
+        order = sorted(engines, key=lambda name: xxh3_64_intdigest(name.encode()))
+        share = self.demand.share
+        if share is None or len(order) < 2:
+            return order
+        border = min(len(order) - 1, max(1, round(share * len(order))))
+        return order[:border] if self.is_quick(prompt) else order[border:]
+
+    def choose(
+        self,
+        prompt: Prompt,
+        members: Collection[BackendId],
+        open_engines: Sequence[Engine],
+        zone: ZoneName,
+        now: float,
+    ) -> BackendId | None:
+        """Return the engine of `open_engines` for a prompt, in its group if it can.
+
+        `members` are all that are in the choice, with room or not: the groups and the
+        ranks must be the same for routers that see other engines full.
+        """
+        group = set(self.group(prompt, members))
+        inside = [engine for engine in open_engines if engine.backend_id in group]
+        candidates = inside or open_engines
+        if not candidates:
+            return None
+        home = highest(deepest_shared(prompt), group)
+        best = min(
+            candidates, key=lambda engine: self.cost(prompt, engine, home, zone, now)
+        )
+        return best.backend_id
+
+    def cost(
+        self,
+        prompt: Prompt,
+        engine: Engine,
+        home: BackendId | None,
+        zone: ZoneName,
+        now: float,
+    ) -> float:
+        """Return the tokens before a prompt's first one at an engine."""
+        shared = prompt.parts[:-1]
+        reread = 0.0
+        if engine.backend_id != home:
+            reread = sum(
+                part.tokens
+                for part in shared
+                if not self.holds(engine.backend_id, part, now)
+            )
+        far = 0.0 if engine.zone == zone else ZONE_TOKENS
+        return (
+            REREAD_FACTOR * reread
+            + self.unread.get(engine.backend_id, 0.0)
+            + LOAD_TOKENS * engine.load(now)
+            + far
+        )
+
+    def holds(self, backend_id: BackendId, part: Part, now: float) -> bool:
+        sent_at = self.sent.get((backend_id, part.part_id))
+        return sent_at is not None and now - sent_at < PART_MEMORY_S
+
+    def started(self, backend_id: BackendId, prompt: Prompt, now: float) -> float:
+        """Note a prompt that goes to an engine; return its tokens to be read there."""
+        unread = float(prompt.tokens)
+        for part in prompt.parts[:-1]:
+            if self.holds(backend_id, part, now):
+                unread -= part.tokens
+            self.sent.pop((backend_id, part.part_id), None)
+            self.sent[(backend_id, part.part_id)] = now
+        while len(self.sent) > MAX_PARTS:
+            self.sent.pop(next(iter(self.sent)))
+        unread = max(0.0, unread)
+        self.unread[backend_id] = self.unread.get(backend_id, 0.0) + unread
+        return unread
+
+    def was_read(self, backend_id: BackendId, tokens: float) -> None:
+        """Note that tokens of `started` were read, or will not be."""
+        left = self.unread.get(backend_id, 0.0) - tokens
+        if left > 0.5:
+            self.unread[backend_id] = left
+        else:
+            self.unread.pop(backend_id, None)
+
+
+def deepest_shared(prompt: Prompt) -> str:
+    """Return the id of the last part but one, which other prompts may share.
+
+    The last is the request's own or its session's; alone it is the one to go by.
+    """
+    parts = prompt.parts
+    return parts[-2].part_id if len(parts) > 1 else parts[-1].part_id
+
+
+def highest(key: str, engines: Iterable[BackendId]) -> BackendId | None:
+    """Return the engine that ranks first for a key, by rendezvous hashing."""
+    return max(
+        engines,
+        key=lambda name: xxh3_64_intdigest(f"{key}\0{name}".encode()),
+        default=None,
+    )
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -105,6 +105,9 @@
             return [refuse(request, RefusalCode.NO_BACKEND, RETRY_AFTER_S)]
         target = self.document.classes[request.class_name]
         self.book.add(Flight(request, target))
+        placement = self.backends.placement_of(request)
+        if placement is not None:
+            placement.arrived(request.prompt, now)
         refusals = self.forget_refused(self.admission.offer(request, now))
         return [*refusals, *self.pump(now)]
 
@@ -134,6 +137,7 @@
             gap_s = now - flight.last_token_at
             return self.backends.token_gap(flight.backend_id, pool, gap_s, count, now)
         flight.first_token_at = now
+        self.note_read(flight, flight.backend_id)
         waited_s = now - flight.started_at
         wanted = flight.target.first_token_s
         late = wanted is not None and waited_s > wanted * LATE_SHARE
@@ -486,6 +490,9 @@
             return []
         attempt_id = self.book.board(flight, backend_id, now)
         self.backends.started(backend_id, now)
+        placement = self.backends.placement_of(request)
+        if placement is not None:
+            flight.unread = placement.started(backend_id, request.prompt, now)
         self.backends.note_target(request.pool, flight.target.between_tokens_s, now)
         self.guard.started(request.fingerprint, backend_id, now)
         if flight.may_move and request.pool not in self.document.services:
@@ -561,9 +568,17 @@
         """Free the server that an attempt held."""
         backend_id = self.book.leave(flight)
         if backend_id is not None:
+            self.note_read(flight, backend_id)
             self.backends.ended(backend_id, now)
             self.guard.ended(flight.request.fingerprint)
 
+    def note_read(self, flight: Flight, backend_id: BackendId) -> None:
+        """Take off its server what a flight's prompt had left to be read, once."""
+        placement = self.backends.placement_of(flight.request)
+        if placement is not None and flight.unread:
+            placement.was_read(backend_id, flight.unread)
+            flight.unread = 0.0
+
     def end(self, flight: Flight, now: float, whole: bool = False) -> None:
         self.book.remove(flight)
         self.guard.drop_reservation(flight.request.fingerprint)
--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -150,7 +150,14 @@
 
     async def take(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve a caller, or tell it what is wrong with its request."""
-        error = await self.serve(scope, receive, send)
+        try:
+            error = await self.serve(scope, receive, send)
+        except CallerGone:
+            raise
+        except Exception as fault:
+            # The server would answer 500 and say nothing of what went wrong here.
+            log_event("request_broke", level="ERROR", error=repr(fault))
+            raise
         if error is not None:
             await self.front.send_error(send, error, False)
 
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -113,6 +113,7 @@
                 item.kind == "cheap",
                 item.leaving or BackendId(name) in self.told_leaving,
                 now + EVICTION_LEFT_S if self.is_evicted(name) else None,
+                item.places,
             )
             for name, item in self.backends.items()
         ]
--- a/src/godwitmast/platform/catalog.py
+++ b/src/godwitmast/platform/catalog.py
@@ -156,7 +156,8 @@
         log_event("server_row_bad", server=server_id, error=str(error))
         return None
     host, _, port = wire.address.rpartition(":")
-    if wire.state not in (READY, DRAINING) or not host or not port.isdecimal():
+    named = host and port.isdecimal() and wire.batch_slots > 0
+    if wire.state not in (READY, DRAINING) or not named:
         log_event("server_row_bad", server=server_id, state=wire.state)
         return None
     return Backend(
@@ -165,4 +166,5 @@
         frozenset([wire.service]),
         "cheap" if wire.spot else "on_demand",
         leaving=wire.state == DRAINING,
+        places=wire.batch_slots,
     )
--- a/src/godwitmast/platform/front.py
+++ b/src/godwitmast/platform/front.py
@@ -15,6 +15,7 @@
     Refuse,
     RequestSpec,
 )
+from godwitmast.dispatch.placement import Part
 from godwitmast.entry.events import NumberedReader
 from godwitmast.entry.front import Incoming, Prepared, Reply
 from godwitmast.entry.intake import Envelope, Limits, carries_key, fingerprint
@@ -263,10 +264,11 @@
             give_up_at,
             route.idempotent,
             fingerprint(team, envelope.raw_path, incoming.body),
-            read_shared_part(named.get(PROMPT_PREFIX, "")),
+            "",
             route.resumable,
             route.streams,
             route.attempts,
+            read_parts(named.get(PROMPT_PREFIX, "")),
         )
 
     def answer_refusal(self, refusal: Refuse) -> ErrorAnswer:
@@ -337,10 +339,12 @@
     return 0, 0
 
 
-def read_shared_part(text: str) -> str:
-    """Return the id of the deepest part of a prompt that others share.
-
-    The last part is the request's own, or its session's; alone it is the one to go by.
-    """
-    ids = [item.partition(":")[0] for item in text.split(",") if item]
-    return ids[-2] if len(ids) > 1 else "".join(ids)
+def read_parts(text: str) -> tuple[Part, ...]:
+    """Return the parts of a prompt; none if any of them cannot be read."""
+    parts = []
+    for item in text.split(","):
+        part_id, _, tokens = item.strip().partition(":")
+        if not part_id or not tokens.isdecimal():
+            return ()
+        parts.append(Part(part_id, int(tokens)))
+    return tuple(parts)
--- a/src/godwitmast/platform/wire.py
+++ b/src/godwitmast/platform/wire.py
@@ -147,4 +147,5 @@
     address: str
     zone: str
     state: str
+    batch_slots: int
     spot: bool = False
