Prove the path on a stand-in of the users' platform

They found: a target with dots was resolved by the HTTP library and reached the server changed (the target now goes out as it came); a head over the limit that came in one piece was taken (431 now).

--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -71,18 +71,29 @@
 
     @asynccontextmanager
     async def exchange(
-        self, method: str, url: str, headers: list[tuple[str, str]], content: bytes
+        self,
+        method: str,
+        server: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        content: bytes,
     ) -> AsyncIterator[httpx.Response]:
         """Send a request and give the answer's head, or raise AttemptFailed.
 
-        Only the headers given are sent, beside those of the connection.
+        Only the headers given are sent, beside those of the connection, and the target
+        goes out as it is: a URL of the library's would resolve its dots and quote its
+        characters, and the server would run another request than the caller's.
         """
+        base = httpx.URL(server).raw_path.rstrip(b"/")
         request = httpx.Request(
             method,
-            url,
-            headers=headers,
+            server,
+            headers=[(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers],
             content=content,
-            extensions={"timeout": self.http.timeout.as_dict()},
+            extensions={
+                "timeout": self.http.timeout.as_dict(),
+                "target": base + target.encode("latin-1"),
+            },
         )
         try:
             answer = await self.http.send(request, stream=True)
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -251,7 +251,7 @@
                     # If the attempt was cancelled during the claim, it ends here,
                     # while it is still certain that no byte has left.
                     await checkpoint()
-                await self.pass_on(start, url + self.outbound.path, scope)
+                await self.pass_on(start, url, scope)
             if scope.cancelled:
                 self.reader.restart()
                 return False
@@ -333,7 +333,7 @@
         self.ran_before = self.may_have_run
         self.may_have_run = True
         async with self.client.exchange(
-            outbound.method, url, sending.headers, sending.content
+            outbound.method, url, outbound.path, sending.headers, sending.content
         ) as answer:
             if not outbound.is_ours(answer):
                 # What an earlier request left on the connection; the answer to this
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -86,7 +86,12 @@
 class Node:
     """Everything that runs on one entry VM."""
 
-    def __init__(self, settings: PlatformFile, path: Path | None = None) -> None:
+    def __init__(
+        self,
+        settings: PlatformFile,
+        path: Path | None = None,
+        metrics_port: int = METRICS_PORT,
+    ) -> None:
         self.settings = settings
         self.path = path
         bounds = settings.bounds
@@ -132,7 +137,7 @@
         )
         self.balancer = HttpServer(self.serve_own, settings.listen.ready, grace_s=0.1)
         self.scrapes = HttpServer(
-            self.serve_own, Listen(settings.ip, METRICS_PORT), grace_s=0.1
+            self.serve_own, Listen(settings.ip, metrics_port), grace_s=0.1
         )
 
     def config_version(self) -> int:
--- a/src/godwitmast/platform/front.py
+++ b/src/godwitmast/platform/front.py
@@ -177,6 +177,9 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in scope["headers"]
         ]
+        size = sum(len(name) + len(value) + 4 for name, value in pairs)
+        if size > self.known.limits.max_header_bytes:
+            return ErrorAnswer(431, "head_too_large", "The headers are too long.")
         named = dict(pairs)
         key = read_bearer(named.get("authorization", ""))
         deadline_s = read_deadline(named.get(DEADLINE_MS))
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,171 @@
+"""One entry VM on a stand-in of the users' platform, with three backend servers."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import httpx
+from anyio.abc import TaskGroup
+
+from godwitmast.platform.daemon import Node
+from godwitmast.platform.settings import PlatformFile
+from godwitmast.settings import check_settings
+from godwitmast.standins.replica import ReplicaStandin
+from godwitmast.standins.store import StoreStandin
+
+HOST = "gifts.example"
+KEY = "key-of-arima"
+OTHER_KEY = "key-of-couva"
+READY_WITHIN_S = 10
+
+
+def settings_of(store_port: int, **bounds: Any) -> dict[str, Any]:
+    """Return a settings file's content, as the platform writes it."""
+    store = f"127.0.0.1:{store_port}"
+    return {
+        "node": "front-1",
+        "role": "node",
+        "ip": "127.0.0.1",
+        "zone": "z1",
+        "region": "r1",
+        "unheardOf": {"in": "these tests"},
+        "listen": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
+        "bounds": {
+            "drainMs": 2000,
+            "graceS": 6,
+            "configDeadlineMs": 2000,
+            "leaseMs": 300,
+            "windowS": 1,
+            "usageLateS": 2,
+            **bounds,
+        },
+        "platform": {"address": store, "writesPerS": 400},
+        "cloudApi": {"address": store, "duties": ["usage"]},
+    }
+
+
+def route(name: str, prefix: str, kind: str, service: str, **more: Any) -> dict:
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": prefix,
+        "kind": kind,
+        "timeoutMs": 3000,
+        "sloMs": 500,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+        **more,
+    }
+
+
+def config_of(version: int, **more: Any) -> dict[str, Any]:
+    """Return a configuration, as the operator writes it."""
+    return {
+        "version": version,
+        "routes": [
+            route("chat", "/chat/", "streaming", "lm", gapAimMs=250, resumable=True),
+            route("digest", "/digest/", "streaming", "lm", gapAimMs=600, attempts=1),
+            route("pay", "/pay/", "non_idempotent", "app", attempts=1),
+            route("peek", "/peek/", "idempotent", "app"),
+            route("deep", "/peek/deep/", "idempotent", "lm"),
+            route("open", "/open/", "idempotent", "app", public=True),
+            route("brief", "/brief/", "idempotent", "app", timeoutMs=300),
+        ],
+        "services": [{"name": "lm", "engine": {"batchSlots": 8}}, {"name": "app"}],
+        "limits": {
+            "maxHeaderBytes": 4096,
+            "maxBodyBytes": 10_000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15_000,
+        },
+        "tenants": [
+            {"name": "arima", "apiKeys": [KEY], "priority": 3},
+            {"name": "couva", "apiKeys": [OTHER_KEY]},
+        ],
+        **more,
+    }
+
+
+def head(attempt_id: str = "a1", **more: str) -> dict[str, str]:
+    """Return the headers of a caller's request."""
+    return {
+        "Host": HOST,
+        "Attempt-Id": attempt_id,
+        "Deadline-Ms": "5000",
+        "Authorization": f"Bearer {KEY}",
+        **more,
+    }
+
+
+PROMPT = {
+    "Model": "m",
+    "Token-Usage": "1460,80",
+    "Prompt-Prefix": "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+}
+
+
+@dataclass
+class Fleet:
+    """The store, two engines, a plain service, and a node."""
+
+    bounds: dict[str, Any] = field(default_factory=dict)
+    configured: bool = True
+
+    async def start(self, tasks: TaskGroup) -> None:
+        self.store = StoreStandin()
+        await self.store.start(tasks)
+        self.engines = [
+            ReplicaStandin(self.store, f"e{n}", "lm", streams=True) for n in (1, 2)
+        ]
+        self.plain = [ReplicaStandin(self.store, f"p{n}", "app") for n in (1, 2)]
+        for replica in self.replicas:
+            await replica.start(tasks)
+        if self.configured:
+            self.store.put_config(config_of(1))
+        raw = settings_of(self.store.server.port, **self.bounds)
+        settings = check_settings(raw, PlatformFile, "settings")
+        self.node = Node(settings, metrics_port=0)
+        await self.node.start(tasks)
+        if self.configured:
+            await self.until(lambda: self.node.app.ready)
+
+    async def close(self) -> None:
+        self.store.faults.refused = 503
+        await self.node.close()
+        for replica in self.replicas:
+            await replica.close()
+        await self.store.close()
+
+    @property
+    def replicas(self) -> list[ReplicaStandin]:
+        return [*self.engines, *self.plain]
+
+    @property
+    def url(self) -> str:
+        return self.node.callers.url
+
+    async def until(self, holds: Any) -> None:
+        with anyio.fail_after(READY_WITHIN_S):
+            while not holds():
+                await anyio.sleep(0.01)
+
+    async def ask(
+        self,
+        http: httpx.AsyncClient,
+        path: str,
+        method: str = "GET",
+        content: bytes = b"",
+        **headers: str,
+    ) -> httpx.Response:
+        return await http.request(
+            method,
+            self.url + path,
+            headers=head(**{k.replace("_", "-"): v for k, v in headers.items()}),
+            content=content,
+        )
+
+    async def configure(self, version: int, **more: Any) -> None:
+        """Write a configuration, and wait until it is in force."""
+        self.store.put_config(config_of(version, **more))
+        await self.until(lambda: self.node.config_version() == version)
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,512 @@
+"""The whole path on a stand-in of the users' platform, over real sockets."""
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import suppress
+
+import anyio
+import httpx
+import pytest
+
+from fleet import HOST, KEY, OTHER_KEY, PROMPT, Fleet, config_of, head, route
+from godwitmast.platform_api import feed
+from running import running
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture(autouse=True)
+def short_waits(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let calls that wait for changes return soon, so that an outage is noticed."""
+    monkeypatch.setattr(feed, "WAIT_S", 0.3)
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[Fleet]:
+    async with running(Fleet()) as started:
+        yield started
+
+
+async def test_request_reaches_a_server_as_it_was_sent(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    path = "/pay/a%2Fb/./c?x=%20&y"
+    answer = await http.request(
+        "POST",
+        fleet.url,
+        headers=head(**{"X-Note": "hello"}),
+        content=b"ten dollars",
+        extensions={"target": path.encode()},
+    )
+    assert (answer.status_code, answer.content) == (200, b"answer of app")
+    [served] = [s for replica in fleet.plain for s in replica.served]
+    [server] = [replica for replica in fleet.plain if replica.served]
+    assert (served.method, served.target, served.body) == (
+        "POST",
+        path,
+        b"ten dollars",
+    )
+    assert answer.headers["server-seal"] == server.server_id
+    assert served.headers["attempt-id"] == "a1"
+    assert served.headers["x-note"] == "hello"
+    assert served.headers["host"] == HOST
+    assert served.headers["tenant"] == "arima"
+    assert served.headers["expect-instance"] == server.server_id
+    assert 0 < int(served.headers["deadline-ms"]) <= 3000
+    assert KEY not in str(served.headers)
+
+
+async def test_headers_that_only_the_router_sets_are_not_taken_from_callers(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    forged = {"Tenant": "couva", "Hold": "h", "Pin_Ms": "9", "Kv_From": "1.2.3.4:5/x"}
+    await fleet.ask(http, "/chat/1", "POST", **forged, **{"X_Key": KEY})
+    [served] = [s for replica in fleet.engines for s in replica.served]
+    assert served.headers["tenant"] == "arima"
+    assert served.headers["request-priority"] == "3"
+    assert not {"hold", "pin-ms", "kv-from", "x-key"} & served.headers.keys()
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/nowhere/1", {}, 404),
+        ("/pee", {}, 404),
+        ("/peek/1", {"Host": "other.example"}, 404),
+        ("/peek/1", {"Authorization": "Bearer wrong"}, 401),
+        ("/peek/1", {"Authorization": f"Basic {KEY}"}, 401),
+        ("/peek/1", {"Deadline_Ms": "soon"}, 400),
+        ("/peek/1", {"Deadline_Ms": "0"}, 400),
+        ("/peek/1", {"Deadline_Ms": "nan"}, 400),
+    ],
+)
+async def test_request_that_is_not_allowed_reaches_no_server(
+    fleet: Fleet,
+    http: httpx.AsyncClient,
+    path: str,
+    headers: dict[str, str],
+    status: int,
+) -> None:
+    answer = await fleet.ask(http, path, **headers)
+    assert answer.status_code == status
+    assert not any(replica.served for replica in fleet.replicas)
+
+
+async def test_longest_prefix_chooses_the_route(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    await fleet.ask(http, "/peek/deep/1")
+    assert [bool(e.served) for e in fleet.plain] == [False, False]
+    assert any(engine.served for engine in fleet.engines)
+
+
+async def test_public_route_takes_requests_without_a_key(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    answer = await fleet.ask(http, "/open/1", Authorization="Bearer wrong")
+    assert answer.status_code == 200
+    [served] = [s for replica in fleet.plain for s in replica.served]
+    assert "tenant" not in served.headers
+    assert "authorization" not in served.headers
+
+
+async def test_stream_comes_event_by_event(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    for engine in fleet.engines:
+        engine.event_s = 0.2
+    came: list[float] = []
+    url = fleet.url + "/chat/1"
+    async with http.stream("POST", url, headers=head(**PROMPT)) as answer:
+        text = ""
+        async for piece in answer.aiter_text():
+            came.append(anyio.current_time())
+            text += piece
+    assert text == "".join(f"id: {n}\ndata: event {n}\n\n" for n in range(1, 6))
+    assert len(came) >= 4
+    assert answer.headers["server-seal"] in {"e1", "e2"}
+
+
+async def test_cut_stream_goes_on_at_another_server(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    """The first engine's connection breaks in the middle of its third event.
+
+    The caller has two whole events; the rest comes from the other engine, which is told
+    the last one's id. No event is missing or comes twice, and the head is the first's.
+    """
+    first, second = fleet.engines
+    first.faults.cut_after = second.faults.cut_after = 2
+    asked = anyio.Event()
+
+    async def mend() -> None:
+        await fleet.until(lambda: first.served or second.served)
+        (second if first.served else first).faults.cut_after = None
+        asked.set()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(mend)
+        answer = await fleet.ask(http, "/chat/1", "POST", **PROMPT)
+    assert answer.text == "".join(f"id: {n}\ndata: event {n}\n\n" for n in range(1, 6))
+    served = [s for engine in fleet.engines for s in engine.served]
+    resumed = [s.headers.get("last-event-id") for s in served]
+    assert sorted(resumed, key=str) == ["2", None]
+    broken = next(e for e in fleet.engines if e.faults.cut_after)
+    assert answer.headers["server-seal"] == broken.server_id
+
+
+async def test_cut_stream_that_may_not_be_resumed_does_not_look_whole(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    for engine in fleet.engines:
+        engine.faults.cut_after = 2
+    with pytest.raises(httpx.RemoteProtocolError):
+        await fleet.ask(http, "/digest/1", "POST", **PROMPT)
+    assert sum(len(engine.served) for engine in fleet.engines) == 1
+
+
+async def test_server_that_runs_nothing_costs_no_request(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    fleet.plain[0].faults.sheds = True
+    answers = [await fleet.ask(http, "/pay/1", "POST") for _ in range(6)]
+    assert [answer.status_code for answer in answers] == [200] * 6
+
+
+async def test_refusal_of_what_no_server_ran_promises_so_and_says_when_to_return(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    for replica in fleet.plain:
+        replica.faults.sheds = True
+    answer = await fleet.ask(http, "/pay/1", "POST")
+    assert answer.status_code == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert not any(replica.served for replica in fleet.plain)
+
+
+async def test_server_error_is_made_good_only_where_the_request_may_be_repeated(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    fleet.plain[0].faults.status = 500
+    peeks = [await fleet.ask(http, "/peek/1") for _ in range(2)]
+    assert [answer.status_code for answer in peeks] == [200, 200]
+    fleet.plain[1].faults.status = 500
+    before = sum(len(replica.served) for replica in fleet.plain)
+    paid = await fleet.ask(http, "/pay/1", "POST")
+    assert paid.status_code == 500
+    assert paid.headers["server-seal"] in {"p1", "p2"}
+    assert sum(len(replica.served) for replica in fleet.plain) == before + 1
+
+
+async def test_last_error_passes_unchanged_when_no_server_makes_it_good(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    for replica in fleet.plain:
+        replica.faults.status = 500
+    answer = await fleet.ask(http, "/peek/1")
+    assert (answer.status_code, answer.content) == (500, b"answer of app")
+    assert "server-seal" in answer.headers
+    assert sum(len(replica.served) for replica in fleet.plain) == 2
+
+
+async def test_answer_of_another_request_is_not_passed_on(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    """A server's late answer to an earlier request stands on a kept connection.
+
+    Passed on, a caller would read somebody else's balance. The connection is closed,
+    and what may have run is answered with a status that promises nothing.
+    """
+    for replica in fleet.plain:
+        replica.faults.wrong_id = True
+    answer = await fleet.ask(http, "/pay/1", "POST")
+    assert answer.status_code == 502
+    assert "server-seal" not in answer.headers
+    assert sum(len(replica.served) for replica in fleet.plain) == 1
+
+
+async def test_half_an_answer_is_not_passed_on(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    for replica in fleet.plain:
+        replica.faults.cut_after = 1
+    answer = await fleet.ask(http, "/pay/1", "POST")
+    assert answer.status_code == 502
+
+
+async def test_caller_that_leaves_ends_the_work_at_the_server(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    for engine in fleet.engines:
+        engine.event_s = 0.3
+    url = fleet.url + "/chat/1"
+    async with http.stream("POST", url, headers=head(**PROMPT)) as answer:
+        async for _ in answer.aiter_raw():
+            break
+    await fleet.until(lambda: sum(engine.left for engine in fleet.engines) == 1)
+    await fleet.until(lambda: not fleet.node.app.exchanges)
+
+
+async def test_route_time_limit_is_the_final_answer(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    for replica in fleet.plain:
+        replica.faults.hangs = True
+    answer = await fleet.ask(http, "/brief/1")
+    assert answer.status_code == 504
+    served = [s for replica in fleet.plain for s in replica.served]
+    assert 0 < int(served[0].headers["deadline-ms"]) <= 300
+
+
+async def test_body_over_the_limit_is_refused_and_the_limit_follows_configuration(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    body = b"x" * 20_000
+    assert (await fleet.ask(http, "/pay/1", "POST", body)).status_code == 413
+    limits = config_of(1)["limits"] | {"maxBodyBytes": 30_000}
+    await fleet.configure(2, limits=limits)
+    assert (await fleet.ask(http, "/pay/1", "POST", body)).status_code == 200
+
+
+async def test_head_over_the_limit_is_refused(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    answer = await fleet.ask(http, "/pay/1", "POST", X_Long="x" * 8_000)
+    assert answer.status_code in (400, 431)
+    assert not any(replica.served for replica in fleet.plain)
+
+
+async def test_request_inside_a_body_is_not_run(fleet: Fleet) -> None:
+    """A caller hides a second request behind two unlike lengths of the first.
+
+    Whichever length is taken, no server may see the hidden one as a request.
+    """
+    hidden = (
+        f"POST /pay/hidden HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: h\r\n"
+        f"Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n"
+    )
+    first = (
+        f"POST /pay/first HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: f\r\n"
+        f"Authorization: Bearer {KEY}\r\nTransfer-Encoding: chunked\r\n"
+        f"Content-Length: 6\r\nConnection: close\r\n\r\n0\r\n\r\n{hidden}"
+    )
+    async with await anyio.connect_tcp("127.0.0.1", fleet.node.callers.port) as stream:
+        await stream.send(first.encode())
+        with anyio.move_on_after(5), suppress(anyio.EndOfStream):
+            while await stream.receive():
+                pass
+    targets = [s.target for replica in fleet.plain for s in replica.served]
+    assert "/pay/hidden" not in targets
+
+
+async def test_pipelined_requests_are_answered_in_order(fleet: Fleet) -> None:
+    asked = "".join(
+        f"GET /peek/{n} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: i{n}\r\n"
+        f"Authorization: Bearer {KEY}\r\n\r\n"
+        for n in (1, 2)
+    )
+    async with await anyio.connect_tcp("127.0.0.1", fleet.node.callers.port) as stream:
+        await stream.send(asked.encode())
+        got = b""
+        with anyio.fail_after(10):
+            while got.count(b"answer of app") < 2:
+                got += await stream.receive()
+    assert got.index(b"i1") < got.index(b"i2")
+
+
+async def test_withdrawn_key_is_refused_and_others_go_on(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    tenants = [{"name": "couva", "apiKeys": [OTHER_KEY]}]
+    await fleet.configure(2, tenants=tenants)
+    assert (await fleet.ask(http, "/peek/1")).status_code == 401
+    other = await fleet.ask(http, "/peek/1", Authorization=f"Bearer {OTHER_KEY}")
+    assert other.status_code == 200
+
+
+async def test_configuration_never_goes_back_and_a_bad_one_changes_nothing(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    moved = [route("peek", "/moved/", "idempotent", "app")]
+    await fleet.configure(5, routes=moved)
+    fleet.store.put_config(config_of(4))
+    fleet.store.put("op", "config", b"\xff not json")
+    fleet.store.put_config({"version": 9, "routes": [{"name": "x"}]})
+    moved.append(route("more", "/more/", "idempotent", "app"))
+    await fleet.configure(10, routes=moved)
+    assert (await fleet.ask(http, "/peek/1")).status_code == 404
+    assert (await fleet.ask(http, "/more/1")).status_code == 200
+
+
+async def test_routes_split_by_weight(fleet: Fleet, http: httpx.AsyncClient) -> None:
+    split = [{"service": "app", "weight": 0}, {"service": "lm", "weight": 3}]
+    routes = [route("peek", "/peek/", "idempotent", "none", split=split)]
+    await fleet.configure(2, routes=routes)
+    for _ in range(4):
+        await fleet.ask(http, "/peek/1")
+    assert sum(len(engine.served) for engine in fleet.engines) == 4
+
+
+async def test_leaving_server_gets_nothing_new(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    first, second = fleet.plain
+    first.say("draining")
+    await fleet.until(lambda: fleet.node.driver.listed["p1"].leaving)
+    for _ in range(4):
+        assert (await fleet.ask(http, "/peek/1")).status_code == 200
+    assert not first.served
+    fleet.store.remove_server("p1")
+    await fleet.until(lambda: "p1" not in fleet.node.driver.listed)
+    assert (await fleet.ask(http, "/peek/1")).status_code == 200
+    assert len(second.served) == 5
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        b"\xff\xfe",
+        b"[]",
+        b'{"service": "app"}',
+        json.dumps({"service": 7, "address": "1.2.3.4:5", "zone": "z1"}).encode(),
+        json.dumps(
+            {
+                "service": "app",
+                "address": "nowhere",
+                "zone": "z1",
+                "state": "ready",
+                "batchSlots": 4,
+            }
+        ).encode(),
+        json.dumps(
+            {
+                "service": "app",
+                "address": "127.0.0.1:9",
+                "zone": "z1",
+                "state": "resting",
+                "batchSlots": 4,
+            }
+        ).encode(),
+    ],
+)
+async def test_row_that_cannot_be_read_names_no_server_and_removes_none(
+    fleet: Fleet, http: httpx.AsyncClient, content: bytes
+) -> None:
+    fleet.store.put("servers", "odd", content)
+    fleet.plain[0].say("ready", coldLeftMs=5)
+    fleet.store.put_server("late", {"service": "lm"} | json_of(fleet, "e1"))
+    await fleet.until(lambda: "late" in fleet.node.driver.listed)
+    assert fleet.node.driver.listed.keys() == {"e1", "e2", "p1", "p2", "late"}
+    assert (await fleet.ask(http, "/peek/1")).status_code == 200
+
+
+def json_of(fleet: Fleet, server_id: str) -> dict:
+    engine = next(e for e in fleet.engines if e.server_id == server_id)
+    return {
+        "address": f"127.0.0.1:{engine.server.port}",
+        "zone": "z1",
+        "state": "ready",
+        "batchSlots": 8,
+    }
+
+
+async def test_reused_address_is_noticed_and_the_request_runs_elsewhere(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    """A server has started again under another id, at the address of the old row.
+
+    It answers that it is not the one that is meant. That proves that nothing ran, so
+    that even a payment goes to another server.
+    """
+    fleet.plain[0].server_id = "new"
+    answers = [await fleet.ask(http, "/pay/1", "POST") for _ in range(4)]
+    assert [answer.status_code for answer in answers] == [200] * 4
+    assert not fleet.plain[0].served
+
+
+async def test_usage_is_reported_once_a_window_with_what_began(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    for _ in range(3):
+        await fleet.ask(http, "/peek/1")
+    await fleet.ask(http, "/chat/1", "POST", Authorization=f"Bearer {OTHER_KEY}")
+
+    def counted() -> dict[str, int]:
+        total: dict[str, int] = {}
+        for report in fleet.store.reports:
+            for team, count in report.counts.items():
+                total[team] = total.get(team, 0) + count
+        return total
+
+    await fleet.until(lambda: counted() == {"arima": 3, "couva": 1})
+    windows = [report.window for report in fleet.store.reports]
+    assert len(windows) == len(set(windows))
+    assert {report.holder for report in fleet.store.reports} == {"front-1"}
+    fences = [report.fence for report in fleet.store.reports]
+    assert fences == sorted(fences)
+
+
+async def test_store_that_is_away_does_not_stop_requests(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    fleet.store.faults.refused = 503
+    await fleet.until(lambda: fleet.node.followers[0].view.away_since is not None)
+    assert (await fleet.ask(http, "/pay/1", "POST")).status_code == 200
+    assert fleet.node.app.ready
+
+
+async def test_change_that_history_no_longer_tells_is_read_anew(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    fleet.store.faults.refused = 503
+    await fleet.until(lambda: fleet.node.followers[0].view.away_since is not None)
+    fleet.store.put_config(config_of(7))
+    fleet.store.forget_history()
+    fleet.store.faults.refused = None
+    await fleet.until(lambda: fleet.node.config_version() == 7)
+
+
+async def test_node_that_knows_no_configuration_promises_not_run() -> None:
+    """A VM starts before any configuration is written.
+
+    A 401 or 404 would end a proper request for good; it answers 503, and the balancer
+    is told that it is not ready.
+    """
+    async with running(Fleet(configured=False)) as fleet, httpx.AsyncClient() as http:
+        await fleet.until(lambda: fleet.node.servers_known)
+        ready = f"{fleet.node.balancer.url}/api/ready"
+        assert (await http.get(ready)).status_code == 503
+        assert (await fleet.ask(http, "/peek/1")).status_code == 503
+        fleet.store.put_config(config_of(1))
+        await fleet.until(lambda: fleet.node.app.ready)
+        assert (await http.get(ready)).status_code == 200
+        metrics = (await http.get(f"{fleet.node.scrapes.url}/metrics")).text
+        assert "godwit_config_version 1.0" in metrics
+
+
+async def test_stop_lets_open_streams_end_and_tells_callers_to_go(
+    http: httpx.AsyncClient,
+) -> None:
+    """The VM is told to stop in the middle of a stream.
+
+    It is not ready at once, a request that still comes is served and told to close its
+    connection, the stream ends whole, and the lease is given up.
+    """
+    async with running(Fleet()) as fleet, anyio.create_task_group() as tasks:
+        for engine in fleet.engines:
+            engine.event_s = 0.2
+        url = fleet.url + "/chat/1"
+        text = ""
+        async with http.stream("POST", url, headers=head(**PROMPT)) as answer:
+            async for piece in answer.aiter_text():
+                if not text:
+                    tasks.start_soon(fleet.node.close)
+                    await fleet.until(lambda: fleet.node.app.stopping)
+                    assert not fleet.node.app.ready
+                    late = await fleet.ask(http, "/peek/1")
+                    assert late.status_code == 200
+                    assert late.headers["connection"] == "close"
+                text += piece
+        assert text.count("data:") == 5
+        with anyio.fail_after(10):
+            await fleet.node.callers.stopped.wait()
