Hold back only what was removed during an outage of the store

Ruled out: a late feed (the VM had the removal 4 ms after the store took it).

Change: the first call after an outage does not wait, and only what its answer removes is held back, for 2 s; the client of the store asks again after a second at most.

--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -22,7 +22,7 @@
     StoredRow,
 )
 from godwitmast.platform_api.http import PlatformHttp
-from godwitmast.platform_api.limits import Budget
+from godwitmast.platform_api.limits import Breaker, Budget
 from godwitmast.platform_api.messages import Conflict, Row, TransactOutcome, Written
 from godwitmast.platform_api.port import Changes, FeedRow, HistoryLost, Snapshot
 from godwitmast.settings import Listen, PlatformSettings
@@ -43,6 +43,10 @@
 FOLLOW_MARGIN_S = 2.0
 """What a call that waits for changes may take beyond its wait."""
 
+RETRY_MAX_S = 1.0
+"""The longest that nothing is asked of a store that gave no answer: half of the time in
+which a configuration has to be in force."""
+
 CONNECTIONS = 6
 """Two calls that wait for changes, and four more."""
 
@@ -71,6 +75,7 @@
         address = settings.platform.address
         limits = PlatformSettings(url_of(address), CALL_TIMEOUT_S)
         super().__init__(limits, make_http(address, CALL_TIMEOUT_S))
+        self.breaker = Breaker(open_max_s=RETRY_MAX_S)
         self.duties = DutyClient(settings)
 
     def budget_of(self, method: str, path: str) -> Budget:
--- a/src/godwitmast/platform_api/feed.py
+++ b/src/godwitmast/platform_api/feed.py
@@ -21,9 +21,9 @@
 """First and longest pause after a failed call, each drawn at random below twice it. A
 change has to be in force within two seconds of the platform's return."""
 
-RETURN_GRACE_S = 2.5
+RETURN_GRACE_S = 2.0
 """Rows that expired while the platform was away are written again within two seconds
-of its return by those that live; half a second is for the way here."""
+of its return by those that live."""
 
 
 @dataclass
@@ -34,7 +34,8 @@
     servers last without a heartbeat. When it returns, its first answers say that every
     server is gone, though all of them serve. Taken at its word, a whole fleet would
     leave at once and every request be refused until the heartbeats come. So a row that
-    is missing right after an outage stays for `RETURN_GRACE_S`.
+    was removed during an outage stays for `RETURN_GRACE_S` after it. One that is
+    removed later goes at once: its server leaves, and waits for nobody.
     """
 
     rows: dict[str, bytes] = field(default_factory=dict)
@@ -48,39 +49,41 @@
         if self.away_since is None:
             self.away_since = now
 
-    def answered(self, now: float) -> None:
-        """Note that it gave one."""
-        if self.away_since is not None:
+    def answered(self, now: float) -> bool:
+        """Note that it gave one; return whether it had been away."""
+        was_away = self.away_since is not None
+        if was_away:
             self.away_since = None
             self.returned_at = now
+        return was_away
 
     def replace(self, snapshot: Snapshot, now: float) -> None:
         """Take all rows at once."""
-        self.answered(now)
+        was_away = self.answered(now)
         self.version = snapshot.version
-        self.put(snapshot.rows, now)
+        self.put(snapshot.rows, was_away)
         present = {row.key for row in snapshot.rows}
         for key in self.rows.keys() - present:
-            self.drop(key, now)
+            self.drop(key, was_away)
 
     def change(self, changes: Changes, now: float) -> bool:
         """Take changed rows; return whether there were any."""
-        self.answered(now)
+        was_away = self.answered(now)
         self.version = changes.version
-        self.put(changes.rows, now)
+        self.put(changes.rows, was_away)
         return bool(changes.rows)
 
-    def put(self, rows: Iterable[FeedRow], now: float) -> None:
+    def put(self, rows: Iterable[FeedRow], may_return: bool) -> None:
         for row in rows:
             if row.content is None:
-                self.drop(row.key, now)
+                self.drop(row.key, may_return)
             else:
                 self.rows[row.key] = row.content
                 self.missing.discard(row.key)
 
-    def drop(self, key: str, now: float) -> None:
+    def drop(self, key: str, may_return: bool) -> None:
         """Take out a row, at once or when its time to come back is over."""
-        if now < self.returned_at + RETURN_GRACE_S:
+        if may_return and key in self.rows:
             self.missing.add(key)
         else:
             self.rows.pop(key, None)
@@ -143,7 +146,10 @@
         if self.view.version is None:
             self.view.replace(await self.feed.snapshot(self.table), self.clock.now())
             return True
-        match await self.feed.changes(self.table, self.view.version, WAIT_S):
+        # After an outage the first answer has to come at once: it tells when the
+        # outage ended, and apart what was removed meanwhile from what is later.
+        wait_s = WAIT_S if self.view.away_since is None else 0.0
+        match await self.feed.changes(self.table, self.view.version, wait_s):
             case Changes() as changes:
                 return self.view.change(changes, self.clock.now())
             case HistoryLost():
--- a/src/godwitmast/platform_api/limits.py
+++ b/src/godwitmast/platform_api/limits.py
@@ -60,8 +60,11 @@
     a few seconds, so that recovery is quick and not all at once.
     """
 
-    def __init__(self, jitter: random.Random | None = None) -> None:
+    def __init__(
+        self, jitter: random.Random | None = None, open_max_s: float = OPEN_MAX_S
+    ) -> None:
         self.jitter = jitter or random.Random()
+        self.open_max_s = open_max_s
         self.failures = 0
         self.open_until = 0.0
         self.open_s = OPEN_S
@@ -88,7 +91,7 @@
         self.failures += 1
         if self.open:
             self.open_until = now + self.open_s * self.jitter.uniform(0.5, 1.0)
-            self.open_s = min(OPEN_MAX_S, self.open_s * 2)
+            self.open_s = min(self.open_max_s, self.open_s * 2)
 
     def ended(self) -> None:
         """Let the next call try, whatever became of this one."""
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,69 @@
+"""What a follower of a table takes for gone, and when."""
+
+import pytest
+
+from godwitmast.platform_api.feed import RETURN_GRACE_S, FeedView
+from godwitmast.platform_api.port import Changes, FeedRow, Snapshot
+
+
+def rows(*keys: str) -> list[FeedRow]:
+    return [FeedRow(key, b"{}") for key in keys]
+
+
+@pytest.fixture
+def view() -> FeedView:
+    """A view of two servers, which was away from the store from 10 s on."""
+    view = FeedView()
+    view.replace(Snapshot(rows("a", "b"), 7), 0.0)
+    view.failed(10.0)
+    return view
+
+
+def test_rows_that_expired_during_an_outage_stay_until_they_are_written_again(
+    view: FeedView,
+) -> None:
+    """The store is away for longer than a server's row lasts.
+
+    Its first answer says that both are gone. One writes its row again a second later,
+    the other does not: only that one goes, two seconds after the return.
+    """
+    view.change(Changes([FeedRow("a", None), FeedRow("b", None)], 9), 15.0)
+    assert view.rows.keys() == {"a", "b"}
+    view.change(Changes(rows("a"), 10), 16.0)
+    assert not view.expire(15.0 + RETURN_GRACE_S - 0.1)
+    assert view.expire(15.0 + RETURN_GRACE_S)
+    assert view.rows.keys() == {"a"}
+
+
+def test_row_removed_after_the_return_goes_at_once(view: FeedView) -> None:
+    """A server leaves without a word just after the store is back.
+
+    Its removal comes in a later answer than the first one. Were it held as well, its
+    requests would go on past the time that a leaving server waits for.
+    """
+    view.change(Changes([], 8), 15.0)
+    view.change(Changes([FeedRow("b", None)], 9), 15.1)
+    assert view.rows.keys() == {"a"}
+
+
+def test_row_missing_from_the_snapshot_after_an_outage_stays_for_the_grace(
+    view: FeedView,
+) -> None:
+    view.replace(Snapshot(rows("a"), 30), 15.0)
+    assert view.rows.keys() == {"a", "b"}
+    assert view.expire(17.0)
+    assert view.rows.keys() == {"a"}
+
+
+def test_without_an_outage_a_row_goes_at_once() -> None:
+    view = FeedView()
+    view.replace(Snapshot(rows("a", "b"), 7), 0.0)
+    view.replace(Snapshot(rows("b"), 8), 1.0)
+    assert view.rows.keys() == {"b"}
+    view.change(Changes([FeedRow("b", None)], 9), 2.0)
+    assert not view.rows
+
+
+def test_row_that_came_only_with_the_return_can_go(view: FeedView) -> None:
+    view.change(Changes([FeedRow("c", None)], 9), 15.0)
+    assert not view.missing
