Count every run of a request against its route, and rank kinds within equal teams

Change: flights count runs; ranks are pairs of a team's and a route's priority; a first token is waited for half as long as callers wait.

--- a/src/godwitmast/config/document.py
+++ b/src/godwitmast/config/document.py
@@ -17,13 +17,15 @@
     """A class of requests with its targets.
 
     Tier 1 is the highest. A class names at least one target: seconds to the first
-    token, seconds between tokens, or seconds to the whole answer.
+    token, seconds between tokens, or seconds to the whole answer. `patience_s` is how
+    long its callers wait for the first token before they leave, if that is known.
     """
 
     tier: Annotated[int, Field(ge=1, le=99)]
     first_token_s: Positive | None = None
     between_tokens_s: Positive | None = None
     completion_s: Positive | None = None
+    patience_s: Positive | None = None
     turn_share: Share = 0.02
     attainment_goal: Share = 0.95
 
--- a/src/godwitmast/dispatch/flights.py
+++ b/src/godwitmast/dispatch/flights.py
@@ -22,6 +22,8 @@
     unsent: int = 0
     tokens: int = 0
     may_have_run: bool = False
+    runs: int = 0
+    """Servers that may have run it, the present one among them."""
     avoid: set[BackendId] = field(default_factory=set)
     started_at: float = 0.0
     first_token_at: float | None = None
@@ -35,7 +37,14 @@
 
         A non-idempotent call may not: its bytes may have left, and may have run.
         """
-        return self.request.idempotent and self.attempt_id is not None
+        running = self.request.idempotent and self.attempt_id is not None
+        return running and self.may_run_again
+
+    @property
+    def may_run_again(self) -> bool:
+        """Return whether its route allows another server to run it."""
+        most = self.request.attempts
+        return most is None or self.runs < most
 
 
 class FlightBook:
@@ -73,6 +82,7 @@
         flight.backend_id = backend_id
         flight.started_at = flight.last_token_at = now
         flight.first_token_at = None
+        flight.runs += 1
         self.aboard.setdefault(backend_id, {})[flight.request.request_id] = flight
         return flight.attempt_id
 
--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -22,7 +22,8 @@
     `arrived` and `deadline` are on the router's clock. `fingerprint` is the same for
     the same team and body; `prefix` is the same for prompts that open alike. An answer
     `streams` if the caller takes it token by token, and is `resumable` if another
-    attempt can go on where one ended. `attempts` is how many servers may run it.
+    attempt can go on where one ended. `attempts` is how many servers may run it at
+    most, if that is bounded.
     """
 
     request_id: RequestId
@@ -38,7 +39,7 @@
     prefix: str = ""
     resumable: bool = True
     streams: bool = True
-    attempts: int = 3
+    attempts: int | None = None
     parts: tuple[Part, ...] = ()
 
     @property
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -177,6 +177,7 @@
             flight.avoid.add(flight.backend_id)
             if kind in (FailureKind.CONNECT, FailureKind.REFUSED):
                 flight.unsent += 1
+                flight.runs -= 1
             else:
                 flight.failures += 1
                 flight.may_have_run = True
@@ -260,9 +261,9 @@
     def retry(self, flight: Flight, now: float) -> list[Action]:
         """Let a failed request wait for its next attempt, or refuse it."""
         unsafe = flight.may_have_run and not flight.request.idempotent
-        most = min(MAX_FAILURES, flight.request.attempts)
-        too_many = flight.failures >= most or flight.unsent >= MAX_UNSENT
-        if unsafe or too_many or not self.budget.take():
+        too_many = flight.failures >= MAX_FAILURES or flight.unsent >= MAX_UNSENT
+        spent = too_many or not flight.may_run_again
+        if unsafe or spent or not self.budget.take():
             self.end(flight, now)
             code = RefusalCode.BACKEND_FAILED
             after_s = None if unsafe else RETRY_AFTER_S
--- a/src/godwitmast/dispatch/timeouts.py
+++ b/src/godwitmast/dispatch/timeouts.py
@@ -24,6 +24,11 @@
 """Below these, one long prompt in a batch step looks like a hang; above them, the
 attempt is lost for any class with a target worth the name."""
 
+PATIENCE_SHARE = 0.5
+"""Where it is known when callers leave, a first token is waited for half as long: early
+enough for another server, late enough that a busy spell is not taken for a hang. At the
+bound of half a second, one arrival in ten of a busy day was moved, and read again."""
+
 GAP_FACTOR = 10.0
 """Ten tokens' time without a token: a step that reads a chunk of a long prompt takes
 three to four times the usual one."""
@@ -41,6 +46,8 @@
     if pace.median_gap_s is None and pace.first_token_s is None:
         return None
     first = clamp(pace.late_first_token_s or 0.0, FIRST_TOKEN_BOUNDS_S)
+    if flight.target.patience_s is not None:
+        first = max(first, PATIENCE_SHARE * flight.target.patience_s)
     gap = pace.median_gap_s or 0.0
     if not flight.request.streams:
         return first + WHOLE_FACTOR * gap * flight.request.max_tokens
--- a/src/godwitmast/platform/catalog.py
+++ b/src/godwitmast/platform/catalog.py
@@ -34,6 +34,10 @@
 
 LOWEST_PRIORITY = 9
 
+PATIENCE_S, PATIENCE_AIMS, PATIENCE_GAPS = 2.0, 4.0, 8.0
+"""Callers leave a stream after the longest of two seconds, four times the aim for its
+first event, and eight times that for the pause between events, as the platform says."""
+
 
 class Catalog(NamedTuple):
     """A configuration of the operator's, with what the product's has no place for."""
@@ -43,6 +47,7 @@
     limits: WireLimits
     priorities: dict[str, int]
     """The priority of each team that has one, which goes before its route's."""
+    ranks: "Ranks"
 
 
 def read_config(content: bytes) -> Catalog:
@@ -54,8 +59,9 @@
     tenants = wire.tenants or []
     priorities = {t.name: t.priority for t in tenants if t.priority is not None}
     routes = [make_route(item, wire.tenants is None) for item in wire.routes]
+    ranks = Ranks({route.priority for route in routes}, set(priorities.values()))
     document = Document(
-        classes=make_classes(wire.routes, set(priorities.values())),
+        classes=make_classes(wire.routes, ranks),
         teams={tenant.name: Team() for tenant in tenants},
         keys=make_keys(tenants),
         models={item.name: Model() for item in wire.services if item.engine},
@@ -66,9 +72,34 @@
         RouteTable(routes),
         wire.limits,
         priorities,
+        ranks,
     )
 
 
+class Ranks:
+    """The order of all pairs of a team's and a route's priority, 0 first.
+
+    A team's priority goes before its route's. Where all teams have the same, as they
+    mostly do, the routes' would be lost, and a long summary be as urgent as a question;
+    so it decides between requests of equal teams.
+    """
+
+    def __init__(self, routes: set[int], teams: set[int]) -> None:
+        pairs = sorted(
+            {(route, route) for route in routes}
+            | {(team, route) for team in teams for route in routes}
+        )
+        crowd = max(1.0, len(pairs) / (LOWEST_PRIORITY + 1))
+        self.ranks = {pair: int(place / crowd) for place, pair in enumerate(pairs)}
+
+    def of(self, route: int, team: int | None) -> int:
+        return self.ranks[(route if team is None else team, route)]
+
+    def for_route(self, route: int) -> set[int]:
+        """Return every rank that a request of a route can have."""
+        return {rank for pair, rank in self.ranks.items() if pair[1] == route}
+
+
 def make_route(wire: WireRoute, without_keys: bool) -> Route:
     splits = [Split(PoolName(s.service), s.weight) for s in wire.split]
     if not splits and wire.service is not None:
@@ -81,7 +112,7 @@
         wire.name,
         wire.host,
         wire.prefix,
-        class_name(wire, wire.priority),
+        class_name(wire, 0),
         wire.priority,
         tuple(splits),
         wire.timeout_ms / 1000,
@@ -93,7 +124,7 @@
     )
 
 
-def class_name(wire: WireRoute, priority: int) -> ClassName:
+def class_name(wire: WireRoute, rank: int) -> ClassName:
     """Return the class of a route's requests: alike in rank and aims, alike in name.
 
     A class a route would make hundreds of queues of hundreds of routes that want the
@@ -101,34 +132,32 @@
     """
     shape = "stream" if wire.kind == STREAMING else "plain"
     gap = f"-gap{wire.gap_aim_ms:g}" if wire.gap_aim_ms else ""
-    return ClassName(f"{shape}-aim{wire.slo_ms:g}{gap}-p{priority}")
+    return ClassName(f"{shape}-aim{wire.slo_ms:g}{gap}-p{rank}")
 
 
-def with_priority(name: ClassName, priority: int) -> ClassName:
-    """Return the class of the same aims at another priority."""
-    return ClassName(f"{name.rpartition('-p')[0]}-p{priority}")
+def with_rank(name: ClassName, rank: int) -> ClassName:
+    """Return the class of the same aims at another rank."""
+    return ClassName(f"{name.rpartition('-p')[0]}-p{rank}")
 
 
-def make_classes(
-    routes: list[WireRoute], priorities: set[int]
-) -> dict[str, RequestClass]:
-    """Return a class for each kind of route at its own and each team's priority."""
+def make_classes(routes: list[WireRoute], ranks: Ranks) -> dict[str, RequestClass]:
+    """Return a class for each kind of route at each of its ranks."""
     classes: dict[str, RequestClass] = {}
     for route in routes:
-        for priority in {route.priority, *priorities}:
-            name = class_name(route, priority)
+        for rank in ranks.for_route(route.priority):
+            name = class_name(route, rank)
             if name not in classes:
-                classes[name] = make_class(route, priority)
+                classes[name] = make_class(route, rank)
     return classes
 
 
-def make_class(route: WireRoute, priority: int) -> RequestClass:
-    tier = 1 + min(priority, LOWEST_PRIORITY)
+def make_class(route: WireRoute, rank: int) -> RequestClass:
     aim_s = route.slo_ms / 1000
     if route.kind != STREAMING:
-        return RequestClass(tier, completion_s=aim_s)
+        return RequestClass(1 + rank, completion_s=aim_s)
     gap_s = route.gap_aim_ms / 1000 if route.gap_aim_ms else None
-    return RequestClass(tier, first_token_s=aim_s, between_tokens_s=gap_s)
+    patience_s = max(PATIENCE_S, PATIENCE_AIMS * aim_s, PATIENCE_GAPS * (gap_s or 0.0))
+    return RequestClass(1 + rank, aim_s, gap_s, patience_s=patience_s)
 
 
 def make_keys(tenants: list[WireTenant]) -> dict[str, KeyGrant]:
--- a/src/godwitmast/platform/front.py
+++ b/src/godwitmast/platform/front.py
@@ -35,7 +35,7 @@
 )
 from godwitmast.http_server import Scope, Send
 from godwitmast.keys.authorizer import Caller, Denial, identify
-from godwitmast.platform.catalog import Catalog, with_priority
+from godwitmast.platform.catalog import Catalog, with_rank
 from godwitmast.platform.wire import (
     ATTEMPT_ID,
     DEADLINE_MS,
@@ -221,15 +221,15 @@
         if route is None:
             return UNKNOWN_ROUTE
         team = caller.team_name if caller else ""
-        priority = self.known.priorities.get(team, route.priority)
+        rank = self.known.ranks.of(route.priority, self.known.priorities.get(team))
         allowed_s = min(route.timeout_s, envelope.deadline_s or route.timeout_s)
         give_up_at = incoming.arrived + allowed_s
         headers = list(envelope.headers)
         if caller:
             headers.append((TENANT, team))
         if route.streams:
-            headers.append((REQUEST_PRIORITY, str(priority)))
-        spec = self.make_spec(incoming, route, team, priority, give_up_at)
+            headers.append((REQUEST_PRIORITY, str(rank)))
+        spec = self.make_spec(incoming, route, team, rank, give_up_at)
         retries = spec.idempotent and route.attempts > 1
         query = f"?{envelope.query}" if envelope.query else ""
         outbound = RoutedRequest(
@@ -249,7 +249,7 @@
         incoming: Incoming,
         route: Route,
         team: str,
-        priority: int,
+        rank: int,
         give_up_at: float,
     ) -> RequestSpec:
         """Return the request as the decisions see it."""
@@ -259,7 +259,7 @@
         return RequestSpec(
             RequestId(f"{envelope.request_id}/{next(self.numbers)}"),
             TeamName(team),
-            with_priority(route.class_name, priority),
+            with_rank(route.class_name, rank),
             route.choose_pool(random.random()),
             incoming.arrived,
             prompt,
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,117 @@
+"""How many servers may run one request, whatever becomes of its attempts."""
+
+import pytest
+
+from godwitmast.config.document import Document, Model, RequestClass, Team
+from godwitmast.dispatch.messages import (
+    BackendSpec,
+    CancelReason,
+    FailureKind,
+    RefusalCode,
+    Refuse,
+    RequestSpec,
+    Start,
+)
+from godwitmast.dispatch.router import Router
+from godwitmast.types import (
+    BackendId,
+    ClassName,
+    PoolName,
+    RequestId,
+    TeamName,
+    ZoneName,
+)
+
+CLASSES = {"chat": RequestClass(1, first_token_s=0.5, patience_s=2.4)}
+DOCUMENT = Document(CLASSES, {"t": Team()}, models={"lm": Model()})
+
+
+@pytest.fixture
+def router() -> Router:
+    """A router before four servers."""
+    router = Router(DOCUMENT, ZoneName("a"))
+    servers = [
+        BackendSpec(BackendId(f"s{n}"), ZoneName("a"), frozenset(["lm"]), places=8)
+        for n in range(4)
+    ]
+    router.update_backends(servers, 0.0)
+    return router
+
+
+def submit(router: Router, attempts: int | None) -> Start:
+    spec = RequestSpec(
+        RequestId("r"),
+        TeamName("t"),
+        ClassName("chat"),
+        PoolName("lm"),
+        0.0,
+        attempts=attempts,
+    )
+    [start] = router.submit(spec, 0.0)
+    assert isinstance(start, Start)
+    return start
+
+
+def next_start(router: Router, now: float) -> Start | Refuse:
+    """Tick until the request is started again, or refused."""
+    while True:
+        now += 0.05
+        actions = router.tick(now)
+        for action in actions:
+            if isinstance(action, Start | Refuse):
+                return action
+
+
+def test_moves_count_as_runs_like_failures_do(router: Router) -> None:
+    """A stream breaks, and the server that took it over is then found slow.
+
+    Its route allows two servers. Counted by failures alone, the move to a third one
+    was free, and a fourth and fifth followed.
+    """
+    first = submit(router, attempts=2)
+    router.failed(first.request_id, first.attempt_id, FailureKind.CUT, 0.1)
+    second = next_start(router, 0.1)
+    assert isinstance(second, Start) and second.backend_id != first.backend_id
+    assert not router.empty(second.backend_id, CancelReason.SLOW, 1.0)
+    [refusal] = router.failed("r", second.attempt_id, FailureKind.CUT, 1.2)
+    assert isinstance(refusal, Refuse)
+    assert refusal.code is RefusalCode.BACKEND_FAILED
+
+
+def test_attempt_that_ran_nowhere_does_not_count(router: Router) -> None:
+    start = submit(router, attempts=1)
+    for now in (0.1, 0.3):
+        router.failed("r", start.attempt_id, FailureKind.REFUSED, now)
+        again = next_start(router, now)
+        assert isinstance(again, Start)
+        start = again
+    [refusal] = router.failed("r", start.attempt_id, FailureKind.CUT, 0.6)
+    assert isinstance(refusal, Refuse)
+
+
+def test_first_token_is_waited_for_half_as_long_as_the_caller_waits(
+    router: Router,
+) -> None:
+    """First tokens come late on all servers of a busy pool, and nothing hangs.
+
+    With patience of half a second every such prompt was moved and read again, which
+    made the pool busier.
+    """
+    for number in range(20):
+        spec = RequestSpec(
+            RequestId(f"w{number}"),
+            TeamName("t"),
+            ClassName("chat"),
+            PoolName("lm"),
+            0.0,
+        )
+        for start in router.submit(spec, 0.0):
+            assert isinstance(start, Start)
+            router.tokens_came(start.request_id, start.attempt_id, 1, 0.05)
+            router.finished(start.request_id, start.attempt_id, 0.06)
+    start = submit(router, attempts=2)
+    for tenth in range(1, 12):
+        assert not router.tick(tenth / 10)
+    moved = [a for tenth in range(12, 16) for a in router.tick(tenth / 10)]
+    assert any(getattr(a, "reason", None) is CancelReason.SLOW for a in moved)
+    assert start.backend_id not in [a.backend_id for a in moved if isinstance(a, Start)]
