--- a/src/godwitmast/dispatch/placement.py
+++ b/src/godwitmast/dispatch/placement.py
@@ -47,6 +47,14 @@
 neither: with plain rounding, one quick stream in six was late. A step of 1 leaves
 bursts of quick work on too few engines: 315 of 777 quick streams late, against 289."""
 
+REREAD_FACTOR = 2.0
+"""How much worse a token of a shared part is than one that stands before: it takes the
+engine's time, and room in its memory that another part then lacks."""
+
+LOAD_TOKENS = 150.0
+"""What a running request counts for: the time of a token of each step that it shares,
+three milliseconds at fifty tokens a millisecond."""
+
 AWAY_TOKENS = 500.0
 """What another engine than a part's first counts for although this router has sent the
 part there: the others send it to the first one, and one copy is enough. Less than any
