Go by one time of day that all VMs agree on

Cause: a holder of the usage duty whose time of day jumps ahead freezes hundreds of empty windows, and the true ones are taken when they come; a VM that counts by such a clock stays in windows of the future. Found by reading.

Ruled out: each VM's clock at its start (one that starts during a jump keeps it); a median over the VMs' rows (a read more for each of them, and windows that move with the median).

Change: the first VM writes down how its time of day and the store's steady clock differ; all go by the store's clock and that.

--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -29,6 +29,8 @@
     SERVERS_TABLE,
 )
 from godwitmast.platform_api.feed import FeedFollower
+from godwitmast.platform_api.runner import run_steps
+from godwitmast.platform_api.time_agreement import AgreedClock, agree_on_time
 from godwitmast.settings import Listen, load_settings
 from godwitmast.sockets import SILENCE_OPTIONS
 from godwitmast.usage.duty import UsageDuty
@@ -53,6 +55,9 @@
 """VMs among which the allowance of repeats is divided: the nine and eight of today,
 with the spare ones that may be added."""
 
+AGREE_EVERY_S = 0.5
+"""How often a store that does not answer is asked for the agreed time."""
+
 SETTINGS_EVERY_S = 1.0
 """How often the settings file is looked at, as it may change without a signal."""
 
@@ -96,7 +101,8 @@
         self.path = path
         bounds = settings.bounds
         self.clock = SystemClock()
-        self.store = StoreClient(settings)
+        self.true_time = AgreedClock(self.clock)
+        self.store = StoreClient(settings, self.true_time.heard)
         self.client = BackendClient(wire=ReplicaWire(), socket_options=SILENCE_OPTIONS)
         self.front = RouteFront()
         budget = RetryBudget(
@@ -121,11 +127,16 @@
         timing = usage_timing(bounds)
         journal = Journal(settings.node, settings.zone, timing.window_s)
         self.writer = NodeWriter(
-            self.store, self.clock, journal, timing, self.config_version, dict
+            self.store, self.true_time, journal, timing, self.config_version, dict
         )
         self.meter.listeners.append(self.writer.count)
         duty = UsageDuty(
-            self.store, self.clock, timing, self.app.metrics.registry, REPORT_TIMEOUT_S
+            self.store,
+            self.clock,
+            timing,
+            self.app.metrics.registry,
+            REPORT_TIMEOUT_S,
+            self.true_time,
         )
         self.lease = LeaseDriver(
             self.store, self.clock, duty, settings.node, lease_timing(bounds)
@@ -148,13 +159,24 @@
         await self.driver.start(tasks)
         for follower in self.followers:
             await follower.start(tasks)
-        await self.writer.start(tasks)
-        await self.lease.start(tasks)
+        tasks.start_soon(self.start_duties, tasks)
         for server in (self.callers, self.balancer, self.scrapes):
             await server.start(tasks)
         tasks.start_soon(self.run_settings)
         log_event("node_started", node=self.settings.node, zone=self.settings.zone)
 
+    async def start_duties(self, tasks: TaskGroup) -> None:
+        """Agree on the time of day, and then count and report usage by it.
+
+        Windows that were entered by a clock that is ahead cannot be left again. The
+        lease goes by the VM's own clocks, as only they tell that it was suspended.
+        """
+        while not await run_steps(self.store, agree_on_time(self.true_time)):
+            await anyio.sleep(AGREE_EVERY_S)
+        log_event("time_agreed", difference_s=self.true_time.difference_s)
+        await self.writer.start(tasks)
+        await self.lease.start(tasks)
+
     async def close(self) -> None:
         """Stop within the platform's grace, without cutting a request.
 
--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 from collections import Counter
+from collections.abc import Callable
 from urllib.parse import quote
 
 import httpx
@@ -71,7 +72,10 @@
 class StoreClient(PlatformHttp):
     """The store; `Table` and `Feed` of the product, and its intake of usage."""
 
-    def __init__(self, settings: PlatformFile) -> None:
+    def __init__(
+        self, settings: PlatformFile, heard: Callable[[float], None] | None = None
+    ) -> None:
+        self.heard = heard
         address = settings.platform.address
         limits = PlatformSettings(url_of(address), CALL_TIMEOUT_S)
         super().__init__(limits, make_http(address, CALL_TIMEOUT_S))
@@ -115,7 +119,7 @@
             params["from"] = start
         if end:
             params["to"] = end
-        return parse(await self.send("GET", READ_ROWS, params=params))
+        return self.parse(await self.send("GET", READ_ROWS, params=params))
 
     async def transact(
         self, checks: dict[str, int], writes: dict[str, Json]
@@ -131,7 +135,7 @@
             "remove": [place(key) for key, value in writes.items() if value is None],
         }
         got = await self.send("POST", TRANSACT, (200, 412), json=body)
-        answer = parse(got)
+        answer = self.parse(got)
         if got.status_code == 200:
             # The rows of one transaction all take the same version.
             return Written(dict.fromkeys(writes, answer.ver))
@@ -176,9 +180,19 @@
         )
         if got.status_code == 410:
             return HistoryLost()
-        answer = parse(got)
+        answer = self.parse(got)
         return Changes([feed_row(row) for row in answer.rows], answer.ver)
 
+    def parse(self, got: httpx.Response) -> RowsAnswer:
+        """Return the decoded answer; one that cannot be read settles nothing."""
+        try:
+            answer = msgspec.json.decode(got.content, type=RowsAnswer)
+        except msgspec.DecodeError as error:
+            raise PlatformOutcomeUnknown(f"{got.url.path}: {error}") from None
+        if self.heard is not None and answer.now_ms is not None:
+            self.heard(answer.now_ms / 1000)
+        return answer
+
     async def report_usage(self, report: Json) -> None:
         await self.duties.report_usage(report)
 
@@ -239,11 +253,3 @@
         return decode(row)
     except ValueError:
         return b""
-
-
-def parse(answer: httpx.Response) -> RowsAnswer:
-    """Return the decoded answer; one that cannot be read settles nothing."""
-    try:
-        return msgspec.json.decode(answer.content, type=RowsAnswer)
-    except msgspec.DecodeError as error:
-        raise PlatformOutcomeUnknown(f"{answer.url.path}: {error}") from None
--- a/src/godwitmast/platform/wire.py
+++ b/src/godwitmast/platform/wire.py
@@ -79,6 +79,8 @@
     rows: list[StoredRow] = []
     truncated: bool = False
     ver: int = 0
+    now_ms: float | None = None
+    """The store's own clock, which never jumps and counts from some moment."""
 
 
 class ServiceShare(Shape):
--- a/src/godwitmast/standins/store.py
+++ b/src/godwitmast/standins/store.py
@@ -1,6 +1,7 @@
 """A stand-in of the users' platform: its store, and its intake of usage."""
 
 import base64
+import time
 from dataclasses import dataclass, field
 from typing import NamedTuple
 from urllib.parse import parse_qs
@@ -72,6 +73,7 @@
     def __post_init__(self) -> None:
         self.server = HttpServer(self, self.listen, grace_s=0.1)
         self.changed = anyio.Event()
+        self.started_at = time.monotonic()
         self.tasks: TaskGroup | None = None
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -211,8 +213,9 @@
         return 200, self.encode([])
 
     def encode(self, rows: list[StoredRow], truncated: bool = False) -> bytes:
+        now_ms = (time.monotonic() - self.started_at) * 1000
         return msgspec.json.encode(
-            {"rows": rows, "truncated": truncated, "ver": self.version, "nowMs": 0}
+            {"rows": rows, "truncated": truncated, "ver": self.version, "nowMs": now_ms}
         )
 
     def take_report(self, scope: Scope, report: Json) -> None:
--- a/src/godwitmast/usage/duty.py
+++ b/src/godwitmast/usage/duty.py
@@ -52,11 +52,15 @@
         timing: UsageTiming = UsageTiming(),
         registry: CollectorRegistry | None = None,
         report_timeout_s: float = REPORT_TIMEOUT_S,
+        true_time: Clock | None = None,
     ) -> None:
         self.platform = platform
         self.clock = clock
         self.timing = timing
         self.report_timeout_s = report_timeout_s
+        # Windows go by the time that all processes agree on; whether the lease is held
+        # is asked by the clocks that the lease was taken by, which notice a suspension.
+        self.true_time = true_time or clock
         self.watched: dict[str, Watched] = {}
         self.table_back_at = 0.0
         self.table_away = False
@@ -100,7 +104,7 @@
             # After an outage the entries first get time to write what they kept.
             return True
         while True:
-            steps = freeze_next(guard.checks, self.clock.wall(), self.timing)
+            steps = freeze_next(guard.checks, self.true_time.wall(), self.timing)
             match await run_steps(self.platform, steps):
                 case Frozen(start, runs, late):
                     log_event("usage_frozen", window=start, runs=runs, late=late)
@@ -132,7 +136,7 @@
                 return
             if not await run_steps(self.platform, mark_reported(guard.checks, due)):
                 return
-            self.lag.set(self.clock.wall() - due.window.end)
+            self.lag.set(self.true_time.wall() - due.window.end)
 
     async def send(self, guard: Guard, due: DueReport) -> bool:
         """Send one window's frozen figures; return whether the intake has them."""
--- /dev/null
+++ b/tests/test_time_agreement.py
@@ -0,0 +1,124 @@
+"""One time of day for all VMs, though single clocks jump."""
+
+import time
+
+import httpx
+import pytest
+
+from fakes import FakePlatform, Fate
+from fleet import Fleet
+from godwitmast.platform_api.messages import Written
+from godwitmast.platform_api.steps import Failure, Rows
+from godwitmast.platform_api.time_agreement import AgreedClock, agree_on_time
+from running import running
+
+
+class JumpyClock:
+    """A VM's clocks; its time of day is off by `jump` seconds."""
+
+    def __init__(self, jump: float = 0.0) -> None:
+        self.seconds = 0.0
+        self.jump = jump
+
+    def now(self) -> float:
+        return self.seconds
+
+    def wall(self) -> float:
+        return 1_700_000_000.0 + self.seconds + self.jump
+
+
+def agreed(platform: FakePlatform, own: JumpyClock) -> AgreedClock:
+    clock = AgreedClock(own)
+    clock.heard(own.seconds + 50.0)
+    assert platform.run(agree_on_time(clock))
+    return clock
+
+
+def test_jump_of_the_time_of_day_moves_nothing() -> None:
+    own = JumpyClock()
+    clock = agreed(FakePlatform(), own)
+    before = clock.wall()
+    own.jump = 2_400.0
+    own.seconds += 3.0
+    assert clock.wall() == before + 3.0
+
+
+def test_vm_that_starts_with_a_wrong_clock_takes_the_agreed_one() -> None:
+    platform = FakePlatform()
+    right, wrong = JumpyClock(), JumpyClock(-2_400.0)
+    assert agreed(platform, right).wall() == agreed(platform, wrong).wall()
+
+
+def test_suspended_vm_is_right_again_with_the_next_answer() -> None:
+    """A VM stands still for 30 s, and so does the clock that it goes by."""
+    own = JumpyClock()
+    clock = agreed(FakePlatform(), own)
+    before = clock.wall()
+    clock.heard(own.seconds + 50.0 + 30.0)
+    assert clock.wall() == before + 30.0
+
+
+def test_answer_that_was_overtaken_does_not_set_the_clock_back() -> None:
+    own = JumpyClock()
+    clock = agreed(FakePlatform(), own)
+    before = clock.wall()
+    clock.heard(own.seconds + 49.0)
+    assert clock.wall() == before
+
+
+def test_two_first_vms_agree_though_both_write() -> None:
+    platform = FakePlatform()
+    first, second = AgreedClock(JumpyClock()), AgreedClock(JumpyClock(7.0))
+    for clock in (first, second):
+        clock.heard(50.0)
+    steps = agree_on_time(second)
+    read = platform.take(next(steps))
+    assert isinstance(read, Rows)
+    write = steps.send(read)
+    assert platform.run(agree_on_time(first))
+    step = steps.send(platform.take(write))
+    with pytest.raises(StopIteration) as stop:
+        steps.send(platform.take(step))
+    assert stop.value.value
+    assert first.difference_s == second.difference_s
+
+
+@pytest.mark.parametrize("fate", [Fate.REFUSED, Fate.LOST, Fate.ANSWER_LOST])
+def test_lost_answer_is_settled_by_reading_again(fate: Fate) -> None:
+    platform = FakePlatform()
+    clock = AgreedClock(JumpyClock())
+    clock.heard(50.0)
+    steps = agree_on_time(clock)
+    write = steps.send(platform.take(next(steps)))
+    with pytest.raises(StopIteration) as stop:
+        result = platform.take(write, fate)
+        assert isinstance(result, Failure | Written)
+        steps.send(result)
+    assert not stop.value.value
+    assert platform.run(agree_on_time(clock))
+    assert (
+        clock.difference_s
+        == platform.table.read(["clock"])["clock"].value["difference_s"]
+    )
+
+
+@pytest.mark.anyio
+async def test_usage_windows_stay_true_while_the_holders_clock_jumps(
+    http: httpx.AsyncClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The VM that reports usage finds its time of day forty minutes ahead.
+
+    By that clock hundreds of windows were due at once, empty, and the true ones would
+    find themselves taken. The windows go on one after the other.
+    """
+    async with running(Fleet()) as fleet:
+        await fleet.until(lambda: fleet.store.reports)
+        last = fleet.store.reports[-1].window
+        true_time = time.time
+        monkeypatch.setattr(time, "time", lambda: true_time() + 2_400.0)
+        await fleet.ask(http, "/peek/1")
+        reports = fleet.store.reports
+        await fleet.until(lambda: any(report.counts for report in reports))
+        windows = [report.window for report in reports]
+        assert windows[-1] < last + 60
+        assert windows == sorted(set(windows))
