--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -45,8 +45,12 @@
 BALANCER_WAIT_S = 2.5
 """The balancer asks each second and takes a VM out after two misses."""
 
-CLOSING_S = 1.5
-"""What is left of the grace for the last usage and the leases, after the requests."""
+REQUESTS_UNTIL = 0.875
+"""The part of the grace in which open requests may end. One that a server still works on
+in the last sixth of it may be cut; ended earlier, it would be lost."""
+
+USAGE_SHARE = 0.0625
+"""The part of the grace for the last usage, after the requests."""
 
 GATHER_SHARE = 0.125
 """The part of the time to stop sending to a leaving server for which changes gather."""
@@ -74,7 +78,7 @@
         grace_s=bounds.usage_late_s * 0.6,
         seal_s=bounds.window_s,
         keep_s=60.0,
-        stop_s=CLOSING_S,
+        stop_s=bounds.grace_s * USAGE_SHARE,
     )
 
 
@@ -144,7 +148,7 @@
         self.callers = HttpServer(
             self.serve_caller,
             settings.listen.front,
-            grace_s=bounds.grace_s - BALANCER_WAIT_S - CLOSING_S,
+            grace_s=bounds.grace_s * REQUESTS_UNTIL - BALANCER_WAIT_S,
         )
         self.balancer = HttpServer(self.serve_own, settings.listen.ready, grace_s=0.1)
         self.scrapes = HttpServer(
--- a/src/godwitmast/platform/front.py
+++ b/src/godwitmast/platform/front.py
@@ -181,6 +181,9 @@
         if size > self.known.limits.max_header_bytes:
             return ErrorAnswer(431, "head_too_large", "The headers are too long.")
         named = dict(pairs)
+        if not named.get(ATTEMPT_ID):
+            message = f"{ATTEMPT_ID} is missing: no answer could be told to be its own."
+            return ErrorAnswer(400, "no_attempt_id", message)
         key = read_bearer(named.get("authorization", ""))
         deadline_s = read_deadline(named.get(DEADLINE_MS))
         if deadline_s is None:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -9,6 +9,7 @@
 import pytest
 
 from fleet import HOST, KEY, OTHER_KEY, PROMPT, Fleet, config_of, head, route
+from godwitmast.platform.daemon import BALANCER_WAIT_S
 from godwitmast.platform_api import feed
 from running import running
 
@@ -79,6 +80,7 @@
         ("/peek/1", {"Deadline_Ms": "soon"}, 400),
         ("/peek/1", {"Deadline_Ms": "0"}, 400),
         ("/peek/1", {"Deadline_Ms": "nan"}, 400),
+        ("/peek/1", {"Attempt_Id": ""}, 400),
     ],
 )
 async def test_request_that_is_not_allowed_reaches_no_server(
@@ -485,6 +487,19 @@
         assert "godwit_config_version 1.0" in metrics
 
 
+async def test_stop_leaves_requests_the_time_that_they_are_owed() -> None:
+    """A stream is still at work when five sixths of the grace are over.
+
+    Cut before, it is lost though the server would have ended it in time; and the
+    process has to be gone before the grace is, or it is killed with its usage.
+    """
+    async with running(Fleet()) as fleet:
+        grace_s = fleet.node.settings.bounds.grace_s
+        cut_at = BALANCER_WAIT_S + fleet.node.callers.grace_s
+        assert grace_s * 5 / 6 < cut_at
+        assert cut_at + fleet.node.writer.timing.stop_s < grace_s * 0.95
+
+
 async def test_stop_lets_open_streams_end_and_tells_callers_to_go(
     http: httpx.AsyncClient,
 ) -> None:
