--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -59,6 +59,11 @@
 """VMs among which the allowance of repeats is divided: the nine and eight of today,
 with the spare ones that may be added."""
 
+LEASE_GUARD_S = 2.0
+REPORT_TIMEOUT_S = 1.5
+"""Below the lease's guard: a report that is out when the lease lapses has arrived or
+failed before the next holder sends one."""
+
 AGREE_EVERY_S = 0.5
 """How often a store that does not answer is asked for the agreed time."""
 
@@ -85,11 +90,7 @@
 def lease_timing(bounds: BoundsTable) -> LeaseTiming:
     """Return a lease that outlasts the platform's own, and is soon taken over."""
     ttl_s = bounds.lease_ms / 1000
-    return LeaseTiming(ttl_s, guard_s=2.0, renew_s=ttl_s / 3, watch_s=ttl_s * 0.8)
-
-
-REPORT_TIMEOUT_S = 1.5
-"""Below the lease's guard of two seconds: see UsageDuty."""
+    return LeaseTiming(ttl_s, LEASE_GUARD_S, renew_s=ttl_s / 3, watch_s=ttl_s * 0.8)
 
 
 class Node:
