Interrupt no request that its route lets run nowhere else

Every other end of an attempt (empty, move, look_at, notices) asks Flight.may_move, which counts runs in one place. Change: admission learns with the first token whether the request may move; one that may not is never put among those that give way, and interrupt asserts it. Ruled out: counting in admission's own starts, which also count sends that ran nowhere. Tests: two plain ones, the first failed before; an explorer over all events on crowded servers, and a careless router that it catches.

--- a/src/godwitmast/admission/queue.py
+++ b/src/godwitmast/admission/queue.py
@@ -246,14 +246,21 @@
         queue.remove(self.jobs[request.request_id])
         self.count_waiting(queue, -1)
 
-    def tokens_came(self, request: RequestSpec, count: int, now: float) -> None:
-        """Count tokens of a running answer."""
+    def tokens_came(
+        self, request: RequestSpec, count: int, now: float, may_move: bool = True
+    ) -> None:
+        """Count tokens of a running answer.
+
+        `may_move` tells whether the request may run on another server after this one:
+        what may not keeps its place, as it could never be resumed.
+        """
         job = self.jobs[request.request_id]
         queue = self.queue(request)
         if job.first_token_at is None and job.started_at is not None:
             job.first_token_at = now
             queue.times.first_token.add(now - job.started_at)
-            if may_be_preempted(job) and request.pool in self.document.models:
+            is_model = request.pool in self.document.models
+            if may_move and is_model and may_be_preempted(job):
                 queue.preemptible[request.request_id] = job
         job.tokens += count
         over = self.used(job) - job.charged
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -119,7 +119,7 @@
         if flight is None or flight.backend_id is None:
             return []
         flight.tokens += count
-        self.admission.tokens_came(flight.request, count, now)
+        self.admission.tokens_came(flight.request, count, now, flight.may_move)
         if not flight.request.streams:
             return []
         slow = self.learn(flight, count, now)
@@ -451,7 +451,8 @@
 
     def interrupt(self, victim: Flight, now: float) -> Cancel:
         """Cancel the attempt of a request that admission has queued again."""
-        assert victim.attempt_id is not None, "only what runs is interrupted"
+        assert victim.may_move, "only what runs and may run again is interrupted"
+        assert victim.attempt_id is not None
         victim.may_have_run = True
         request_id, attempt_id = victim.request.request_id, victim.attempt_id
         self.release(victim, now)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -4,7 +4,9 @@
 
 from godwitmast.config.document import Document, Model, RequestClass, Team
 from godwitmast.dispatch.messages import (
+    Action,
     BackendSpec,
+    Cancel,
     CancelReason,
     FailureKind,
     RefusalCode,
@@ -22,7 +24,10 @@
     ZoneName,
 )
 
-CLASSES = {"chat": RequestClass(1, first_token_s=0.5, patience_s=2.4)}
+CLASSES = {
+    "chat": RequestClass(1, first_token_s=0.5, patience_s=2.4),
+    "draft": RequestClass(2, completion_s=60.0),
+}
 DOCUMENT = Document(CLASSES, {"t": Team()}, models={"lm": Model()})
 
 
@@ -115,3 +120,56 @@
     moved = [a for tenth in range(12, 16) for a in router.tick(tenth / 10)]
     assert any(getattr(a, "reason", None) is CancelReason.SLOW for a in moved)
     assert start.backend_id not in [a.backend_id for a in moved if isinstance(a, Start)]
+
+
+def occupy(router: Router, attempts: int | None) -> Start:
+    """Fill the one place of the one server with a draft that has begun to answer."""
+    server = BackendSpec(BackendId("s0"), ZoneName("a"), frozenset(["lm"]), places=1)
+    router.update_backends([server], 0.0)
+    draft = RequestSpec(
+        RequestId("d"),
+        TeamName("t"),
+        ClassName("draft"),
+        PoolName("lm"),
+        0.0,
+        attempts=attempts,
+    )
+    [start] = router.submit(draft, 0.0)
+    assert isinstance(start, Start)
+    router.tokens_came(start.request_id, start.attempt_id, 1, 0.1)
+    return start
+
+
+def victims(router: Router) -> list[Cancel]:
+    """Let chats wait for a place until they are refused; return who gave way."""
+    actions: list[Action] = []
+    for number in range(3):
+        chat = RequestSpec(
+            RequestId(f"c{number}"),
+            TeamName("t"),
+            ClassName("chat"),
+            PoolName("lm"),
+            0.2,
+        )
+        actions += router.submit(chat, 0.2)
+    for tick in range(5, 20):
+        actions += router.tick(tick / 20)
+    return [item for item in actions if isinstance(item, Cancel)]
+
+
+def test_request_that_no_other_server_may_run_gives_its_place_to_nobody(
+    router: Router,
+) -> None:
+    """A burst of chats meets a draft on its last allowed server.
+
+    It was interrupted for a chat and queued again, and a further server ran it: more
+    than its route allows. Its caller may pay for each of them.
+    """
+    occupy(router, attempts=1)
+    assert not victims(router)
+
+
+def test_request_that_may_run_again_gives_its_place(router: Router) -> None:
+    occupy(router, attempts=2)
+    [cancel] = victims(router)
+    assert cancel.reason is CancelReason.PREEMPTED
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -1,13 +1,16 @@
 """The router as the entry drives it, without a network."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
+from godwitmast.admission.queue import Admission
 from godwitmast.config.document import Document, parse_document
+from godwitmast.dispatch.flights import Flight
 from godwitmast.dispatch.messages import (
     Action,
     BackendSpec,
@@ -305,6 +308,8 @@
         self.owner: dict[RequestId, AttemptId] = {}
         self.ran: set[RequestId] = set()
         self.open: set[RequestId] = set()
+        self.runs: Counter[RequestId] = Counter()
+        self.most: dict[RequestId, int | None] = {}
 
     def note(self, actions: list[Action]) -> None:
         for action in actions:
@@ -313,6 +318,11 @@
                     assert request_id in self.open
                     assert request_id not in self.owner, "two attempts at once"
                     self.owner[request_id] = attempt_id
+                    self.runs[request_id] += 1
+                    most = self.most[request_id]
+                    assert most is None or self.runs[request_id] <= most, (
+                        "ran too often"
+                    )
                 case Cancel(request_id, attempt_id):
                     assert self.owner.pop(request_id, attempt_id) == attempt_id
                     self.ran.add(request_id)
@@ -323,6 +333,7 @@
 
     def submit(self, spec: RequestSpec) -> None:
         self.open.add(spec.request_id)
+        self.most[spec.request_id] = spec.attempts
         self.note(self.router.submit(spec, spec.arrived))
 
     def happen(self, event: Any, pick: int, now: float) -> None:
@@ -346,6 +357,8 @@
                 del self.owner[request_id]
                 if event not in (FailureKind.CONNECT, FailureKind.REFUSED):
                     self.ran.add(request_id)
+                else:
+                    self.runs[request_id] -= 1
                 self.note(router.failed(request_id, attempt_id, event, now))
 
     def check(self) -> None:
@@ -355,6 +368,89 @@
             assert state.in_flight == len(book.aboard.get(name, {}))
 
 
+CROWDED_EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["submit", "submit", "token", "token", "tick", "finish"])
+        | st.sampled_from([FailureKind.CUT, FailureKind.REFUSED, FailureKind.TIMEOUT]),
+        st.integers(0, 30),
+    ),
+    max_size=80,
+)
+
+
+def play_crowded(router: Router, events: list[tuple[Any, int]]) -> None:
+    """Play events on two servers of one place each, for both tiers and bounded runs."""
+    router.update_backends([server(n, places=1) for n in range(2)], 0.0)
+    caller = Caller(router)
+    now = 0.0
+    for number, (event, pick) in enumerate(events):
+        now += 0.05
+        if event == "submit":
+            caller.submit(
+                request(
+                    number,
+                    arrived=now,
+                    class_name="draft" if pick % 2 else "question",
+                    attempts=(None, 1, 2)[pick % 3],
+                )
+            )
+        elif event == "tick":
+            now += pick / 10
+            caller.note(router.tick(now))
+        elif caller.owner:
+            caller.happen(event, pick, now)
+        caller.check()
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(CROWDED_EVENTS)
+def test_no_request_runs_on_more_servers_than_its_route_allows(
+    document: Document, events: list[tuple[Any, int]]
+) -> None:
+    """Interrupted, moved, cut or refused in whatever order: its route's bound holds."""
+    play_crowded(Router(document, ZoneName("a"), seed=3), events)
+
+
+class Forgetful(Admission):
+    """Lets any stream be interrupted, whatever its route allows."""
+
+    def tokens_came(
+        self, request: RequestSpec, count: int, now: float, may_move: bool = True
+    ) -> None:
+        super().tokens_came(request, count, now)
+
+
+class Careless(Router):
+    """Interrupts what may not run again."""
+
+    def interrupt(self, victim: Flight, now: float) -> Cancel:
+        victim.runs -= 1
+        cancel = super().interrupt(victim, now)
+        victim.runs += 1
+        return cancel
+
+
+def test_explorer_finds_a_router_that_interrupts_what_may_not_run_again(
+    document: Document,
+) -> None:
+    @settings(
+        derandomize=True,
+        max_examples=3000,
+        deadline=None,
+        database=None,
+        phases=[Phase.generate],
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(CROWDED_EVENTS)
+    def explore(events: list[tuple[Any, int]]) -> None:
+        router = Careless(document, ZoneName("a"), seed=3)
+        router.admission = Forgetful(document, 3)
+        play_crowded(router, events)
+
+    with pytest.raises(AssertionError, match="ran too often"):
+        explore()
+
+
 @settings(derandomize=True, max_examples=120, deadline=None)
 @given(EVENTS)
 def test_every_request_has_one_owner_and_one_end(
