Freeze a usage window once every entry is past it, and close dead runs then

Change: a window is looked at 1.5 writes after its end and frozen as soon as every row is past it, at the latest at 0.7 of the time a report may take (7 s). Rows behind it are closed in the freeze itself: at once if a newer run of the same VM writes, else after that time; a new holder needs no watching of its own for that, since a row tells which window it was in. After an outage three writes are waited for. VMs write five times a window, not twice; among many VMs less often (40 writes a second in all). Found on the way: a run's first row declared windows final whose figures only its second write brought; a freeze between the two lost them. Left: a VM turned away for longer than the time for a report, counts that a killed VM had not written.

--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -55,6 +55,9 @@
 USAGE_SHARE = 0.0625
 """The part of the grace for the last usage, after the requests."""
 
+USAGE_GRACE_SHARE = 0.7
+WRITES_A_WINDOW = 5
+
 GATHER_SHARE = 0.4
 """The part of the time to stop sending to a leaving server for which changes gather. The
 first change of a group comes at once; servers that start or leave one after the other
@@ -80,14 +83,16 @@
 def usage_timing(bounds: BoundsTable) -> UsageTiming:
     """Return how usage is counted so that each window is reported in time.
 
-    Two writes a window; a VM that is silent for a window is closed before the next one
-    is frozen, at two thirds of the time that a report may take.
+    Each VM writes some times a window, since what it has not written is lost with it.
+    One that the store turns away has most of the time that a report may take to come
+    back; the rest is for a holder that is slow.
     """
+    grace_s = bounds.usage_late_s * USAGE_GRACE_SHARE
     return UsageTiming(
         window_s=bounds.window_s,
-        flush_s=bounds.window_s / 2,
-        grace_s=bounds.usage_late_s * 0.6,
-        seal_s=bounds.window_s,
+        flush_s=bounds.window_s / WRITES_A_WINDOW,
+        grace_s=grace_s,
+        seal_s=grace_s,
         keep_s=60.0,
         stop_s=bounds.grace_s * USAGE_SHARE,
     )
@@ -144,6 +149,7 @@
             timing,
             self.config_version,
             self.driver.load_row,
+            crowd=lambda: self.lease.machine.crowd,
         )
         self.meter.listeners.append(self.writer.count)
         duty = UsageDuty(
--- a/src/godwitmast/usage/duty.py
+++ b/src/godwitmast/usage/duty.py
@@ -19,14 +19,17 @@
     Frozen,
     NotDue,
     UsageTiming,
+    begin_windows,
     drop,
     freeze_next,
     mark_reported,
     next_report,
-    seal,
 )
 
 CHECK_EVERY_S = 2.0
+SHORTEST_WAIT_S = 0.25
+"""Between two looks at entries that have not written past a window yet."""
+
 REPORT_TIMEOUT_S = 2.0
 """Shorter than any lease's guard: a report that is out when the lease lapses has
 arrived or failed before the next holder sends one."""
@@ -79,16 +82,23 @@
         )
 
     async def run(self, guard: Guard) -> None:
-        """Freeze what is due, report what is frozen, seal what is silent."""
+        """Freeze what is due, and report what is frozen.
+
+        A new holder first waits as after an outage: the lease may have lapsed in one,
+        and what the entries kept during it is written now.
+        """
         self.watched.clear()
         self.owes_report = True
+        self.table_back_at = self.clock.now()
+        steps = begin_windows(guard.checks, self.true_time.wall(), self.timing.window_s)
+        await run_steps(self.platform, steps)
         watch_at = 0.0
         while True:
             if await self.freeze(guard):
                 await self.report(guard)
             now = self.clock.now()
             if now >= watch_at:
-                watch_at = now + self.timing.seal_s / 4
+                watch_at = now + self.watch_s
                 await self.watch(guard)
             await anyio.sleep(self.next_wait())
 
@@ -97,12 +107,19 @@
         often = min(CHECK_EVERY_S, self.timing.window_s / 4)
         if self.table_away or self.owes_report:
             return often
-        return max(often, min(self.wait_s, self.timing.seal_s / 4))
+        return max(SHORTEST_WAIT_S, min(self.wait_s, self.watch_s))
+
+    @property
+    def watch_s(self) -> float:
+        """Return how often the entries' rows are looked at for their loads."""
+        return self.timing.window_s / 4
 
     async def freeze(self, guard: Guard) -> bool:
         """Freeze every window that is due; return whether the table answered."""
-        if self.clock.now() < self.table_back_at + self.timing.grace_s:
+        back_s = self.table_back_at + self.timing.back_s - self.clock.now()
+        if back_s > 0:
             # After an outage the entries first get time to write what they kept.
+            self.wait_s = back_s
             return True
         while True:
             steps = freeze_next(guard.checks, self.true_time.wall(), self.timing)
@@ -159,7 +176,7 @@
         return True
 
     async def watch(self, guard: Guard) -> None:
-        """Seal the rows of silent entries, and drop the ended ones in the end.
+        """Take the entries' loads, and drop the rows of ended ones in the end.
 
         Only this clock counts, from when the row was first seen as it is; while the
         table is away nothing can be told of an entry, so every watch starts anew.
@@ -184,11 +201,6 @@
                 await run_steps(
                     self.platform, drop(guard.checks, seen.row, seen.version)
                 )
-            elif not seen.row.ended and still >= self.timing.seal_s:
-                log_event("usage_sealed", level="WARNING", run=seen.row.incarnation)
-                await run_steps(
-                    self.platform, seal(guard.checks, seen.row, seen.version)
-                )
 
 
 def scan_nodes() -> Steps[Rows | None]:
--- a/src/godwitmast/usage/journal.py
+++ b/src/godwitmast/usage/journal.py
@@ -110,10 +110,13 @@
         self.enter_window(wall)
         self.sequence += 1
         segments = {label: dict(sums) for label, sums in self.segments.items()}
+        window = self.window
         if self.version == 0:
             # A run's first write only makes its row. If its answer is lost, and the
             # row is sealed, taken and dropped before this process looks again, then
             # the same write would make the row anew, and its figures count twice.
+            # It says no window final whose figures only the next write brings.
+            window = min(segments, default=window)
             segments, ended = {}, False
         self.pending = NodeRow(
             self.node,
@@ -121,7 +124,7 @@
             self.incarnation,
             self.sequence,
             config,
-            self.window,
+            window,
             segments,
             load,
             ended,
--- a/src/godwitmast/usage/windows.py
+++ b/src/godwitmast/usage/windows.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from godwitmast.platform_api.messages import Written
+from godwitmast.platform_api.messages import Conflict, Written
 from godwitmast.platform_api.steps import (
     Failure,
     GetObject,
@@ -43,12 +43,20 @@
 Checks = dict[str, int]
 
 
+SETTLE_FLUSHES = 1.5
+"""Writes are jittered, and take a moment to arrive."""
+
+BACK_FLUSHES = 3.0
+"""One write may still wait out its time-out as the table comes back."""
+
+
 class UsageTiming(NamedTuple):
     """How usage is journalled and reported.
 
-    A window is frozen `grace_s` after its end, which is three flushes, so that an
-    entry whose one write failed is still in time. The row of an entry that is silent
-    for `seal_s` is sealed. A stopping entry tries for `stop_s` to write its last row.
+    A window is frozen as soon as every entry has written past its end, and at the
+    latest `grace_s` after it. The row of an entry that has not written since a window
+    ended is sealed `seal_s` after that end. A stopping entry tries for `stop_s` to
+    write its last row.
     """
 
     window_s: int = 60
@@ -58,6 +66,16 @@
     keep_s: float = 3600.0
     stop_s: float = 20.0
 
+    @property
+    def settle_s(self) -> float:
+        """Return how long after a window's end each entry should have written again."""
+        return min(self.grace_s, SETTLE_FLUSHES * self.flush_s)
+
+    @property
+    def back_s(self) -> float:
+        """Return how long entries need after an outage to write what they kept."""
+        return BACK_FLUSHES * self.flush_s
+
 
 @dataclass(frozen=True, slots=True)
 class Frozen:
@@ -117,33 +135,72 @@
 def freeze_next(
     lease: Checks, wall: float, timing: UsageTiming
 ) -> Steps[FreezeOutcome]:
-    """Freeze the next window if its time has come."""
+    """Freeze the next window if every entry is past it, or its time is up.
+
+    Load pattern: entries die, freeze, or are turned away by the table for seconds, and
+    so does the holder of this duty. Frozen early, a window does not depend on who holds
+    the duty at one late moment; waited for, it holds what an entry could write only
+    seconds after its end.
+    """
     found = yield Read([HEAD_KEY])
     if not isinstance(found, Rows):
         return NotWritten()
     width = timing.window_s
     if found.value(HEAD_KEY) is None:
-        # The first window ever ends now; what came before it counts as late.
-        start = int(wall // width) * width - width
-        head = UsageHead(start, {})
-        yield Transact({**lease, HEAD_KEY: 0}, {HEAD_KEY: head._asdict()})
+        yield from begin_windows(lease, wall, width)
         return NotWritten()
     head = UsageHead(**found.value(HEAD_KEY))
     start = head.frozen + width
-    due_at = start + width + timing.grace_s
-    if wall < due_at:
-        return NotDue(due_at - wall)
+    end = start + width
+    if wall < end + timing.settle_s:
+        return NotDue(end + timing.settle_s - wall)
     nodes = yield Scan(NODE_PREFIX)
     if not isinstance(nodes, Rows):
         return NotWritten()
-    rows = [load_node(row.value) for row in nodes.rows.values()]
-    gathered = gather(rows, head.marks, start, width)
+    rows = {key: load_node(row.value) for key, row in nodes.rows.items()}
+    behind = [key for key, row in rows.items() if not row.final(start)]
+    gone = [key for key in behind if is_gone(rows[key], rows.values(), wall, timing)]
+    if len(gone) < len(behind) and wall < end + timing.grace_s:
+        return NotDue(min(timing.settle_s / 3, end + timing.grace_s - wall))
+    for key in gone:
+        if not (yield from seal(lease, rows[key], nodes.version(key))):
+            # It lives after all, or the lease is gone: the next look tells.
+            return NotDue(0.0)
+        rows[key] = rows[key]._replace(ended=True, sealed=True)
+    gathered = gather(rows.values(), head.marks, start, width)
     checks = {**lease, HEAD_KEY: found.version(HEAD_KEY)}
     if (yield from write_window(checks, gathered)):
         return Frozen(start, gathered.runs, bool(gathered.window.late))
     return NotWritten()
 
 
+def begin_windows(lease: Checks, wall: float, width: int) -> Steps[bool]:
+    """Let the first window ever end now, if none has; what came before counts as late.
+
+    Returns whether the table has a beginning, as far as is known.
+    """
+    start = int(wall // width) * width - width
+    head = UsageHead(start, {})
+    result = yield Transact({**lease, HEAD_KEY: 0}, {HEAD_KEY: head._asdict()})
+    return isinstance(result, Written | Conflict)
+
+
+def is_gone(
+    row: NodeRow, rows: Iterable[NodeRow], wall: float, timing: UsageTiming
+) -> bool:
+    """Return whether an entry writes no more to its row, as far as that can be told.
+
+    Another run of the same entry has gone past it, or nothing was written since long
+    after the window that it was in. Its last figures could otherwise never be taken:
+    they would be missing in their window and come too late in the next. An entry that
+    was only paused, cut off or turned away finds its row sealed, and goes on under a
+    new one with what the sealed row does not hold.
+    """
+    if wall >= row.window + timing.window_s + timing.seal_s:
+        return True
+    return any(o.node == row.node and o.window > row.window for o in rows)
+
+
 def write_window(checks: Checks, gathered: Gathered) -> Steps[bool]:
     """Make a window's figures final; only the first write of a window can."""
     window = gathered.window
--- a/src/godwitmast/usage/writer.py
+++ b/src/godwitmast/usage/writer.py
@@ -19,6 +19,9 @@
 """How often frozen windows are asked after, in windows. Those that stand in the row
 until then cost bytes, a thousandth of what a call costs."""
 
+ROW_WRITES_PER_S = 40.0
+"""Of all entries together: a fifth of what one part of a table takes, or less."""
+
 EARLIEST_S = 2.0
 """Least time between two writes, also when the configuration changes often."""
 
@@ -35,6 +38,7 @@
         version: Callable[[], int],
         load: Callable[[], dict[str, Any]],
         beside: Callable[[], dict[str, Any]] = dict,
+        crowd: Callable[[], int] = lambda: 1,
     ) -> None:
         self.platform = platform
         self.clock = clock
@@ -43,6 +47,7 @@
         self.version = version
         self.load = load
         self.beside = beside
+        self.crowd = crowd
         self.flush_early = anyio.Event()
         self.writing = anyio.Lock()
         self.closing = False
@@ -68,11 +73,18 @@
             outcome = await self.flush()
             if outcome is Flushed.WRITTEN and self.journal.sequence == 1:
                 continue
-            await anyio.sleep(min(EARLIEST_S, self.timing.flush_s))
-            rest = self.timing.flush_s * random.uniform(0.9, 1.1) - EARLIEST_S
-            with anyio.move_on_after(max(0.0, rest)):
+            interval_s = self.interval_s() * random.uniform(0.9, 1.1)
+            earliest_s = min(EARLIEST_S, interval_s)
+            await anyio.sleep(earliest_s)
+            with anyio.move_on_after(interval_s - earliest_s):
                 await self.flush_early.wait()
 
+    def interval_s(self) -> float:
+        """Return the time between two writes: longer, up to a bound, among many."""
+        timing = self.timing
+        shared_s = min(self.crowd() / ROW_WRITES_PER_S, timing.window_s / 2)
+        return max(timing.flush_s, shared_s)
+
     async def flush(self, ended: bool = False) -> Flushed:
         """Write the row once, and drop what is frozen."""
         journal = self.journal
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -10,13 +10,21 @@
 from godwitmast.platform_api.steps import Failure
 from godwitmast.usage.journal import MAX_SEGMENTS, Flushed, Journal
 from godwitmast.usage.meter import UsageKey, UsageSum
-from godwitmast.usage.rows import load_node
+from godwitmast.usage.rows import UsageHead, decode_window, load_node
+from godwitmast.usage.windows import (
+    FreezeOutcome,
+    Frozen,
+    NotDue,
+    UsageTiming,
+    freeze_next,
+)
 from running import running
 
 pytestmark = pytest.mark.anyio
 
 BEARER = {"Authorization": f"Bearer {dev_key('arima')}"}
 KEY = UsageKey("arima", "question", MODEL)
+TIMING = UsageTiming(window_s=10, flush_s=1, grace_s=6, seal_s=6)
 
 
 async def test_clean_stop_leaves_all_usage_in_the_table(
@@ -73,3 +81,109 @@
         platform.run(journal.flush(90_000.0, ended=True))
     row = load_node(platform.table.read([journal.key])[journal.key].value)
     assert sum(sums[KEY].requests for sums in row.segments.values()) == 24 * 60
+
+
+class Windows:
+    """Entries that write to a table, and the holder of the usage duty."""
+
+    def __init__(self) -> None:
+        self.platform = FakePlatform()
+        head = UsageHead(990, {})._asdict()
+        self.platform.table.transact({}, {"usage/head": head})
+
+    def entry(self, node: str, at: float) -> Journal:
+        """Return the journal of an entry that began with one request at `at`."""
+        journal = Journal(node, "a", TIMING.window_s)
+        journal.add(KEY, UsageSum(1, 2, 3), at)
+        self.write(journal, at)
+        self.write(journal, at)
+        return journal
+
+    def write(self, journal: Journal, at: float) -> Flushed:
+        return self.platform.run(journal.flush(at))
+
+    def freeze(self, at: float) -> FreezeOutcome:
+        return self.platform.run(freeze_next({}, at, TIMING))
+
+    def billed(self) -> int:
+        """Return the requests that stand in windows."""
+        name = max(self.platform.objects)
+        figures = decode_window(self.platform.objects[name]).figures
+        return sum(row[3] for row in figures)
+
+
+@pytest.fixture
+def windows() -> Windows:
+    return Windows()
+
+
+def test_window_is_frozen_as_soon_as_every_entry_is_past_it(windows: Windows) -> None:
+    """A holder that waits out the grace may be gone by its end, and the report late."""
+    entries = [windows.entry(f"e{n}", 1005.0) for n in range(3)]
+    assert isinstance(windows.freeze(1009.0), NotDue)
+    for entry in entries:
+        windows.write(entry, 1011.0)
+    assert windows.freeze(1011.6) == Frozen(1000, 3, late=False)
+
+
+def test_entry_that_the_table_turns_away_is_waited_for(windows: Windows) -> None:
+    """The table turns one of two entries away from before a window's end until 5 s
+    after it. Its requests were missing in that window, and too many in a later one."""
+    entry, away = windows.entry("e1", 1005.0), windows.entry("e2", 1005.0)
+    away.add(KEY, UsageSum(1, 2, 3), 1006.0)
+    windows.write(entry, 1011.0)
+    for at in (1011.6, 1013.0, 1014.9):
+        outcome = windows.freeze(at)
+        assert isinstance(outcome, NotDue) and outcome.wait_s <= 0.5
+    windows.write(away, 1015.0)
+    assert windows.freeze(1015.1) == Frozen(1000, 2, late=False)
+    assert windows.billed() == 3
+
+
+def test_run_that_a_newer_one_of_its_entry_follows_is_not_waited_for(
+    windows: Windows,
+) -> None:
+    """A process is killed and started again; what it had written is billed in time."""
+    windows.entry("e1", 1005.0)
+    windows.write(Journal("e1", "a", TIMING.window_s), 1011.0)
+    assert windows.freeze(1011.6) == Frozen(1000, 1, late=False)
+    assert windows.billed() == 1
+
+
+def test_entry_that_died_for_good_is_waited_for_no_longer_than_the_grace(
+    windows: Windows,
+) -> None:
+    windows.entry("e1", 1005.0)
+    assert isinstance(windows.freeze(1015.9), NotDue)
+    assert windows.freeze(1016.0) == Frozen(1000, 1, late=False)
+    assert windows.billed() == 1
+
+
+def test_entry_whose_row_was_closed_bills_only_what_the_row_does_not_hold(
+    windows: Windows,
+) -> None:
+    """An entry freezes past the grace and wakes with one request it had not written."""
+    entry = windows.entry("e1", 1005.0)
+    entry.add(KEY, UsageSum(1, 2, 3), 1006.0)
+    assert isinstance(windows.freeze(1016.0), Frozen)
+    assert windows.write(entry, 1017.0) is Flushed.SEALED
+    windows.write(entry, 1018.0)
+    windows.write(entry, 1021.0)
+    windows.write(entry, 1022.0)
+    assert isinstance(windows.freeze(1022.0), Frozen)
+    assert windows.billed() == 1
+
+
+def test_first_row_of_a_run_closes_no_window_that_it_brings_figures_for(
+    windows: Windows,
+) -> None:
+    """An entry starts while the table turns it away. Its first write only makes its
+    row; a freeze between that one and the next took its earlier windows for empty, and
+    never looked at them again."""
+    entry = Journal("e1", "a", TIMING.window_s)
+    entry.add(KEY, UsageSum(1, 2, 3), 1005.0)
+    windows.write(entry, 1012.0)
+    assert isinstance(windows.freeze(1012.1), NotDue)
+    windows.write(entry, 1012.2)
+    assert windows.freeze(1012.3) == Frozen(1000, 1, late=False)
+    assert windows.billed() == 1
