Let an engine copy a prompt's opening from the one that has read it

Change: placement names the engine that holds the opening (where this router sent it last, else the one that ranks first, else, where that one is new in its group, the one that did before); Start carries it, and the platform's adapter sends it as the source. Only where the configuration says that engines copy faster than any engine reads. What is left: openings whose only engine crashed or was taken away.

--- a/src/godwitmast/config/document.py
+++ b/src/godwitmast/config/document.py
@@ -63,6 +63,8 @@
     idempotent: bool = True
     max_output_tokens: Annotated[int, Field(gt=0)] = 1024
     weight_gb: Positive = 14.0
+    fetches: bool = False
+    """Its engines copy parts of prompts from each other, far faster than they read."""
 
 
 class Service(NamedTuple):
--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -134,6 +134,15 @@
     slow: int = 0
     placement: Placement = field(default_factory=Placement)
 
+    def members(self) -> list[BackendId]:
+        """Return the servers that are in the choice, with room or not."""
+        return [
+            state.backend_id
+            for cell in self.cells.values()
+            for state in cell.members.values()
+            if state.health.is_in()
+        ]
+
     def target_gap(self, now: float) -> float | None:
         """Return the strictest time between tokens that classes lately asked for."""
         if not self.targets:
@@ -256,12 +265,7 @@
         now: float,
     ) -> BackendId | None:
         """Return the engine for a prompt whose parts are known."""
-        members = [
-            state.backend_id
-            for cell in view.cells.values()
-            for state in cell.members.values()
-            if state.health.is_in()
-        ]
+        members = view.members()
         open_engines = [
             state
             for cell in view.cells.values()
@@ -272,6 +276,15 @@
             request.prompt, members, open_engines, self.zone, now
         )
 
+    def source_of(
+        self, request: RequestSpec, backend_id: BackendId, now: float
+    ) -> BackendId | None:
+        """Return the engine that another one may copy a prompt's parts from."""
+        view = self.pools.get(request.pool)
+        if view is None or len(request.parts) < 2:
+            return None
+        return view.placement.source(request.prompt, backend_id, view.members(), now)
+
     def placement_of(self, request: RequestSpec) -> Placement | None:
         """Return what is known of the prompts in the request's pool, if it has any."""
         view = self.pools.get(request.pool)
--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -123,12 +123,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Start:
-    """Send the request to a backend server, from the token after `resume_from`."""
+    """Send the request to a backend server, from the token after `resume_from`.
+
+    The server is to copy what it lacks of the prompt from `fetch_from`, if that is set.
+    """
 
     request_id: RequestId
     attempt_id: AttemptId
     backend_id: BackendId
     resume_from: int = 0
+    fetch_from: BackendId | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/godwitmast/dispatch/placement.py
+++ b/src/godwitmast/dispatch/placement.py
@@ -80,6 +80,13 @@
 
 MAX_PARTS = 4096
 
+FETCH_TOKENS = 256.0
+"""Fewer tokens than this are read sooner than a copy is begun."""
+
+NEW_S = 20.0
+"""For how long an engine counts as new in its group: the parts that now rank it first
+are still where they were before."""
+
 
 class Part(NamedTuple):
     """A part of a prompt, in order; equal ids are equal text after equal parts."""
@@ -153,6 +160,8 @@
     """The engines that may be taken away at short notice."""
     unread: dict[BackendId, float] = field(default_factory=dict)
     sent: dict[tuple[BackendId, str], float] = field(default_factory=dict)
+    joined: dict[bool, dict[BackendId, float]] = field(default_factory=dict)
+    """Since when each engine is in the quick group (True), or in the other one."""
 
     def is_quick(self, prompt: Prompt) -> bool:
         """Return whether the prompts of its class are short."""
@@ -197,6 +206,7 @@
         ranks must be the same for routers that see other engines full.
         """
         group = self.group(prompt, members)
+        self.note_group(prompt, group, now)
         inside = [engine for engine in open_engines if engine.backend_id in group]
         candidates = inside or open_engines
         outside: Mapping[BackendId, float] = {}
@@ -257,6 +267,51 @@
             + far
         )
 
+    def source(
+        self,
+        prompt: Prompt,
+        chosen: BackendId,
+        members: Collection[BackendId],
+        now: float,
+    ) -> BackendId | None:
+        """Return the engine that `chosen` may copy a prompt's shared parts from.
+
+        Load pattern: bursts that send prompts past the engine that has read their
+        opening, and engines that come and go, so that openings rank another one first.
+        Each such prompt has its opening read again, which takes an engine's time from
+        all that runs there.
+        """
+        shared = prompt.parts[:-1]
+        missing = [part for part in shared if not self.holds(chosen, part, now)]
+        if sum(part.tokens for part in missing) < FETCH_TOKENS:
+            return None
+        deepest = shared[-1]
+        others = [name for name in members if name != chosen]
+        known = [name for name in others if self.holds(name, deepest, now)]
+        if known:
+            return max(known, key=lambda name: self.sent[(name, deepest.part_id)])
+        group = self.group(prompt, members)
+        home = highest(deepest.part_id, group)
+        if home != chosen:
+            return home
+        if self.is_new(prompt, chosen, now):
+            old = [name for name in group if not self.is_new(prompt, name, now)]
+            return highest(deepest.part_id, old)
+        return None
+
+    def note_group(
+        self, prompt: Prompt, group: Collection[BackendId], now: float
+    ) -> None:
+        """Remember since when each engine is in a group."""
+        since = self.joined.get(self.is_quick(prompt), {})
+        self.joined[self.is_quick(prompt)] = {
+            name: since.get(name, now) for name in group
+        }
+
+    def is_new(self, prompt: Prompt, engine: BackendId, now: float) -> bool:
+        since = self.joined.get(self.is_quick(prompt), {})
+        return now - since.get(engine, now) < NEW_S
+
     def holds(self, backend_id: BackendId, part: Part, now: float) -> bool:
         sent_at = self.sent.get((backend_id, part.part_id))
         return sent_at is not None and now - sent_at < PART_MEMORY_S
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -492,6 +492,10 @@
             return []
         attempt_id = self.book.board(flight, backend_id, now)
         self.backends.started(backend_id, now)
+        source = None
+        model = self.document.models.get(request.pool)
+        if model is not None and model.fetches:
+            source = self.backends.source_of(request, backend_id, now)
         placement = self.backends.placement_of(request)
         if placement is not None:
             flight.unread = placement.started(backend_id, request.prompt, now)
@@ -499,7 +503,8 @@
         self.guard.started(request.fingerprint, backend_id, now)
         if flight.may_move and request.pool not in self.document.services:
             self.watch_over(flight, now)
-        return [Start(request.request_id, attempt_id, backend_id, flight.tokens)]
+        request_id = request.request_id
+        return [Start(request_id, attempt_id, backend_id, flight.tokens, source)]
 
     def may_take_place(self, flight: Flight, place: BackendId) -> bool:
         state = self.backends.states.get(place)
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from functools import partial
 from typing import Any
+from urllib.parse import urlsplit
 
 import anyio
 from anyio.abc import TaskGroup
@@ -161,6 +162,11 @@
         backend = self.backends.get(backend_id)
         return backend.kind if backend else "unknown"
 
+    def address_of(self, backend_id: BackendId | None) -> str | None:
+        """Return the host and port of a backend server, if it is known."""
+        url = self.urls.get(backend_id) if backend_id is not None else None
+        return urlsplit(url).netloc if url else None
+
     def submit(self, request: RequestSpec) -> Mailbox:
         """Hand a request to the router; its mailbox gets Start, Refuse or both."""
         send, receive = anyio.create_memory_object_stream[Action](16)
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -327,7 +327,8 @@
     async def pass_on(self, start: Start, url: str, scope: AttemptScope) -> None:
         """Send the request and give the caller what comes back."""
         outbound = self.outbound
-        sending = outbound.attempt(start.backend_id, self.driver.clock.now())
+        source = self.driver.address_of(start.fetch_from)
+        sending = outbound.attempt(start.backend_id, self.driver.clock.now(), source)
         self.attempts += 1
         self.last_backend = start.backend_id
         self.ran_before = self.may_have_run
--- a/src/godwitmast/entry/outbound.py
+++ b/src/godwitmast/entry/outbound.py
@@ -84,8 +84,13 @@
     def reader(self) -> StreamReader:
         """Return what reads the answer's stream, across attempts."""
 
-    def attempt(self, backend_id: BackendId, now: float) -> Sending:
-        """Return what an attempt that starts now sends to a server."""
+    def attempt(
+        self, backend_id: BackendId, now: float, source: str | None = None
+    ) -> Sending:
+        """Return what an attempt that starts now sends to a server.
+
+        `source` is the address of another one that it may copy parts of the prompt from.
+        """
 
     def is_ours(self, answer: httpx.Response) -> bool:
         """Return whether an answer belongs to this request."""
@@ -124,7 +129,9 @@
     reports_load: bool = False
     reader: StreamReader = field(default_factory=EventReader)
 
-    def attempt(self, backend_id: BackendId, now: float) -> Sending:
+    def attempt(
+        self, backend_id: BackendId, now: float, source: str | None = None
+    ) -> Sending:
         return Sending(self.headers, self.content)
 
     def is_ours(self, answer: httpx.Response) -> bool:
@@ -149,7 +156,9 @@
     reports_load: bool = True
     reader: EventReader = field(default_factory=EventReader)
 
-    def attempt(self, backend_id: BackendId, now: float) -> Sending:
+    def attempt(
+        self, backend_id: BackendId, now: float, source: str | None = None
+    ) -> Sending:
         """Return the call, going on after the tokens that the caller was given.
 
         The router's count can be a token behind, when it moved a stream while a token
--- a/src/godwitmast/platform/catalog.py
+++ b/src/godwitmast/platform/catalog.py
@@ -25,6 +25,7 @@
     READY,
     STREAMING,
     WireConfig,
+    WireEngine,
     WireLimits,
     WireRoute,
     WireServer,
@@ -36,6 +37,9 @@
 
 LOWEST_PRIORITY = 9
 
+FAST_TOKENS_PER_MS = 200.0
+"""Copied at this rate, a part arrives several times sooner than any engine reads it."""
+
 PATIENCE_S, PATIENCE_AIMS, PATIENCE_GAPS = 2.0, 4.0, 8.0
 """Callers leave a stream after the longest of two seconds, four times the aim for its
 first event, and eight times that for the pause between events, as the platform says."""
@@ -68,7 +72,11 @@
         classes=make_classes(wire.routes, ranks),
         teams={tenant.name: Team() for tenant in tenants},
         keys=make_keys(tenants),
-        models={item.name: Model() for item in wire.services if item.engine},
+        models={
+            item.name: Model(fetches=copies_fast(item.engine))
+            for item in wire.services
+            if item.engine
+        },
         services={item.name: Service() for item in wire.services if not item.engine},
     )
     return Catalog(
@@ -81,6 +89,12 @@
     )
 
 
+def copies_fast(engine: WireEngine) -> bool:
+    """Return whether engines copy parts of prompts faster than they read them."""
+    bits = 8.0 * engine.kv_token_bytes
+    return bits > 0 and engine.link_mbps * 1000 / bits > FAST_TOKENS_PER_MS
+
+
 class Ranks:
     """The order of all pairs of a team's and a route's priority, 0 first.
 
--- a/src/godwitmast/platform/front.py
+++ b/src/godwitmast/platform/front.py
@@ -40,6 +40,7 @@
     ATTEMPT_ID,
     DEADLINE_MS,
     EXPECT_INSTANCE,
+    KV_FETCH,
     LAST_EVENT_ID,
     NOT_EXECUTED,
     PROMPT_PREFIX,
@@ -99,7 +100,9 @@
     def reader(self) -> StreamReader:
         return self.events
 
-    def attempt(self, backend_id: BackendId, now: float) -> Sending:
+    def attempt(
+        self, backend_id: BackendId, now: float, source: str | None = None
+    ) -> Sending:
         """Return the request with what is left of its time, for that server only."""
         left_ms = max(1, int((self.deadline - now) * 1000))
         headers = [
@@ -107,6 +110,8 @@
             (DEADLINE_MS, str(left_ms)),
             (EXPECT_INSTANCE, backend_id),
         ]
+        if source is not None:
+            headers.append((KV_FETCH, source))
         if self.events.last_id is not None:
             headers = [pair for pair in headers if pair[0] != LAST_EVENT_ID]
             headers.append((LAST_EVENT_ID, self.events.last_id))
--- a/src/godwitmast/platform/wire.py
+++ b/src/godwitmast/platform/wire.py
@@ -4,7 +4,7 @@
 does not; unknown fields are ignored, since the platform may add some.
 """
 
-from typing import Any, Final
+from typing import Final
 
 import msgspec
 
@@ -12,6 +12,8 @@
 """The caller's id of this request; a server repeats it with its answer."""
 DEADLINE_MS = "deadline-ms"
 EXPECT_INSTANCE = "expect-instance"
+KV_FETCH = "kv-fetch"
+"""The address of a server that the prompt's parts are copied from."""
 LAST_EVENT_ID = "last-event-id"
 NOT_EXECUTED = "not-executed"
 PROMPT_PREFIX = "prompt-prefix"
@@ -32,7 +34,7 @@
         "expect-version",
         "hold",
         "kv-backup",
-        "kv-fetch",
+        KV_FETCH,
         "kv-from",
         "pin-ms",
     ]
@@ -120,11 +122,18 @@
     zone_prices: dict[str, float] = {}
 
 
+class WireEngine(Shape):
+    """The engines of a service; `link_mbps` is what one copies memory at."""
+
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
+
+
 class WireService(Shape):
     """A service; one with an `engine` runs models."""
 
     name: str
-    engine: dict[str, Any] | None = None
+    engine: WireEngine | None = None
     scale_limits: WireScale | None = None
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -177,3 +177,49 @@
     went = {pool.place(router, question(2), 60.0) for router in range(3)}
     assert len(went) == 1
     assert quick not in went
+
+
+def subject_sources(placement: Placement, members: list[BackendId], now: float) -> int:
+    """Send one summary of each of 40 subjects; return how many may copy its opening."""
+    copied = 0
+    for subject in range(40):
+        prompt = summary(subject, subject)
+        engines = [Engine(name) for name in members]
+        chosen = placement.choose(prompt, members, engines, ZONE, now)
+        assert chosen is not None
+        source = placement.source(prompt, chosen, members, now)
+        assert source != chosen
+        copied += source is not None
+        placement.was_read(chosen, placement.started(chosen, prompt, now))
+    return copied
+
+
+def test_prompt_that_passes_its_busy_home_copies_its_opening_from_there() -> None:
+    """A burst fills the engine that has read an opening; another one, which would read
+    13,300 tokens again, copies them in a seventh of that time."""
+    placement = Placement()
+    prompt = summary(1, 1)
+    engines = {name: Engine(name) for name in NAMES}
+    home = placement.choose(prompt, NAMES, list(engines.values()), ZONE, 1.0)
+    assert home is not None
+    placement.was_read(home, placement.started(home, prompt, 1.0))
+    engines[home].running = 1000.0
+    other = placement.choose(summary(1, 2), NAMES, list(engines.values()), ZONE, 2.0)
+    assert other is not None and other != home
+    assert placement.source(summary(1, 2), other, NAMES, 2.0) == home
+    assert placement.source(summary(1, 2), home, NAMES, 2.0) is None
+
+
+def test_engine_that_joined_copies_from_where_the_openings_were() -> None:
+    """A server starts and ranks first for a sixth of the openings, and holds none."""
+    placement = Placement()
+    assert subject_sources(placement, NAMES[:-1], 100.0) == 0
+    assert subject_sources(placement, NAMES, 201.0) > 2
+    assert subject_sources(placement, NAMES, 300.0) == 0
+
+
+def test_little_is_read_sooner_than_copied() -> None:
+    placement = Placement()
+    parts = (Part("tone", 100), Part("own", 900))
+    prompt = Prompt(ClassName("question"), 1000, parts)
+    assert placement.source(prompt, NAMES[0], NAMES, 1.0) is None
--- a/tests/test_platform_catalog.py
+++ b/tests/test_platform_catalog.py
@@ -9,6 +9,7 @@
 from godwitmast.platform.catalog import Ranks, read_config
 from godwitmast.platform.front import read_deadline, read_parts, read_tokens
 from godwitmast.platform.store import count_requests
+from godwitmast.types import PoolName
 from godwitmast.usage.rows import FrozenWindow
 
 
@@ -104,3 +105,21 @@
     ]
     late = [["t", "c", "p", 3, 0, 0], ["u", "c", "p", 1, 0, 0]]
     assert count_requests(FrozenWindow(10, 15, figures, late)) == {"t": 4}
+
+
+@pytest.mark.parametrize(
+    ("engine", "fetches"),
+    [
+        ({"kvTokenBytes": 163_840, "linkMbps": 550_000.0}, True),
+        ({"kvTokenBytes": 163_840, "linkMbps": 25_000.0}, False),
+        ({"kvTokenBytes": 0, "linkMbps": 550_000.0}, False),
+        ({"batchSlots": 8}, False),
+    ],
+)
+def test_engines_copy_parts_only_over_links_that_beat_reading(
+    engine: dict[str, float], fetches: bool
+) -> None:
+    config = config_of(1)
+    config["services"][0]["engine"] = engine
+    models = read_config(json.encode(config)).config.document.models
+    assert models[PoolName("lm")].fetches is fetches
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -61,6 +61,25 @@
     assert KEY not in str(served.headers)
 
 
+async def test_prompt_that_passes_its_first_engine_names_it_as_source(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    """The engine that has read an opening sheds; the next one is told to copy it."""
+    config = config_of(2)
+    config["services"][0]["engine"] = {"kvTokenBytes": 1000, "linkMbps": 1_000_000.0}
+    fleet.store.put_config(config)
+    await fleet.until(lambda: fleet.node.config_version() == 2)
+    prompt = {"Prompt-Prefix": "aa:5000,bb:100", "Token-Usage": "5100,10"}
+    await fleet.ask(http, "/chat/1", "POST", **prompt)
+    first = next(engine for engine in fleet.engines if engine.served)
+    other = next(engine for engine in fleet.engines if engine is not first)
+    assert "kv-fetch" not in first.served[0].headers
+    first.faults.sheds = True
+    await fleet.ask(http, "/chat/1", "POST", **prompt, **{"Attempt-Id": "a2"})
+    source = f"127.0.0.1:{first.server.port}"
+    assert other.served[-1].headers["kv-fetch"] == source
+
+
 async def test_headers_that_only_the_router_sets_are_not_taken_from_callers(
     fleet: Fleet, http: httpx.AsyncClient
 ) -> None:
