Size the quick group by the places it holds too, and keep longer pauses out of it

On their own engines they paused for clumps of marks (1,800 tokens, pauses of 250 ms), whose class stood on one side of the border of 2,048 tokens or the other by chance: mean event 45 ms, single ones past 150. Change: a short class is quick only if it bears no longer pauses than the tightest (1.3 times); the group has as many engines as its share of the held seconds asks for, of all that runs, at 0.6 of the places. Both follow what passes by. Tests: two new ones, with marks in clumps and with long answers to short prompts.

--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -29,7 +29,7 @@
 from godwitmast.dispatch.loads import OtherLoad
 from godwitmast.dispatch.messages import BackendSpec, LoadReport, RequestSpec
 from godwitmast.dispatch.pace import GapWindow, PoolPace
-from godwitmast.dispatch.placement import Placement
+from godwitmast.dispatch.placement import Placement, Running
 from godwitmast.types import BackendId, ZoneName
 
 TARGET_MEMORY_S = 60.0
@@ -134,10 +134,10 @@
     slow: int = 0
     placement: Placement = field(default_factory=Placement)
 
-    def members(self) -> list[BackendId]:
+    def members(self) -> list[BackendState]:
         """Return the servers that are in the choice, with room or not."""
         return [
-            state.backend_id
+            state
             for cell in self.cells.values()
             for state in cell.members.values()
             if state.health.is_in()
@@ -265,7 +265,12 @@
         now: float,
     ) -> BackendId | None:
         """Return the engine for a prompt whose parts are known."""
-        members = view.members()
+        states = view.members()
+        members = [state.backend_id for state in states]
+        running = Running(
+            sum(state.load(now) for state in states),
+            sum(state.limit.value for state in states) / max(1, len(states)),
+        )
         open_engines = [
             state
             for cell in view.cells.values()
@@ -273,7 +278,7 @@
             if state.backend_id not in avoid
         ]
         return view.placement.choose(
-            request.prompt, members, open_engines, self.zone, now
+            request.prompt, members, open_engines, self.zone, now, running
         )
 
     def source_of(
@@ -283,7 +288,8 @@
         view = self.pools.get(request.pool)
         if view is None or len(request.parts) < 2:
             return None
-        return view.placement.source(request.prompt, backend_id, view.members(), now)
+        members = [state.backend_id for state in view.members()]
+        return view.placement.source(request.prompt, backend_id, members, now)
 
     def placement_of(self, request: RequestSpec) -> Placement | None:
         """Return what is known of the prompts in the request's pool, if it has any."""
--- a/src/godwitmast/dispatch/placement.py
+++ b/src/godwitmast/dispatch/placement.py
@@ -8,8 +8,9 @@
 has read is read again: a third of all tokens that day.
 
 So engines stand in one order that all routers agree on without talking, and the first
-of them, as many as the quick requests' share of the tokens asks for, take the quick
-classes; the rest take the others. Engines that may be taken away come last in the
+of them take the quick classes: those of short prompts that bear no longer pauses than
+any other. They are as many as the quick requests' share of the tokens asks for, and of
+the places that are held; the rest take the others. Engines that may be taken away come last in the
 order: a quick stream cannot be moved, and a quick group whose engines come and go meets
 the long prompts of the others at each change.
 
@@ -20,6 +21,7 @@
 one. A quick prompt may leave its group when much more runs there than elsewhere.
 """
 
+import math
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
@@ -33,6 +35,10 @@
 chunks are the most that an event of three tokens can wait for within the shortest pause
 that callers asked for."""
 
+TIGHT_FACTOR = 1.3
+"""A class that bears pauses longer by more than this than the tightest short one is not
+quick: several of its prompts at a time hold up streams of the tightest one."""
+
 MEAN_WEIGHT = 0.05
 """Weight of one prompt in its class's mean: the last twenty or so decide."""
 
@@ -122,13 +128,20 @@
 Without them the first quick streams went everywhere, and the first long prompts onto
 them: in the first two seconds of a day one stream in four was late."""
 
+FIRST_HELD_S = 5.0
+"""Seconds of each kind that are taken as held at the start."""
+
+QUICK_FILL = 0.6
+"""The part of their places that quick requests are to hold in their group. The rest is
+for what other routers send there before reports tell, and for the start of a burst."""
+
 LEAST_SHARE = 0.02
 """Below this part of the tokens a kind counts as absent, and has no engines of its own."""
 
 
 @dataclass(slots=True)
 class Demand:
-    """Tokens of quick and of other requests, forgotten with time."""
+    """What quick and other requests took of something, forgotten with time."""
 
     quick: float = FIRST_QUICK
     other: float = FIRST_OTHER
@@ -141,11 +154,25 @@
         self.other = self.other * kept + (0.0 if quick else tokens)
         self.at = now
 
+    @property
+    def part(self) -> float:
+        """Return the quick requests' part."""
+        return self.quick / (self.quick + self.other)
+
     @property
     def share(self) -> float | None:
         """Return the quick requests' part; None where only one kind comes."""
-        share = self.quick / (self.quick + self.other)
-        return share if LEAST_SHARE < share < 1 - LEAST_SHARE else None
+        return self.part if LEAST_SHARE < self.part < 1 - LEAST_SHARE else None
+
+
+class Running(NamedTuple):
+    """What runs on all engines of a pool, and how many requests one of them runs."""
+
+    requests: float
+    places: float
+
+
+IDLE = Running(0.0, 1.0)
 
 
 @dataclass
@@ -153,6 +180,11 @@
     """The prompts of one pool, as one router sees them."""
 
     demand: Demand = field(default_factory=Demand)
+    """Tokens of prompts."""
+    held: Demand = field(default_factory=lambda: Demand(FIRST_HELD_S, FIRST_HELD_S))
+    """Seconds for which places in engines were held."""
+    gaps: dict[ClassName, float] = field(default_factory=dict)
+    """The longest pause that each class bears."""
     means: dict[ClassName, float] = field(default_factory=dict)
     own_means: dict[ClassName, float] = field(default_factory=dict)
     border: int = 1
@@ -164,25 +196,56 @@
     """Since when each engine is in the quick group (True), or in the other one."""
 
     def is_quick(self, prompt: Prompt) -> bool:
-        """Return whether the prompts of its class are short."""
-        return self.means.get(prompt.class_name, prompt.tokens) <= QUICK_TOKENS
+        """Return whether its class has short prompts and bears the shortest pauses."""
+        name = prompt.class_name
+        if self.means.get(name, prompt.tokens) > QUICK_TOKENS:
+            return False
+        gap_s = self.gaps.get(name, math.inf)
+        tightest_s = min(
+            (
+                other_s
+                for other, other_s in self.gaps.items()
+                if self.means.get(other, 0.0) <= QUICK_TOKENS
+            ),
+            default=math.inf,
+        )
+        return gap_s <= TIGHT_FACTOR * tightest_s
 
-    def arrived(self, prompt: Prompt, now: float) -> None:
-        """Take a prompt into the classes' means and the groups' demand."""
+    def arrived(self, prompt: Prompt, now: float, gap_s: float | None = None) -> None:
+        """Take a prompt into the classes' means and the groups' demand.
+
+        `gap_s` is the longest pause that its class bears, if one is named.
+        """
+        if gap_s is not None:
+            self.gaps[prompt.class_name] = gap_s
         own = prompt.tokens - sum(part.tokens for part in prompt.parts[:-1])
         move_mean(self.means, prompt.class_name, prompt.tokens)
         mean = move_mean(self.own_means, prompt.class_name, max(0, own))
         self.demand.add(mean, self.is_quick(prompt), now)
 
+    def ended(self, prompt: Prompt, held_s: float, now: float) -> None:
+        """Note for how long a request held its place."""
+        self.held.add(held_s, self.is_quick(prompt), now)
+
+    def quick_engines(self, engines: int, running: Running) -> float:
+        """Return how many of the engines the quick requests need.
+
+        Load pattern: short prompts with long answers. By the tokens that they read they
+        need one engine, by the places that they hold while they answer three; the rest
+        of them ran beside long prompts.
+        """
+        by_tokens = QUICK_ROOM * self.demand.part * engines
+        by_places = self.held.part * running.requests / (QUICK_FILL * running.places)
+        return max(by_tokens, by_places)
+
     def group(
-        self, prompt: Prompt, engines: Iterable[BackendId]
+        self, prompt: Prompt, engines: Iterable[BackendId], running: Running = IDLE
     ) -> Sequence[BackendId]:
         """Return the engines for a prompt, of all that are in the choice."""
         order = sorted(engines, key=self.place_of)
-        share = self.demand.share
-        if share is None or len(order) < 2:
+        if self.demand.share is None or len(order) < 2:
             return order
-        wanted = QUICK_ROOM * share * len(order)
+        wanted = self.quick_engines(len(order), running)
         if abs(wanted - self.border) > BORDER_STEP:
             self.border = round(wanted)
         border = min(len(order) - 1, max(1, self.border))
@@ -199,13 +262,14 @@
         open_engines: Sequence[Engine],
         zone: ZoneName,
         now: float,
+        running: Running = IDLE,
     ) -> BackendId | None:
         """Return the engine of `open_engines` for a prompt, in its group if it can.
 
         `members` are all that are in the choice, with room or not: the groups and the
         ranks must be the same for routers that see other engines full.
         """
-        group = self.group(prompt, members)
+        group = self.group(prompt, members, running)
         self.note_group(prompt, group, now)
         inside = [engine for engine in open_engines if engine.backend_id in group]
         candidates = inside or open_engines
@@ -290,7 +354,8 @@
         known = [name for name in others if self.holds(name, deepest, now)]
         if known:
             return max(known, key=lambda name: self.sent[(name, deepest.part_id)])
-        group = self.group(prompt, members)
+        last_group = self.joined.get(self.is_quick(prompt), {})
+        group = [name for name in last_group if name in members]
         home = highest(deepest.part_id, group)
         if home != chosen:
             return home
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -107,7 +107,7 @@
         self.book.add(Flight(request, target))
         placement = self.backends.placement_of(request)
         if placement is not None:
-            placement.arrived(request.prompt, now)
+            placement.arrived(request.prompt, now, target.between_tokens_s)
         refusals = self.forget_refused(self.admission.offer(request, now))
         return [*refusals, *self.pump(now)]
 
@@ -584,6 +584,9 @@
         backend_id = self.book.leave(flight)
         if backend_id is not None:
             self.note_read(flight, backend_id)
+            placement = self.backends.placement_of(flight.request)
+            if placement is not None:
+                placement.ended(flight.request.prompt, now - flight.started_at, now)
             self.backends.ended(backend_id, now)
             self.guard.ended(flight.request.fingerprint)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from godwitmast.dispatch.placement import Part, Placement, Prompt
+from godwitmast.dispatch.placement import Part, Placement, Prompt, Running
 from godwitmast.types import BackendId, ClassName, ZoneName
 
 ZONE = ZoneName("a")
@@ -223,3 +223,47 @@
     parts = (Part("tone", 100), Part("own", 900))
     prompt = Prompt(ClassName("question"), 1000, parts)
     assert placement.source(prompt, NAMES[0], NAMES, 1.0) is None
+
+
+def mark(number: int) -> Prompt:
+    parts = (Part("sheet", 300), Part(f"m{number}", 1_500))
+    return Prompt(ClassName("mark"), 1_800, parts)
+
+
+def test_short_prompts_that_bear_longer_pauses_leave_the_tightest_streams_alone() -> (
+    None
+):
+    """Marks come in clumps. Each is read in a moment, but four in a row hold up the
+    questions' streams on their engine for longer than those bear, and not each other."""
+    placement = Placement()
+    for number in range(40):
+        placement.arrived(question(number), number / 10, 0.15)
+        placement.arrived(mark(number), number / 10, 0.25)
+        placement.arrived(summary(number, number), number / 10, 0.6)
+    assert placement.is_quick(question(1))
+    assert not placement.is_quick(mark(1))
+    assert not set(placement.group(question(1), NAMES)) & set(
+        placement.group(mark(1), NAMES)
+    )
+
+
+def test_long_answers_to_short_prompts_get_engines_by_the_places_they_hold() -> None:
+    """Questions are a tenth of the tokens, and half of what is held at any time.
+
+    Sized by tokens alone, their one engine of 32 places had no room for forty of them,
+    and the rest paused beside long prompts. In a burst to twice as many the group
+    follows at once.
+    """
+    placement = Placement()
+    for number in range(200):
+        now = number / 20
+        placement.arrived(question(number), now, 0.15)
+        placement.arrived(summary(number, number), now, 0.6)
+        placement.ended(question(number), 2.0, now)
+        placement.ended(summary(number, number), 2.0, now)
+    names = [BackendId(f"e{number}") for number in range(12)]
+    calm = placement.group(question(1), names, Running(80.0, 32.0))
+    burst = placement.group(question(1), names, Running(160.0, 32.0))
+    assert len(calm) == 2
+    assert len(burst) == 4
+    assert set(calm) <= set(burst)
