Wait for entries that are turned away until a report is due, and retry their writes

Change: rows are closed at 0.85 of the time that a report may take; just after an outage, or under a new holder, windows that are complete are frozen and only the closing of rows waits, for two writes; failed writes are tried again sooner, and at once after a row was closed; an entry whose row was closed is waited for in the next three windows. Ruled out: the report being later. Only a window that would be wrong anyway is waited for. Tests: three, on the table's rows.

--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -55,7 +55,7 @@
 USAGE_SHARE = 0.0625
 """The part of the grace for the last usage, after the requests."""
 
-USAGE_GRACE_SHARE = 0.7
+USAGE_GRACE_SHARE = 0.85
 WRITES_A_WINDOW = 5
 
 GATHER_SHARE = 0.4
@@ -84,8 +84,9 @@
     """Return how usage is counted so that each window is reported in time.
 
     Each VM writes some times a window, since what it has not written is lost with it.
-    One that the store turns away has most of the time that a report may take to come
-    back; the rest is for a holder that is slow.
+    One that the store turns away has nearly all of the time that a report may take to
+    come back: without its figures the report would be wrong, and is no better for being
+    early. The rest is some ten calls' time.
     """
     grace_s = bounds.usage_late_s * USAGE_GRACE_SHARE
     return UsageTiming(
--- a/src/godwitmast/usage/duty.py
+++ b/src/godwitmast/usage/duty.py
@@ -84,8 +84,8 @@
     async def run(self, guard: Guard) -> None:
         """Freeze what is due, and report what is frozen.
 
-        A new holder first waits as after an outage: the lease may have lapsed in one,
-        and what the entries kept during it is written now.
+        A new holder at first closes no entry's row, as after an outage: the lease may
+        have lapsed in one, and what the entries kept during it is written now.
         """
         self.watched.clear()
         self.owes_report = True
@@ -116,13 +116,14 @@
 
     async def freeze(self, guard: Guard) -> bool:
         """Freeze every window that is due; return whether the table answered."""
-        back_s = self.table_back_at + self.timing.back_s - self.clock.now()
-        if back_s > 0:
-            # After an outage the entries first get time to write what they kept.
-            self.wait_s = back_s
-            return True
         while True:
-            steps = freeze_next(guard.checks, self.true_time.wall(), self.timing)
+            back_s = self.clock.now() - self.table_back_at
+            steps = freeze_next(
+                guard.checks,
+                self.true_time.wall(),
+                self.timing,
+                may_close=back_s >= self.timing.back_s,
+            )
             match await run_steps(self.platform, steps):
                 case Frozen(start, runs, late):
                     log_event("usage_frozen", window=start, runs=runs, late=late)
--- a/src/godwitmast/usage/windows.py
+++ b/src/godwitmast/usage/windows.py
@@ -46,7 +46,11 @@
 SETTLE_FLUSHES = 1.5
 """Writes are jittered, and take a moment to arrive."""
 
-BACK_FLUSHES = 3.0
+MISSED_WINDOWS = 3
+"""For how many windows an entry whose row was closed is waited for. After that it is
+taken for dead, and windows are frozen as early as before."""
+
+BACK_FLUSHES = 2.0
 """One write may still wait out its time-out as the table comes back."""
 
 
@@ -133,7 +137,7 @@
 
 
 def freeze_next(
-    lease: Checks, wall: float, timing: UsageTiming
+    lease: Checks, wall: float, timing: UsageTiming, may_close: bool = True
 ) -> Steps[FreezeOutcome]:
     """Freeze the next window if every entry is past it, or its time is up.
 
@@ -141,6 +145,9 @@
     so does the holder of this duty. Frozen early, a window does not depend on who holds
     the duty at one late moment; waited for, it holds what an entry could write only
     seconds after its end.
+
+    Entries that are behind may only be closed if `may_close`: just after an outage of
+    the table they write what they kept.
     """
     found = yield Read([HEAD_KEY])
     if not isinstance(found, Rows):
@@ -160,8 +167,19 @@
     rows = {key: load_node(row.value) for key, row in nodes.rows.items()}
     behind = [key for key, row in rows.items() if not row.final(start)]
     gone = [key for key in behind if is_gone(rows[key], rows.values(), wall, timing)]
-    if len(gone) < len(behind) and wall < end + timing.grace_s:
-        return NotDue(min(timing.settle_s / 3, end + timing.grace_s - wall))
+    last_missed = start - MISSED_WINDOWS * width
+    missed = [
+        row
+        for row in rows.values()
+        if row.sealed
+        and last_missed <= row.window <= start
+        and not is_followed(row, rows.values())
+    ]
+    # An entry that was cut off for longer than the grace of one window is often back
+    # within that of the next, which would lack its figures as well.
+    waits = (len(gone) < len(behind) or missed) and wall < end + timing.grace_s
+    if waits or (behind and not may_close):
+        return NotDue(timing.settle_s / 3)
     for key in gone:
         if not (yield from seal(lease, rows[key], nodes.version(key))):
             # It lives after all, or the lease is gone: the next look tells.
@@ -198,6 +216,11 @@
     """
     if wall >= row.window + timing.window_s + timing.seal_s:
         return True
+    return is_followed(row, rows)
+
+
+def is_followed(row: NodeRow, rows: Iterable[NodeRow]) -> bool:
+    """Return whether a newer run of the same entry writes."""
     return any(o.node == row.node and o.window > row.window for o in rows)
 
 
--- a/src/godwitmast/usage/writer.py
+++ b/src/godwitmast/usage/writer.py
@@ -22,6 +22,10 @@
 ROW_WRITES_PER_S = 40.0
 """Of all entries together: a fifth of what one part of a table takes, or less."""
 
+RETRY_SHARE = 0.4
+"""A write that failed is tried again after this part of the time between two writes: a
+table that turned this entry away may take it again just before a window is closed."""
+
 EARLIEST_S = 2.0
 """Least time between two writes, also when the configuration changes often."""
 
@@ -71,7 +75,12 @@
             # Before the flush, so that a change which comes during it is not missed.
             self.flush_early = anyio.Event()
             outcome = await self.flush()
-            if outcome is Flushed.WRITTEN and self.journal.sequence == 1:
+            first = outcome is Flushed.WRITTEN and self.journal.sequence == 1
+            if first or outcome is Flushed.SEALED:
+                # What it has counted so far is not in the table yet.
+                continue
+            if outcome is not Flushed.WRITTEN:
+                await anyio.sleep(RETRY_SHARE * self.timing.flush_s)
                 continue
             interval_s = self.interval_s() * random.uniform(0.9, 1.1)
             earliest_s = min(EARLIEST_S, interval_s)
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -187,3 +187,52 @@
     windows.write(entry, 1012.2)
     assert windows.freeze(1012.3) == Frozen(1000, 1, late=False)
     assert windows.billed() == 1
+
+
+def test_entries_are_not_closed_while_they_write_after_an_outage(
+    windows: Windows,
+) -> None:
+    """The table was away for longer than the grace, and its first caller is the holder:
+    it took every entry for dead, and billed nothing of what they had kept."""
+    entries = [windows.entry(f"e{n}", 1005.0) for n in range(2)]
+    for entry in entries:
+        entry.add(KEY, UsageSum(1, 2, 3), 1006.0)
+    steps = freeze_next({}, 1020.0, TIMING, may_close=False)
+    assert isinstance(windows.platform.run(steps), NotDue)
+    for entry in entries:
+        windows.write(entry, 1020.5)
+    steps = freeze_next({}, 1021.0, TIMING, may_close=False)
+    assert windows.platform.run(steps) == Frozen(1000, 2, late=False)
+    assert windows.billed() == 4
+
+
+def test_entry_that_was_closed_is_waited_for_in_the_next_window(
+    windows: Windows,
+) -> None:
+    """An entry is cut off for longer than the grace of the window that it was in.
+
+    Its row is closed, and the next window looked complete: it was frozen at once,
+    without what the entry brings when it is back a second later."""
+    stays, away = windows.entry("e1", 1005.0), windows.entry("e2", 1005.0)
+    for at in (1011.0, 1021.0):
+        windows.write(stays, at)
+    away.add(KEY, UsageSum(1, 2, 3), 1012.0)
+    assert isinstance(windows.freeze(1022.0), Frozen)
+    assert isinstance(windows.freeze(1022.1), NotDue)
+    assert windows.write(away, 1023.0) is Flushed.SEALED
+    windows.write(away, 1023.1)
+    windows.write(away, 1023.2)
+    assert windows.freeze(1023.3) == Frozen(1010, 1, late=False)
+    assert windows.billed() == 1
+
+
+def test_entry_that_stays_away_holds_up_no_later_windows(windows: Windows) -> None:
+    stays = windows.entry("e1", 1005.0)
+    windows.entry("e2", 1005.0)
+    windows.write(stays, 1061.0)
+    for start in range(1000, 1050, 10):
+        assert windows.freeze(1061.0 + start / 1e6) == Frozen(
+            start, 2 if start == 1000 else 0, late=False
+        )
+    windows.write(stays, 1071.0)
+    assert isinstance(windows.freeze(1071.6), Frozen)
