Let a request probe one doubtful server at most

Cause: behind a cut every server of the other zones is out, and due to be tried again after a while. A request that probed one waited out a connect time-out, was then taken for the next probe, and was late by all of them or refused, although servers in reach had room. Change: only a request that has met no failure probes. Test: three of four servers behind a cut; it failed before.

--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -530,7 +530,11 @@
         if self.is_kept_apart(flight):
             return self.place_apart(flight, now)
         highest = min(item.tier for item in self.document.classes.values())
-        may_probe = request.idempotent and flight.target.tier > highest
+        # Behind a cut every server of a zone is to be probed, and each probe takes a
+        # connect time-out: a request makes one, or it is late by all of them.
+        may_probe = (
+            request.idempotent and flight.target.tier > highest and not flight.avoid
+        )
         backend_id = self.backends.choose(request, flight.avoid, now, may_probe)
         if backend_id is None and flight.avoid:
             # It failed on each server that has room. What is left to try is those.
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -290,6 +290,24 @@
     assert refusal.code is RefusalCode.BACKEND_FAILED
 
 
+def test_request_probes_one_server_at_most(router: Router) -> None:
+    """Three of four servers are behind a cut, and due to be tried again.
+
+    A draft tried one after the other and waited out a connect time-out for each, though
+    the fourth had room all the while.
+    """
+    names = [server(n).backend_id for n in range(4)]
+    for name in names[1:]:
+        router.backends.went_down(name, 0.0)
+    router.tick(2.0)
+    draft = request(1, class_name="draft", arrived=2.0)
+    probe = started(router, draft, 2.0)
+    assert probe.backend_id in names[1:]
+    router.failed("r1", probe.attempt_id, FailureKind.CONNECT, 2.3)
+    _, second = run_until(router, 2.3, 2.6, is_start)
+    assert second.backend_id == names[0]
+
+
 def test_request_that_fails_everywhere_ends_after_its_last_attempt(
     router: Router,
 ) -> None:
