--- a/src/godwitmast/usage/duty.py
+++ b/src/godwitmast/usage/duty.py
@@ -125,7 +125,9 @@
                 may_close=back_s >= self.timing.back_s,
             )
             match await run_steps(self.platform, steps):
-                case Frozen(start, runs, late):
+                case Frozen(start, runs, late, closed):
+                    for run in closed:
+                        log_event("usage_sealed", level="WARNING", run=run)
                     log_event("usage_frozen", window=start, runs=runs, late=late)
                     self.late_windows.inc(int(late))
                     self.owes_report = True
--- a/src/godwitmast/usage/windows.py
+++ b/src/godwitmast/usage/windows.py
@@ -83,11 +83,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Frozen:
-    """A window was frozen; `late` says whether it holds usage of earlier ones."""
+    """A window was frozen; `late` says whether it holds usage of earlier ones.
+
+    `closed` are the runs whose rows were closed for it.
+    """
 
     start: int
     runs: int
     late: bool
+    closed: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,7 +192,8 @@
     gathered = gather(rows.values(), head.marks, start, width)
     checks = {**lease, HEAD_KEY: found.version(HEAD_KEY)}
     if (yield from write_window(checks, gathered)):
-        return Frozen(start, gathered.runs, bool(gathered.window.late))
+        closed = tuple(rows[key].incarnation for key in gone)
+        return Frozen(start, gathered.runs, bool(gathered.window.late), closed)
     return NotWritten()
 
 
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -144,18 +144,20 @@
     windows: Windows,
 ) -> None:
     """A process is killed and started again; what it had written is billed in time."""
-    windows.entry("e1", 1005.0)
+    killed = windows.entry("e1", 1005.0)
     windows.write(Journal("e1", "a", TIMING.window_s), 1011.0)
-    assert windows.freeze(1011.6) == Frozen(1000, 1, late=False)
+    closed = (killed.incarnation,)
+    assert windows.freeze(1011.6) == Frozen(1000, 1, late=False, closed=closed)
     assert windows.billed() == 1
 
 
 def test_entry_that_died_for_good_is_waited_for_no_longer_than_the_grace(
     windows: Windows,
 ) -> None:
-    windows.entry("e1", 1005.0)
+    dead = windows.entry("e1", 1005.0)
     assert isinstance(windows.freeze(1015.9), NotDue)
-    assert windows.freeze(1016.0) == Frozen(1000, 1, late=False)
+    closed = (dead.incarnation,)
+    assert windows.freeze(1016.0) == Frozen(1000, 1, late=False, closed=closed)
     assert windows.billed() == 1
 
 
@@ -228,11 +230,11 @@
 
 def test_entry_that_stays_away_holds_up_no_later_windows(windows: Windows) -> None:
     stays = windows.entry("e1", 1005.0)
-    windows.entry("e2", 1005.0)
+    away = windows.entry("e2", 1005.0)
     windows.write(stays, 1061.0)
-    for start in range(1000, 1050, 10):
-        assert windows.freeze(1061.0 + start / 1e6) == Frozen(
-            start, 2 if start == 1000 else 0, late=False
-        )
+    closed = (away.incarnation,)
+    assert windows.freeze(1061.0) == Frozen(1000, 2, late=False, closed=closed)
+    for start in range(1010, 1050, 10):
+        assert windows.freeze(1061.0) == Frozen(start, 0, late=False)
     windows.write(stays, 1071.0)
     assert isinstance(windows.freeze(1071.6), Frozen)
