--- a/src/godwitmast/admission/lengths.py
+++ b/src/godwitmast/admission/lengths.py
@@ -13,8 +13,7 @@
 LENGTH_QUANTILE = 0.95
 """Nineteen answers in twenty are no longer than charged. What was charged too much is
 given back at the end, so that the choice moves when a team pays, not how much. A class
-with a target for the whole answer also starts by it: at 0.8, 1.4 to 2.5 times as many
-of its answers came late (docs/MEASUREMENTS.md, "Admission under load")."""
+with a target for the whole answer also starts by it."""
 
 FIRST_GUESS = 256
 """Tokens charged for a class of which no answer has ended."""
--- a/src/godwitmast/admission/preemption.py
+++ b/src/godwitmast/admission/preemption.py
@@ -14,8 +14,7 @@
 Entries share servers and do not see each other's queues. One whose places have all gone
 to lower tiers of the others has nobody to interrupt; its urgent request goes to a full
 server then, as engines serve the highest priority first. Where places come free soon,
-such requests go there at once. Only the highest tier may: with
-every tier but the lowest, engines were so overfull that twice the tokens came late.
+such requests go there at once. Only the highest tier may, or engines are overfull.
 """
 
 from typing import NamedTuple
@@ -31,7 +30,7 @@
 
 URGENT_SHARE = 0.6
 """The last part of its wait in which a request may interrupt others. Before it, a place
-may still come free by itself. At 0.3, a fifth more questions were refused or late."""
+may still come free by itself."""
 
 MIN_URGENT_S = 0.15
 """Three ticks of the entry, so that the last moment cannot fall between two of them."""
@@ -43,8 +42,7 @@
 SOON_HOLD_S = 6.0
 """Where requests hold their places no longer than this, a full engine of eight frees one
 each 0.8 s. A request of the highest tier does best to wait there from the start, before
-the lower tiers of all entries: at twice capacity that saved half of the interruptions,
-and the prompts read again for them."""
+the lower tiers of all entries: it interrupts fewer, whose prompts are read again."""
 
 
 class Preemption(NamedTuple):
--- a/src/godwitmast/capacity/zonal.py
+++ b/src/godwitmast/capacity/zonal.py
@@ -8,8 +8,7 @@
 cheap servers taken away at two seconds' notice in their midst. Servers that are ordered
 when a burst shows come as it ends, so room for it has to stand ready; and room is
 affordable only as cheap servers. Without a floor on demand, the reclaim of a zone takes
-every server there, and what they had read: with three cheap servers a zone and none on
-demand, 0.86 of a quiet day's credit was earned, with one and two of them 0.95.
+every server there, the quick streams that cannot be moved, and what they had read.
 
 A number wanted is not an order that can be counted twice: sent again, it changes
 nothing. So nothing is written down before it is sent, a lost answer is settled by
@@ -31,9 +30,7 @@
 
 START_ROOM = 2.0
 """The first plan as a part of the fleet that was found, whose operators sized it without
-servers that may be taken away. With a crash and a reclaim in one burst, half as many
-again left too few: 0.79 and 0.84 of two such days' credit, with twice as many 0.85 and
-0.90, for a price that rose by a fourteenth."""
+servers that may be taken away. A crash and a reclaim in one burst must leave enough."""
 
 ON_DEMAND_SHARE = 0.25
 """The servers on demand, as a part of all; each zone has one at least, so that one that
--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -38,9 +38,7 @@
 
 SPILL_MARGIN = 0.3
 """Another zone's server is taken before its zone's turn if it is emptier by this part
-of its limit. Measured on 6 seeds: with a straggler in the zone, 99.0 % of questions met
-their targets, against 97.9 % with spilling only from full zones; at 0.15 the zones mix
-more for no gain, and at 0.5 most of it is gone."""
+of its limit, so that a straggler in the own zone does not make it wait for that."""
 
 
 @dataclass(slots=True)
--- a/src/godwitmast/dispatch/health.py
+++ b/src/godwitmast/dispatch/health.py
@@ -20,8 +20,7 @@
 
 SLOW_FACTOR = 5.0
 """An engine that reads a chunk of a long prompt in each step of a window is up to four
-times slower than its peers, and healthy. With a factor of 3, a play without any fault
-ejected 36 servers in 300 s."""
+times slower than its peers, and healthy."""
 
 HEALTHY_FACTOR = 2.5
 SLOW_STRIKES = 2
--- a/src/godwitmast/dispatch/placement.py
+++ b/src/godwitmast/dispatch/placement.py
@@ -2,17 +2,17 @@
 
 Load pattern: quick questions among long prompts, with openings that many share. An
 engine reads a prompt in chunks between the tokens of all that runs on it, and a chunk
-takes as long as eight steps without one. A stream beside a prompt of several chunks
-pauses at each event; placed by the number of requests alone, two in three quick
-streams missed their pause on a quiet day. And a prompt whose opening another engine
-has read is read again: a third of all tokens that day.
+takes as long as several steps without one. A stream beside a prompt of several chunks
+pauses at each event, so that placement by the number of requests makes quick streams
+late even on a quiet day. And a prompt whose opening another engine has read is read
+again.
 
 So engines stand in one order that all routers agree on without talking, and the first
 of them take the quick classes: those of short prompts that bear no longer pauses than
 any other. They are as many as the quick requests' share of the tokens asks for, and of
-the places that are held; the rest take the others. Engines that may be taken away come last in the
-order: a quick stream cannot be moved, and a quick group whose engines come and go meets
-the long prompts of the others at each change.
+the places that are held; the rest take the others. Engines that may be taken away come
+last in the order: a quick stream cannot be moved, and a quick group whose engines come
+and go meets the long prompts of the others at each change.
 
 Within its group a prompt goes where the fewest tokens stand before its first one: those
 to be read of itself, those that this router sent there and that are not read yet, and a
@@ -47,15 +47,13 @@
 
 QUICK_ROOM = 0.8
 """The quick group's engines as a part of its share of the tokens. Short prompts fit in
-between each other, while a long one fills its engine for a third of a second; what the
-quick group does not need, the other one does. At 1.5 the group's border moved more
-often, and late quick streams on a quiet day rose from 7 to 43 of 279."""
+between each other, while a long one fills its engine; what the quick group does not
+need, the other one does."""
 
 BORDER_STEP = 0.75
 """How far the wanted number of quick engines must be from the present one to change it.
 Routers see unlike shares, and an engine that some take for quick and some do not serves
-neither: with plain rounding, one quick stream in six was late. A step of 1 leaves
-bursts of quick work on too few engines: 315 of 777 quick streams late, against 289."""
+neither. Waiting for a whole engine leaves bursts of quick work on too few."""
 
 REREAD_FACTOR = 2.0
 """How much worse a token of a shared part is than one that stands before: it takes the
@@ -77,9 +75,8 @@
 OVERFLOW_TOKENS = 6_000.0
 OVERFLOW_STEP = 500.0
 """What an engine outside of the quick group counts for, and each further one in their
-order: forty running requests, two thirds of a batch, and three more. At twenty, quick
-streams ran beside long prompts too soon: on a day of bursts 0.594 of their worth was
-earned, with forty 0.628."""
+order: forty running requests, and three more. Quick streams that leave sooner run
+beside long prompts without need."""
 
 PART_MEMORY_S = 20.0
 """How long a part is taken to be where this router sent it, off its first engine."""
@@ -125,8 +122,8 @@
 FIRST_QUICK = 5_000.0
 FIRST_OTHER = 15_000.0
 """Tokens of each kind that are taken as seen at the start: some three requests of each.
-Without them the first quick streams went everywhere, and the first long prompts onto
-them: in the first two seconds of a day one stream in four was late."""
+Without them the first quick streams go everywhere, and the first long prompts onto
+them."""
 
 FIRST_HELD_S = 5.0
 """Seconds of each kind that are taken as held at the start."""
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -49,8 +49,7 @@
 
 LATE_SHARE = 0.3
 """A server that takes this part of the first-token target to a first token has more
-work than it serves at speed: the rest of the target is for waiting in our queue. At
-0.5, most questions that were late had been sent to a server with a full batch."""
+work than it serves at speed: the rest of the target is for waiting in our queue."""
 
 
 class Router:
--- a/src/godwitmast/dispatch/timeouts.py
+++ b/src/godwitmast/dispatch/timeouts.py
@@ -7,9 +7,8 @@
 
 So the patience follows what is usual in the pool (see `pace`), within bounds, and it is
 with the server: a token of any stream on it is a sign of life for all of them, as an
-engine steps them together. A time-out for each stream by itself moved 287 healthy ones
-in a play of 300 s without any fault, each after some prompts before it. Each move
-draws on the retry budget, so that a spell in which everything is slow does not turn
+engine steps them together. A time-out for each stream by itself moves healthy ones that
+wait behind some prompts. Each move draws on the retry budget, so that a spell in which everything is slow does not turn
 into a storm of moves.
 """
 
@@ -26,8 +25,7 @@
 
 PATIENCE_SHARE = 0.5
 """Where it is known when callers leave, a first token is waited for half as long: early
-enough for another server, late enough that a busy spell is not taken for a hang. At the
-bound of half a second, one arrival in ten of a busy day was moved, and read again."""
+enough for another server, late enough that a busy spell is not taken for a hang."""
 
 GAP_FACTOR = 10.0
 """Ten tokens' time without a token: a step that reads a chunk of a long prompt takes
