--- a/src/godwitmast/usage/windows.py
+++ b/src/godwitmast/usage/windows.py
@@ -46,9 +46,10 @@
 SETTLE_FLUSHES = 1.5
 """Writes are jittered, and take a moment to arrive."""
 
-MISSED_WINDOWS = 3
+MISSED_WINDOWS = 1
 """For how many windows an entry whose row was closed is waited for. After that it is
-taken for dead, and windows are frozen as early as before."""
+taken for dead: a window that is frozen late may be late for good, as the table or the
+holder can go away meanwhile."""
 
 BACK_FLUSHES = 2.0
 """One write may still wait out its time-out as the table comes back."""
