Report a window from memory once it is frozen, and wait less for the dead

Change: the holder sends what it has just frozen, without a read (three calls a window less); a run that a newer one follows is closed at once, also after an outage; a closed entry is waited for 0.6 of the grace. Tests: a table that goes away once a window is frozen, a newer run after an outage.

--- a/src/godwitmast/usage/duty.py
+++ b/src/godwitmast/usage/duty.py
@@ -1,7 +1,7 @@
 """Freezes and reports usage windows under a lease."""
 
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 from prometheus_client import CollectorRegistry, Counter, Gauge
@@ -12,7 +12,7 @@
 from godwitmast.logs import log_event
 from godwitmast.platform_api.port import Reporting
 from godwitmast.platform_api.runner import run_steps
-from godwitmast.platform_api.steps import Rows, Scan, Steps
+from godwitmast.platform_api.steps import Failure, Rows, Scan, Steps
 from godwitmast.usage.rows import NODE_PREFIX, NodeRow, load_node
 from godwitmast.usage.windows import (
     DueReport,
@@ -44,6 +44,13 @@
     since: float
 
 
+class Marked(NamedTuple):
+    """The last window that the table has as reported, and the version of that row."""
+
+    start: int
+    version: int
+
+
 class UsageDuty:
     """The one reporter of usage."""
 
@@ -70,6 +77,8 @@
         self.table_away = False
         self.wait_s = 0.0
         self.owes_report = True
+        self.fresh: dict[int, DueReport] = {}
+        self.marked: Marked | None = None
         self.late_windows = Counter(
             "godwit_usage_late_windows",
             "Windows that hold usage of earlier ones.",
@@ -88,6 +97,8 @@
         have lapsed in one, and what the entries kept during it is written now.
         """
         self.watched.clear()
+        self.fresh.clear()
+        self.marked = None
         self.owes_report = True
         self.table_back_at = self.clock.now()
         steps = begin_windows(guard.checks, self.true_time.wall(), self.timing.window_s)
@@ -125,21 +136,30 @@
                 may_close=back_s >= self.timing.back_s,
             )
             match await run_steps(self.platform, steps):
-                case Frozen(start, runs, late, closed):
-                    for run in closed:
-                        log_event("usage_sealed", level="WARNING", run=run)
-                    log_event("usage_frozen", window=start, runs=runs, late=late)
-                    self.late_windows.inc(int(late))
-                    self.owes_report = True
-                    self.note_table(True)
+                case Frozen() as frozen:
+                    self.note_frozen(frozen)
                 case NotDue(wait_s):
                     self.note_table(True)
                     self.wait_s = wait_s
                     return True
                 case _:
+                    # It may be frozen all the same, and is then not known here.
+                    self.owes_report = True
                     self.note_table(False)
                     return False
 
+    def note_frozen(self, frozen: Frozen) -> None:
+        """Keep a window until it is reported: the table may be away by then."""
+        for run in frozen.closed:
+            log_event("usage_sealed", level="WARNING", run=run)
+        start, late = frozen.start, frozen.late
+        log_event("usage_frozen", window=start, runs=frozen.runs, late=late)
+        self.late_windows.inc(int(late))
+        if frozen.window is not None:
+            self.fresh[start] = DueReport(frozen.window, frozen.digest, 0)
+        self.owes_report = True
+        self.note_table(True)
+
     def loads(self) -> list[dict[str, Any]]:
         """Return what each entry that runs said of its load; empty if not known."""
         return [w.row.load for w in self.watched.values() if not w.row.ended]
@@ -152,17 +172,35 @@
     async def report(self, guard: Guard) -> None:
         """Send every window that is frozen and not confirmed, oldest first."""
         while self.owes_report:
-            due = await run_steps(self.platform, next_report(self.timing.window_s))
+            due: DueReport | Failure | None = self.next_fresh()
+            if due is None:
+                due = await run_steps(self.platform, next_report(self.timing.window_s))
             if not isinstance(due, DueReport):
                 # None says that all is reported; after a failure it is asked again.
                 self.owes_report = due is not None
                 return
             if not await self.send(guard, due):
                 return
-            if not await run_steps(self.platform, mark_reported(guard.checks, due)):
+            self.fresh.pop(due.window.start, None)
+            version = await run_steps(self.platform, mark_reported(guard.checks, due))
+            if version is None:
+                self.marked = None
                 return
+            self.marked = Marked(due.window.start, version)
+            self.owes_report = bool(self.fresh)
             self.lag.set(self.true_time.wall() - due.window.end)
 
+    def next_fresh(self) -> DueReport | None:
+        """Return the window after the last one reported, if it was frozen here.
+
+        It is reported without a look at the table, which would cost three calls and may
+        have gone away since.
+        """
+        if self.marked is None:
+            return None
+        due = self.fresh.get(self.marked.start + self.timing.window_s)
+        return due._replace(reported_version=self.marked.version) if due else None
+
     async def send(self, guard: Guard, due: DueReport) -> bool:
         """Send one window's frozen figures; return whether the intake has them."""
         report = {**due.window._asdict(), "digest": due.digest}
--- a/src/godwitmast/usage/windows.py
+++ b/src/godwitmast/usage/windows.py
@@ -7,7 +7,7 @@
 
 import hashlib
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from godwitmast.platform_api.messages import Conflict, Written
@@ -51,6 +51,9 @@
 taken for dead: a window that is frozen late may be late for good, as the table or the
 holder can go away meanwhile."""
 
+MISSED_SHARE = 0.6
+"""The part of the grace for which it is waited: more likely it is gone for good."""
+
 BACK_FLUSHES = 2.0
 """One write may still wait out its time-out as the table comes back."""
 
@@ -86,13 +89,16 @@
 class Frozen:
     """A window was frozen; `late` says whether it holds usage of earlier ones.
 
-    `closed` are the runs whose rows were closed for it.
+    `closed` are the runs whose rows were closed for it. `window` and `digest` are what
+    its object holds, so that it can be reported while the table is away.
     """
 
     start: int
     runs: int
     late: bool
     closed: tuple[str, ...] = ()
+    window: FrozenWindow | None = field(default=None, compare=False)
+    digest: str = field(default="", compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,7 +157,7 @@
     the duty at one late moment; waited for, it holds what an entry could write only
     seconds after its end.
 
-    Entries that are behind may only be closed if `may_close`: just after an outage of
+    Entries that are silent may only be closed if `may_close`: just after an outage of
     the table they write what they kept.
     """
     found = yield Read([HEAD_KEY])
@@ -171,19 +177,17 @@
         return NotWritten()
     rows = {key: load_node(row.value) for key, row in nodes.rows.items()}
     behind = [key for key, row in rows.items() if not row.final(start)]
-    gone = [key for key in behind if is_gone(rows[key], rows.values(), wall, timing)]
-    last_missed = start - MISSED_WINDOWS * width
-    missed = [
-        row
-        for row in rows.values()
-        if row.sealed
-        and last_missed <= row.window <= start
-        and not is_followed(row, rows.values())
+    gone = [
+        key
+        for key in behind
+        if is_followed(rows[key], rows.values())
+        or (may_close and is_silent(rows[key], wall, timing))
     ]
-    # An entry that was cut off for longer than the grace of one window is often back
-    # within that of the next, which would lack its figures as well.
-    waits = (len(gone) < len(behind) or missed) and wall < end + timing.grace_s
-    if waits or (behind and not may_close):
+    lives = len(gone) < len(behind)
+    late_s = wall - end
+    if lives and (late_s < timing.grace_s or not may_close):
+        return NotDue(timing.settle_s / 3)
+    if late_s < MISSED_SHARE * timing.grace_s and misses_entry(rows, start, width):
         return NotDue(timing.settle_s / 3)
     for key in gone:
         if not (yield from seal(lease, rows[key], nodes.version(key))):
@@ -192,10 +196,12 @@
         rows[key] = rows[key]._replace(ended=True, sealed=True)
     gathered = gather(rows.values(), head.marks, start, width)
     checks = {**lease, HEAD_KEY: found.version(HEAD_KEY)}
-    if (yield from write_window(checks, gathered)):
-        closed = tuple(rows[key].incarnation for key in gone)
-        return Frozen(start, gathered.runs, bool(gathered.window.late), closed)
-    return NotWritten()
+    digest = yield from write_window(checks, gathered)
+    if digest is None:
+        return NotWritten()
+    window, runs = gathered.window, gathered.runs
+    closed = tuple(rows[key].incarnation for key in gone)
+    return Frozen(start, runs, bool(window.late), closed, window, digest)
 
 
 def begin_windows(lease: Checks, wall: float, width: int) -> Steps[bool]:
@@ -209,43 +215,56 @@
     return isinstance(result, Written | Conflict)
 
 
-def is_gone(
-    row: NodeRow, rows: Iterable[NodeRow], wall: float, timing: UsageTiming
-) -> bool:
-    """Return whether an entry writes no more to its row, as far as that can be told.
+def misses_entry(rows: dict[str, NodeRow], start: int, width: int) -> bool:
+    """Return whether an entry whose row was closed may yet bring figures of a window.
+
+    One that was cut off for longer than the grace of one window is often back within
+    that of the next, which would lack its figures as well.
+    """
+    oldest = start - MISSED_WINDOWS * width
+    return any(
+        row.sealed
+        and oldest <= row.window <= start
+        and not is_followed(row, rows.values())
+        for row in rows.values()
+    )
+
+
+def is_silent(row: NodeRow, wall: float, timing: UsageTiming) -> bool:
+    """Return whether an entry has not written since long after its row's window.
 
-    Another run of the same entry has gone past it, or nothing was written since long
-    after the window that it was in. Its last figures could otherwise never be taken:
-    they would be missing in their window and come too late in the next. An entry that
-    was only paused, cut off or turned away finds its row sealed, and goes on under a
-    new one with what the sealed row does not hold.
+    Its last figures could otherwise never be taken: they would be missing in their
+    window and come too late in the next. An entry that was only paused, cut off or
+    turned away finds its row sealed, and goes on under a new one with what the sealed
+    row does not hold.
     """
-    if wall >= row.window + timing.window_s + timing.seal_s:
-        return True
-    return is_followed(row, rows)
+    return wall >= row.window + timing.window_s + timing.seal_s
 
 
 def is_followed(row: NodeRow, rows: Iterable[NodeRow]) -> bool:
-    """Return whether a newer run of the same entry writes."""
+    """Return whether a newer run of the same entry writes, so that this one is over."""
     return any(o.node == row.node and o.window > row.window for o in rows)
 
 
-def write_window(checks: Checks, gathered: Gathered) -> Steps[bool]:
-    """Make a window's figures final; only the first write of a window can."""
+def write_window(checks: Checks, gathered: Gathered) -> Steps[str | None]:
+    """Make a window's figures final, and return their digest.
+
+    Only the first write of a window can; None for one that did not, as far as is known.
+    """
     window = gathered.window
     content = encode_window(window)
     digest = hashlib.sha256(content).hexdigest()
     name = f"{window_key(window.start)}/{digest}"
     put = yield PutObject(name, content)
     if isinstance(put, Failure):
-        return False
+        return None
     key = window_key(window.start)
     head = UsageHead(window.start, gathered.marks)
     result = yield Transact(
         {**checks, key: 0},
         {HEAD_KEY: head._asdict(), key: {"object": name, "digest": digest}},
     )
-    return isinstance(result, Written)
+    return digest if isinstance(result, Written) else None
 
 
 class DueReport(NamedTuple):
@@ -283,13 +302,16 @@
     return DueReport(decode_window(content.content), row["digest"], version)
 
 
-def mark_reported(lease: Checks, due: DueReport) -> Steps[bool]:
-    """Note that the intake took a window; if this is lost it is sent again, alike."""
+def mark_reported(lease: Checks, due: DueReport) -> Steps[int | None]:
+    """Note that the intake took a window, and return the version of that note.
+
+    None if it was not noted as far as is known: the window is sent again then, alike.
+    """
     result = yield Transact(
         {**lease, REPORTED_KEY: due.reported_version},
         {REPORTED_KEY: {"start": due.window.start, "digest": due.digest}},
     )
-    return isinstance(result, Written)
+    return result.versions[REPORTED_KEY] if isinstance(result, Written) else None
 
 
 def seal(lease: Checks, row: NodeRow, version: int) -> Steps[bool]:
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -1,13 +1,26 @@
 """Usage from callers' answers to the platform's intake, over real sockets."""
 
+from typing import Any
+
 import anyio
 import httpx
 import pytest
+from prometheus_client import CollectorRegistry
 
-from fakes import FakePlatform
+from fakes import FakeGuard, FakePlatform
 from godwitmast.dev.document import MODEL, dev_key
 from godwitmast.dev.system import DevSystem
-from godwitmast.platform_api.steps import Failure
+from godwitmast.errors import PlatformUnavailable
+from godwitmast.platform_api.steps import (
+    Failure,
+    GetObject,
+    PutObject,
+    Read,
+    Scan,
+    Step,
+    Transact,
+)
+from godwitmast.usage.duty import UsageDuty
 from godwitmast.usage.journal import MAX_SEGMENTS, Flushed, Journal
 from godwitmast.usage.meter import UsageKey, UsageSum
 from godwitmast.usage.rows import UsageHead, decode_window, load_node
@@ -83,6 +96,19 @@
     assert sum(sums[KEY].requests for sums in row.segments.values()) == 24 * 60
 
 
+class FakeClock:
+    """A clock that stands until a test moves it."""
+
+    def __init__(self, at: float) -> None:
+        self.at = at
+
+    def now(self) -> float:
+        return self.at
+
+    def wall(self) -> float:
+        return self.at
+
+
 class Windows:
     """Entries that write to a table, and the holder of the usage duty."""
 
@@ -191,6 +217,18 @@
     assert windows.billed() == 1
 
 
+def test_run_that_a_newer_one_follows_is_closed_also_just_after_an_outage(
+    windows: Windows,
+) -> None:
+    """A VM stops during an outage and starts again; waiting for what its old run kept
+    made the window late, and nothing more could come of it."""
+    killed = windows.entry("e1", 1005.0)
+    windows.write(Journal("e1", "a", TIMING.window_s), 1020.0)
+    steps = freeze_next({}, 1020.1, TIMING, may_close=False)
+    closed = (killed.incarnation,)
+    assert windows.platform.run(steps) == Frozen(1000, 1, late=False, closed=closed)
+
+
 def test_entries_are_not_closed_while_they_write_after_an_outage(
     windows: Windows,
 ) -> None:
@@ -238,3 +276,66 @@
         assert windows.freeze(1061.0) == Frozen(start, 0, late=False)
     windows.write(stays, 1071.0)
     assert isinstance(windows.freeze(1071.6), Frozen)
+
+
+class Intake:
+    """A platform whose table can be away while it takes reports."""
+
+    def __init__(self, platform: FakePlatform) -> None:
+        self.platform = platform
+        self.reports: list[int] = []
+        self.reads = 0
+
+    def ask(self, step: Step) -> Any:
+        if isinstance(step, Read | Scan | GetObject):
+            self.reads += 1
+        result = self.platform.take(step)
+        if isinstance(result, Failure):
+            raise PlatformUnavailable("away")
+        return result
+
+    async def read(self, keys: list[str]) -> Any:
+        return self.ask(Read(keys)).rows
+
+    async def scan(self, prefix: str, after: str = "") -> Any:
+        return self.ask(Scan(prefix, after)).rows
+
+    async def transact(self, checks: Any, writes: Any) -> Any:
+        return self.ask(Transact(checks, writes))
+
+    async def get_object(self, name: str) -> Any:
+        return self.ask(GetObject(name)).content
+
+    async def put_object(self, name: str, content: bytes) -> None:
+        self.ask(PutObject(name, content))
+
+    async def report_usage(self, report: Any) -> None:
+        self.reports.append(report["start"])
+
+
+async def test_window_is_reported_though_the_table_goes_away_once_it_is_frozen(
+    windows: Windows,
+) -> None:
+    """The table goes away just after a window was frozen. Its figures were read back
+    from there before they were sent: the report came after the outage, too late."""
+    clock = FakeClock(1011.6)
+    intake = Intake(windows.platform)
+    duty = UsageDuty(intake, clock, TIMING, CollectorRegistry())
+    guard = FakeGuard(0)
+    entry = windows.entry("e1", 1005.0)
+    windows.write(entry, 1011.0)
+    assert await duty.freeze(guard)
+    await duty.report(guard)
+    assert intake.reports == [1000]
+    windows.write(entry, 1021.0)
+    clock.at = 1021.6
+    assert await duty.freeze(guard)
+    windows.platform.away = True
+    reads = intake.reads
+    await duty.report(guard)
+    assert intake.reports == [1000, 1010]
+    assert intake.reads == reads
+    windows.platform.away = False
+    await duty.report(guard)
+    assert intake.reports == [1000, 1010, 1010]
+    assert not duty.owes_report
