--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -16,7 +16,7 @@
 
 def test_every_link_between_documents_leads_somewhere() -> None:
     missing = []
-    for page in [ROOT / "README.md", *(ROOT / "docs").glob("*.md")]:
+    for page in [ROOT / "README.md", *(ROOT / "docs").rglob("*.md")]:
         for target in re.findall(r"\]\(([^)#]+)", page.read_text()):
             if "://" not in target and not (page.parent / target).exists():
                 missing.append(f"{page.name}: {target}")
