Let a server go that left while only this VM was turned away by the store

A row that was removed during an outage is held for 2 s after the return, as after an outage of the store itself, in which the rows of all that live expire. Ruled out: the pause between two readings of changes (0.8 s), which is inside the bound. Change: rows are held only where half of them or more are missing. Fewer can be done without for two seconds; one that lives is back by then. Tests: one of six servers leaves while this process is turned away (failed before); a mass expiry is held as before.

--- a/src/godwitmast/platform_api/feed.py
+++ b/src/godwitmast/platform_api/feed.py
@@ -1,7 +1,7 @@
 """Follows a table of somebody else's that tells its changes."""
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 import anyio
@@ -25,6 +25,11 @@
 """Rows that expired while the platform was away are written again within two seconds
 of its return by those that live."""
 
+LAPSED_SHARE = 0.5
+"""From this part of the rows on, a loss is taken for an outage of the store, in which
+every row expires that outlasts it, and not for servers that left meanwhile. The others
+can do without fewer than that for two seconds."""
+
 
 @dataclass
 class FeedView:
@@ -33,9 +38,11 @@
     Load pattern: the platform's store is away for longer than the rows of backend
     servers last without a heartbeat. When it returns, its first answers say that every
     server is gone, though all of them serve. Taken at its word, a whole fleet would
-    leave at once and every request be refused until the heartbeats come. So a row that
-    was removed during an outage stays for `RETURN_GRACE_S` after it. One that is
-    removed later goes at once: its server leaves, and waits for nobody.
+    leave at once and every request be refused until the heartbeats come. So where a
+    good part of the rows was removed during an outage, they stay for `RETURN_GRACE_S`
+    after it. A few that are removed go at once, as does any that is removed later: it is
+    this process that was turned away, and their servers leave. Held for as long, they
+    got requests after they had left, while the others served.
     """
 
     rows: dict[str, bytes] = field(default_factory=dict)
@@ -61,31 +68,31 @@
         """Take all rows at once."""
         was_away = self.answered(now)
         self.version = snapshot.version
-        self.put(snapshot.rows, was_away)
-        present = {row.key for row in snapshot.rows}
-        for key in self.rows.keys() - present:
-            self.drop(key, was_away)
+        self.put(snapshot.rows)
+        self.drop(self.rows.keys() - {row.key for row in snapshot.rows}, was_away)
 
     def change(self, changes: Changes, now: float) -> bool:
         """Take changed rows; return whether there were any."""
         was_away = self.answered(now)
         self.version = changes.version
-        self.put(changes.rows, was_away)
+        self.put(changes.rows)
+        last = {row.key: row.content for row in changes.rows}
+        self.drop({key for key, content in last.items() if content is None}, was_away)
         return bool(changes.rows)
 
-    def put(self, rows: Iterable[FeedRow], may_return: bool) -> None:
+    def put(self, rows: Iterable[FeedRow]) -> None:
         for row in rows:
-            if row.content is None:
-                self.drop(row.key, may_return)
-            else:
+            if row.content is not None:
                 self.rows[row.key] = row.content
                 self.missing.discard(row.key)
 
-    def drop(self, key: str, may_return: bool) -> None:
-        """Take out a row, at once or when its time to come back is over."""
-        if may_return and key in self.rows:
-            self.missing.add(key)
-        else:
+    def drop(self, keys: Collection[str], was_away: bool) -> None:
+        """Take out rows, at once or when their time to come back is over."""
+        known = {key for key in keys if key in self.rows}
+        if was_away and len(known) >= LAPSED_SHARE * len(self.rows):
+            self.missing |= known
+            return
+        for key in keys:
             self.rows.pop(key, None)
             self.missing.discard(key)
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -67,3 +67,33 @@
 def test_row_that_came_only_with_the_return_can_go(view: FeedView) -> None:
     view.change(Changes([FeedRow("c", None)], 9), 15.0)
     assert not view.missing
+
+
+def test_one_server_of_many_that_left_while_this_process_was_turned_away_goes_at_once() -> (
+    None
+):
+    """The store turns this process away for some seconds and serves the others.
+
+    Meanwhile one server of six leaves without a word. Its row was held for two seconds
+    after the return, as after an outage of the store, and requests went to it long
+    after it had left.
+    """
+    view = FeedView()
+    view.replace(Snapshot(rows(*"abcdef"), 7), 0.0)
+    view.failed(10.0)
+    view.change(Changes([FeedRow("c", None)], 9), 15.0)
+    assert view.rows.keys() == set("abdef")
+    view.failed(20.0)
+    view.replace(Snapshot(rows(*"abde"), 12), 25.0)
+    assert view.rows.keys() == set("abde")
+
+
+def test_rows_that_lapsed_together_stay_for_the_grace() -> None:
+    view = FeedView()
+    view.replace(Snapshot(rows(*"abcdef"), 7), 0.0)
+    view.failed(10.0)
+    view.replace(Snapshot(rows(*"ab"), 12), 15.0)
+    assert view.rows.keys() == set("abcdef")
+    view.change(Changes(rows("c"), 13), 15.5)
+    assert view.expire(17.0)
+    assert view.rows.keys() == set("abc")
