Say once what stood twice, and name how often a waiting window is looked at

The tests' request builder and the loop that plays events serve all of their callers; two docstrings tell a purpose, not a play.

--- a/src/godwitmast/dispatch/placement.py
+++ b/src/godwitmast/dispatch/placement.py
@@ -227,9 +227,9 @@
     def quick_engines(self, engines: int, running: Running) -> float:
         """Return how many of the engines the quick requests need.
 
-        Load pattern: short prompts with long answers. By the tokens that they read they
-        need one engine, by the places that they hold while they answer three; the rest
-        of them ran beside long prompts.
+        Load pattern: short prompts with long answers. Sized by the tokens that they read
+        alone, their group has too few places for what answers, and the rest of them run
+        beside long prompts.
         """
         by_tokens = QUICK_ROOM * self.demand.part * engines
         by_places = self.held.part * running.requests / (QUICK_FILL * running.places)
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -147,7 +147,8 @@
     streamed: list[bytes] = field(default_factory=list)
     replayed: bool = False
     answered: bool = False
-    """The caller was sent its whole answer; a hang-up after that is the usual end."""
+    """The caller was sent its whole answer, or its refusal; a hang-up after that is the
+    usual end."""
     kind_tokens: Counter[str] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
--- a/src/godwitmast/usage/duty.py
+++ b/src/godwitmast/usage/duty.py
@@ -115,7 +115,7 @@
 
     def next_wait(self) -> float:
         """Return how long to sleep: till a window is due, unless something is owed."""
-        often = min(CHECK_EVERY_S, self.timing.window_s / 4)
+        often = min(CHECK_EVERY_S, self.watch_s)
         if self.table_away or self.owes_report:
             return often
         return max(SHORTEST_WAIT_S, min(self.wait_s, self.watch_s))
--- a/src/godwitmast/usage/windows.py
+++ b/src/godwitmast/usage/windows.py
@@ -46,6 +46,8 @@
 SETTLE_FLUSHES = 1.5
 """Writes are jittered, and take a moment to arrive."""
 
+LOOKS_A_SETTLE = 3
+
 MISSED_WINDOWS = 1
 """For how many windows an entry whose row was closed is waited for. After that it is
 taken for dead: a window that is frozen late may be late for good, as the table or the
@@ -79,6 +81,11 @@
         """Return how long after a window's end each entry should have written again."""
         return min(self.grace_s, SETTLE_FLUSHES * self.flush_s)
 
+    @property
+    def look_s(self) -> float:
+        """Return how often a window is looked at that waits for entries."""
+        return self.settle_s / LOOKS_A_SETTLE
+
     @property
     def back_s(self) -> float:
         """Return how long entries need after an outage to write what they kept."""
@@ -186,9 +193,9 @@
     lives = len(gone) < len(behind)
     late_s = wall - end
     if lives and (late_s < timing.grace_s or not may_close):
-        return NotDue(timing.settle_s / 3)
+        return NotDue(timing.look_s)
     if late_s < MISSED_SHARE * timing.grace_s and misses_entry(rows, start, width):
-        return NotDue(timing.settle_s / 3)
+        return NotDue(timing.look_s)
     for key in gone:
         if not (yield from seal(lease, rows[key], nodes.version(key))):
             # It lives after all, or the lease is gone: the next look tells.
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -43,20 +43,29 @@
     return router
 
 
-def submit(router: Router, attempts: int | None) -> Start:
-    spec = RequestSpec(
-        RequestId("r"),
+def request(
+    name: str, class_name: str = "chat", at: float = 0.0, attempts: int | None = None
+) -> RequestSpec:
+    return RequestSpec(
+        RequestId(name),
         TeamName("t"),
-        ClassName("chat"),
+        ClassName(class_name),
         PoolName("lm"),
-        0.0,
+        at,
         attempts=attempts,
     )
-    [start] = router.submit(spec, 0.0)
+
+
+def started(router: Router, spec: RequestSpec) -> Start:
+    [start] = router.submit(spec, spec.arrived)
     assert isinstance(start, Start)
     return start
 
 
+def submit(router: Router, attempts: int | None) -> Start:
+    return started(router, request("r", attempts=attempts))
+
+
 def next_start(router: Router, now: float) -> Start | Refuse:
     """Tick until the request is started again, or refused."""
     while True:
@@ -103,14 +112,7 @@
     made the pool busier.
     """
     for number in range(20):
-        spec = RequestSpec(
-            RequestId(f"w{number}"),
-            TeamName("t"),
-            ClassName("chat"),
-            PoolName("lm"),
-            0.0,
-        )
-        for start in router.submit(spec, 0.0):
+        for start in router.submit(request(f"w{number}"), 0.0):
             assert isinstance(start, Start)
             router.tokens_came(start.request_id, start.attempt_id, 1, 0.05)
             router.finished(start.request_id, start.attempt_id, 0.06)
@@ -126,16 +128,7 @@
     """Fill the one place of the one server with a draft that has begun to answer."""
     server = BackendSpec(BackendId("s0"), ZoneName("a"), frozenset(["lm"]), places=1)
     router.update_backends([server], 0.0)
-    draft = RequestSpec(
-        RequestId("d"),
-        TeamName("t"),
-        ClassName("draft"),
-        PoolName("lm"),
-        0.0,
-        attempts=attempts,
-    )
-    [start] = router.submit(draft, 0.0)
-    assert isinstance(start, Start)
+    start = started(router, request("d", "draft", attempts=attempts))
     router.tokens_came(start.request_id, start.attempt_id, 1, 0.1)
     return start
 
@@ -144,14 +137,7 @@
     """Let chats wait for a place until they are refused; return who gave way."""
     actions: list[Action] = []
     for number in range(3):
-        chat = RequestSpec(
-            RequestId(f"c{number}"),
-            TeamName("t"),
-            ClassName("chat"),
-            PoolName("lm"),
-            0.2,
-        )
-        actions += router.submit(chat, 0.2)
+        actions += router.submit(request(f"c{number}", at=0.2), 0.2)
     for tick in range(5, 20):
         actions += router.tick(tick / 20)
     return [item for item in actions if isinstance(item, Cancel)]
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -411,22 +411,18 @@
 )
 
 
-def play_crowded(router: Router, events: list[tuple[Any, int]]) -> None:
-    """Play events on two servers of one place each, for both tiers and bounded runs."""
-    router.update_backends([server(n, places=1) for n in range(2)], 0.0)
+def play(
+    router: Router,
+    events: list[tuple[Any, int]],
+    make: Callable[[Any, int], dict[str, Any]],
+) -> None:
+    """Play events; `make` returns how the request of an event differs from others."""
     caller = Caller(router)
     now = 0.0
     for number, (event, pick) in enumerate(events):
         now += 0.05
-        if event == "submit":
-            caller.submit(
-                request(
-                    number,
-                    arrived=now,
-                    class_name="draft" if pick % 2 else "question",
-                    attempts=(None, 1, 2)[pick % 3],
-                )
-            )
+        if event in ("submit", "poison"):
+            caller.submit(request(number, arrived=now, **make(event, pick)))
         elif event == "tick":
             now += pick / 10
             caller.note(router.tick(now))
@@ -435,6 +431,19 @@
         caller.check()
 
 
+def play_crowded(router: Router, events: list[tuple[Any, int]]) -> None:
+    """Play events on two servers of one place each, for both tiers and bounded runs."""
+    router.update_backends([server(n, places=1) for n in range(2)], 0.0)
+    play(
+        router,
+        events,
+        lambda event, pick: {
+            "class_name": "draft" if pick % 2 else "question",
+            "attempts": (None, 1, 2)[pick % 3],
+        },
+    )
+
+
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(CROWDED_EVENTS)
 def test_no_request_runs_on_more_servers_than_its_route_allows(
@@ -493,20 +502,14 @@
     nothing on a server that is not counted there, and "not run" only if so."""
     router = Router(document, ZoneName("a"), seed=3)
     router.update_backends([server(n) for n in range(3)], 0.0)
-    caller = Caller(router)
-    now = 0.0
-    for number, (event, pick) in enumerate(events):
-        now += 0.05
-        if event in ("submit", "poison"):
-            name = "bad" if event == "poison" else f"f{pick}"
-            changes = {"arrived": now, "fingerprint": name, "idempotent": pick != 3}
-            caller.submit(request(number, **changes))
-        elif event == "tick":
-            now += pick / 10
-            caller.note(router.tick(now))
-        elif caller.owner:
-            caller.happen(event, pick, now)
-        caller.check()
+    play(
+        router,
+        events,
+        lambda event, pick: {
+            "fingerprint": "bad" if event == "poison" else f"f{pick}",
+            "idempotent": pick != 3,
+        },
+    )
 
 
 def test_cut_streams_resume_although_every_place_is_wanted(router: Router) -> None:
