Divide the allowance of repeats among the VMs that there are

Cause: the slack of repeats was divided by twelve, a constant of the adapter. At 195 VMs all of them together could spend sixteen times the slack in one second, as in the loss of a zone's servers, which each sees at once.

Found on the way: a holder of the lease that had just taken over had not counted the VMs yet, and told all others that there was one. Each of them would then have watched the lease closely, and taken the whole allowance.

Change: DividedBudget takes the number of VMs that the lease's holder counts, with a margin of a third for those not counted yet, and the highest count of 30 s for those that are cut off. Nine VMs get the twelfth part that they had. A holder that has not counted keeps the count from before.

Ruled out: a part by the number of VMs in the settings, which do not tell it. Tests: 6 to 350 VMs that spend all at once stay within the allowance; both fail on the code before.

--- a/src/godwitmast/dispatch/retries.py
+++ b/src/godwitmast/dispatch/retries.py
@@ -12,6 +12,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from typing import NamedTuple
 
@@ -22,6 +23,17 @@
 """The most that the budget holds: the streams of three engines of 32, so that the crash
 of a few servers does not cut what could be resumed."""
 
+COUNT_MARGIN = 4 / 3
+"""By how much routers that spend may outnumber those that were counted."""
+
+COUNT_KEPT_S = 30.0
+"""How long routers that are no longer counted are taken to go on."""
+
+UNKNOWN_ROUTERS = 64
+UNKNOWN_RESERVE = 4.0
+"""What a router has until the others are counted, which takes a second after its start:
+its part among many, and what a failing server or two cost."""
+
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 2.0
 
@@ -53,6 +65,35 @@
         return True
 
 
+class DividedBudget(RetryBudget):
+    """A part of an allowance that all routers draw on.
+
+    Load pattern: a fault that every router sees at once, such as the loss of a zone's
+    servers. Each spends its whole part in the same second, so the parts have to add up
+    to the allowance however many routers there are. Routers that were not counted yet,
+    or are cut off and no longer counted, spend theirs as well: hence a margin, and the
+    highest count of the last `COUNT_KEPT_S`.
+    """
+
+    def __init__(self, allowance: float, share: float) -> None:
+        uncounted = max(UNKNOWN_RESERVE, allowance / UNKNOWN_ROUTERS)
+        super().__init__(min(allowance, uncounted), share)
+        self.allowance = allowance
+        self.routers = 0
+        self.counted_at = -math.inf
+
+    def divide(self, routers: int, now: float) -> None:
+        """Take how many routers there are; 0 if that is not known."""
+        if routers < 1:
+            return
+        if routers < self.routers and now < self.counted_at + COUNT_KEPT_S:
+            return
+        first = self.routers == 0
+        self.routers, self.counted_at = routers, now
+        self.reserve = self.allowance / (COUNT_MARGIN * routers)
+        self.left = self.reserve if first else min(self.left, self.reserve)
+
+
 def backoff_s(failures: int, suspect: bool, draw: random.Random) -> float:
     """Return how long a failed request waits, with full jitter.
 
--- a/src/godwitmast/lease/driver.py
+++ b/src/godwitmast/lease/driver.py
@@ -15,6 +15,9 @@
 from godwitmast.platform_api.runner import take_step
 
 POLL_S = 0.1
+POLL_SPARED_S = 0.5
+"""Of one that leaves the lease to others."""
+
 RELEASE_TIMEOUT_S = 3.0
 
 
@@ -46,7 +49,11 @@
 
 
 class LeaseDriver:
-    """One lease and its duty."""
+    """One lease and its duty.
+
+    While `spared` says so, this process contends only if it is a candidate: others
+    watch the lease more closely than it would.
+    """
 
     def __init__(
         self,
@@ -55,12 +62,14 @@
         duty: Duty,
         node: str,
         timing: LeaseTiming = LeaseTiming(),
-        crowd: Callable[[], int] = lambda: 1,
+        count_vms: Callable[[], int] = lambda: 0,
+        spared: Callable[[], bool] = lambda: False,
     ) -> None:
         self.platform = platform
         self.clock = clock
         self.duty = duty
-        self.crowd = crowd
+        self.count_vms = count_vms
+        self.spared = spared
         holder = f"{node}/{secrets.token_hex(4)}"
         self.machine = LeaseMachine(duty.name, holder, timing)
         self.work: anyio.CancelScope | None = None
@@ -81,7 +90,10 @@
         while not machine.released:
             self.start_or_stop_duty(tasks)
             if self.held:
-                machine.crowd = max(1, self.crowd())
+                machine.vms = self.count_vms() or machine.vms
+            if self.spared() and not machine.is_involved:
+                await anyio.sleep(POLL_SPARED_S)
+                continue
             step = machine.step(self.clock.now(), self.clock.wall())
             if step is None:
                 await anyio.sleep(POLL_S)
--- a/src/godwitmast/lease/machine.py
+++ b/src/godwitmast/lease/machine.py
@@ -111,8 +111,9 @@
         self.next_at = 0.0
         self.leaving = False
         self.beats = 0
-        # How many contend, as the holder last told; and this one's lot among them.
-        self.crowd = 1
+        # How many contend, as the holder last told, 0 if it is not known; and this
+        # one's lot among them.
+        self.vms = 0
         self.draw = xxh3_64_intdigest(holder.encode()) / 2**64
         self.looked_at = -math.inf
 
@@ -192,7 +193,7 @@
         """
         self.beats += 1
         self.unproven = Unproven(fence, self.beats, now, wall)
-        return {"fence": fence, "beat": self.beats, "crowd": self.crowd}
+        return {"fence": fence, "beat": self.beats, "crowd": self.vms}
 
     def take_over(self, watched: Watched, now: float, wall: float) -> Step:
         fence = watched.fence + 1
@@ -241,7 +242,13 @@
 
     @property
     def is_candidate(self) -> bool:
-        return self.draw * self.crowd < CANDIDATES
+        return self.draw * max(1, self.vms) < CANDIDATES
+
+    @property
+    def is_involved(self) -> bool:
+        """Return whether it holds the lease, may hold it, or watches it closely."""
+        busy = self.out is not None or self.unproven is not None or self.leaving
+        return busy or self.tenure is not None or self.is_candidate
 
     def took(self, result: Result, now: float) -> None:
         """Take the result of the step that is out."""
@@ -315,7 +322,8 @@
                 self.next_at = now
                 return
         self.tenure = None
-        self.crowd = max(1, beat.get("crowd", 1))
+        # A new holder has not counted yet; what was known before is nearer the truth.
+        self.vms = beat.get("crowd", 0) or self.vms
         seen = Watched(lease_version, beat_version, lease["fence"], lease["holder"])
         look = now + self.watch_s
         if seen != self.watched:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -13,7 +13,14 @@
 from godwitmast.dispatch.limits import MIN_LIMIT, START_LIMIT, ServerLimit
 from godwitmast.dispatch.loads import HALF_LIFE_S, OtherLoad
 from godwitmast.dispatch.messages import BackendSpec, LoadReport, RequestSpec
-from godwitmast.dispatch.retries import RESERVE, RetryBudget, RetryQueue, backoff_s
+from godwitmast.dispatch.retries import (
+    COUNT_KEPT_S,
+    RESERVE,
+    DividedBudget,
+    RetryBudget,
+    RetryQueue,
+    backoff_s,
+)
 from godwitmast.types import BackendId, RequestId, ZoneName
 
 POOL = "godwit-lm"
@@ -286,3 +293,50 @@
     queue.add(RequestId("c"), 9.0)
     assert queue.take_due(5.0) == []
     assert queue.take_due(9.0) == ["c"]
+
+
+def spend(budget: RetryBudget) -> int:
+    """Return how many repeats can be run at once."""
+    spent = 0
+    while budget.take():
+        spent += 1
+    return spent
+
+
+@pytest.mark.parametrize("routers", [6, 9, 24, 60, 195, 350])
+def test_routers_that_all_repeat_at_once_stay_within_the_allowance(
+    routers: int,
+) -> None:
+    """Every VM loses the same servers in one second, and spends its whole part."""
+    allowance = 430.0
+    budgets = [DividedBudget(allowance, 0.1) for _ in range(routers)]
+    for budget in budgets:
+        budget.divide(routers, 0.0)
+    assert sum(spend(budget) for budget in budgets) <= allowance
+
+
+def test_routers_that_are_cut_off_leave_their_parts_to_nobody_for_a_while() -> None:
+    """A zone is cut off: its VMs are counted no more, and spend what they had."""
+    budget = DividedBudget(600.0, 0.1)
+    budget.divide(100, 0.0)
+    budget.divide(80, 1.0)
+    assert budget.reserve == pytest.approx(600.0 / 100 * 3 / 4)
+    budget.divide(100, 10.0)
+    budget.divide(80, 10.0 + COUNT_KEPT_S)
+    assert budget.reserve == pytest.approx(600.0 / 80 * 3 / 4)
+
+
+def test_router_that_does_not_know_the_others_spends_little() -> None:
+    """Hundreds of VMs start at once, and none has counted the others yet."""
+    budget = DividedBudget(430.0, 0.1)
+    budget.divide(0, 0.0)
+    assert spend(budget) <= 430.0 / 60
+    budget.divide(300, 1.0)
+    assert budget.left <= budget.reserve
+
+
+def test_new_routers_lower_what_each_may_still_spend() -> None:
+    budget = DividedBudget(430.0, 0.1)
+    budget.divide(100, 0.0)
+    budget.divide(200, 1.0)
+    assert budget.left == budget.reserve == pytest.approx(430.0 / 200 * 3 / 4)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -98,7 +98,7 @@
     contenders look often."""
     platform = FakePlatform()
     holder = hold(platform, "holder", 100.0)
-    holder.crowd = crowd
+    holder.vms = crowd
     contenders = [LeaseMachine("orders", f"c{n}", TIMING) for n in range(crowd - 1)]
     calls = 0
     for tenth in range(int(seconds * 10)):
@@ -126,7 +126,7 @@
     """A zone is lost with the holder and all that watched closely."""
     platform = FakePlatform()
     holder = hold(platform, "holder", 100.0)
-    holder.crowd = 10_000
+    holder.vms = 10_000
     play(platform, holder, 103.0, Fate.ANSWERED)
     rest = LeaseMachine("orders", "one of many", TIMING)
     now = 103.0
@@ -136,3 +136,28 @@
         assert now < 103.0 + 3 * SLOW_WATCHES * TIMING.watch_s
     assert rest.watch_s == SLOW_WATCHES * TIMING.watch_s
     assert rest.fence_if_held(now, now) == 2
+
+
+def test_new_holder_that_has_not_counted_yet_keeps_the_count_of_before() -> None:
+    """A takeover told hundreds of VMs that one is there.
+
+    Each then watched the lease closely, and took the whole allowance of repeats.
+    """
+    platform = FakePlatform()
+    machines = [LeaseMachine("duties", name, TIMING) for name in ("a", "b")]
+    for machine in machines:
+        machine.vms = 195
+    now = 0.0
+    while not any(machine.tenure for machine in machines):
+        now += 0.5
+        for machine in machines:
+            step = machine.step(now, now)
+            if step is not None:
+                machine.took(platform.take(step), now)
+    beat = platform.table.rows["lease/duties/beat"].value
+    assert beat["crowd"] == 195
+    newcomer = LeaseMachine("duties", "c", TIMING)
+    step = newcomer.step(now, now)
+    assert step is not None
+    newcomer.took(platform.take(step), now)
+    assert newcomer.vms == 195
