Let a relay pass on the tables that it follows, where that saves calls

Cause: each VM follows the servers' and the configuration's table by itself, so that each change wakes all of them.

Change: a relay tells its followers each answer of the store, with the store's own time of it; they go by that for half of the shorter bound and then ask for themselves. A frame that was held up is as old as its answer.

Ruled out: an age counted from a frame's arrival, which takes a stalled link for fresh (test); going by one's own answers as by a relay's, which leaves two seconds without a call (test).

--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -1,10 +1,16 @@
 """One process a VM: the entry with the duties inside, on the platform's ports."""
 
+from functools import partial
 from pathlib import Path
 
 import anyio
 from anyio.abc import TaskGroup
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    CollectorRegistry,
+    Gauge,
+    generate_latest,
+)
 
 from godwitmast.backends.client import BackendClient
 from godwitmast.capacity.zonal import ZonalLimits
@@ -30,10 +36,12 @@
     READY_PATH,
     SERVERS_TABLE,
 )
-from godwitmast.platform_api.feed import FeedFollower
+from godwitmast.platform_api.feed import WAIT_S, FeedFollower
 from godwitmast.platform_api.runner import run_steps
 from godwitmast.platform_api.time_agreement import AgreedClock, agree_on_time
+from godwitmast.relay.copies import Sharing
 from godwitmast.relay.driver import RelayDriver
+from godwitmast.relay.feed import SharedFeed
 from godwitmast.settings import Listen, load_settings
 from godwitmast.sockets import SILENCE_OPTIONS
 from godwitmast.types import PoolName
@@ -65,6 +73,11 @@
 otherwise wake every VM for each of them. What is left, 1.2 s, is five times what a call
 takes from a store that is sixty times slower than it should be."""
 
+CONFIRM_SHARE = 0.3
+FRESH_SHARE = 0.5
+"""Parts of the time in which a change must be in force. What a relay told is gone by for
+half of it; the other half is for the call that a follower then makes itself."""
+
 LEASE_GUARD_S = 2.0
 REPORT_TIMEOUT_S = 1.5
 """Below the lease's guard: a report that is out when the lease lapses has arrived or
@@ -96,6 +109,12 @@
     )
 
 
+def feed_sharing(bounds: BoundsTable) -> Sharing:
+    """Return how fresh what a relay tells must be, by the shorter of two bounds."""
+    bound_s = min(bounds.drain_ms, bounds.config_deadline_ms) / 1000
+    return Sharing(bound_s * CONFIRM_SHARE, bound_s * FRESH_SHARE, WAIT_S)
+
+
 def lease_timing(bounds: BoundsTable) -> LeaseTiming:
     """Return a lease that outlasts the platform's own, and is soon taken over."""
     ttl_s = bounds.lease_ms / 1000
@@ -130,10 +149,15 @@
         self.servers_known = False
         self.app.ready_checks.append(lambda: self.servers_known)
         gather_s = bounds.drain_ms / 1000 * GATHER_SHARE
+        self.feed = SharedFeed(self.store, self.true_time, feed_sharing(bounds))
         self.followers = [
-            FeedFollower(self.store, self.clock, OPERATOR_TABLE, self.take_config),
+            FeedFollower(self.feed, self.clock, OPERATOR_TABLE, self.take_config),
             FeedFollower(
-                self.store, self.clock, SERVERS_TABLE, self.take_servers, gather_s
+                self.feed,
+                self.clock,
+                SERVERS_TABLE,
+                self.take_servers,
+                lambda: self.feed.gather_s(gather_s),
             ),
         ]
         timing = usage_timing(bounds)
@@ -144,6 +168,7 @@
             settings.zone,
             Listen(settings.ip, settings.port_range[0]),
             timing.flush_s,
+            self.feed,
             self.count_vms,
             self.app.metrics.registry,
         )
@@ -185,6 +210,7 @@
             lambda: len(duty.loads()),
             spared=lambda: self.relay.machine.linked,
         )
+        self.add_metrics(self.app.metrics.registry)
         self.callers = HttpServer(
             self.serve_caller,
             settings.listen.front,
@@ -195,6 +221,18 @@
             self.serve_own, Listen(settings.ip, metrics_port), grace_s=0.1
         )
 
+    def add_metrics(self, registry: CollectorRegistry) -> None:
+        """Show what this VM asks of the platform, and how old what it knows is."""
+        registry.register(self.store.calls)
+        age = Gauge(
+            "godwit_relay_table_age_seconds",
+            "Since the platform last confirmed a table that this VM goes by.",
+            ["table"],
+            registry=registry,
+        )
+        for table in (OPERATOR_TABLE, SERVERS_TABLE):
+            age.labels(table).set_function(partial(self.feed.age_s, table))
+
     def orderable(self) -> dict[PoolName, ZonalLimits]:
         """Return which servers may be ordered, once both lists are known."""
         catalog = self.front.catalog
--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -55,6 +55,23 @@
 """Two calls that wait for changes, and four more."""
 
 
+CALL_NAMES = {
+    TRANSACT: "transact",
+    READ_ROWS: "read",
+    FOLLOW_ROWS: "follow",
+    GET_OBJECT: "get_object",
+    PUT_OBJECT: "put_object",
+    REPORT_USAGE: "report_usage",
+    ORDER_SERVERS: "order_servers",
+}
+
+
+def name_call(path: str) -> str:
+    """Return the product's name of a call; objects' paths end with the object's name."""
+    found = (name for start, name in CALL_NAMES.items() if path.startswith(start))
+    return next(found, "other")
+
+
 def url_of(address: Listen) -> str:
     return f"http://{address.host}:{address.port}"
 
@@ -84,6 +101,10 @@
         super().__init__(limits, make_http(address, CALL_TIMEOUT_S))
         self.breaker = Breaker(open_max_s=RETRY_MAX_S)
         self.duties = DutyClient(settings)
+        self.duties.calls = self.calls
+
+    def call_name(self, path: str) -> str:
+        return name_call(path)
 
     def budget_of(self, method: str, path: str) -> Budget:
         return self.reads if method == "GET" else self.writes
@@ -205,6 +226,9 @@
 class DutyClient(PlatformHttp):
     """Calls that one holder of a duty makes at a time."""
 
+    def call_name(self, path: str) -> str:
+        return name_call(path)
+
     def __init__(self, settings: PlatformFile) -> None:
         address = settings.cloud_api.address
         limits = PlatformSettings(url_of(address), CALL_TIMEOUT_S)
--- /dev/null
+++ b/src/godwitmast/platform_api/calls.py
@@ -0,0 +1,25 @@
+"""Counts the calls to a platform by kind, for the metrics page."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
+
+
+class CallCounter(Collector):
+    """Calls that were made, also those without an answer."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+
+    def add(self, call: str) -> None:
+        self.counts[call] += 1
+
+    def collect(self) -> Iterable[CounterMetricFamily]:
+        family = CounterMetricFamily(
+            "godwit_platform_calls", "Calls to the platform.", labels=["call"]
+        )
+        for call, count in sorted(self.counts.items()):
+            family.add_metric([call], count)
+        yield family
--- a/src/godwitmast/platform_api/feed.py
+++ b/src/godwitmast/platform_api/feed.py
@@ -116,7 +116,7 @@
         clock: Clock,
         table: str,
         listener: Callable[[dict[str, bytes]], None],
-        gather_s: float = 0.0,
+        gather_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.feed = feed
         self.clock = clock
@@ -125,6 +125,7 @@
         self.gather_s = gather_s
         self.view = FeedView()
         self.pause_s = RETRY_S[0]
+        self.paid = True
         self.background = Background(self.run, self.run_expiry)
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -147,7 +148,7 @@
                 self.tell()
                 # Changes come in groups. One call for each of them would be as many
                 # calls from every VM as there are changes.
-                await anyio.sleep(self.gather_s)
+                await anyio.sleep(self.gather_s() if self.paid else 0.0)
 
     async def ask(self) -> bool:
         """Read on once; return whether anything changed."""
@@ -159,6 +160,7 @@
         wait_s = WAIT_S if self.view.away_since is None else 0.0
         match await self.feed.changes(self.table, self.view.version, wait_s):
             case Changes() as changes:
+                self.paid = not changes.shared
                 return self.view.change(changes, self.clock.now())
             case HistoryLost():
                 log_event("feed_history_lost", table=self.table)
--- a/src/godwitmast/platform_api/http.py
+++ b/src/godwitmast/platform_api/http.py
@@ -13,6 +13,7 @@
     PlatformThrottled,
     PlatformUnavailable,
 )
+from godwitmast.platform_api.calls import CallCounter
 from godwitmast.platform_api.limits import Breaker, Budget, Priority
 from godwitmast.settings import PlatformSettings
 
@@ -33,6 +34,7 @@
         self.reads = Budget(settings.reads_per_s)
         self.writes = Budget(settings.writes_per_s)
         self.breaker = Breaker()
+        self.calls = CallCounter()
 
     async def close(self) -> None:
         await self.http.aclose()
@@ -41,6 +43,10 @@
         """Return the budget that a call is paid from."""
         return self.reads if method == "GET" else self.writes
 
+    def call_name(self, path: str) -> str:
+        """Return what a call is counted as."""
+        return path
+
     async def send(
         self,
         method: str,
@@ -77,6 +83,7 @@
             await anyio.sleep(delay * random.uniform(1.0, 1.2))
 
     async def ask(self, method: str, path: str, **content: Any) -> httpx.Response:
+        self.calls.add(self.call_name(path))
         try:
             return await self.http.request(method, path, **content)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
--- a/src/godwitmast/platform_api/port.py
+++ b/src/godwitmast/platform_api/port.py
@@ -51,10 +51,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """The rows that changed up to `version`, in order; there may be none."""
+    """The rows that changed up to `version`, in order; there may be none.
+
+    `shared` says that they came without a call of this process's own.
+    """
 
     rows: Sequence[FeedRow] = field(default_factory=tuple)
     version: int = 0
+    shared: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/godwitmast/relay/codec.py
+++ b/src/godwitmast/relay/codec.py
@@ -6,11 +6,12 @@
 from godwitmast.errors import PeerError
 from godwitmast.relay.messages import Frame
 
-MAX_FRAME_BYTES = 1024 * 1024
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+"""A whole configuration of 6,300 teams with their keys is about 2 MB."""
 
 
 def encode_frame(frame: Frame) -> bytes:
-    return cbor2.dumps(msgspec.to_builtins(frame))
+    return cbor2.dumps(msgspec.to_builtins(frame, builtin_types=(bytes,)))
 
 
 def decode_frame(data: bytes | str) -> Frame:
--- a/src/godwitmast/relay/driver.py
+++ b/src/godwitmast/relay/driver.py
@@ -19,6 +19,7 @@
 from godwitmast.platform_api.runner import take_step
 from godwitmast.platform_api.steps import Step
 from godwitmast.relay.codec import encode_frame
+from godwitmast.relay.feed import SharedFeed
 from godwitmast.relay.links import OPTIONS, RelayLink, read_frames
 from godwitmast.relay.machine import BEAT_S, RelayMachine, Seat, Stage
 from godwitmast.relay.messages import (
@@ -54,6 +55,7 @@
         zone: str,
         listen: Listen,
         gather_s: float,
+        feed: SharedFeed,
         vms: Callable[[], int],
         registry: CollectorRegistry | None = None,
     ) -> None:
@@ -65,7 +67,9 @@
         self.able = True
         self.holder = f"{node}/{secrets.token_hex(4)}"
         self.machine = RelayMachine(zone, Seat(self.holder, ""))
-        self.link = RelayLink(self.take_beat)
+        self.feed = feed
+        self.feed.followers = lambda: len(self.links)
+        self.link = RelayLink(self.take_beat, feed.take_frame)
         self.group = GroupCommit(self.transact_group, gather_s)
         self.shared = SharedReads(store, clock, age_s=5 * gather_s)
         self.table = RelayTable(store, clock, self, gather_s)
@@ -189,6 +193,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self.send_beats, socket)
+                tasks.start_soon(self.send_tables, socket)
 
                 async def take(frame: Frame) -> None:
                     tasks.start_soon(self.answer, socket, frame)
@@ -204,6 +209,18 @@
             await self.tell(socket, Beat(self.able, self.vms()))
             await anyio.sleep(BEAT_S)
 
+    async def send_tables(self, socket: ServerConnection) -> None:
+        """Tell a follower each answer of the platform, in order."""
+        sent: dict[str, int] = {}
+        while True:
+            changed = self.feed.changed
+            if self.feed.shares:
+                for table in list(self.feed.copies):
+                    frame = self.feed.frame_for(table, sent.get(table))
+                    sent[table] = frame.version
+                    await self.tell(socket, frame)
+            await changed.wait()
+
     async def tell(self, socket: ServerConnection, frame: Frame) -> None:
         try:
             await socket.send(encode_frame(frame))
--- a/src/godwitmast/relay/links.py
+++ b/src/godwitmast/relay/links.py
@@ -25,6 +25,8 @@
     Outcome,
     ReadAnswered,
     ReadAsked,
+    TableChanged,
+    TableTold,
     TransactAnswered,
     TransactAsked,
 )
@@ -73,8 +75,13 @@
 class RelayLink:
     """A follower's link to its relay."""
 
-    def __init__(self, on_beat: Callable[[Beat], None]) -> None:
+    def __init__(
+        self,
+        on_beat: Callable[[Beat], None],
+        on_table: Callable[[TableTold | TableChanged], None],
+    ) -> None:
         self.on_beat = on_beat
+        self.on_table = on_table
         self.socket: Connection | None = None
         self.waiting: dict[int, Waiting] = {}
         self.number = 0
@@ -104,6 +111,8 @@
         match frame:
             case Beat():
                 self.on_beat(frame)
+            case TableTold() | TableChanged():
+                self.on_table(frame)
             case TransactAnswered(number=number) | ReadAnswered(number=number):
                 waiting = self.waiting.pop(number, None)
                 if waiting is not None:
--- a/src/godwitmast/relay/messages.py
+++ b/src/godwitmast/relay/messages.py
@@ -66,4 +66,32 @@
     """How many VMs there are in all zones; 0 if that is not known."""
 
 
-Frame = TransactAsked | TransactAnswered | ReadAsked | ReadAnswered | Beat
+class TableTold(Struct, array_like=True, frozen=True, tag=6):
+    """All rows of a table that the relay follows, as of `version`."""
+
+    table: Key
+    version: Number
+    rows: list[tuple[str, bytes | None]]
+    confirmed_at: float
+    """When the platform said so, in seconds on its own clock."""
+
+
+class TableChanged(Struct, array_like=True, frozen=True, tag=7):
+    """The rows of a table that changed between two versions; there may be none."""
+
+    table: Key
+    after: Number
+    version: Number
+    rows: list[tuple[str, bytes | None]]
+    confirmed_at: float
+
+
+Frame = (
+    TransactAsked
+    | TransactAnswered
+    | ReadAsked
+    | ReadAnswered
+    | Beat
+    | TableTold
+    | TableChanged
+)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -529,6 +529,8 @@
         assert (await http.get(ready)).status_code == 200
         metrics = (await http.get(f"{fleet.node.scrapes.url}/metrics")).text
         assert "godwit_config_version 1.0" in metrics
+        assert 'godwit_platform_calls_total{call="follow"}' in metrics
+        assert 'godwit_relay_table_age_seconds{table="servers"} 0.' in metrics
 
 
 async def test_stop_leaves_requests_the_time_that_they_are_owed() -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -19,9 +19,12 @@
 from godwitmast.platform_api.group_commit import GroupCommit
 from godwitmast.platform_api.messages import Conflict, Row, TransactOutcome, Written
 from godwitmast.platform_api.steps import Failure, Read, Rows, Transact
+from godwitmast.platform_api.time_agreement import AgreedClock
 from godwitmast.relay import driver, machine
 from godwitmast.relay.codec import decode_frame, encode_frame
+from godwitmast.relay.copies import Sharing
 from godwitmast.relay.driver import RelayDriver
+from godwitmast.relay.feed import SharedFeed
 from godwitmast.relay.messages import Beat, TransactAsked
 from godwitmast.relay.table import MAX_BYTES
 from godwitmast.settings import Listen
@@ -31,6 +34,7 @@
 pytestmark = pytest.mark.anyio
 
 GATHER_S = 0.05
+SHARING = Sharing(confirm_s=0.1, fresh_s=0.2, wait_s=10.0)
 WITHIN_S = 10.0
 
 
@@ -75,6 +79,7 @@
                 "a",
                 Listen(),
                 GATHER_S,
+                SharedFeed(store, AgreedClock(SystemClock()), SHARING),  # type: ignore[arg-type]
                 lambda: 3,
             )
             for number, store in enumerate(self.stores)
--- /dev/null
+++ b/tests/test_relay_feed.py
@@ -0,0 +1,256 @@
+"""Tables that VMs follow through their zone's relay, and how old they may get."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import anyio
+import pytest
+
+from godwitmast.errors import PlatformUnavailable
+from godwitmast.platform_api.port import Changes, FeedRow, HistoryLost, Snapshot
+from godwitmast.relay.codec import decode_frame, encode_frame
+from godwitmast.relay.copies import KEPT_CHANGES, Sharing, TableCopy
+from godwitmast.relay.feed import SharedFeed
+from godwitmast.relay.messages import TableChanged, TableTold
+
+pytestmark = pytest.mark.anyio
+
+SHARING = Sharing(confirm_s=0.2, fresh_s=1.0, wait_s=5.0)
+WITHIN_S = 5.0
+TABLE = "servers"
+
+
+def row(key: str, content: bytes | None = b"{}") -> FeedRow:
+    return FeedRow(key, content)
+
+
+class Clock:
+    """The platform's clock, which all VMs know."""
+
+    heard_at: float | None = 0.0
+
+    def heard(self, store_s: float) -> None:
+        return
+
+    def store_now(self) -> float:
+        return anyio.current_time()
+
+
+@dataclass
+class Store:
+    """The table itself, and how many calls were made."""
+
+    rows: dict[str, bytes] = field(default_factory=dict)
+    history: list[tuple[int, FeedRow]] = field(default_factory=list)
+    version: int = 1
+    changed: anyio.Event = field(default_factory=anyio.Event)
+
+    def put(self, key: str, content: bytes | None = b"{}") -> None:
+        self.version += 1
+        self.history.append((self.version, row(key, content)))
+        self.rows.pop(key, None)
+        if content is not None:
+            self.rows[key] = content
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def snapshot(self, table: str) -> Snapshot:
+        return Snapshot([row(*item) for item in self.rows.items()], self.version)
+
+    async def changes(self, table: str, after: int, wait_s: float) -> Changes:
+        with anyio.move_on_after(wait_s):
+            while not self.since(after):
+                await self.changed.wait()
+        return Changes(self.since(after), self.version)
+
+    def since(self, after: int) -> Sequence[FeedRow]:
+        return [row for version, row in self.history if version > after]
+
+
+class OwnCalls:
+    """The store as one VM asks it."""
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.calls = 0
+        self.away = False
+
+    def count(self) -> None:
+        self.calls += 1
+        if self.away:
+            raise PlatformUnavailable("turned away")
+
+    async def snapshot(self, table: str) -> Snapshot:
+        self.count()
+        return await self.store.snapshot(table)
+
+    async def changes(self, table: str, after: int, wait_s: float) -> Changes:
+        self.count()
+        return await self.store.changes(table, after, wait_s)
+
+
+class Pair:
+    """A relay that serves many, and one of its followers."""
+
+    def __init__(self) -> None:
+        self.store = Store()
+        self.relay_calls = OwnCalls(self.store)
+        self.follower_calls = OwnCalls(self.store)
+        self.relay = SharedFeed(self.relay_calls, Clock(), SHARING)
+        self.relay.followers = lambda: 100
+        self.follower = SharedFeed(self.follower_calls, Clock(), SHARING)
+        self.sent: int | None = None
+        self.cut = False
+
+    async def follow_as_relay(self) -> None:
+        version = (await self.relay.snapshot(TABLE)).version
+        while True:
+            try:
+                answer = await self.relay.changes(TABLE, version, 10.0)
+            except PlatformUnavailable:
+                await anyio.sleep(0.05)
+                continue
+            assert isinstance(answer, Changes)
+            version = answer.version
+
+    async def carry_frames(self) -> None:
+        while True:
+            changed = self.relay.changed
+            if TABLE in self.relay.copies and not self.cut:
+                frame = self.relay.frame_for(TABLE, self.sent)
+                self.sent = frame.version
+                again = decode_frame(encode_frame(frame))
+                assert isinstance(again, TableTold | TableChanged)
+                self.follower.take_frame(again)
+            await changed.wait()
+
+    async def wait_until_fresh(self) -> int:
+        with anyio.fail_after(WITHIN_S):
+            while self.follower.fresh_for(self.follower.copy_of(TABLE)) <= 0:
+                await anyio.sleep(0.01)
+        return (await self.follower.snapshot(TABLE)).version
+
+
+@pytest.fixture
+async def pair():
+    pair = Pair()
+    pair.store.put("a")
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(pair.follow_as_relay)
+        tasks.start_soon(pair.carry_frames)
+        yield pair
+        tasks.cancel_scope.cancel()
+
+
+async def test_change_reaches_a_follower_without_a_call_of_its_own(pair: Pair) -> None:
+    version = await pair.wait_until_fresh()
+    pair.store.put("b", b"2")
+    pair.store.put("a", None)
+    with anyio.fail_after(WITHIN_S):
+        seen: dict[str, bytes | None] = {}
+        while seen.keys() != {"a", "b"}:
+            answer = await pair.follower.changes(TABLE, version, 10.0)
+            assert isinstance(answer, Changes)
+            assert answer.shared
+            seen |= {item.key: item.content for item in answer.rows}
+            version = answer.version
+    assert seen == {"b": b"2", "a": None}
+    assert not pair.follower_calls.calls
+
+
+async def test_follower_of_a_relay_that_goes_silent_asks_in_time(pair: Pair) -> None:
+    """A server leaves just after the relay was frozen or cut off."""
+    version = await pair.wait_until_fresh()
+    pair.cut = True
+    pair.store.put("b")
+    with anyio.fail_after(WITHIN_S):
+        answer = await pair.follower.changes(TABLE, version, 10.0)
+    assert isinstance(answer, Changes)
+    assert [item.key for item in answer.rows] == ["b"]
+    assert not answer.shared
+    assert pair.follower.fresh_for(pair.follower.copy_of(TABLE)) <= 0
+
+
+def feed_told_at(told_at: float, now: float) -> SharedFeed:
+    """Return a follower's feed with a frame whose answer was given at `told_at`."""
+    clock = Clock()
+    clock.store_now = lambda: now  # type: ignore[method-assign]
+    feed = SharedFeed(Store(), clock, SHARING)
+    feed.take_frame(TableTold(TABLE, 5, [("a", b"{}")], told_at))
+    return feed
+
+
+def test_frame_that_was_held_up_on_the_way_is_as_old_as_its_answer() -> None:
+    """A link that lost packets delivers what the relay told two seconds ago.
+
+    Counted from its arrival it would pass for fresh, and a server that left since would
+    get requests until the next frame.
+    """
+    feed = feed_told_at(10.0, 10.0 + SHARING.fresh_s + 0.01)
+    assert feed.fresh_for(feed.copy_of(TABLE)) <= 0
+    feed = feed_told_at(10.0, 10.0)
+    assert feed.fresh_for(feed.copy_of(TABLE)) == pytest.approx(SHARING.fresh_s)
+
+
+async def test_own_answer_does_not_pass_for_a_relay_that_tells(pair: Pair) -> None:
+    """A VM without a relay must have a call open all the time."""
+    calls = OwnCalls(pair.store)
+    alone = SharedFeed(calls, Clock(), SHARING)
+    version = (await alone.snapshot(TABLE)).version
+    assert alone.fresh_for(alone.copy_of(TABLE)) <= 0
+    with anyio.move_on_after(0.1):
+        await alone.changes(TABLE, version, 10.0)
+    assert calls.calls == 2
+
+
+async def test_relay_that_cannot_ask_tells_nothing_fresh(pair: Pair) -> None:
+    """The store turns away the relay and serves the others."""
+    version = await pair.wait_until_fresh()
+    pair.relay_calls.away = True
+    await anyio.sleep(SHARING.confirm_s)
+    pair.store.put("b")
+    with anyio.fail_after(WITHIN_S):
+        answer = await pair.follower.changes(TABLE, version, 10.0)
+    assert isinstance(answer, Changes)
+    assert [item.key for item in answer.rows] == ["b"]
+    assert pair.follower_calls.calls == 1
+
+
+async def test_relay_of_few_vms_leaves_them_to_follow_by_themselves() -> None:
+    """Confirmed each second for two followers, sharing would cost more calls."""
+    assert not SHARING.pays(2)
+    assert SHARING.pays(39)
+
+
+def test_changes_that_are_no_longer_kept_ask_for_all_rows() -> None:
+    copy = TableCopy()
+    copy.replace(Snapshot([row("a")], 1))
+    for number in range(KEPT_CHANGES + 5):
+        copy.change(copy.version, Changes([row("b", b"%d" % number)], number + 2))
+    assert copy.since(1) is None
+    kept = copy.since(copy.base)
+    assert kept is not None
+    assert len(kept.rows) == KEPT_CHANGES
+
+
+def test_older_rows_never_replace_newer_ones() -> None:
+    """A relay that is behind tells what this VM knows to be over."""
+    copy = TableCopy()
+    copy.replace(Snapshot([row("a", b"new")], 9))
+    assert not copy.replace(Snapshot([row("a", b"old")], 7))
+    assert not copy.change(5, Changes([row("a", b"old")], 8))
+    assert copy.rows == {"a": b"new"}
+
+
+def test_changes_after_a_gap_are_not_taken() -> None:
+    copy = TableCopy()
+    copy.replace(Snapshot([row("a")], 3))
+    assert not copy.change(5, Changes([row("b")], 6))
+    assert copy.rows.keys() == {"a"}
+    assert copy.version == 3
+
+
+async def test_follower_that_is_too_far_behind_gets_all_rows(pair: Pair) -> None:
+    await pair.wait_until_fresh()
+    assert isinstance(await pair.follower.changes(TABLE, 0, 1.0), HistoryLost)
+    assert (await pair.follower.snapshot(TABLE)).rows == [row("a")]
