Wake an idle VM for what is due, not to look whether something is

Cause: a VM without requests woke some forty times a second: its router's ticks (20), two followers that looked for rows to let go (10) and the lease (10).

Change: the router is ticked each 0.5 s until a request comes; rows that lapsed wake the task that lets them go; a lease that is not held is looked at when its next step is due.

Tests: both new ones fail on the code before, or without the wake-up.

--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -34,6 +34,9 @@
 from godwitmast.types import AttemptId, BackendId, PoolName, RequestId, ZoneName
 
 TICK_S = 0.05
+IDLE_TICK_S = 0.5
+"""While there are no requests."""
+
 LOAD_EVERY_S = 1.0
 LOAD_TIMEOUT_S = 0.8
 
@@ -64,6 +67,7 @@
         self.fleet = EMPTY
         self.urls: dict[BackendId, str] = {}
         self.mailboxes: dict[RequestId, MemoryObjectSendStream[Action]] = {}
+        self.request_came = anyio.Event()
         self.open_pools: dict[RequestId, PoolName] = {}
         self.background = Background(self.run_ticks, self.run_load_polls)
         self.cancels: dict[AttemptId, Callable[[CancelReason], None]] = {}
@@ -171,6 +175,7 @@
         """Hand a request to the router; its mailbox gets Start, Refuse or both."""
         send, receive = anyio.create_memory_object_stream[Action](16)
         self.mailboxes[request.request_id] = send
+        self.request_came.set()
         self.open_pools[request.request_id] = request.pool
         self.carry_out(self.policy.submit(request, self.clock.now()))
         return receive
@@ -236,7 +241,12 @@
 
     async def run_ticks(self) -> None:
         while True:
-            await anyio.sleep(TICK_S)
+            if self.mailboxes:
+                await anyio.sleep(TICK_S)
+            else:
+                self.request_came = anyio.Event()
+                with anyio.move_on_after(IDLE_TICK_S):
+                    await self.request_came.wait()
             if self.router is not None:
                 self.carry_out(self.router.tick(self.clock.now()))
 
--- a/src/godwitmast/lease/driver.py
+++ b/src/godwitmast/lease/driver.py
@@ -15,8 +15,8 @@
 from godwitmast.platform_api.runner import take_step
 
 POLL_S = 0.1
-POLL_SPARED_S = 0.5
-"""Of one that leaves the lease to others."""
+POLL_IDLE_S = 0.5
+"""Of one that neither holds the lease nor has a step that is due sooner."""
 
 RELEASE_TIMEOUT_S = 3.0
 
@@ -92,15 +92,22 @@
             if self.held:
                 machine.vms = self.count_vms() or machine.vms
             if self.spared() and not machine.is_involved:
-                await anyio.sleep(POLL_SPARED_S)
+                await anyio.sleep(POLL_IDLE_S)
                 continue
             step = machine.step(self.clock.now(), self.clock.wall())
             if step is None:
-                await anyio.sleep(POLL_S)
+                await anyio.sleep(self.pause_s())
                 continue
             result = await take_step(self.platform, step)
             machine.took(result, self.clock.now())
 
+    def pause_s(self) -> float:
+        """Return how long nothing is to be done; a lease that is held can run out."""
+        if self.held or self.work is not None:
+            return POLL_S
+        due_s = self.machine.next_at - self.clock.now()
+        return min(POLL_IDLE_S, max(POLL_S / 10, due_s))
+
     def start_or_stop_duty(self, tasks: TaskGroup) -> None:
         if self.held and self.work is None:
             self.work = anyio.CancelScope()
--- a/src/godwitmast/platform_api/feed.py
+++ b/src/godwitmast/platform_api/feed.py
@@ -126,6 +126,7 @@
         self.view = FeedView()
         self.pause_s = RETRY_S[0]
         self.paid = True
+        self.lapsed = anyio.Event()
         self.background = Background(self.run, self.run_expiry)
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -144,6 +145,8 @@
             if self.pause_s > RETRY_S[0]:
                 log_event("feed_regained", table=self.table, version=self.view.version)
                 self.pause_s = RETRY_S[0]
+            if self.view.missing:
+                self.lapsed.set()
             if changed:
                 self.tell()
                 # Changes come in groups. One call for each of them would be as many
@@ -176,9 +179,12 @@
 
     async def run_expiry(self) -> None:
         while True:
-            await anyio.sleep(RETURN_GRACE_S / 10)
-            if self.view.expire(self.clock.now()):
-                self.tell()
+            await self.lapsed.wait()
+            self.lapsed = anyio.Event()
+            while self.view.missing:
+                await anyio.sleep(RETURN_GRACE_S / 10)
+                if self.view.expire(self.clock.now()):
+                    self.tell()
 
     def tell(self) -> None:
         self.listener(self.view.rows)
--- /dev/null
+++ b/tests/test_idle.py
@@ -0,0 +1,48 @@
+"""A VM with nothing to do leaves its processor alone."""
+
+from collections import Counter
+
+import anyio
+import pytest
+
+from fleet import Fleet
+from godwitmast.entry import driver
+from godwitmast.platform_api.feed import FeedFollower
+from running import running
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_router_without_requests_is_ticked_seldom(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Hundreds of idle VMs ticked their routers twenty times a second each."""
+    monkeypatch.setattr(driver, "IDLE_TICK_S", 60.0)
+    ticks: Counter[str] = Counter()
+    async with running(Fleet()) as fleet:
+        router = fleet.node.driver.policy
+        tick = router.tick
+
+        def counted(now: float) -> object:
+            ticks["all"] += 1
+            return tick(now)
+
+        monkeypatch.setattr(router, "tick", counted)
+        await anyio.sleep(10 * driver.TICK_S)
+        assert ticks["all"] <= 1
+
+
+async def test_rows_that_lapsed_go_although_nothing_looked_before(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The task that lets rows go sleeps until an outage took some."""
+    monkeypatch.setattr("godwitmast.platform_api.feed.RETURN_GRACE_S", 0.2)
+    monkeypatch.setattr("godwitmast.platform_api.feed.WAIT_S", 0.3)
+    async with running(Fleet()) as fleet:
+        servers: FeedFollower = fleet.node.followers[1]
+        fleet.store.faults.refused = 503
+        await fleet.until(lambda: servers.view.away_since is not None)
+        for replica in fleet.replicas:
+            fleet.store.remove_server(replica.server_id)
+        fleet.store.faults.refused = None
+        await fleet.until(lambda: not fleet.node.driver.listed)
