Keep a retry budget for each pool

Cause: all pools of a VM drew on one budget, while the allowance is one for each service.

Change: RetryBudgets, one for each pool; divided ones use three quarters of the allowed share of repeats, where half was used when both services drew on one budget.

Tests: a failing service takes no repeats from another pool.

--- a/src/godwitmast/dispatch/retries.py
+++ b/src/godwitmast/dispatch/retries.py
@@ -5,7 +5,7 @@
 own, fail too, and the system stays down after its cause is gone (Bronson et al.,
 "Metastable Failures in Distributed Systems", 2021).
 
-Every repeat draws on one budget, which successes fill: a share of `SUCCESS_SHARE` is
+Every repeat draws on its pool's budget, which successes there fill: a share of `SUCCESS_SHARE` is
 what Finagle and Envoy use by default, within a factor of two. `RESERVE` lets the
 streams of a crashed server or two resume at once on a quiet system.
 """
@@ -14,9 +14,10 @@
 import itertools
 import math
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
-from godwitmast.types import RequestId
+from godwitmast.types import PoolName, RequestId
 
 SUCCESS_SHARE = 0.1
 RESERVE = 100.0
@@ -65,8 +66,21 @@
         return True
 
 
-class DividedBudget(RetryBudget):
-    """A part of an allowance that all routers draw on.
+class RetryBudgets:
+    """A budget for each pool, so that one that fails takes no repeats from another."""
+
+    def __init__(self, make: Callable[[], RetryBudget] = RetryBudget) -> None:
+        self.make = make
+        self.budgets: dict[PoolName, RetryBudget] = {}
+
+    def of(self, pool: PoolName) -> RetryBudget:
+        if pool not in self.budgets:
+            self.budgets[pool] = self.make()
+        return self.budgets[pool]
+
+
+class DividedBudgets(RetryBudgets):
+    """A part of the allowances, one for each pool, that all routers draw on.
 
     Load pattern: a fault that every router sees at once, such as the loss of a zone's
     servers. Each spends its whole part in the same second, so the parts have to add up
@@ -76,9 +90,9 @@
     """
 
     def __init__(self, allowance: float, share: float) -> None:
-        uncounted = max(UNKNOWN_RESERVE, allowance / UNKNOWN_ROUTERS)
-        super().__init__(min(allowance, uncounted), share)
+        super().__init__(lambda: RetryBudget(self.reserve, share))
         self.allowance = allowance
+        self.reserve = min(allowance, max(UNKNOWN_RESERVE, allowance / UNKNOWN_ROUTERS))
         self.routers = 0
         self.counted_at = -math.inf
 
@@ -91,7 +105,9 @@
         first = self.routers == 0
         self.routers, self.counted_at = routers, now
         self.reserve = self.allowance / (COUNT_MARGIN * routers)
-        self.left = self.reserve if first else min(self.left, self.reserve)
+        for budget in self.budgets.values():
+            budget.reserve = self.reserve
+            budget.left = self.reserve if first else min(budget.left, self.reserve)
 
 
 def backoff_s(failures: int, suspect: bool, draw: random.Random) -> float:
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -27,7 +27,7 @@
     Start,
 )
 from godwitmast.dispatch.poison import SAME_CRASH_S, InFlight, PoisonGuard
-from godwitmast.dispatch.retries import RetryBudget, RetryQueue, backoff_s
+from godwitmast.dispatch.retries import RetryBudgets, RetryQueue, backoff_s
 from godwitmast.dispatch.timeouts import Watch, hangs_at, patience_s
 from godwitmast.types import AttemptId, BackendId, RequestId, ZoneName
 
@@ -60,14 +60,14 @@
         document: Document,
         zone: ZoneName,
         seed: int = 0,
-        budget: RetryBudget | None = None,
+        budgets: RetryBudgets | None = None,
     ) -> None:
         self.document = document
         self.admission = Admission(document, seed)
         self.backends = BackendTable(zone, seed)
         self.book = FlightBook()
         self.guard = PoisonGuard()
-        self.budget = budget or RetryBudget()
+        self.budgets = budgets or RetryBudgets()
         self.retries = RetryQueue()
         self.watch = Watch()
         self.random = random.Random(seed)
@@ -154,7 +154,7 @@
         if flight.request.pool in self.document.services:
             latency_s = now - flight.started_at
         self.backends.served(flight.backend_id, latency_s, now)
-        self.budget.succeeded()
+        self.budgets.of(flight.request.pool).succeeded()
         self.guard.completed(flight.request.fingerprint, now)
         self.release(flight, now)
         self.end(flight, now, whole=True)
@@ -269,7 +269,7 @@
         too_many = flight.failures >= MAX_FAILURES or flight.unsent >= MAX_UNSENT
         spent = too_many or not flight.may_run_again
         arrived = kind is not FailureKind.CONNECT
-        if unsafe or spent or (arrived and not self.budget.take()):
+        if unsafe or spent or (arrived and not self.may_repeat(flight)):
             self.end(flight, now)
             code = RefusalCode.BACKEND_FAILED
             after_s = None if unsafe else RETRY_AFTER_S
@@ -280,6 +280,10 @@
         self.hold(flight, now + wait_s)
         return []
 
+    def may_repeat(self, flight: Flight) -> bool:
+        """Draw a repeat on the pool's budget; return whether there was one."""
+        return self.budgets.of(flight.request.pool).take()
+
     def hold(self, flight: Flight, until: float) -> None:
         """Keep a request that does not run out of the queue for a while."""
         self.admission.hold(flight.request)
@@ -297,7 +301,7 @@
         for flight in self.book.on(backend_id):
             if flight is but or not flight.may_move or not flight.request.resumable:
                 continue
-            if not self.budget.take():
+            if not self.may_repeat(flight):
                 break
             actions.append(self.move(flight, reason, now))
         return actions
@@ -389,7 +393,7 @@
             return []
         slow = self.backends.timed_out(backend_id, now)
         actions: list[Action] = []
-        if self.budget.take():
+        if self.may_repeat(flight):
             actions.append(self.move(flight, CancelReason.SLOW, now))
         else:
             self.watch.add(flight, now + patience)
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -28,7 +28,7 @@
     Start,
 )
 from godwitmast.dispatch.policy import Policy
-from godwitmast.dispatch.retries import RetryBudget
+from godwitmast.dispatch.retries import RetryBudgets
 from godwitmast.dispatch.router import Router
 from godwitmast.logs import log_event
 from godwitmast.types import AttemptId, BackendId, PoolName, RequestId, ZoneName
@@ -54,9 +54,9 @@
         zone: str,
         clock: Clock,
         client: BackendClient,
-        budget: RetryBudget | None = None,
+        budgets: RetryBudgets | None = None,
     ) -> None:
-        self.budget = budget or RetryBudget()
+        self.budgets = budgets or RetryBudgets()
         self.listed: dict[str, Backend] = {}
         self.zone = ZoneName(zone)
         self.clock = clock
@@ -90,7 +90,7 @@
         if self.router is None:
             # Entries that drew alike would all choose the same server at once.
             seed = secrets.randbits(32)
-            self.router = Router(document, self.zone, seed, self.budget)
+            self.router = Router(document, self.zone, seed, self.budgets)
         else:
             self.carry_out(self.router.update_config(document, now))
         self.update_backends()
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -16,7 +16,7 @@
 from godwitmast.capacity.zonal import ZonalLimits
 from godwitmast.capacity.zonal_duty import ZonalDuty, open_requests
 from godwitmast.clock import SystemClock
-from godwitmast.dispatch.retries import DividedBudget
+from godwitmast.dispatch.retries import DividedBudgets
 from godwitmast.entry.app import EntryApp, closing
 from godwitmast.entry.driver import RouterDriver
 from godwitmast.entry.intake import CallerGone
@@ -73,6 +73,10 @@
 otherwise wake every VM for each of them. What is left, 1.2 s, is five times what a call
 takes from a store that is sixty times slower than it should be."""
 
+REPEATS_SHARE = 0.75
+"""The part of the allowed share of repeats that is used. A repeated run may call another
+service itself, and that counts there as a repeat."""
+
 CONFIRM_SHARE = 0.3
 FRESH_SHARE = 0.5
 """Parts of the time in which a change must be in force. What a relay told is gone by for
@@ -138,8 +142,10 @@
         self.store = StoreClient(settings, self.true_time.heard)
         self.client = BackendClient(wire=ReplicaWire(), socket_options=SILENCE_OPTIONS)
         self.front = RouteFront()
-        self.budget = DividedBudget(bounds.budget_slack, bounds.retry_budget_ratio / 2)
-        self.driver = RouterDriver(settings.zone, self.clock, self.client, self.budget)
+        self.budgets = DividedBudgets(
+            bounds.budget_slack, bounds.retry_budget_ratio * REPEATS_SHARE
+        )
+        self.driver = RouterDriver(settings.zone, self.clock, self.client, self.budgets)
         self.driver.polls = lambda backend_id: False
         self.meter = Meter()
         self.app = EntryApp(
@@ -357,7 +363,7 @@
         """Notice a settings file that changed without a signal, and VMs that came."""
         while True:
             await anyio.sleep(SETTINGS_EVERY_S)
-            self.budget.divide(self.count_vms(), self.clock.now())
+            self.budgets.divide(self.count_vms(), self.clock.now())
             self.reload()
 
     def reload(self) -> None:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -16,12 +16,13 @@
 from godwitmast.dispatch.retries import (
     COUNT_KEPT_S,
     RESERVE,
-    DividedBudget,
+    DividedBudgets,
     RetryBudget,
+    RetryBudgets,
     RetryQueue,
     backoff_s,
 )
-from godwitmast.types import BackendId, RequestId, ZoneName
+from godwitmast.types import BackendId, PoolName, RequestId, ZoneName
 
 POOL = "godwit-lm"
 TARGET_S = 0.04
@@ -295,10 +296,13 @@
     assert queue.take_due(9.0) == ["c"]
 
 
-def spend(budget: RetryBudget) -> int:
-    """Return how many repeats can be run at once."""
+POOL = PoolName("godwit-lm")
+
+
+def spend(budgets: RetryBudgets) -> int:
+    """Return how many repeats of one pool can be run at once."""
     spent = 0
-    while budget.take():
+    while budgets.of(POOL).take():
         spent += 1
     return spent
 
@@ -309,34 +313,35 @@
 ) -> None:
     """Every VM loses the same servers in one second, and spends its whole part."""
     allowance = 430.0
-    budgets = [DividedBudget(allowance, 0.1) for _ in range(routers)]
-    for budget in budgets:
-        budget.divide(routers, 0.0)
-    assert sum(spend(budget) for budget in budgets) <= allowance
+    fleet = [DividedBudgets(allowance, 0.1) for _ in range(routers)]
+    for budgets in fleet:
+        budgets.divide(routers, 0.0)
+    assert sum(spend(budgets) for budgets in fleet) <= allowance
 
 
 def test_routers_that_are_cut_off_leave_their_parts_to_nobody_for_a_while() -> None:
     """A zone is cut off: its VMs are counted no more, and spend what they had."""
-    budget = DividedBudget(600.0, 0.1)
-    budget.divide(100, 0.0)
-    budget.divide(80, 1.0)
-    assert budget.reserve == pytest.approx(600.0 / 100 * 3 / 4)
-    budget.divide(100, 10.0)
-    budget.divide(80, 10.0 + COUNT_KEPT_S)
-    assert budget.reserve == pytest.approx(600.0 / 80 * 3 / 4)
+    budgets = DividedBudgets(600.0, 0.1)
+    budgets.divide(100, 0.0)
+    budgets.divide(80, 1.0)
+    assert budgets.of(POOL).reserve == pytest.approx(600.0 / 100 * 3 / 4)
+    budgets.divide(100, 10.0)
+    budgets.divide(80, 10.0 + COUNT_KEPT_S)
+    assert budgets.of(POOL).reserve == pytest.approx(600.0 / 80 * 3 / 4)
 
 
 def test_router_that_does_not_know_the_others_spends_little() -> None:
     """Hundreds of VMs start at once, and none has counted the others yet."""
-    budget = DividedBudget(430.0, 0.1)
-    budget.divide(0, 0.0)
-    assert spend(budget) <= 430.0 / 60
-    budget.divide(300, 1.0)
-    assert budget.left <= budget.reserve
+    budgets = DividedBudgets(430.0, 0.1)
+    budgets.divide(0, 0.0)
+    assert spend(budgets) <= 430.0 / 60
+    budgets.divide(300, 1.0)
+    assert budgets.of(POOL).left <= budgets.reserve
 
 
 def test_new_routers_lower_what_each_may_still_spend() -> None:
-    budget = DividedBudget(430.0, 0.1)
-    budget.divide(100, 0.0)
-    budget.divide(200, 1.0)
+    budgets = DividedBudgets(430.0, 0.1)
+    budgets.divide(100, 0.0)
+    budget = budgets.of(POOL)
+    budgets.divide(200, 1.0)
     assert budget.left == budget.reserve == pytest.approx(430.0 / 200 * 3 / 4)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -262,26 +262,37 @@
 def test_spent_retry_budget_ends_retries_until_successes_fill_it(
     router: Router,
 ) -> None:
-    router.budget.left = 0.5
+    router.budgets.of(POOL).left = 0.5
     first = started(router, request(1))
     actions = router.failed(first.request_id, first.attempt_id, FailureKind.ERROR, 0.1)
     assert only(actions, Refuse).retry_after_s
     for number in range(2, 12):
         start = started(router, request(number))
         router.finished(start.request_id, start.attempt_id, 0.2)
-    assert 1 <= router.budget.left < RESERVE
+    assert 1 <= router.budgets.of(POOL).left < RESERVE
     second = started(router, request(20))
     ids = (second.request_id, second.attempt_id)
     assert not router.failed(*ids, FailureKind.ERROR, 0.3)
 
 
+def test_pool_that_fails_takes_no_repeats_from_another(router: Router) -> None:
+    """A service fails for all, and spends its repeats; engines crash in that moment."""
+    router.budgets.of(SERVICE).left = 0.0
+    first = started(router, request(1, pool=SERVICE))
+    ids = (first.request_id, first.attempt_id)
+    assert only(router.failed(*ids, FailureKind.ERROR, 0.1), Refuse).retry_after_s
+    second = started(router, request(2))
+    ids = (second.request_id, second.attempt_id)
+    assert not router.failed(*ids, FailureKind.ERROR, 0.1)
+
+
 def test_server_that_takes_no_connection_costs_no_retry(router: Router) -> None:
     """A zone is cut off: connections to its servers fail, and nothing arrives there.
 
     Each of those requests drew on the retry budget, which was empty within a second;
     the rest were refused although every server in reach had room.
     """
-    router.budget.left = 0.0
+    router.budgets.of(POOL).left = 0.0
     first = started(router, request(1))
     assert not router.failed("r1", first.attempt_id, FailureKind.CONNECT, 0.3)
     now, second = run_until(router, 0.3, 0.5, is_start)
