Let no row or frame that cannot be read end a VM or move its clock

Cause: a seat's row of another form raised where it was read, and ended the process; a frame with values that JSON has not ended the task that writes for the zone; a frame's time of the store was taken however far ahead it was, and usage is counted by that clock; a beat could name any number of VMs, which divides the allowance of repeats.

Change: such a row names nobody, so that the seat is claimed; such a frame closes its link with one log line.

--- a/src/godwitmast/relay/codec.py
+++ b/src/godwitmast/relay/codec.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from godwitmast.errors import PeerError
-from godwitmast.relay.messages import Frame
+from godwitmast.relay.messages import Frame, TransactAsked
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 """A whole configuration of 6,300 teams with their keys is about 2 MB."""
@@ -19,7 +19,11 @@
     if isinstance(data, str) or len(data) > MAX_FRAME_BYTES:
         raise PeerError(f"a frame of {len(data)} bytes")
     try:
-        return msgspec.convert(cbor2.loads(data), Frame)
+        frame: Frame = msgspec.convert(cbor2.loads(data), Frame)
+        if isinstance(frame, TransactAsked):
+            # CBOR has values that the platform's JSON has not.
+            msgspec.json.encode(frame.writes)
+        return frame
     except Exception as error:
         # The codec raises a dozen kinds for what a stranger can send.
         raise PeerError(f"a malformed frame: {error!r:.200}") from None
--- a/src/godwitmast/relay/feed.py
+++ b/src/godwitmast/relay/feed.py
@@ -6,10 +6,14 @@
 
 import anyio
 
+from godwitmast.errors import PeerError
 from godwitmast.platform_api.port import Changes, Feed, FeedRow, HistoryLost, Snapshot
 from godwitmast.relay.copies import Sharing, TableCopy
 from godwitmast.relay.messages import TableChanged, TableTold
 
+MAX_AHEAD_S = 3600.0
+"""Longer than a VM is suspended and goes on; usage is counted by this clock."""
+
 
 class StoreClock(Protocol):
     """The platform's clock as this VM knows it."""
@@ -134,7 +138,14 @@
         return TableChanged(table, sent, copy.version, told, copy.asked_at)
 
     def take_frame(self, frame: TableTold | TableChanged) -> None:
-        """Take what the relay told of a table."""
+        """Take what the relay told of a table; one that is far ahead tells nothing.
+
+        A VM that was suspended is behind the relay, and learns the time from it.
+        """
+        if self.clock.heard_at is not None:
+            ahead_s = frame.confirmed_at - self.clock.store_now()
+            if not ahead_s <= MAX_AHEAD_S:
+                raise PeerError(f"a frame from {ahead_s:.0f} s ahead")
         self.clock.heard(frame.confirmed_at)
         copy = self.copy_of(frame.table)
         rows = [FeedRow(key, content) for key, content in frame.rows]
--- a/src/godwitmast/relay/machine.py
+++ b/src/godwitmast/relay/machine.py
@@ -17,6 +17,7 @@
 
 from godwitmast.platform_api.messages import Conflict, Written
 from godwitmast.platform_api.steps import Failure, Read, Result, Rows, Step, Transact
+from godwitmast.types import Json
 
 SEAT_PREFIX = "relay/"
 
@@ -55,6 +56,14 @@
     address: str
 
 
+def read_seat(value: Json) -> Seat | None:
+    """Return who holds a seat; a row that names nobody, or cannot be read, is vacant."""
+    match value:
+        case {"holder": str(holder), "address": str(address)}:
+            return Seat(holder, address)
+    return None
+
+
 class RelayMachine:
     """One VM's part in its zone.
 
@@ -128,9 +137,8 @@
 
     def observe(self, rows: Rows, now: float) -> Step | None:
         """Serve, follow, or claim the seat, by who holds it."""
-        value = rows.value(self.key)
         self.version = rows.version(self.key)
-        self.seat = None if value is None else Seat(value["holder"], value["address"])
+        self.seat = read_seat(rows.value(self.key))
         if self.seat is not None and self.seat.holder == self.own.holder:
             self.serve(now)
             return None
--- a/src/godwitmast/relay/messages.py
+++ b/src/godwitmast/relay/messages.py
@@ -11,6 +11,7 @@
 from godwitmast.types import Json
 
 MAX_CHECKS = 100
+MAX_VMS = 100_000
 
 Number = Annotated[int, Meta(ge=0, le=2**53)]
 Key = Annotated[str, Meta(max_length=200)]
@@ -62,7 +63,7 @@
     """The relay lives; `able` says that the platform answers it."""
 
     able: bool
-    vms: Number
+    vms: Annotated[int, Meta(ge=0, le=MAX_VMS)]
     """How many VMs there are in all zones; 0 if that is not known."""
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -239,7 +239,8 @@
 ) -> None:
     relay = await zone.settle(zone.vms)
     address = relay.machine.own.address
-    for rubbish in (b"\xff", b"", cbor2.dumps([99, 1]), cbor2.dumps([1, -1, {}, {}])):
+    not_json = cbor2.dumps([1, 5, {"node/x": 0}, {"node/x": cbor2.undefined}])
+    for rubbish in (b"\xff", b"", cbor2.dumps([99, 1]), not_json):
         async with connect(f"ws://{address}/", proxy=None) as socket:
             await socket.recv()
             await socket.send(rubbish)
@@ -251,7 +252,8 @@
 def test_frames_survive_the_wire_and_bad_ones_are_named() -> None:
     for frame in (Beat(True, 195), TransactAsked(7, {"a": 0}, {"a": {"x": [1, "2"]}})):
         assert decode_frame(encode_frame(frame)) == frame
-    for data in (b"", b"\x81\x05", cbor2.dumps([5, "yes", 3]), "text"):
+    billion = cbor2.dumps([5, True, 10**9])
+    for data in (b"", b"\x81\x05", cbor2.dumps([5, "yes", 3]), billion, "text"):
         with pytest.raises(PeerError):
             decode_frame(data)
 
--- a/tests/test_relay_feed.py
+++ b/tests/test_relay_feed.py
@@ -6,7 +6,7 @@
 import anyio
 import pytest
 
-from godwitmast.errors import PlatformUnavailable
+from godwitmast.errors import PeerError, PlatformUnavailable
 from godwitmast.platform_api.port import Changes, FeedRow, HistoryLost, Snapshot
 from godwitmast.relay.codec import decode_frame, encode_frame
 from godwitmast.relay.copies import KEPT_CHANGES, Sharing, TableCopy
@@ -192,6 +192,13 @@
     assert feed.fresh_for(feed.copy_of(TABLE)) == pytest.approx(SHARING.fresh_s)
 
 
+@pytest.mark.parametrize("told_at", [1e9, float("inf"), float("nan")])
+def test_frame_from_far_ahead_moves_no_clock(told_at: float) -> None:
+    """Usage is counted by the clock that frames bring; one hours off would lose it."""
+    with pytest.raises(PeerError):
+        feed_told_at(told_at, 10.0)
+
+
 async def test_own_answer_does_not_pass_for_a_relay_that_tells(pair: Pair) -> None:
     """A VM without a relay must have a call open all the time."""
     calls = OwnCalls(pair.store)
--- a/tests/test_relay_machine.py
+++ b/tests/test_relay_machine.py
@@ -6,7 +6,8 @@
 import pytest
 
 from fakes import FakePlatform, Fate
-from godwitmast.platform_api.steps import Transact
+from godwitmast.platform_api.messages import Row
+from godwitmast.platform_api.steps import Rows, Transact
 from godwitmast.relay.machine import (
     ABSENT_S,
     BEAT_S,
@@ -295,3 +296,14 @@
     machine.heard(True, 195, 1.0)
     machine.heard(True, 0, 2.0)
     assert machine.vms == 195
+
+
+@pytest.mark.parametrize("value", [7, "x", [], {}, {"holder": 1, "address": "a"}])
+def test_seat_that_cannot_be_read_is_vacant(value: object) -> None:
+    """Another version's row, or anybody's, must not end the process that reads it."""
+    machine = RelayMachine("a", Seat("h", "x"))
+    machine.step(0.0)
+    assert machine.step(1.0) is not None
+    claim = machine.took(Rows({machine.key: Row(value, 7)}), 1.0)
+    assert isinstance(claim, Transact)
+    assert claim.checks == {machine.key: 7}
