Look a prompt's engines up in a set of its group, not in a list

Cause: each decision looked for every open engine in the list of its group, engines times engines comparisons. Change: a set.

--- a/src/godwitmast/dispatch/placement.py
+++ b/src/godwitmast/dispatch/placement.py
@@ -268,7 +268,8 @@
         """
         group = self.group(prompt, members, running)
         self.note_group(prompt, group, now)
-        inside = [engine for engine in open_engines if engine.backend_id in group]
+        grouped = set(group)
+        inside = [engine for engine in open_engines if engine.backend_id in grouped]
         candidates = inside or open_engines
         outside: Mapping[BackendId, float] = {}
         if self.is_quick(prompt):
