Mend what a second reading of the relays found

Simpler, with the behaviour as it was: - Whether the platform answers a relay stood twice; GroupCommit.failing is the one place. - The machine of a relay was made twice, the second time for its address. - The quiet logger for websockets stood in peers and relay; it is logs.quiet_logger. - The age of shared reads has a name.

Checked: formatter, linter, types, import rules, the tests of relays, peers, dispatch and the whole path.

--- a/src/godwitmast/dispatch/retries.py
+++ b/src/godwitmast/dispatch/retries.py
@@ -5,9 +5,9 @@
 own, fail too, and the system stays down after its cause is gone (Bronson et al.,
 "Metastable Failures in Distributed Systems", 2021).
 
-Every repeat draws on its pool's budget, which successes there fill: a share of `SUCCESS_SHARE` is
-what Finagle and Envoy use by default, within a factor of two. `RESERVE` lets the
-streams of a crashed server or two resume at once on a quiet system.
+Every repeat draws on its pool's budget, which successes there fill: a share of
+`SUCCESS_SHARE` is what Finagle and Envoy use by default, within a factor of two.
+`RESERVE` lets the streams of a crashed server or two resume at once on a quiet system.
 """
 
 import heapq
--- a/src/godwitmast/logs.py
+++ b/src/godwitmast/logs.py
@@ -1,5 +1,6 @@
 """Logs: one line of key=value pairs for each event, bounded and never in the way."""
 
+import logging
 import os
 import sys
 import time
@@ -123,3 +124,14 @@
     if text and not any(mark in text for mark in ' "=\n\r\t'):
         return text
     return '"' + text.encode("unicode_escape").decode().replace('"', r"\"") + '"'
+
+
+def quiet_logger(name: str) -> logging.Logger:
+    """Return a logger for a library that would log each failed handshake.
+
+    Such a failure is an event of ours; the library's line has a traceback.
+    """
+    quiet = logging.getLogger(name)
+    quiet.addHandler(logging.NullHandler())
+    quiet.propagate = False
+    return quiet
--- a/src/godwitmast/peers/driver.py
+++ b/src/godwitmast/peers/driver.py
@@ -1,7 +1,6 @@
 """Links between peers over websockets: carries out what the peer machine asks."""
 
 import itertools
-import logging
 import ssl
 from collections.abc import Callable
 
@@ -18,7 +17,7 @@
 from godwitmast.clock import Clock
 from godwitmast.errors import PeerError
 from godwitmast.http_server import bind
-from godwitmast.logs import log_event
+from godwitmast.logs import log_event, quiet_logger
 from godwitmast.peers.codec import MAX_FRAME_BYTES, decode_frame, encode_frame
 from godwitmast.peers.config_source import ConfigSource
 from godwitmast.peers.machine import MAX_LINKS, PeerMachine
@@ -48,10 +47,7 @@
 LEAVE_S = 0.5
 """How long the news that this node leaves has to reach its neighbours."""
 
-# Failed handshakes are an event of ours; the library would log each with a traceback.
-QUIET = logging.getLogger("godwitmast.websockets")
-QUIET.addHandler(logging.NullHandler())
-QUIET.propagate = False
+QUIET = quiet_logger("godwitmast.websockets")
 
 
 class PeerDriver:
--- a/src/godwitmast/relay/driver.py
+++ b/src/godwitmast/relay/driver.py
@@ -14,7 +14,7 @@
 from godwitmast.http_server import bind
 from godwitmast.logs import log_event
 from godwitmast.platform_api.group_commit import GroupCommit
-from godwitmast.platform_api.messages import TransactOutcome, Written
+from godwitmast.platform_api.messages import Written
 from godwitmast.platform_api.port import Table
 from godwitmast.platform_api.runner import take_step
 from godwitmast.platform_api.steps import Step
@@ -33,13 +33,15 @@
 )
 from godwitmast.relay.table import RelayTable, SharedReads
 from godwitmast.settings import Listen
-from godwitmast.types import Json
 
 CHECK_EVERY_S = 0.25
 MAX_FOLLOWERS = 512
 LEAVE_S = 0.5
 """How long a relay that stops tries to give its seat up."""
 
+READ_AGE_GATHERS = 5
+"""How old rows may be that a relay reads for all, in times of gathering."""
+
 TRY_AGAIN = 1013
 """Close code of a link to a VM that is not the relay."""
 
@@ -64,14 +66,13 @@
         self.zone = zone
         self.listen = listen
         self.vms = vms
-        self.able = True
-        self.holder = f"{node}/{secrets.token_hex(4)}"
-        self.machine = RelayMachine(zone, Seat(self.holder, ""))
+        holder = f"{node}/{secrets.token_hex(4)}"
+        self.machine = RelayMachine(zone, Seat(holder, ""))
         self.feed = feed
         self.feed.followers = lambda: len(self.links)
         self.link = RelayLink(self.take_beat, feed.take_frame)
-        self.group = GroupCommit(self.transact_group, gather_s)
-        self.shared = SharedReads(store, clock, age_s=5 * gather_s)
+        self.group = GroupCommit(store.transact, gather_s)
+        self.shared = SharedReads(store, clock, READ_AGE_GATHERS * gather_s)
         self.table = RelayTable(store, clock, self, gather_s)
         self.table.on_answer = self.note_answer
         self.server: Server | None = None
@@ -96,8 +97,8 @@
         listener = bind(self.listen)
         listener.listen(MAX_FOLLOWERS)
         port = listener.getsockname()[1]
-        own = Seat(self.holder, f"{self.listen.host}:{port}")
-        self.machine = RelayMachine(self.zone, own)
+        own = self.machine.own
+        self.machine.own = own._replace(address=f"{self.listen.host}:{port}")
         self.server = await serve(self.accept, sock=listener, **OPTIONS)
         await self.group.start(tasks)
         tasks.start_soon(self.run)
@@ -206,7 +207,7 @@
 
     async def send_beats(self, socket: ServerConnection) -> None:
         while True:
-            await self.tell(socket, Beat(self.able, self.vms()))
+            await self.tell(socket, Beat(not self.group.failing, self.vms()))
             await anyio.sleep(BEAT_S)
 
     async def send_tables(self, socket: ServerConnection) -> None:
@@ -215,7 +216,7 @@
         while True:
             changed = self.feed.changed
             if self.feed.shares:
-                for table in list(self.feed.copies):
+                for table in self.feed.known_tables():
                     frame = self.feed.frame_for(table, sent.get(table))
                     sent[table] = frame.version
                     await self.tell(socket, frame)
@@ -257,15 +258,3 @@
         return ReadAnswered(
             asked.number, True, {k: (r.value, r.version) for k, r in rows.items()}
         )
-
-    async def transact_group(
-        self, checks: dict[str, int], writes: dict[str, Json]
-    ) -> TransactOutcome:
-        """Write for the zone, and tell followers whether the platform answers."""
-        try:
-            outcome = await self.store.transact(checks, writes)
-        except PlatformError:
-            self.able = False
-            raise
-        self.able = True
-        return outcome
--- a/src/godwitmast/relay/feed.py
+++ b/src/godwitmast/relay/feed.py
@@ -127,6 +127,12 @@
 
     # Frames.
 
+    def known_tables(self) -> list[str]:
+        """Return the tables of which the platform has told this VM anything."""
+        return [
+            table for table, copy in self.copies.items() if math.isfinite(copy.asked_at)
+        ]
+
     def frame_for(self, table: str, sent: int | None) -> TableTold | TableChanged:
         """Return what a follower that has version `sent` is to be told of a table."""
         copy = self.copies[table]
@@ -142,9 +148,11 @@
 
         A VM that was suspended is behind the relay, and learns the time from it.
         """
+        if not math.isfinite(frame.confirmed_at):
+            raise PeerError("a frame without a time")
         if self.clock.heard_at is not None:
             ahead_s = frame.confirmed_at - self.clock.store_now()
-            if not ahead_s <= MAX_AHEAD_S:
+            if ahead_s > MAX_AHEAD_S:
                 raise PeerError(f"a frame from {ahead_s:.0f} s ahead")
         self.clock.heard(frame.confirmed_at)
         copy = self.copy_of(frame.table)
--- a/src/godwitmast/relay/links.py
+++ b/src/godwitmast/relay/links.py
@@ -1,6 +1,5 @@
 """A link between two VMs of an availability zone, over a websocket."""
 
-import logging
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -10,7 +9,7 @@
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from godwitmast.errors import PeerError, PlatformOutcomeUnknown, PlatformUnavailable
-from godwitmast.logs import log_event
+from godwitmast.logs import log_event, quiet_logger
 from godwitmast.platform_api.messages import (
     Conflict,
     Row,
@@ -34,10 +33,7 @@
 
 CLOSE_S = 0.5
 
-# Failed handshakes are an event of ours; the library would log each with a traceback.
-QUIET = logging.getLogger("godwitmast.relay.websockets")
-QUIET.addHandler(logging.NullHandler())
-QUIET.propagate = False
+QUIET = quiet_logger("godwitmast.relay.websockets")
 
 OPTIONS: dict[str, Any] = {
     "max_size": MAX_FRAME_BYTES,
--- a/src/godwitmast/relay/table.py
+++ b/src/godwitmast/relay/table.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import anyio
 import msgspec
 
 from godwitmast.clock import Clock
@@ -32,16 +33,19 @@
         self.store = store
         self.clock = clock
         self.age_s = age_s
+        self.reading = anyio.Lock()
         self.known: dict[tuple[str, ...], tuple[float, dict[str, Row]]] = {}
 
     async def read(self, keys: list[str]) -> dict[str, Row]:
         """Return rows that are `age_s` old at most."""
         name = tuple(keys)
-        now = self.clock.now()
-        self.known = {k: v for k, v in self.known.items() if now < v[0] + self.age_s}
-        if name not in self.known:
-            self.known[name] = (now, await self.store.read(keys))
-        return self.known[name][1]
+        async with self.reading:
+            now = self.clock.now()
+            limit = now - self.age_s
+            self.known = {k: v for k, v in self.known.items() if v[0] > limit}
+            if name not in self.known:
+                self.known[name] = (now, await self.store.read(keys))
+            return self.known[name][1]
 
 
 class OwnRelay(Protocol):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -48,6 +48,7 @@
 
     async def read(self, keys: list[str]) -> dict[str, Row]:
         self.calls += 1
+        await anyio.sleep(0.02)
         found = self.platform.take(Read(keys), self.fate)
         if not isinstance(found, Rows):
             raise PlatformUnavailable("refused")
@@ -209,7 +210,10 @@
     assert [type(error) for error in errors] == [PlatformOutcomeUnknown]
     successor = await zone.settle(others)
     assert successor is not relay
-    assert zone.platform.table.rows["relay/a"].value["holder"] == successor.holder
+    assert (
+        zone.platform.table.rows["relay/a"].value["holder"]
+        == successor.machine.own.holder
+    )
 
 
 async def test_row_that_is_too_large_does_not_fail_its_neighbours(
@@ -234,6 +238,17 @@
     assert calls(zone) - before == 1
 
 
+async def test_marks_that_vms_ask_for_at_once_are_read_once(zone: ZoneOfThree) -> None:
+    """All VMs of a zone start together, and ask in the same moment ever after."""
+    before = calls(zone)
+
+    async def read(vm: RelayDriver, number: int) -> None:
+        await vm.table.read_recent(["usage/head"])
+
+    await write_all([*zone.vms, *zone.vms], read)
+    assert calls(zone) - before == 1
+
+
 async def test_stranger_that_sends_rubbish_loses_its_link_only(
     zone: ZoneOfThree,
 ) -> None:
--- a/tests/test_relay_feed.py
+++ b/tests/test_relay_feed.py
@@ -6,8 +6,10 @@
 import anyio
 import pytest
 
+from godwitmast.clock import ManualClock
 from godwitmast.errors import PeerError, PlatformUnavailable
 from godwitmast.platform_api.port import Changes, FeedRow, HistoryLost, Snapshot
+from godwitmast.platform_api.time_agreement import AgreedClock
 from godwitmast.relay.codec import decode_frame, encode_frame
 from godwitmast.relay.copies import KEPT_CHANGES, Sharing, TableCopy
 from godwitmast.relay.feed import SharedFeed
@@ -199,6 +201,27 @@
         feed_told_at(told_at, 10.0)
 
 
+async def test_frame_without_a_time_sets_no_clock() -> None:
+    """The first frame of a VM that no answer of the platform has reached yet."""
+    clock = AgreedClock(ManualClock())
+    feed = SharedFeed(Store(), clock, SHARING)
+    with pytest.raises(PeerError):
+        feed.take_frame(TableTold(TABLE, 5, [], float("-inf")))
+    assert clock.heard_at is None
+
+
+async def test_table_that_the_platform_has_not_told_is_not_passed_on() -> None:
+    """A relay's metrics are read before its first answer has come.
+
+    The frame had no version, and each follower took it for rubbish and left the relay.
+    """
+    relay = SharedFeed(Store(), Clock(), SHARING)
+    relay.age_s(TABLE)
+    assert not relay.known_tables()
+    await relay.snapshot(TABLE)
+    assert relay.known_tables() == [TABLE]
+
+
 async def test_own_answer_does_not_pass_for_a_relay_that_tells(pair: Pair) -> None:
     """A VM without a relay must have a call open all the time."""
     calls = OwnCalls(pair.store)
