Log the longest gap of each stream, and when it ended

Callers saw streams that stood still; our logs told the time to the first token and to the last, so that an engine that interrupts a request could not be told from one that is slow throughout. No decision is changed.

--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -234,6 +234,7 @@
         """Meter what reached a backend server, and count and log the outcome."""
         spec = exchange.spec
         first_s, total_s, tokens = exchange.timing
+        gap_s, gap_ended_at = exchange.token_times.longest_gap
         log_event(
             "request_ended",
             request=spec.request_id,
@@ -248,6 +249,8 @@
             first_s=first_s,
             total_s=self.clock.now() - spec.arrived,
             tokens=tokens,
+            gap_s=gap_s,
+            gap_ended_s=None if gap_ended_at is None else gap_ended_at - spec.arrived,
             config=self.config.version if self.config else None,
         )
         for kind, tokens in exchange.kind_tokens.items():
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -33,7 +33,7 @@
 from godwitmast.entry.claim_answers import OUTCOME_UNKNOWN, answer_claim
 from godwitmast.entry.driver import Mailbox, RouterDriver
 from godwitmast.entry.front import Front
-from godwitmast.entry.metrics import Timing
+from godwitmast.entry.metrics import Timing, TokenTimes
 from godwitmast.entry.outbound import (
     EVENT_STREAM,
     ErrorPolicy,
@@ -136,8 +136,7 @@
     """What a server answered that failed, for when no other makes it good."""
     head_sent: bool = False
     reached_backend: bool = False
-    first_token_at: float | None = None
-    last_token_at: float = 0.0
+    token_times: TokenTimes = field(default_factory=TokenTimes)
     counted: TokenCount | None = None
     end_reason: CancelReason | None = None
     error_code: str | None = None
@@ -425,9 +424,7 @@
         """Note tokens that were passed on."""
         if not count:
             return
-        self.last_token_at = self.driver.clock.now()
-        if self.first_token_at is None:
-            self.first_token_at = self.last_token_at
+        self.token_times.token_came(self.driver.clock.now())
         self.kind_tokens[self.driver.kind_of(start.backend_id)] += count
         self.driver.tokens_came(self.spec.request_id, start.attempt_id, count)
 
@@ -435,7 +432,7 @@
         """Pass on an answer that does not stream, with its status."""
         body = await read_raw(answer)
         self.note_begun()
-        self.last_token_at = self.driver.clock.now()
+        self.token_times.last_at = self.driver.clock.now()
         self.counted = self.outbound.usage(body)
         if self.counted:
             kind = self.driver.kind_of(start.backend_id)
@@ -484,9 +481,9 @@
     @property
     def timing(self) -> Timing:
         arrived = self.spec.arrived
-        first = self.first_token_at
+        first = self.token_times.first_at
         return Timing(
             None if first is None else first - arrived,
-            self.last_token_at - arrived,
+            self.token_times.last_at - arrived,
             self.tokens.output,
         )
--- a/src/godwitmast/entry/metrics.py
+++ b/src/godwitmast/entry/metrics.py
@@ -1,5 +1,6 @@
 """Metrics of an entry, in a registry of its own."""
 
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from prometheus_client import (
@@ -23,6 +24,30 @@
 and a key that its operator withdrew."""
 
 
+class Gap(NamedTuple):
+    """A time without tokens in the middle of an answer."""
+
+    seconds: float = 0.0
+    ended_at: float | None = None
+
+
+@dataclass(slots=True)
+class TokenTimes:
+    """When the tokens of an answer came, on the entry's clock."""
+
+    first_at: float | None = None
+    last_at: float = 0.0
+    longest_gap: Gap = Gap()
+
+    def token_came(self, now: float) -> None:
+        """Note one or more tokens that came together."""
+        if self.first_at is None:
+            self.first_at = now
+        elif now - self.last_at > self.longest_gap.seconds:
+            self.longest_gap = Gap(now - self.last_at, now)
+        self.last_at = now
+
+
 class Timing(NamedTuple):
     """When the parts of an answer came, in seconds after the request's arrival."""
 
