Add a failing test: an engine preempts the more urgent kind of request

Cause: the priority sent to engines ranks the team before the route. A summary of a team of priority 0 is ranked before a question of a team of priority 1, so an engine whose places are full takes the question's place.

The stand-in engine can preempt now, as engines do.

--- a/src/godwitmast/standins/engine_model.py
+++ b/src/godwitmast/standins/engine_model.py
@@ -13,7 +13,8 @@
     """How fast an engine is; the defaults resemble a 7-billion-parameter model.
 
     One step takes `step_s`, and more for each sequence that it decodes and for each
-    prompt token that it reads. `speed` of 0.1 makes a straggler.
+    prompt token that it reads. `speed` of 0.1 makes a straggler. An engine that
+    `preempts` gives the place of a less urgent sequence to one that waits.
     """
 
     step_s: float = 0.010
@@ -23,6 +24,7 @@
     max_batch: int = 32
     cache_tokens: int = 60_000
     speed: float = 1.0
+    preempts: bool = False
 
 
 @dataclass(slots=True)
@@ -58,6 +60,13 @@
     stored: bool
 
 
+class Preempted(NamedTuple):
+    """A sequence lost its place in the batch while `others` kept theirs."""
+
+    sequence_id: str
+    others: tuple[str, ...]
+
+
 class Step(NamedTuple):
     """How long a step takes and what it gives at its end."""
 
@@ -75,6 +84,7 @@
     cache: "OrderedDict[str, int]" = field(default_factory=OrderedDict)
     cache_used: int = 0
     cache_events: list[CacheEvent] = field(default_factory=list)
+    preempted: list[Preempted] = field(default_factory=list)
     submitted: int = 0
     generated_total: int = 0
 
@@ -82,8 +92,12 @@
         """Queue a sequence; one with `generated` above 0 is resumed."""
         self.submitted += 1
         sequence.order = self.submitted
+        self.enqueue(sequence)
+
+    def enqueue(self, sequence: Sequence) -> None:
+        """Put a sequence among those that wait, the most urgent first."""
         self.waiting.append(sequence)
-        self.waiting.sort(key=lambda item: (item.priority, item.order))
+        self.waiting.sort(key=urgency)
 
     def cancel(self, sequence_id: str) -> None:
         """Drop a sequence, wherever it is."""
@@ -106,8 +120,7 @@
     def step(self) -> Step:
         """Run one batch step."""
         rates = self.rates
-        while self.waiting and len(self.running) < rates.max_batch:
-            self.admit(self.waiting.pop(0))
+        self.fill_batch()
         budget = rates.chunk_tokens
         read = 0
         decoding = []
@@ -127,6 +140,25 @@
         )
         return Step(duration / rates.speed, events)
 
+    def fill_batch(self) -> None:
+        """Admit what waits while there is room, or a less urgent sequence runs."""
+        while self.waiting:
+            if len(self.running) >= self.rates.max_batch:
+                victim = max(self.running.values(), key=urgency)
+                if not self.rates.preempts or (
+                    victim.priority <= self.waiting[0].priority
+                ):
+                    return
+                self.preempt(victim)
+            self.admit(self.waiting.pop(0))
+
+    def preempt(self, victim: Sequence) -> None:
+        """Put a running sequence back; its prompt and answer are read again."""
+        del self.running[victim.sequence_id]
+        self.preempted.append(Preempted(victim.sequence_id, tuple(self.running)))
+        victim.imported = 0
+        self.enqueue(victim)
+
     def admit(self, sequence: Sequence) -> None:
         """Move a sequence into the batch, sparing the part of its prompt in cache."""
         known = sequence.imported
@@ -162,3 +194,8 @@
         number = self.cache_events[-1].sequence + 1 if self.cache_events else 1
         self.cache_events.append(CacheEvent(number, prefix, stored))
         del self.cache_events[:-1000]
+
+
+def urgency(sequence: Sequence) -> tuple[int, int]:
+    """Return what an engine admits by; the newest of the last priority goes first."""
+    return (sequence.priority, sequence.order)
--- /dev/null
+++ b/tests/test_urgency.py
@@ -0,0 +1,90 @@
+"""Which requests engines and queues put first, by the operators' configuration."""
+
+from itertools import count
+
+from msgspec import json
+
+from fleet import HOST, config_of, route
+from godwitmast.entry.front import Incoming, Prepared
+from godwitmast.entry.intake import Envelope
+from godwitmast.keys.authorizer import Caller
+from godwitmast.platform.catalog import read_config
+from godwitmast.platform.front import RouteFront
+from godwitmast.platform.wire import REQUEST_PRIORITY
+from godwitmast.standins.engine_model import EngineModel, EngineSpeed, Sequence
+
+CHAT, DRAFT, DIGEST = 0, 1, 2
+"""Three kinds of request by their route's priority."""
+
+TOKENS = {CHAT: (1_460, 80), DRAFT: (9_190, 30), DIGEST: (17_020, 60)}
+"""Prompt and answer of each kind."""
+
+TEAMS = {"gold": 0, "many": 1}
+
+
+def front_of(**teams: int) -> RouteFront:
+    """Return a front with three streaming routes and teams of these priorities."""
+    routes = [
+        route(f"r{kind}", f"/{kind}/", "streaming", "lm", priority=kind)
+        for kind in TOKENS
+    ]
+    tenants = [
+        {"name": name, "apiKeys": [f"key-of-{name}"], "priority": priority}
+        for name, priority in teams.items()
+    ]
+    front = RouteFront()
+    config = config_of(1, routes=routes, tenants=tenants)
+    front.take_catalog(read_config(json.encode(config)))
+    return front
+
+
+def prepare(front: RouteFront, kind: int, team: str) -> Prepared:
+    """Return a request of a kind as it would be routed."""
+    key = f"key-of-{team}"
+    path = f"/{kind}/x"
+    envelope = Envelope("POST", path, path, "", [], key, None, 60.0, None, "a", HOST)
+    caller = front.identify(envelope, 0.0)
+    assert isinstance(caller, Caller)
+    prepared = front.prepare(Incoming(envelope, caller, b"", 0.0))
+    assert isinstance(prepared, Prepared)
+    return prepared
+
+
+def engine_priority(front: RouteFront, kind: int, team: str) -> int:
+    """Return the priority that an engine is told."""
+    headers = dict(prepare(front, kind, team).outbound.headers)  # type: ignore[attr-defined]
+    return int(headers[REQUEST_PRIORITY])
+
+
+def test_no_request_loses_its_place_in_an_engine_to_spare_a_less_urgent_kind() -> None:
+    """Guards against summaries of one team that outlast the questions of all others."""
+    front = front_of(**TEAMS)
+    engine = EngineModel(EngineSpeed(max_batch=16, preempts=True))
+    kinds: dict[str, int] = {}
+    numbers = count(1)
+
+    def submit(kind: int, team: str) -> None:
+        name = f"{team}-{next(numbers)}"
+        kinds[name] = kind
+        priority = engine_priority(front, kind, team)
+        engine.submit(Sequence(name, *TOKENS[kind], priority=priority))
+
+    for step in range(600):
+        if step % 12 == 0:
+            submit(CHAT, "many")
+        if step % 40 == 0:
+            submit(DRAFT, "many")
+        if step % 60 == 0:
+            submit(DIGEST, "many")
+        if step % 25 == 0:
+            submit(DIGEST, "gold")
+        if step % 18 == 0:
+            submit(CHAT, "gold")
+        engine.step()
+    assert len(engine.preempted) >= 10, "the load must overfill the engine"
+    spared = [
+        victim.sequence_id
+        for victim in engine.preempted
+        if any(kinds[other] > kinds[victim.sequence_id] for other in victim.others)
+    ]
+    assert not spared
