Tell engines the route's priority, whatever the team's

Sent the route's priority alone, an engine gives up the kind of request that is least urgent, and the same number means the same kind under every configuration, so that VMs that learn of a change at other moments and streams that began before it are ordered alike. A team's priority still orders what waits in our own queues.

Before: test_no_request_loses_its_place_in_an_engine_to_spare_a_less_urgent_kind fails, and so do the four cases of a change of teams.

--- a/src/godwitmast/platform/catalog.py
+++ b/src/godwitmast/platform/catalog.py
@@ -119,6 +119,15 @@
         return {rank for pair, rank in self.ranks.items() if pair[1] == route}
 
 
+def engine_priority(route_priority: int) -> int:
+    """Return what an engine orders a route's requests by, 0 first.
+
+    It depends on nothing else, so that VMs that hold other configurations, and streams
+    that began under an earlier one, are ordered alike inside an engine.
+    """
+    return min(max(route_priority, 0), LOWEST_PRIORITY)
+
+
 def make_route(wire: WireRoute, without_keys: bool) -> Route:
     splits = [Split(PoolName(s.service), s.weight) for s in wire.split]
     if not splits and wire.service is not None:
--- a/src/godwitmast/platform/front.py
+++ b/src/godwitmast/platform/front.py
@@ -35,7 +35,7 @@
 )
 from godwitmast.http_server import Scope, Send
 from godwitmast.keys.authorizer import Caller, Denial, identify
-from godwitmast.platform.catalog import Catalog, with_rank
+from godwitmast.platform.catalog import Catalog, engine_priority, with_rank
 from godwitmast.platform.wire import (
     ATTEMPT_ID,
     DEADLINE_MS,
@@ -236,7 +236,7 @@
         if caller:
             headers.append((TENANT, team))
         if route.streams:
-            headers.append((REQUEST_PRIORITY, str(rank)))
+            headers.append((REQUEST_PRIORITY, str(engine_priority(route.priority))))
         spec = self.make_spec(incoming, route, team, rank, give_up_at)
         retries = spec.idempotent and route.attempts > 1
         query = f"?{envelope.query}" if envelope.query else ""
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -87,7 +87,7 @@
     await fleet.ask(http, "/chat/1", "POST", **forged, **{"X_Key": KEY})
     [served] = [s for replica in fleet.engines for s in replica.served]
     assert served.headers["tenant"] == "arima"
-    # Of the two pairs of a team's and the route's priority, (1, 1) and (3, 1).
+    # The route's priority is 1, the team's 3.
     assert served.headers["request-priority"] == "1"
     assert not {"hold", "pin-ms", "kv-from", "x-key"} & served.headers.keys()
 
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -2,12 +2,14 @@
 
 from itertools import count
 
+import pytest
 from msgspec import json
 
 from fleet import HOST, config_of, route
 from godwitmast.entry.front import Incoming, Prepared
 from godwitmast.entry.intake import Envelope
 from godwitmast.keys.authorizer import Caller
+from godwitmast.platform.catalog import engine_priority as engine_priority_of
 from godwitmast.platform.catalog import read_config
 from godwitmast.platform.front import RouteFront
 from godwitmast.platform.wire import REQUEST_PRIORITY
@@ -88,3 +90,23 @@
         if any(kinds[other] > kinds[victim.sequence_id] for other in victim.others)
     ]
     assert not spared
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [{"many": 1}, {"gold": 0, "many": 2}, {"gold": 3, "many": 7}, {"many": 0}],
+)
+def test_change_of_teams_moves_no_kind_before_another_in_engines(
+    changed: dict[str, int],
+) -> None:
+    """Guards against VMs of two configurations that order an engine differently."""
+    before, after = front_of(**TEAMS), front_of(**changed)
+    for kind in (CHAT, DRAFT):
+        held = engine_priority(before, kind + 1, "many")
+        assert engine_priority(after, kind, "many") < held
+        held = engine_priority(after, kind + 1, "many")
+        assert engine_priority(before, kind, "many") < held
+
+
+def test_engines_are_told_no_priority_beyond_their_range() -> None:
+    assert [engine_priority_of(p) for p in (-1, 0, 5, 9, 10, 99)] == [0, 0, 5, 9, 9, 9]
