Interrupt no request for a less urgent kind of another team

The same cause as in engines, found by reading: our own interruptions went by tier, and a tier ranks the team before the route. A draft of a team of priority 1 was cancelled for a summary of a team of priority 0 that was about to be too late; sent on, the draft would have taken the summary's place inside the engine in turn.

A class now names what engines order it by (engine_priority, its tier where none is named), and who is interrupted must not come before the one that it gives way to, by that order as well as by tier. Engines of the product's own interface are told the same number.

Before: two cases of test_request_is_interrupted_for_no_less_urgent_kind fail (gold-2 waits, many-1 runs). After: all pass.

--- a/src/godwitmast/admission/class_queue.py
+++ b/src/godwitmast/admission/class_queue.py
@@ -63,6 +63,10 @@
     def tier(self) -> int:
         return self.target.tier
 
+    @property
+    def order_in_engines(self) -> int:
+        return self.target.order_in_engines
+
     @property
     def turn_share(self) -> float:
         return self.target.turn_share
--- a/src/godwitmast/admission/preemption.py
+++ b/src/godwitmast/admission/preemption.py
@@ -67,15 +67,17 @@
     return queue.urgency[0][1] if queue.urgency else None
 
 
-def find_victim(pool: PoolQueues, tier: int) -> Job | None:
-    """Return who gives way to `tier`: the lowest tier first, then the last begun.
+def find_victim(pool: PoolQueues, urgent: ClassQueue) -> Job | None:
+    """Return who gives way to a class: the lowest tier first, then the last begun.
 
-    The last begun has the least to read again, and the most still to do.
+    The last begun has the least to read again, and the most still to do. One that
+    engines put first is spared: it would only take the place back inside the engine.
     """
     for queue in reversed(pool.by_tier):
-        if queue.tier <= tier:
+        if queue.tier <= urgent.tier:
             return None
-        if queue.preemptible:
+        spared = queue.order_in_engines < urgent.order_in_engines
+        if queue.preemptible and not spared:
             return next(reversed(queue.preemptible.values()))
     return None
 
--- a/src/godwitmast/admission/queue.py
+++ b/src/godwitmast/admission/queue.py
@@ -184,7 +184,7 @@
                 return Preemption(None, self.start_next(queue, now))
             if job.urgent_at > now:
                 continue
-            victim = find_victim(pool, queue.tier)
+            victim = find_victim(pool, queue)
             if victim is not None:
                 victim.preemptions += 1
                 self.put_back(victim.request, now)
--- a/src/godwitmast/config/document.py
+++ b/src/godwitmast/config/document.py
@@ -19,6 +19,8 @@
     Tier 1 is the highest. A class names at least one target: seconds to the first
     token, seconds between tokens, or seconds to the whole answer. `patience_s` is how
     long its callers wait for the first token before they leave, if that is known.
+    `engine_priority` is what engines order its requests by, 0 first, where that is not
+    the tier.
     """
 
     tier: Annotated[int, Field(ge=1, le=99)]
@@ -28,6 +30,12 @@
     patience_s: Positive | None = None
     turn_share: Share = 0.02
     attainment_goal: Share = 0.95
+    engine_priority: Annotated[int, Field(ge=0)] | None = None
+
+    @property
+    def order_in_engines(self) -> int:
+        """Return the priority that engines are told."""
+        return self.tier if self.engine_priority is None else self.engine_priority
 
 
 class Team(NamedTuple):
--- a/src/godwitmast/entry/openai.py
+++ b/src/godwitmast/entry/openai.py
@@ -121,8 +121,8 @@
         self, envelope: Envelope, call: ModelCall, spec: RequestSpec, limit: int
     ) -> ModelOutbound:
         """Return what an engine is sent: the caller's body, with our priority."""
-        tier = self.document.classes[spec.class_name].tier
-        body = {**call.body, "priority": tier, "max_tokens": limit}
+        priority = self.document.classes[spec.class_name].order_in_engines
+        body = {**call.body, "priority": priority, "max_tokens": limit}
         body.pop("max_completion_tokens", None)
         headers = [
             ("content-type", "application/json"),
--- a/src/godwitmast/platform/catalog.py
+++ b/src/godwitmast/platform/catalog.py
@@ -181,11 +181,14 @@
 
 def make_class(route: WireRoute, rank: int) -> RequestClass:
     aim_s = route.slo_ms / 1000
+    priority = engine_priority(route.priority)
     if route.kind != STREAMING:
-        return RequestClass(1 + rank, completion_s=aim_s)
+        return RequestClass(1 + rank, completion_s=aim_s, engine_priority=priority)
     gap_s = route.gap_aim_ms / 1000 if route.gap_aim_ms else None
     patience_s = max(PATIENCE_S, PATIENCE_AIMS * aim_s, PATIENCE_GAPS * (gap_s or 0.0))
-    return RequestClass(1 + rank, aim_s, gap_s, patience_s=patience_s)
+    return RequestClass(
+        1 + rank, aim_s, gap_s, patience_s=patience_s, engine_priority=priority
+    )
 
 
 def make_fleets(services: list[WireService]) -> dict[PoolName, ZonalLimits]:
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -6,11 +6,13 @@
 from msgspec import json
 
 from fleet import HOST, config_of, route
+from godwitmast.admission.queue import Admission
+from godwitmast.dispatch.messages import RequestSpec
 from godwitmast.entry.front import Incoming, Prepared
 from godwitmast.entry.intake import Envelope
 from godwitmast.keys.authorizer import Caller
-from godwitmast.platform.catalog import engine_priority as engine_priority_of
 from godwitmast.platform.catalog import read_config
+from godwitmast.platform.catalog import engine_priority as engine_priority_of
 from godwitmast.platform.front import RouteFront
 from godwitmast.platform.wire import REQUEST_PRIORITY
 from godwitmast.standins.engine_model import EngineModel, EngineSpeed, Sequence
@@ -27,7 +29,7 @@
 def front_of(**teams: int) -> RouteFront:
     """Return a front with three streaming routes and teams of these priorities."""
     routes = [
-        route(f"r{kind}", f"/{kind}/", "streaming", "lm", priority=kind)
+        route(f"r{kind}", f"/{kind}/", "streaming", "lm", priority=kind, resumable=True)
         for kind in TOKENS
     ]
     tenants = [
@@ -110,3 +112,51 @@
 
 def test_engines_are_told_no_priority_beyond_their_range() -> None:
     assert [engine_priority_of(p) for p in (-1, 0, 5, 9, 10, 99)] == [0, 0, 5, 9, 9, 9]
+
+
+def interrupted(
+    front: RouteFront, running: list[str], waiting: str
+) -> RequestSpec | None:
+    """Return which of the running requests gives way to one that waits, if any does.
+
+    Each is named by its team and kind, such as "many-1".
+    """
+    admission = Admission(front.document)
+    for name in [*running, waiting]:
+        team, _, kind = name.partition("-")
+        request = prepare(front, int(kind), team).spec
+        assert admission.offer(request, 0.0) == []
+        if name is not waiting:
+            assert admission.next(request.pool, 0.0) == request
+            admission.tokens_came(request, 1, 0.0)
+    for tick in range(100):
+        preemption = admission.preempt(request.pool, tick * 0.05)
+        if preemption is not None:
+            return preemption.victim
+    return None
+
+
+@pytest.mark.parametrize(
+    ("running", "waiting", "victim"),
+    [
+        (["many-1"], "gold-2", None),
+        (["many-0", "many-1"], "gold-2", None),
+        (["many-1", "many-2"], "gold-2", "many-2"),
+        (["many-1"], "gold-1", "many-1"),
+        (["many-1", "gold-2"], "gold-0", "many-1"),
+        (["many-2"], "many-1", "many-2"),
+        (["gold-2"], "many-0", None),
+    ],
+)
+def test_request_is_interrupted_for_no_less_urgent_kind(
+    running: list[str], waiting: str, victim: str | None
+) -> None:
+    """Guards against drafts that give way to the summaries of another team."""
+    front = front_of(**TEAMS)
+    found = interrupted(front, running, waiting)
+    if victim is None:
+        assert found is None
+    else:
+        assert found is not None
+        team, _, kind = victim.partition("-")
+        assert found.fingerprint == prepare(front, int(kind), team).spec.fingerprint
