Keep kinds of request apart in queues, however many priorities teams have

Engines are sent the route's priority by now, so ranks may be as many as there are tiers.

Before: test_kinds_stay_apart_in_queues_however_many_priorities_there_are fails, 10 ranks for 21 pairs.

--- a/src/godwitmast/platform/catalog.py
+++ b/src/godwitmast/platform/catalog.py
@@ -36,6 +36,10 @@
 from godwitmast.types import ClassName, PoolName, ZoneName
 
 LOWEST_PRIORITY = 9
+"""The largest number that engines take."""
+
+TIERS = 99
+"""As many as a configuration of the product's can have."""
 
 FAST_TOKENS_PER_MS = 200.0
 """Copied at this rate, a part arrives several times sooner than any engine reads it."""
@@ -108,7 +112,7 @@
             {(route, route) for route in routes}
             | {(team, route) for team in teams for route in routes}
         )
-        crowd = max(1.0, len(pairs) / (LOWEST_PRIORITY + 1))
+        crowd = max(1.0, len(pairs) / TIERS)
         self.ranks = {pair: int(place / crowd) for place, pair in enumerate(pairs)}
 
     def of(self, route: int, team: int | None) -> int:
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -11,7 +11,7 @@
 from godwitmast.entry.front import Incoming, Prepared
 from godwitmast.entry.intake import Envelope
 from godwitmast.keys.authorizer import Caller
-from godwitmast.platform.catalog import read_config
+from godwitmast.platform.catalog import Ranks, read_config
 from godwitmast.platform.catalog import engine_priority as engine_priority_of
 from godwitmast.platform.front import RouteFront
 from godwitmast.platform.wire import REQUEST_PRIORITY
@@ -160,3 +160,12 @@
         assert found is not None
         team, _, kind = victim.partition("-")
         assert found.fingerprint == prepare(front, int(kind), team).spec.fingerprint
+
+
+def test_kinds_stay_apart_in_queues_however_many_priorities_there_are() -> None:
+    """Guards against classes of unlike urgency that share one queue."""
+    ranks = Ranks(set(range(3)), set(range(7)))
+    pairs = [(team, kind) for team in range(7) for kind in range(3)]
+    order = [ranks.of(kind, team) for team, kind in pairs]
+    assert order == sorted(order)
+    assert len(set(order)) == len(pairs)
