Send engines a priority for requests without a stream as well

Before: test_engine_is_told_the_priority_of_a_request_without_a_stream fails (no header). After: it passes.

--- a/src/godwitmast/platform/front.py
+++ b/src/godwitmast/platform/front.py
@@ -235,9 +235,9 @@
         headers = list(envelope.headers)
         if caller:
             headers.append((TENANT, team))
-        if route.streams:
-            headers.append((REQUEST_PRIORITY, str(engine_priority(route.priority))))
         spec = self.make_spec(incoming, route, team, rank, give_up_at)
+        if spec.pool in self.document.models:
+            headers.append((REQUEST_PRIORITY, str(engine_priority(route.priority))))
         retries = spec.idempotent and route.attempts > 1
         query = f"?{envelope.query}" if envelope.query else ""
         outbound = RoutedRequest(
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -110,6 +110,16 @@
         assert engine_priority(before, kind, "many") < held
 
 
+def test_engine_is_told_the_priority_of_a_request_without_a_stream() -> None:
+    """Guards against requests that an engine ranks by its default."""
+    routes = [route("r", "/0/", "idempotent", "lm", priority=0)]
+    tenants = [{"name": "many", "apiKeys": ["key-of-many"], "priority": 1}]
+    front = RouteFront()
+    config = config_of(1, routes=routes, tenants=tenants)
+    front.take_catalog(read_config(json.encode(config)))
+    assert engine_priority(front, CHAT, "many") == 0
+
+
 def test_engines_are_told_no_priority_beyond_their_range() -> None:
     assert [engine_priority_of(p) for p in (-1, 0, 5, 9, 10, 99)] == [0, 0, 5, 9, 9, 9]
 
