Let the most urgent kind of every team go to full engines

Cause: an urgent request may go to a full engine, where it comes first, if its tier is the highest that the configuration has. Tiers rank the team before the route, so that two teams of 24 had this and the questions of all others had not; without any such team still nobody had, as the configuration has the class all the same. Engines put all questions first, whichever team's. That is what decides now.

Before: test_most_urgent_kind_of_every_team_may_go_to_a_full_engine[0-many-True] fails. After: it passes.

--- a/src/godwitmast/admission/preemption.py
+++ b/src/godwitmast/admission/preemption.py
@@ -14,7 +14,8 @@
 Entries share servers and do not see each other's queues. One whose places have all gone
 to lower tiers of the others has nobody to interrupt; its urgent request goes to a full
 server then, as engines serve the highest priority first. Where places come free soon,
-such requests go there at once. Only the highest tier may, or engines are overfull.
+such requests go there at once. Only those that engines put before all others may, of
+whichever team, or engines are overfull.
 """
 
 from typing import NamedTuple
@@ -41,7 +42,7 @@
 
 SOON_HOLD_S = 6.0
 """Where requests hold their places no longer than this, a full engine of eight frees one
-each 0.8 s. A request of the highest tier does best to wait there from the start, before
+each 0.8 s. One that engines put first does best to wait there from the start, before
 the lower tiers of all entries: it interrupts fewer, whose prompts are read again."""
 
 
--- a/src/godwitmast/admission/queue.py
+++ b/src/godwitmast/admission/queue.py
@@ -47,7 +47,7 @@
         self, document: Document, seed: int = 0, max_waiting: int = MAX_WAITING
     ) -> None:
         self.document = document
-        self.highest_tier = find_highest_tier(document)
+        self.first_in_engines = find_first_in_engines(document)
         self.max_waiting = max_waiting
         self.random = random.Random(seed)
         self.jobs: dict[RequestId, Job] = {}
@@ -60,7 +60,7 @@
     def update_config(self, document: Document) -> None:
         """Take a configuration; what waits keeps its place and its deadline."""
         self.document = document
-        self.highest_tier = find_highest_tier(document)
+        self.first_in_engines = find_first_in_engines(document)
         for pool in self.pools.values():
             for queue in pool.by_tier:
                 queue.target = document.classes.get(queue.name, queue.target)
@@ -168,8 +168,8 @@
         """Take a request that is about to be too late, and who gives way to it.
 
         The one that gives way waits again, before those of its class that never ran.
-        Where the caller has a server that takes one more than its limit, a request of
-        the highest tier comes alone if places come free soon, or if nobody can give way.
+        Where the caller has a server that takes one more than its limit, a request that
+        engines put first comes alone if places come free soon, or if nobody can give way.
         """
         pool = self.pools.get(pool_name)
         if pool is None or not pool.waiting:
@@ -179,7 +179,8 @@
             if request_id is None:
                 continue
             job = self.jobs[request_id]
-            may_go_alone = may_overcommit and queue.tier <= self.highest_tier
+            is_first = queue.order_in_engines <= self.first_in_engines
+            may_go_alone = may_overcommit and is_first
             if may_go_alone and frees_soon(pool):
                 return Preemption(None, self.start_next(queue, now))
             if job.urgent_at > now:
@@ -351,8 +352,10 @@
         self.waiting += change
 
 
-def find_highest_tier(document: Document) -> int:
-    return min((item.tier for item in document.classes.values()), default=1)
+def find_first_in_engines(document: Document) -> int:
+    """Return the priority of the requests that engines put before all others."""
+    classes = document.classes.values()
+    return min((item.order_in_engines for item in classes), default=1)
 
 
 def refuse(request: RequestSpec, code: RefusalCode, after_s: float) -> Refuse:
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -172,6 +172,24 @@
         assert found.fingerprint == prepare(front, int(kind), team).spec.fingerprint
 
 
+@pytest.mark.parametrize(
+    ("kind", "team", "goes"),
+    [(CHAT, "gold", True), (CHAT, "many", True), (DRAFT, "gold", False)],
+)
+def test_most_urgent_kind_of_every_team_may_go_to_a_full_engine(
+    kind: int, team: str, goes: bool
+) -> None:
+    """Guards against questions turned away while other VMs' summaries hold engines."""
+    front = front_of(**TEAMS)
+    admission = Admission(front.document)
+    request = prepare(front, kind, team).spec
+    assert admission.offer(request, 0.0) == []
+    ticks = [tick * 0.05 for tick in range(100)]
+    found = [admission.preempt(request.pool, now, may_overcommit=True) for now in ticks]
+    alone = [preemption for preemption in found if preemption is not None]
+    assert [preemption.request for preemption in alone] == [request] * goes
+
+
 def test_kinds_stay_apart_in_queues_however_many_priorities_there_are() -> None:
     """Guards against classes of unlike urgency that share one queue."""
     ranks = Ranks(set(range(3)), set(range(7)))
