--- a/src/godwitmast/admission/preemption.py
+++ b/src/godwitmast/admission/preemption.py
@@ -71,8 +71,8 @@
 def find_victim(pool: PoolQueues, urgent: ClassQueue) -> Job | None:
     """Return who gives way to a class: the lowest tier first, then the last begun.
 
-    The last begun has the least to read again, and the most still to do. One that
-    engines put first is spared: it would only take the place back inside the engine.
+    The last begun has the least to read again, and the most still to do. What engines
+    put before that class is spared: sent on, it would take a place back there.
     """
     for queue in reversed(pool.by_tier):
         if queue.tier <= urgent.tier:
