--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -11,8 +11,7 @@
 from godwitmast.entry.front import Incoming, Prepared
 from godwitmast.entry.intake import Envelope
 from godwitmast.keys.authorizer import Caller
-from godwitmast.platform.catalog import Ranks, read_config
-from godwitmast.platform.catalog import engine_priority as engine_priority_of
+from godwitmast.platform.catalog import Ranks, engine_priority, read_config
 from godwitmast.platform.front import RouteFront
 from godwitmast.platform.wire import REQUEST_PRIORITY
 from godwitmast.standins.engine_model import EngineModel, EngineSpeed, Sequence
@@ -54,8 +53,8 @@
     return prepared
 
 
-def engine_priority(front: RouteFront, kind: int, team: str) -> int:
-    """Return the priority that an engine is told."""
+def priority_sent(front: RouteFront, kind: int, team: str) -> int:
+    """Return the priority that an engine is sent with a request."""
     headers = dict(prepare(front, kind, team).outbound.headers)  # type: ignore[attr-defined]
     return int(headers[REQUEST_PRIORITY])
 
@@ -70,7 +69,7 @@
     def submit(kind: int, team: str) -> None:
         name = f"{team}-{next(numbers)}"
         kinds[name] = kind
-        priority = engine_priority(front, kind, team)
+        priority = priority_sent(front, kind, team)
         engine.submit(Sequence(name, *TOKENS[kind], priority=priority))
 
     for step in range(600):
@@ -104,10 +103,10 @@
     """Guards against VMs of two configurations that order an engine differently."""
     before, after = front_of(**TEAMS), front_of(**changed)
     for kind in (CHAT, DRAFT):
-        held = engine_priority(before, kind + 1, "many")
-        assert engine_priority(after, kind, "many") < held
-        held = engine_priority(after, kind + 1, "many")
-        assert engine_priority(before, kind, "many") < held
+        held = priority_sent(before, kind + 1, "many")
+        assert priority_sent(after, kind, "many") < held
+        held = priority_sent(after, kind + 1, "many")
+        assert priority_sent(before, kind, "many") < held
 
 
 def test_engine_is_told_the_priority_of_a_request_without_a_stream() -> None:
@@ -117,11 +116,11 @@
     front = RouteFront()
     config = config_of(1, routes=routes, tenants=tenants)
     front.take_catalog(read_config(json.encode(config)))
-    assert engine_priority(front, CHAT, "many") == 0
+    assert priority_sent(front, CHAT, "many") == 0
 
 
 def test_engines_are_told_no_priority_beyond_their_range() -> None:
-    assert [engine_priority_of(p) for p in (-1, 0, 5, 9, 10, 99)] == [0, 0, 5, 9, 9, 9]
+    assert [engine_priority(p) for p in (-1, 0, 5, 9, 10, 99)] == [0, 0, 5, 9, 9, 9]
 
 
 def interrupted(
