Hang an engine in a test once its streams have tokens, not after 0.3 s

Cause, by the log of that run: five of six streams took two attempts and had their first token after 1.1 s, all answers whole. The engine was hung before it had given the entry a token of any of them, so that they were moved and began anew, with nothing to resume. The test waited 0.3 s for that, which a busy machine does not keep.

The test now waits until the entry has passed on tokens of a stream and hangs that one's engine. What it asserts is unchanged.

--- a/tests/test_dispatch_entry.py
+++ b/tests/test_dispatch_entry.py
@@ -9,6 +9,7 @@
 
 from godwitmast.dev.document import MODEL, SERVICE, dev_document, dev_key
 from godwitmast.dev.system import DevSystem
+from godwitmast.standins.engine import StandinEngine
 from processes import Process, Processes, free_port
 from running import running
 
@@ -35,6 +36,16 @@
     return [int(word.split("-")[1]) for word in words]
 
 
+def engines_with_tokens(system: DevSystem) -> list[StandinEngine]:
+    """Return the engines of streams that the entry has passed tokens of."""
+    book = system.entries[0].driver.router.book
+    return [
+        engine
+        for engine in system.engines
+        if any(flight.tokens for flight in book.on(engine.settings.name))
+    ]
+
+
 async def test_streams_of_a_hung_engine_go_on_elsewhere(
     system: DevSystem, http: httpx.AsyncClient
 ) -> None:
@@ -56,9 +67,8 @@
             for number in range(6):
                 tasks.start_soon(caller, number)
             with anyio.fail_after(10):
-                while not (busy := [e for e in system.engines if e.model.running]):
+                while not (busy := engines_with_tokens(system)):
                     await anyio.sleep(0.01)
-            await anyio.sleep(0.3)
             busy[0].faults.hang = True
         busy[0].faults.hang = False
         assert len(answers) == 6
