Give evacuated zones no new work

Cause: the operators' table has a row for each evacuated zone beside the configuration, and only the configuration's row was read.

Change: the adapter reads the rows' names; the router treats the servers of an evacuated zone as closed, like leaving ones, in each place where it chooses a server: first attempts, retries, probes, overcommitted urgent ones, suspects kept apart, sources of copies. Evacuations are taken before the configuration of the same answer, so that a VM is not ready before it knows them. The plan for servers orders and gives back nothing there, and has the other zones take over. The product's own interface keeps evacuated zones in the numbered configuration: godwitctl evacuate, restore.

Before: tests/test_evacuation.py fails. After: it passes.

--- a/src/godwitmast/capacity/zonal.py
+++ b/src/godwitmast/capacity/zonal.py
@@ -17,7 +17,7 @@
 
 import math
 from collections import Counter, deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -124,9 +124,17 @@
     """Where servers of the pool were seen; elsewhere it may not run at all."""
 
     def step(
-        self, servers: Iterable[ListedServer], open_requests: float | None, now: float
+        self,
+        servers: Iterable[ListedServer],
+        open_requests: float | None,
+        now: float,
+        closed: Collection[ZoneName] = (),
     ) -> list[Wanted]:
-        """Return the numbers to send now; None tells that the demand is not known."""
+        """Return the numbers to send now; None tells that the demand is not known.
+
+        Servers of `closed` zones get no work and are neither ordered nor given back:
+        they are needed again as soon as their zone is.
+        """
         servers = list(servers)
         self.zones |= {s.zone for s in servers} & self.limits.zone_prices.keys()
         have = Counter((s.zone, s.kind) for s in servers if not s.leaving)
@@ -146,7 +154,7 @@
         is_new = now - self.began < HOLD_S
         return [
             item
-            for zone, (on_demand, cheap) in self.spread().items()
+            for zone, (on_demand, cheap) in self.spread(closed).items()
             for item in self.for_zone(zone, on_demand, cheap, have, is_new)
             if self.is_due(item, have, now)
         ]
@@ -167,10 +175,12 @@
         wanted = math.ceil(servers)
         return min(max(wanted, self.limits.least * zones), self.limits.most * zones)
 
-    def spread(self) -> dict[ZoneName, tuple[int, int]]:
+    def spread(
+        self, closed: Collection[ZoneName] = ()
+    ) -> dict[ZoneName, tuple[int, int]]:
         """Return how many on demand and cheap each zone gets, the lowest price first."""
         prices = self.limits.zone_prices
-        zones = sorted(self.zones, key=lambda zone: (prices[zone], zone))
+        zones = sorted(self.zones - set(closed), key=lambda zone: (prices[zone], zone))
         on_demand = max(len(zones), round(ON_DEMAND_SHARE * self.total))
         if self.limits.cheap_price >= 1:
             on_demand = self.total
--- a/src/godwitmast/capacity/zonal_duty.py
+++ b/src/godwitmast/capacity/zonal_duty.py
@@ -1,6 +1,6 @@
 """Sends the numbers of servers that are wanted, for as long as the lease is held."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -47,6 +47,7 @@
     open_requests: Callable[[PoolName], float | None]
     registry: CollectorRegistry | None = None
     order_timeout_s: float = 1.5
+    closed: Callable[[], Collection[ZoneName]] = frozenset
     name: str = "orders"
     planners: dict[PoolName, ZonalPlanner] = field(default_factory=dict)
 
@@ -82,7 +83,8 @@
             if planner.pool in item.pools
         ]
         demand = self.open_requests(planner.pool)
-        for wanted in planner.step(servers, demand, self.clock.now()):
+        now = self.clock.now()
+        for wanted in planner.step(servers, demand, now, self.closed()):
             outcome = await self.send(planner.pool, wanted, guard)
             if outcome is OrderOutcome.STALE:
                 return
--- a/src/godwitmast/config/document.py
+++ b/src/godwitmast/config/document.py
@@ -125,6 +125,12 @@
     cheap_per_hour: Positive = 0.4
 
 
+class Evacuation(NamedTuple):
+    """An availability zone whose backend servers get no new work."""
+
+    reason: str = ""
+
+
 class Document(NamedTuple):
     """A whole configuration."""
 
@@ -135,6 +141,7 @@
     services: dict[str, Service] = {}
     backends: dict[str, Backend] = {}
     capacity: dict[str, CapacityIntention] = {}
+    evacuated: dict[str, Evacuation] = {}
 
 
 class NumberedConfig(NamedTuple):
@@ -154,6 +161,7 @@
     "services": TypeAdapter(Service),
     "backends": TypeAdapter(Backend),
     "capacity": TypeAdapter(CapacityIntention),
+    "evacuated": TypeAdapter(Evacuation),
 }
 """The items of each section of a document."""
 
--- a/src/godwitmast/ctl/cli.py
+++ b/src/godwitmast/ctl/cli.py
@@ -300,6 +300,51 @@
     run(platform, work)
 
 
+@app.command()
+def evacuate(
+    zone: str,
+    reason: ReasonOption = "evacuate an availability zone",
+    wait: WaitOption = False,
+    timeout: TimeoutOption = 15.0,
+    platform: PlatformOption = DEFAULT_PLATFORM,
+) -> None:
+    """Give the backend servers of an availability zone no new work."""
+
+    async def work(session: Session) -> int:
+        known = await session.zones()
+        if zone not in known:
+            names = ", ".join(sorted(known))
+            raise CommandFailed(f"there is no zone {zone!r}; there are {names}")
+        outcome = await session.edit(
+            lambda document: {"evacuated": {zone: {"reason": reason}}}, reason
+        )
+        return await conclude(session, outcome, wait, timeout)
+
+    run(platform, work)
+
+
+@app.command()
+def restore(
+    zone: str,
+    reason: ReasonOption = "give an availability zone back",
+    wait: WaitOption = False,
+    timeout: TimeoutOption = 15.0,
+    platform: PlatformOption = DEFAULT_PLATFORM,
+) -> None:
+    """Give the backend servers of an evacuated zone work again."""
+
+    def make(document: Json) -> Json:
+        if zone not in document.get("evacuated", {}):
+            raise CommandFailed(f"zone {zone!r} is not evacuated")
+        return {"evacuated": {zone: None}}
+
+    async def work(session: Session) -> int:
+        outcome = await session.edit(make, reason)
+        return await conclude(session, outcome, wait, timeout)
+
+    run(platform, work)
+
+
 @app.command()
 def check(file: Annotated[Path, typer.Argument(help="A whole document.")]) -> None:
     """Validate a configuration document without the platform."""
--- a/src/godwitmast/ctl/session.py
+++ b/src/godwitmast/ctl/session.py
@@ -127,6 +127,13 @@
         nodes = [load_node(row.value) for row in rows.values()]
         return [node for node in nodes if not node.ended]
 
+    async def zones(self) -> set[str]:
+        """Return the availability zones of entries and configured backend servers."""
+        document = await self.document(None)
+        servers = document.get("backends", {}).values()
+        entries = await self.nodes()
+        return {item["zone"] for item in servers} | {node.zone for node in entries}
+
     async def usage_windows(self) -> tuple[int | None, int | None]:
         """Return the starts of the windows last frozen and last reported."""
         rows = await self.platform.read([HEAD_KEY, REPORTED_KEY])
--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -173,7 +173,7 @@
                 state.limit.value, state.limit.fixed = float(spec.places), True
             state.cells = []
             self.states[spec.backend_id] = state
-            if not spec.leaving:
+            if not spec.closed:
                 for pool in spec.pools:
                     self.add_to_pool(state, pool, old_pools)
         for state in self.states.values():
--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -50,9 +50,9 @@
 class BackendSpec(NamedTuple):
     """A backend server as the decisions see it.
 
-    A leaving server gets no new work; `gone_at`, on the router's clock, is when the
-    platform takes it away, if it said so. `places` is how many requests it runs at a
-    time, if that is known.
+    A server that is leaving or `evacuated` gets no new work; `gone_at`, on the router's
+    clock, is when the platform takes it away, if it said so. `places` is how many
+    requests it runs at a time, if that is known.
     """
 
     backend_id: BackendId
@@ -62,6 +62,12 @@
     leaving: bool = False
     gone_at: float | None = None
     places: int | None = None
+    evacuated: bool = False
+
+    @property
+    def closed(self) -> bool:
+        """Return whether the server gets no new work."""
+        return self.leaving or self.evacuated
 
 
 class LoadReport(NamedTuple):
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -522,7 +522,7 @@
         return (
             state is not None
             and state.health.is_in()
-            and not state.spec.leaving
+            and not state.spec.closed
             and place not in flight.avoid
             and not self.is_kept_apart(flight)
         )
@@ -561,7 +561,7 @@
             return None
         backend_id, ready = reserved
         state = self.backends.states.get(backend_id)
-        if state is None or state.spec.leaving or not state.health.is_in():
+        if state is None or state.spec.closed or not state.health.is_in():
             self.guard.drop_reservation(fingerprint)
             return None
         return backend_id if ready else None
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -58,6 +58,8 @@
     ) -> None:
         self.budgets = budgets or RetryBudgets()
         self.listed: dict[str, Backend] = {}
+        self.evacuated: frozenset[ZoneName] = frozenset()
+        """The zones that the platform's operators evacuated."""
         self.zone = ZoneName(zone)
         self.clock = clock
         self.client = client
@@ -107,10 +109,26 @@
         if self.router is not None:
             self.update_backends()
 
+    def evacuate(self, zones: frozenset[ZoneName]) -> None:
+        """Give the servers of exactly these zones no new work."""
+        if zones == self.evacuated:
+            return
+        log_event("zones_evacuated", zones=",".join(sorted(zones)) or None)
+        self.evacuated = zones
+        if self.router is not None:
+            self.update_backends()
+
+    @property
+    def closed_zones(self) -> frozenset[ZoneName]:
+        """Return the evacuated zones, whether configured or told by the platform."""
+        configured = self.document.evacuated if self.document else {}
+        return self.evacuated | {ZoneName(zone) for zone in configured}
+
     def update_backends(self) -> None:
         """Hand the router every backend server: configured, listed or ordered."""
         assert self.document is not None
         now = self.clock.now()
+        closed = self.closed_zones
         self.backends = merge_backends(
             {**self.document.backends, **self.listed}, self.fleet
         )
@@ -123,6 +141,7 @@
                 item.leaving or BackendId(name) in self.told_leaving,
                 now + EVICTION_LEFT_S if self.is_evicted(name) else None,
                 item.places,
+                evacuated=item.zone in closed,
             )
             for name, item in self.backends.items()
         ]
--- a/src/godwitmast/platform/catalog.py
+++ b/src/godwitmast/platform/catalog.py
@@ -21,6 +21,7 @@
 from godwitmast.logs import log_event
 from godwitmast.platform.wire import (
     DRAINING,
+    EVACUATE_PREFIX,
     IDEMPOTENT,
     READY,
     STREAMING,
@@ -217,6 +218,15 @@
     }
 
 
+def read_evacuations(rows: Mapping[str, bytes]) -> frozenset[ZoneName]:
+    """Return the zones whose servers are to get no new work, by their rows' names."""
+    return frozenset(
+        ZoneName(key.removeprefix(EVACUATE_PREFIX))
+        for key in rows
+        if key.startswith(EVACUATE_PREFIX)
+    )
+
+
 def read_servers(rows: Mapping[str, bytes]) -> dict[str, Backend]:
     """Return the servers that their rows name; a row that cannot be read names none."""
     servers: dict[str, Backend] = {}
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -26,7 +26,11 @@
 from godwitmast.lease.driver import DutyGroup, LeaseDriver
 from godwitmast.lease.machine import LeaseTiming
 from godwitmast.logs import log_event
-from godwitmast.platform.catalog import read_config, read_servers
+from godwitmast.platform.catalog import (
+    read_config,
+    read_evacuations,
+    read_servers,
+)
 from godwitmast.platform.front import ReplicaWire, RouteFront
 from godwitmast.platform.settings import BoundsTable, PlatformFile
 from godwitmast.platform.store import StoreClient
@@ -157,7 +161,7 @@
         gather_s = bounds.drain_ms / 1000 * GATHER_SHARE
         self.feed = SharedFeed(self.store, self.true_time, feed_sharing(bounds))
         self.followers = [
-            FeedFollower(self.feed, self.clock, OPERATOR_TABLE, self.take_config),
+            FeedFollower(self.feed, self.clock, OPERATOR_TABLE, self.take_operator),
             FeedFollower(
                 self.feed,
                 self.clock,
@@ -206,6 +210,7 @@
             lambda pool: open_requests(duty.loads(), pool),
             self.app.metrics.registry,
             REPORT_TIMEOUT_S,
+            lambda: self.driver.closed_zones,
         )
         self.lease = LeaseDriver(
             self.store,
@@ -301,6 +306,11 @@
         await self.store.close()
         log_event("node_stopped", node=self.settings.node)
 
+    def take_operator(self, rows: dict[str, bytes]) -> None:
+        """Take evacuations first: a VM is ready from its first configuration on."""
+        self.driver.evacuate(read_evacuations(rows))
+        self.take_config(rows)
+
     def take_config(self, rows: dict[str, bytes]) -> None:
         """Put the operator's configuration in force if it is newer."""
         content = rows.get(CONFIG_KEY)
--- a/src/godwitmast/platform/wire.py
+++ b/src/godwitmast/platform/wire.py
@@ -52,6 +52,8 @@
 
 OPERATOR_TABLE = "op"
 CONFIG_KEY = "config"
+EVACUATE_PREFIX = "evacuate/"
+"""A row of this name and a zone says that the zone is evacuated while it exists."""
 SERVERS_TABLE = "servers"
 
 READY = "ready"
--- a/src/godwitmast/standins/store.py
+++ b/src/godwitmast/standins/store.py
@@ -121,8 +121,10 @@
         self.put(SERVERS_TABLE, server_id, msgspec.json.encode(said))
 
     def remove_server(self, server_id: str) -> None:
-        row = StoredRow(server_id, SERVERS_TABLE, removed=True)
-        self.write([row])
+        self.remove(SERVERS_TABLE, server_id)
+
+    def remove(self, table: str, key: str) -> None:
+        self.write([StoredRow(key, table, removed=True)])
 
     def put(self, table: str, key: str, content: bytes) -> None:
         value = base64.b64encode(content).decode()
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -86,6 +86,35 @@
         assert json.loads(shown.output)["document"] is True
 
 
+async def test_evacuated_zone_gets_no_request_until_it_is_restored(
+    system: DevSystem, http: httpx.AsyncClient
+) -> None:
+    async with running(system):
+        url = f"{system.entries[0].server.url}/services/{SERVICE}/gifts"
+        headers = {"Authorization": f"Bearer {dev_key('arima')}"}
+        shown = await ctl(system, "show", "backends")
+        document = json.loads(shown.output)["document"]
+        zones = {item["zone"] for item in document.values()}
+        for zone in zones:
+            done = await ctl(system, "evacuate", zone, "--wait")
+            assert done.exit_code == 0, done.output
+        assert (await http.get(url, headers=headers)).status_code == 503
+        for zone in zones:
+            done = await ctl(system, "restore", zone, "--wait")
+            assert done.exit_code == 0, done.output
+        assert (await http.get(url, headers=headers)).status_code == 200
+
+
+async def test_evacuation_of_an_unknown_zone_is_refused(system: DevSystem) -> None:
+    async with running(system):
+        refused = await ctl(system, "evacuate", "nowhere")
+        assert refused.exit_code == 1
+        assert "there is no zone 'nowhere'" in refused.output
+        refused = await ctl(system, "restore", "nowhere")
+        assert refused.exit_code == 1
+        assert "'nowhere' is not evacuated" in refused.output
+
+
 async def test_wait_names_the_entry_that_is_behind(system: DevSystem) -> None:
     """An entry hangs: the change is accepted, but not in force everywhere."""
     async with running(system):
--- /dev/null
+++ b/tests/test_evacuation.py
@@ -0,0 +1,141 @@
+"""Zones whose backend servers are to get no more work."""
+
+from collections.abc import AsyncIterator
+
+import httpx
+import pytest
+
+from fleet import Fleet, config_of
+from godwitmast.platform.wire import OPERATOR_TABLE, READY
+from godwitmast.platform_api import feed
+from godwitmast.standins.replica import ReplicaStandin
+from running import running
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture(autouse=True)
+def short_waits(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(feed, "WAIT_S", 0.3)
+
+
+class ZonedFleet(Fleet):
+    """A fleet whose second engine and second plain server are in zone `z2`."""
+
+    async def settle(self) -> None:
+        for replica in self.in_z2:
+            replica.say(READY, zone="z2")
+        await self.until(
+            lambda: (
+                sum(item.zone == "z2" for item in self.node.driver.backends.values())
+                == 2
+            )
+        )
+
+    @property
+    def in_z2(self) -> list[ReplicaStandin]:
+        return [self.engines[1], self.plain[1]]
+
+    async def evacuate(self, zone: str = "z2", content: bytes = b"{}") -> None:
+        self.store.put(OPERATOR_TABLE, f"evacuate/{zone}", content)
+        await self.until(lambda: zone in self.node.driver.evacuated)
+
+    async def restore(self, zone: str = "z2") -> None:
+        self.store.remove(OPERATOR_TABLE, f"evacuate/{zone}")
+        await self.until(lambda: zone not in self.node.driver.evacuated)
+
+    async def ask_often(self, http: httpx.AsyncClient) -> list[int]:
+        answers = [
+            await self.ask(http, path, method, **{"Attempt-Id": f"{path}{n}"})
+            for n in range(6)
+            for path, method in (("/peek/1", "GET"), ("/digest/1", "POST"))
+        ]
+        return [answer.status_code for answer in answers]
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[ZonedFleet]:
+    async with running(ZonedFleet()) as started:
+        await started.settle()
+        yield started
+
+
+async def test_servers_of_an_evacuated_zone_get_no_request(
+    fleet: ZonedFleet, http: httpx.AsyncClient
+) -> None:
+    """The operator's row on an evacuation is not read, and work goes there on."""
+    await fleet.evacuate()
+    assert set(await fleet.ask_often(http)) == {200}
+    assert not any(replica.served for replica in fleet.in_z2)
+
+
+async def test_retry_goes_to_no_server_of_an_evacuated_zone(
+    fleet: ZonedFleet, http: httpx.AsyncClient
+) -> None:
+    """The only other server of the pool that a failed request could go to is there."""
+    await fleet.evacuate()
+    fleet.plain[0].faults.status = 500
+    answer = await fleet.ask(http, "/peek/1")
+    assert answer.status_code == 500
+    assert not any(replica.served for replica in fleet.in_z2)
+
+
+async def test_zone_that_is_given_back_is_used_again(
+    fleet: ZonedFleet, http: httpx.AsyncClient
+) -> None:
+    await fleet.evacuate()
+    await fleet.restore()
+    fleet.plain[0].faults.sheds = True
+    answer = await fleet.ask(http, "/peek/1")
+    assert answer.status_code == 200
+    assert fleet.plain[1].served
+
+
+async def test_request_without_a_server_outside_is_refused_as_not_run(
+    fleet: ZonedFleet, http: httpx.AsyncClient
+) -> None:
+    """All zones that have the service are evacuated at once."""
+    await fleet.evacuate("z1")
+    await fleet.evacuate("z2")
+    answer = await fleet.ask(http, "/pay/1", "POST")
+    assert answer.status_code == 503
+    assert float(answer.headers["retry-after"]) > 0
+
+
+async def test_row_that_cannot_be_read_still_evacuates_its_zone(
+    fleet: ZonedFleet, http: httpx.AsyncClient
+) -> None:
+    """Only the row's name matters; taken for none, its zone would get work."""
+    await fleet.evacuate(content=b"\xff")
+    await fleet.ask_often(http)
+    assert not any(replica.served for replica in fleet.in_z2)
+
+
+async def test_unknown_zone_changes_nothing(
+    fleet: ZonedFleet, http: httpx.AsyncClient
+) -> None:
+    await fleet.evacuate("nowhere")
+    fleet.plain[0].faults.sheds = True
+    assert (await fleet.ask(http, "/peek/1")).status_code == 200
+    assert fleet.plain[1].served
+
+
+class EvacuatedFleet(ZonedFleet):
+    """A fleet whose VM starts while zone `z1` is evacuated."""
+
+    async def start(self, tasks) -> None:  # type: ignore[no-untyped-def]
+        self.configured = False
+        await super().start(tasks)
+        self.store.put(OPERATOR_TABLE, "evacuate/z1", b"{}")
+
+
+async def test_vm_that_starts_knows_of_an_evacuation_before_it_is_ready(
+    http: httpx.AsyncClient,
+) -> None:
+    """A VM starts in the midst of an evacuation, and serves as soon as it is ready."""
+    async with running(EvacuatedFleet()) as fleet:
+        fleet.store.put_config(config_of(1))
+        await fleet.until(lambda: fleet.node.app.ready)
+        answer = await fleet.ask(http, "/peek/1")
+        assert answer.status_code == 503
+        assert not any(replica.served for replica in fleet.replicas)
--- a/tests/test_zonal.py
+++ b/tests/test_zonal.py
@@ -37,6 +37,7 @@
         self.coming: list[tuple[float, ZoneName, ServerKind, int]] = []
         self.dry: set[ZoneName] = set()
         self.now = 0.0
+        self.closed: set[ZoneName] = set()
         self.sent: list[Wanted] = []
         self.most_at_once = 0
 
@@ -67,7 +68,7 @@
             for (zone, kind), number in self.counts.items()
             for _ in range(number)
         ]
-        for item in self.planner.step(servers, open_requests, self.now):
+        for item in self.planner.step(servers, open_requests, self.now, self.closed):
             self.sent.append(item)
             outcome = self.take(item)
             self.planner.was_sent(item, outcome, self.now)
@@ -256,3 +257,36 @@
     market.play(OBSERVE_S + LIMITS.start_s + 4, open_requests=14 * OPEN_EACH)
     assert market.total == 14
     assert all(market.counts[place] >= number for place, number in before.items())
+
+
+def test_other_zones_take_over_from_an_evacuated_one() -> None:
+    """Its servers serve nobody, and neither more nor fewer of them are ordered there."""
+    market = Market()
+    market.play(20, open_requests=30)
+    before = dict(market.counts)
+    market.closed = {B}
+    market.sent.clear()
+    market.play(10, open_requests=30)
+    assert not [item for item in market.sent if item.zone == B]
+    outside = sum(n for (zone, _), n in market.counts.items() if zone != B)
+    assert outside == sum(before.values())
+
+
+def test_servers_of_a_zone_that_is_given_back_are_planned_for_again() -> None:
+    market = Market()
+    market.play(20, open_requests=60)
+    before = dict(market.counts)
+    market.closed = {B}
+    market.play(10, open_requests=60)
+    market.closed = set()
+    market.play(10, open_requests=60)
+    assert market.counts == before
+
+
+def test_nothing_is_ordered_while_all_zones_are_evacuated() -> None:
+    market = Market()
+    market.play(20, open_requests=30)
+    market.closed = {A, B, C}
+    market.sent.clear()
+    market.play(10, open_requests=90)
+    assert market.sent == []
