Bound what all routers together send to a cold server

Cause: nothing read that a server is cold. It is the emptiest of all, so each of 65 VMs sends it its next request in the same second.

Change: each router takes turns at a cold server, from a start that it draws at random, as many a second as its part of a rate whose Poisson sum exceeds the bound in one second with a chance of 1e-6 at most; a turn not used within 0.25 s is lost. Cold is what its row says, what comes back with an evacuated zone, and, for five seconds, what took no connection: it may have crashed and be back before its row tells. First attempts, retries, probes and overcommitted requests all need a turn. The count of routers is the one that repeats are divided by (RouterCount, taken out of DividedBudgets). A restart under the same id is told by the row's time of birth, and forgets what was held against the server.

Ruled out: each router's part of the rate as a token bucket: with a burst of one, all 65 may send in the same second. Turns by hash and the platform's clock: the same sum, and it needs a common clock.

--- a/src/godwitmast/config/document.py
+++ b/src/godwitmast/config/document.py
@@ -65,6 +65,18 @@
     expires_at: float | None = None
 
 
+class ColdStart(NamedTuple):
+    """How a server warms up after its start.
+
+    For `start_s` it bears `per_s` requests a second of all entries together, and never
+    more than `most` in one second.
+    """
+
+    per_s: Positive
+    most: Positive
+    start_s: Positive
+
+
 class Model(NamedTuple):
     """A model that backend servers serve."""
 
@@ -73,6 +85,7 @@
     weight_gb: Positive = 14.0
     fetches: bool = False
     """Its engines copy parts of prompts from each other, far faster than they read."""
+    cold_start: ColdStart | None = None
 
 
 class Service(NamedTuple):
@@ -84,12 +97,14 @@
 
     idempotent_paths: frozenset[str] = frozenset()
     default_class: str | None = None
+    cold_start: ColdStart | None = None
 
 
 class Backend(NamedTuple):
     """A backend server; `pools` names the models and services that it serves.
 
-    `places` is how many requests it runs at a time; without it that is learned.
+    `places` is how many requests it runs at a time; without it that is learned. What
+    lists itself may say how long it stays cold, and by its incarnation that it restarted.
     """
 
     url: str
@@ -99,6 +114,8 @@
     checks_fences: bool = False
     leaving: bool = False
     places: Annotated[int, Field(gt=0)] | None = None
+    cold_s: Annotated[float, Field(ge=0)] | None = None
+    incarnation: int = 0
 
 
 class CapacityIntention(NamedTuple):
--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -13,11 +13,13 @@
 be slow there.
 """
 
+import math
 import random
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from godwitmast.dispatch.affinity import PrefixOrders, rendezvous, within_bound
+from godwitmast.dispatch.census import RouterCount
 from godwitmast.dispatch.health import (
     HEALTHY_FACTOR,
     SLOW_FACTOR,
@@ -30,6 +32,12 @@
 from godwitmast.dispatch.messages import BackendSpec, LoadReport, RequestSpec
 from godwitmast.dispatch.pace import GapWindow, PoolPace
 from godwitmast.dispatch.placement import Placement, Running
+from godwitmast.dispatch.warmup import (
+    RESTART_NEWS_S,
+    Warmup,
+    WarmupLimit,
+    safe_rate,
+)
 from godwitmast.types import BackendId, ZoneName
 
 TARGET_MEMORY_S = 60.0
@@ -53,6 +61,7 @@
     other: OtherLoad = field(default_factory=OtherLoad)
     token_at: float = 0.0
     first_token_cut_at: float = 0.0
+    warmup: Warmup = field(default_factory=Warmup)
     cells: list["Cell"] = field(default_factory=list)
 
     def load(self, now: float) -> float:
@@ -68,6 +77,8 @@
         return self.spec.zone
 
     def has_room(self, now: float) -> bool:
+        if not self.warmup.may_send(now):
+            return False
         if self.limit.fixed:
             # What others have there is a guess that ages; one request of ours at a
             # time finds out.
@@ -84,7 +95,8 @@
         return self.load(now) / max(1.0, self.limit.value)
 
     def may_probe(self, now: float) -> bool:
-        return not self.in_flight and self.health.may_probe(now)
+        idle = not self.in_flight and self.warmup.may_send(now)
+        return idle and self.health.may_probe(now)
 
 
 class OpenSet:
@@ -154,20 +166,32 @@
 class BackendTable:
     """The backend servers by pool, with room and choice."""
 
-    def __init__(self, zone: ZoneName, seed: int = 0) -> None:
+    def __init__(
+        self, zone: ZoneName, seed: int = 0, count: RouterCount | None = None
+    ) -> None:
         self.zone = zone
+        self.count = count or RouterCount()
+        self.warmups: dict[str, WarmupLimit] = {}
         self.random = random.Random(seed)
         self.states: dict[BackendId, BackendState] = {}
         self.pools: dict[str, PoolView] = {}
         self.returns: list[BackendState] = []
+        self.cold: dict[BackendId, BackendState] = {}
 
     def update(self, specs: list[BackendSpec], now: float) -> None:
         """Take the list of servers; what is known of those that stay is kept."""
         old, old_pools = self.states, self.pools
+        is_first = not old
+        self.cold = {}
         self.states = {}
         self.pools = {}
         for spec in specs:
-            state = old.get(spec.backend_id) or BackendState(spec)
+            known = old.get(spec.backend_id)
+            if known is not None and known.spec.incarnation != spec.incarnation:
+                # A flight that is still counted there ends on the state that is kept.
+                known.health, known.window = Health(), GapWindow()
+            state = known or BackendState(spec)
+            self.note_start(state, spec, known is None, is_first, now)
             state.spec = spec
             if spec.places is not None:
                 state.limit.value, state.limit.fixed = float(spec.places), True
@@ -179,6 +203,56 @@
         for state in self.states.values():
             self.refresh(state, now)
 
+    def warmup_of(self, spec: BackendSpec) -> WarmupLimit | None:
+        """Return what the server bears while it is cold, if that is bounded."""
+        limits = (self.warmups.get(pool) for pool in spec.pools)
+        return next((limit for limit in limits if limit is not None), None)
+
+    def turn_period_s(self, spec: BackendSpec) -> float:
+        """Return the time from one turn of this router at a cold server to the next."""
+        limit = self.warmup_of(spec)
+        return self.count.most / safe_rate(limit) if limit else math.inf
+
+    def note_start(
+        self,
+        state: BackendState,
+        spec: BackendSpec,
+        is_new: bool,
+        is_first: bool,
+        now: float,
+    ) -> None:
+        """Take what the list says of whether the server is cold."""
+        limit = self.warmup_of(spec)
+        if limit is None:
+            state.warmup = Warmup()
+            return
+        last = state.spec
+        changed = (last.cold_s, last.incarnation) != (spec.cold_s, spec.incarnation)
+        if spec.cold_s is not None and (is_new or changed):
+            state.warmup.told(spec.cold_s, now)
+        # A zone is given back with its servers cold, which their own rows may tell later.
+        unsaid = spec.cold_s is None and is_new and not is_first
+        if unsaid or (last.evacuated and not spec.evacuated):
+            state.warmup.assume(now + limit.start_s)
+        self.note_cold(state, now)
+
+    def note_cold(self, state: BackendState, now: float) -> None:
+        """Begin to take turns at a server that is cold."""
+        if state.warmup.is_cold(now):
+            self.cold[state.backend_id] = state
+        state.warmup.advance(self.turn_period_s(state.spec), now, self.random)
+
+    def unreachable(self, backend_id: BackendId, now: float) -> None:
+        """Take that a server took no connection: it may come back cold, unannounced."""
+        state = self.states.get(backend_id)
+        if state is None:
+            return
+        if self.warmup_of(state.spec) is not None:
+            state.warmup.assume(now + RESTART_NEWS_S)
+            self.note_cold(state, now)
+        self.went_down(backend_id, now)
+        self.refresh(state, now)
+
     def add_to_pool(
         self, state: BackendState, pool: str, old_pools: dict[str, PoolView]
     ) -> None:
@@ -355,7 +429,7 @@
         step = 1 + int(self.random.random() * (len(items) - 1))
         return [items[first], items[(first + step) % len(items)]]
 
-    def draw_any(self, pool: str) -> BackendId | None:
+    def draw_any(self, pool: str, now: float) -> BackendId | None:
         """Return the better of two random servers in the choice, full or not.
 
         They are of the own zone, unless it has none for the pool.
@@ -366,7 +440,11 @@
         cell = view.cells.get(self.zone) or next(iter(view.cells.values()))
         members = list(cell.members.values())
         drawn = [self.random.choice(members) for _ in range(2)]
-        states = [state for state in drawn if state.health.is_in()]
+        states = [
+            state
+            for state in drawn
+            if state.health.is_in() and state.warmup.may_send(now)
+        ]
         best = min(states, key=lambda s: s.in_flight / s.limit.value, default=None)
         return best.spec.backend_id if best else None
 
@@ -402,6 +480,7 @@
         state = self.states[backend_id]
         state.other.own_changed(state.in_flight, now)
         state.in_flight += 1
+        state.warmup.sent(self.turn_period_s(state.spec), now)
         state.other.claims -= 1
         for cell in state.cells:
             cell.in_flight += 1
@@ -574,7 +653,12 @@
             cell.pool.slow += change
 
     def tick(self, now: float) -> None:
-        """Offer servers whose time out is over to probes."""
+        """Offer servers whose time out is over to probes, and cold ones in turn."""
+        for state in list(self.cold.values()):
+            state.warmup.advance(self.turn_period_s(state.spec), now, self.random)
+            self.refresh(state, now)
+            if not state.warmup.is_cold(now):
+                del self.cold[state.backend_id]
         still_out = []
         for state in self.returns:
             if state.health.is_in():
--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -52,7 +52,9 @@
 
     A server that is leaving or `evacuated` gets no new work; `gone_at`, on the router's
     clock, is when the platform takes it away, if it said so. `places` is how many
-    requests it runs at a time, if that is known.
+    requests it runs at a time, if that is known. `cold_s` is how much longer it said
+    that it has to warm up, None if servers here do not say; another `incarnation` is
+    another start of the server.
     """
 
     backend_id: BackendId
@@ -63,6 +65,8 @@
     gone_at: float | None = None
     places: int | None = None
     evacuated: bool = False
+    cold_s: float | None = None
+    incarnation: int = 0
 
     @property
     def closed(self) -> bool:
--- a/src/godwitmast/dispatch/retries.py
+++ b/src/godwitmast/dispatch/retries.py
@@ -12,11 +12,11 @@
 
 import heapq
 import itertools
-import math
 import random
 from collections.abc import Callable
 from typing import NamedTuple
 
+from godwitmast.dispatch.census import RouterCount
 from godwitmast.types import PoolName, RequestId
 
 SUCCESS_SHARE = 0.1
@@ -24,12 +24,6 @@
 """The most that the budget holds: the streams of three engines of 32, so that the crash
 of a few servers does not cut what could be resumed."""
 
-COUNT_MARGIN = 4 / 3
-"""By how much routers that spend may outnumber those that were counted."""
-
-COUNT_KEPT_S = 30.0
-"""How long routers that are no longer counted are taken to go on."""
-
 UNKNOWN_ROUTERS = 64
 UNKNOWN_RESERVE = 4.0
 """What a router has until the others are counted, which takes a second after its start:
@@ -85,26 +79,21 @@
     Load pattern: a fault that every router sees at once, such as the loss of a zone's
     servers. Each spends its whole part in the same second, so the parts have to add up
     to the allowance however many routers there are. Routers that were not counted yet,
-    or are cut off and no longer counted, spend theirs as well: hence a margin, and the
-    highest count of the last `COUNT_KEPT_S`.
+    or are cut off and no longer counted, spend theirs as well: see `RouterCount`.
     """
 
     def __init__(self, allowance: float, share: float) -> None:
         super().__init__(lambda: RetryBudget(self.reserve, share))
         self.allowance = allowance
         self.reserve = min(allowance, max(UNKNOWN_RESERVE, allowance / UNKNOWN_ROUTERS))
-        self.routers = 0
-        self.counted_at = -math.inf
+        self.count = RouterCount()
 
     def divide(self, routers: int, now: float) -> None:
         """Take how many routers there are; 0 if that is not known."""
-        if routers < 1:
-            return
-        if routers < self.routers and now < self.counted_at + COUNT_KEPT_S:
+        first = self.count.routers == 0
+        if not self.count.note(routers, now):
             return
-        first = self.routers == 0
-        self.routers, self.counted_at = routers, now
-        self.reserve = self.allowance / (COUNT_MARGIN * routers)
+        self.reserve = self.allowance / self.count.most
         for budget in self.budgets.values():
             budget.reserve = self.reserve
             budget.left = self.reserve if first else min(budget.left, self.reserve)
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -10,6 +10,7 @@
 from godwitmast.admission.queue import Admission
 from godwitmast.config.document import Document
 from godwitmast.dispatch.backends import BackendTable
+from godwitmast.dispatch.census import RouterCount
 from godwitmast.dispatch.evictions import Notice
 from godwitmast.dispatch.flights import Flight, FlightBook
 from godwitmast.dispatch.messages import (
@@ -29,6 +30,7 @@
 from godwitmast.dispatch.poison import SAME_CRASH_S, InFlight, PoisonGuard
 from godwitmast.dispatch.retries import RetryBudgets, RetryQueue, backoff_s
 from godwitmast.dispatch.timeouts import Watch, hangs_at, patience_s
+from godwitmast.dispatch.warmup import WarmupLimit
 from godwitmast.types import AttemptId, BackendId, RequestId, ZoneName
 
 MAX_FAILURES = 3
@@ -61,10 +63,12 @@
         zone: ZoneName,
         seed: int = 0,
         budgets: RetryBudgets | None = None,
+        count: RouterCount | None = None,
     ) -> None:
         self.document = document
         self.admission = Admission(document, seed)
-        self.backends = BackendTable(zone, seed)
+        self.backends = BackendTable(zone, seed, count)
+        self.backends.warmups = warmup_limits(document)
         self.book = FlightBook()
         self.guard = PoisonGuard()
         self.budgets = budgets or RetryBudgets()
@@ -80,6 +84,7 @@
         """Take a configuration: classes, teams, pools."""
         self.document = document
         self.admission.update_config(document)
+        self.backends.warmups = warmup_limits(document)
         return self.pump(now)
 
     def update_backends(self, backends: list[BackendSpec], now: float) -> list[Action]:
@@ -190,7 +195,7 @@
         """Hold a failure against the server that it happened on."""
         match kind:
             case FailureKind.CONNECT:
-                self.backends.went_down(backend_id, now)
+                self.backends.unreachable(backend_id, now)
             case FailureKind.REFUSED:
                 self.backends.refused(backend_id, now)
             case FailureKind.ERROR:
@@ -447,7 +452,7 @@
         """
         actions: list[Action] = []
         while True:
-            place = self.spare_server(pool)
+            place = self.spare_server(pool, now)
             preemption = self.admission.preempt(pool, now, place is not None)
             if preemption is None:
                 return actions
@@ -469,7 +474,7 @@
         self.release(victim, now)
         return Cancel(request_id, attempt_id, CancelReason.PREEMPTED)
 
-    def spare_server(self, pool: str) -> BackendId | None:
+    def spare_server(self, pool: str, now: float) -> BackendId | None:
         """Return a server that an urgent request may go to although it is full.
 
         Only engines put it before the rest. Each takes one such request of ours until
@@ -477,7 +482,7 @@
         """
         if pool not in self.document.models:
             return None
-        backend_id = self.backends.draw_any(pool)
+        backend_id = self.backends.draw_any(pool, now)
         if backend_id is None:
             return None
         waits = self.overcommitted.get(backend_id)
@@ -495,7 +500,7 @@
         """
         request = flight.request
         backend_id = place
-        if place is None or not self.may_take_place(flight, place):
+        if place is None or not self.may_take_place(flight, place, now):
             backend_id = self.choose(flight, now)
         if backend_id is None:
             self.admission.unplaced(request)
@@ -517,11 +522,12 @@
         request_id = request.request_id
         return [Start(request_id, attempt_id, backend_id, flight.tokens, source)]
 
-    def may_take_place(self, flight: Flight, place: BackendId) -> bool:
+    def may_take_place(self, flight: Flight, place: BackendId, now: float) -> bool:
         state = self.backends.states.get(place)
         return (
             state is not None
             and state.health.is_in()
+            and state.warmup.may_send(now)
             and not state.spec.closed
             and place not in flight.avoid
             and not self.is_kept_apart(flight)
@@ -564,7 +570,7 @@
         if state is None or state.spec.closed or not state.health.is_in():
             self.guard.drop_reservation(fingerprint)
             return None
-        return backend_id if ready else None
+        return backend_id if ready and state.warmup.may_send(now) else None
 
     def may_be_placed_apart(self, flight: Flight) -> bool:
         """Return whether a suspect may wait in the queue for a place.
@@ -610,6 +616,13 @@
         self.admission.ended(flight.request, now, whole)
 
 
+def warmup_limits(document: Document) -> dict[str, WarmupLimit]:
+    """Return what cold servers bear, by pools that have cold starts."""
+    starts = {name: item.cold_start for name, item in document.models.items()}
+    starts |= {name: item.cold_start for name, item in document.services.items()}
+    return {name: WarmupLimit(*start) for name, start in starts.items() if start}
+
+
 def refuse(
     request: RequestSpec,
     code: RefusalCode,
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -17,6 +17,7 @@
 from godwitmast.capacity.fleet import EMPTY, FleetRow, merge_backends
 from godwitmast.clock import Clock
 from godwitmast.config.document import Backend, Document, NumberedConfig
+from godwitmast.dispatch.census import RouterCount
 from godwitmast.dispatch.messages import (
     Action,
     BackendSpec,
@@ -77,6 +78,7 @@
         self.polls: Callable[[BackendId], bool] = lambda backend_id: True
         self.load_listeners: list[Callable[[BackendId, LoadReport], None]] = []
         self.told_leaving: dict[BackendId, float] = {}
+        self.count = RouterCount()
 
     async def start(self, tasks: TaskGroup) -> None:
         await self.background.start(tasks)
@@ -84,6 +86,10 @@
     async def close(self) -> None:
         await self.background.close()
 
+    def count_entries(self, entries: int) -> None:
+        """Take how many entries there are, each with a router; 0 if not known."""
+        self.count.note(entries, self.clock.now())
+
     def config_changed(self, config: NumberedConfig) -> None:
         """Take a configuration: classes, teams, backend servers."""
         document = config.document
@@ -92,7 +98,7 @@
         if self.router is None:
             # Entries that drew alike would all choose the same server at once.
             seed = secrets.randbits(32)
-            self.router = Router(document, self.zone, seed, self.budgets)
+            self.router = Router(document, self.zone, seed, self.budgets, self.count)
         else:
             self.carry_out(self.router.update_config(document, now))
         self.update_backends()
@@ -141,7 +147,9 @@
                 item.leaving or BackendId(name) in self.told_leaving,
                 now + EVICTION_LEFT_S if self.is_evicted(name) else None,
                 item.places,
-                evacuated=item.zone in closed,
+                item.zone in closed,
+                item.cold_s,
+                item.incarnation,
             )
             for name, item in self.backends.items()
         ]
--- a/src/godwitmast/entry/peering.py
+++ b/src/godwitmast/entry/peering.py
@@ -173,6 +173,8 @@
             self.load.tell()
             self.service.tell()
             self.app.driver.forget_told()
+            if self.driver.machine is not None:
+                self.app.driver.count_entries(1 + len(self.driver.machine.listed()))
             if self.hears_other_zone():
                 self.follower.heard()
 
--- a/src/godwitmast/platform/catalog.py
+++ b/src/godwitmast/platform/catalog.py
@@ -8,6 +8,7 @@
 from godwitmast.capacity.zonal import ZonalLimits
 from godwitmast.config.document import (
     Backend,
+    ColdStart,
     Document,
     KeyGrant,
     Model,
@@ -50,6 +51,16 @@
 first event, and eight times that for the pause between events, as the platform says."""
 
 
+class ColdBounds(NamedTuple):
+    """What a cold server gets in one second at most.
+
+    That is `over` times the rate that its service bears, and `slack` requests more.
+    """
+
+    over: float = 1.0
+    slack: float = 0.0
+
+
 class Catalog(NamedTuple):
     """A configuration of the operator's, with what the product's has no place for."""
 
@@ -63,7 +74,7 @@
     """What may be ordered of each service whose servers may be ordered at all."""
 
 
-def read_config(content: bytes) -> Catalog:
+def read_config(content: bytes, bounds: ColdBounds = ColdBounds()) -> Catalog:
     """Return the checked configuration, or raise ConfigInvalid."""
     try:
         wire = msgspec.json.decode(content, type=WireConfig)
@@ -78,11 +89,18 @@
         teams={tenant.name: Team() for tenant in tenants},
         keys=make_keys(tenants),
         models={
-            item.name: Model(fetches=copies_fast(item.engine))
+            item.name: Model(
+                fetches=copies_fast(item.engine),
+                cold_start=make_cold_start(item, bounds),
+            )
             for item in wire.services
             if item.engine
         },
-        services={item.name: Service() for item in wire.services if not item.engine},
+        services={
+            item.name: Service(cold_start=make_cold_start(item, bounds))
+            for item in wire.services
+            if not item.engine
+        },
     )
     return Catalog(
         NumberedConfig(wire.version, document, None),
@@ -100,6 +118,14 @@
     return bits > 0 and engine.link_mbps * 1000 / bits > FAST_TOKENS_PER_MS
 
 
+def make_cold_start(service: WireService, bounds: ColdBounds) -> ColdStart | None:
+    """Return what a service's cold servers bear; None if it names no bound."""
+    rate, start_s = service.cold_per_s, service.cold_start_s
+    if not (rate > 0 and start_s > 0):
+        return None
+    return ColdStart(rate, rate * bounds.over + bounds.slack, start_s)
+
+
 class Ranks:
     """The order of all pairs of a team's and a route's priority, 0 first.
 
@@ -255,4 +281,6 @@
         "cheap" if wire.spot else "on_demand",
         leaving=wire.state == DRAINING,
         places=wire.batch_slots,
+        cold_s=max(0.0, wire.cold_left_ms / 1000),
+        incarnation=wire.born,
     )
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -27,6 +27,7 @@
 from godwitmast.lease.machine import LeaseTiming
 from godwitmast.logs import log_event
 from godwitmast.platform.catalog import (
+    ColdBounds,
     read_config,
     read_evacuations,
     read_servers,
@@ -123,6 +124,10 @@
     return Sharing(bound_s * CONFIRM_SHARE, bound_s * FRESH_SHARE, WAIT_S)
 
 
+def cold_bounds(bounds: BoundsTable) -> ColdBounds:
+    return ColdBounds(bounds.cold_over, bounds.cold_slack)
+
+
 def lease_timing(bounds: BoundsTable) -> LeaseTiming:
     """Return a lease that outlasts the platform's own, and is soon taken over."""
     ttl_s = bounds.lease_ms / 1000
@@ -317,7 +322,7 @@
         if content is None:
             return
         try:
-            catalog = read_config(content)
+            catalog = read_config(content, cold_bounds(self.settings.bounds))
         except ConfigInvalid as error:
             log_event("config_rejected", level="ERROR", error=str(error))
             return
@@ -373,7 +378,9 @@
         """Notice a settings file that changed without a signal, and VMs that came."""
         while True:
             await anyio.sleep(SETTINGS_EVERY_S)
-            self.budgets.divide(self.count_vms(), self.clock.now())
+            vms = self.count_vms()
+            self.budgets.divide(vms, self.clock.now())
+            self.driver.count_entries(vms)
             self.reload()
 
     def reload(self) -> None:
--- a/src/godwitmast/platform/settings.py
+++ b/src/godwitmast/platform/settings.py
@@ -45,6 +45,8 @@
     window_s: Annotated[int, Field(gt=0)] = 5
     usage_late_s: Seconds = 10
     budget_slack: Annotated[float, Field(ge=0)] = 50
+    cold_over: Annotated[float, Field(ge=1)] = 1.0
+    cold_slack: Annotated[float, Field(ge=0)] = 0.0
     retry_budget_ratio: Annotated[float, Field(ge=0)] = 0.2
 
 
--- a/src/godwitmast/platform/wire.py
+++ b/src/godwitmast/platform/wire.py
@@ -136,6 +136,9 @@
 
     name: str
     engine: WireEngine | None = None
+    cold_start_s: float = msgspec.field(name="coldStartS", default=0.0)
+    cold_per_s: float = msgspec.field(name="coldPerS", default=0.0)
+    """The requests a second that a server bears in the seconds after its start."""
     scale_limits: WireScale | None = None
 
 
@@ -175,3 +178,6 @@
     state: str
     batch_slots: int
     spot: bool = False
+    cold_left_ms: float = 0.0
+    born: int = 0
+    """When it started; a restart may keep the id."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -9,12 +9,12 @@
 
 from godwitmast.dispatch.affinity import PrefixOrders, rendezvous, within_bound
 from godwitmast.dispatch.backends import BackendTable
+from godwitmast.dispatch.census import COUNT_KEPT_S
 from godwitmast.dispatch.health import Condition, may_eject
 from godwitmast.dispatch.limits import MIN_LIMIT, START_LIMIT, ServerLimit
 from godwitmast.dispatch.loads import HALF_LIFE_S, OtherLoad
 from godwitmast.dispatch.messages import BackendSpec, LoadReport, RequestSpec
 from godwitmast.dispatch.retries import (
-    COUNT_KEPT_S,
     RESERVE,
     DividedBudgets,
     RetryBudget,
--- a/tests/test_platform_catalog.py
+++ b/tests/test_platform_catalog.py
@@ -6,7 +6,12 @@
 from fleet import config_of, route
 from godwitmast.entry.events import NumberedReader
 from godwitmast.errors import ConfigInvalid
-from godwitmast.platform.catalog import Ranks, read_config
+from godwitmast.platform.catalog import (
+    ColdBounds,
+    Ranks,
+    read_config,
+    read_servers,
+)
 from godwitmast.platform.front import read_deadline, read_parts, read_tokens
 from godwitmast.platform.store import count_requests
 from godwitmast.types import PoolName
@@ -123,3 +128,61 @@
     config["services"][0]["engine"] = engine
     models = read_config(json.encode(config)).config.document.models
     assert models[PoolName("lm")].fetches is fetches
+
+
+def test_cold_servers_of_a_service_are_bounded_over_all_vms() -> None:
+    config = config_of(1)
+    config["services"][0] |= {"coldStartS": 3.0, "coldPerS": 7.0}
+    catalog = read_config(json.encode(config), ColdBounds(1.5, 5.0))
+    [model] = catalog.config.document.models.values()
+    assert model.cold_start == (7.0, 15.5, 3.0)
+    [service] = catalog.config.document.services.values()
+    assert service.cold_start is None
+
+
+@pytest.mark.parametrize(
+    "said", [{"coldStartS": 3.0}, {"coldPerS": 7.0}, {"coldStartS": 3, "coldPerS": -1}]
+)
+def test_service_without_a_whole_bound_for_cold_servers_has_none(
+    said: dict[str, float],
+) -> None:
+    config = config_of(1)
+    config["services"][0] |= said
+    [model] = read_config(json.encode(config)).config.document.models.values()
+    assert model.cold_start is None
+
+
+@pytest.mark.parametrize(
+    ("said", "cold_s", "incarnation"),
+    [
+        ({"coldLeftMs": 2500, "born": 7}, 2.5, 7),
+        ({}, 0.0, 0),
+        ({"coldLeftMs": -80}, 0.0, 0),
+    ],
+)
+def test_row_tells_how_long_its_server_stays_cold(
+    said: dict[str, float], cold_s: float, incarnation: int
+) -> None:
+    row = {
+        "service": "lm",
+        "address": "10.0.0.1:80",
+        "zone": "z1",
+        "state": "ready",
+        "batchSlots": 8,
+    }
+    [server] = read_servers({"e1": json.encode(row | said)}).values()
+    assert (server.cold_s, server.incarnation) == (cold_s, incarnation)
+
+
+@pytest.mark.parametrize("said", [{"coldLeftMs": "long"}, {"born": [1]}])
+def test_row_with_a_field_of_another_type_names_no_server(
+    said: dict[str, object],
+) -> None:
+    row = {
+        "service": "lm",
+        "address": "10.0.0.1:80",
+        "zone": "z1",
+        "state": "ready",
+        "batchSlots": 8,
+    }
+    assert read_servers({"e1": json.encode(row | said)}) == {}
