Notice soon that a silent store has swallowed the calls that wait for changes

Cause: calls that wait for changes take 10 s and 2 s more. One that was begun during the silence is never answered, and is given up up to 12 s later. A follower whose relay has gone silent makes such a call by itself, and does not look at the relay any more until it ends, though that one is answered again long before. Found by reading: the breaker lets one call try at a time, and a call that waits 10 s could be that one, so that all others were refused meanwhile.

Change: any call of the VM that fails, its relay's included, makes it ask for changes anew, without waiting, until it is answered. What the relay tells counts again while a call of one's own is out, and such calls wait no longer than the relay's word is fresh. Calls for changes go by their own pace past the breaker, get one second beyond their wait instead of two, and pause 0.9 s at most.

Ruled out: shorter waits for all; at nine VMs they make over half as many calls again. Limit: a silence of less than 1.5 s that swallows this call and no other one is found by its time-out only.

--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -175,6 +175,7 @@
                 lambda: self.feed.gather_s(gather_s),
             ),
         ]
+        self.store.failure_listeners.append(self.doubt_feeds)
         timing = usage_timing(bounds)
         self.relay = RelayDriver(
             self.store,
@@ -187,6 +188,7 @@
             self.count_vms,
             self.app.metrics.registry,
         )
+        self.relay.table.on_failure = self.doubt_feeds
         journal = Journal(settings.node, settings.zone, timing.window_s)
         self.writer = NodeWriter(
             self.relay.table,
@@ -311,6 +313,11 @@
         await self.store.close()
         log_event("node_stopped", node=self.settings.node)
 
+    def doubt_feeds(self) -> None:
+        """Have all calls that wait for changes made anew."""
+        for follower in self.followers:
+            follower.doubt()
+
     def take_operator(self, rows: dict[str, bytes]) -> None:
         """Take evacuations first: a VM is ready from its first configuration on."""
         self.driver.evacuate(read_evacuations(rows))
--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -44,8 +44,8 @@
 """A call takes 4 to 25 ms. At sixty times that, the slowest the store was promised to
 be, it still ends in time; an answer that has not come by then is taken as lost."""
 
-FOLLOW_MARGIN_S = 2.0
-"""What a call that waits for changes may take beyond its wait."""
+FOLLOW_MARGIN_S = 1.0
+"""What a call that waits for changes may take beyond its wait. Tables are read in 4 ms."""
 
 RETRY_MAX_S = 1.0
 """The longest that nothing is asked of a store that gave no answer: half of the time in
@@ -137,13 +137,16 @@
                 return rows
             start = answer.rows[-1].key + "\0"
 
-    async def get_rows(self, table: str, start: str = "", end: str = "") -> RowsAnswer:
+    async def get_rows(
+        self, table: str, start: str = "", end: str = "", paced: bool = False
+    ) -> RowsAnswer:
         params = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
         if start:
             params["from"] = start
         if end:
             params["to"] = end
-        return self.parse(await self.send("GET", READ_ROWS, params=params))
+        got = await self.send("GET", READ_ROWS, paced=paced, params=params)
+        return self.parse(got)
 
     async def transact(
         self, checks: dict[str, int], writes: dict[str, Json]
@@ -178,13 +181,13 @@
 
     async def snapshot(self, table: str) -> Snapshot:
         """Return all rows of a table of the platform's."""
-        answer = await self.get_rows(table)
+        answer = await self.get_rows(table, paced=True)
         # Of several pages the first is the oldest. The version of the last one would
         # skip what changed on the first in the meantime.
         version = answer.ver
         rows = answer.rows
         while answer.truncated:
-            answer = await self.get_rows(table, rows[-1].key + "\0")
+            answer = await self.get_rows(table, rows[-1].key + "\0", paced=True)
             rows += answer.rows
         return Snapshot([feed_row(row) for row in rows], version)
 
@@ -201,6 +204,7 @@
             "GET",
             FOLLOW_ROWS,
             (200, 410),
+            paced=True,
             params=params,
             timeout=wait_s + FOLLOW_MARGIN_S,
         )
--- a/src/godwitmast/platform_api/feed.py
+++ b/src/godwitmast/platform_api/feed.py
@@ -14,13 +14,13 @@
 from godwitmast.platform_api.port import Changes, Feed, FeedRow, HistoryLost, Snapshot
 
 WAIT_S = 10.0
-"""How long one call waits for a change. Keep-alive finds a connection that is silent; a
-call that the platform itself has swallowed is found only once its time is over, and
-until then no change arrives."""
+"""How long one call waits for a change. Keep-alive finds a connection that is silent. A
+call that the platform itself has swallowed is found when another one fails, or else only
+once its time is over; until then no change arrives."""
 
-RETRY_S = (0.2, 1.0)
-"""First and longest pause after a failed call, each drawn at random below twice it. A
-change has to be in force within two seconds of the platform's return."""
+RETRY_S = (0.2, 0.6)
+"""First and longest pause after a failed call, each drawn at random below one and a half
+times it. A change has to be in force within two seconds of the platform's return."""
 
 RETURN_GRACE_S = 2.0
 """Rows that expired while the platform was away are written again within two seconds
@@ -127,6 +127,7 @@
         self.pause_s = RETRY_S[0]
         self.paid = True
         self.lapsed = anyio.Event()
+        self.waiting: anyio.CancelScope | None = None
         self.background = Background(self.run, self.run_expiry)
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -161,15 +162,38 @@
         # After an outage the first answer has to come at once: it tells when the
         # outage ended, and apart what was removed meanwhile from what is later.
         wait_s = WAIT_S if self.view.away_since is None else 0.0
-        match await self.feed.changes(self.table, self.view.version, wait_s):
+        match await self.wait_for_changes(self.view.version, wait_s):
             case Changes() as changes:
                 self.paid = not changes.shared
                 return self.view.change(changes, self.clock.now())
             case HistoryLost():
                 log_event("feed_history_lost", table=self.table)
                 self.view.version = None
+            case None:
+                log_event("feed_doubted", table=self.table)
+                self.view.failed(self.clock.now())
         return False
 
+    async def wait_for_changes(
+        self, version: int, wait_s: float
+    ) -> Changes | HistoryLost | None:
+        """Return what changed after a version; None if that came into doubt."""
+        with anyio.CancelScope() as scope:
+            self.waiting = scope if wait_s else None
+            try:
+                return await self.feed.changes(self.table, version, wait_s)
+            finally:
+                self.waiting = None
+        return None
+
+    def doubt(self) -> None:
+        """Ask again at once, as the platform did not answer this process's other call.
+
+        It may have swallowed the one that waits for changes as well.
+        """
+        if self.waiting is not None:
+            self.waiting.cancel()
+
     async def wait_out(self, error: PlatformError) -> None:
         if self.view.away_since is None:
             log_event("feed_lost", level="WARNING", table=self.table, error=str(error))
--- a/src/godwitmast/platform_api/http.py
+++ b/src/godwitmast/platform_api/http.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -35,6 +36,7 @@
         self.writes = Budget(settings.writes_per_s)
         self.breaker = Breaker()
         self.calls = CallCounter()
+        self.failure_listeners: list[Callable[[], None]] = []
 
     async def close(self) -> None:
         await self.http.aclose()
@@ -53,12 +55,17 @@
         path: str,
         good: tuple[int, ...] = (200,),
         rows: int = 1,
+        paced: bool = False,
         **content: Any,
     ) -> httpx.Response:
-        """Return an answer with a status in `good`, or raise a PlatformError."""
+        """Return an answer with a status in `good`, or raise a PlatformError.
+
+        One that is `paced` by its caller is made even while others fail at once, so that
+        it finds out as soon as the platform answers again.
+        """
         if self.http.is_closed:
             raise PlatformUnavailable(f"{path}: closed")
-        if not self.breaker.may_try(time.monotonic()):
+        if not paced and not self.breaker.may_try(time.monotonic()):
             raise PlatformUnavailable(f"{path}: did not answer lately")
         budget = self.budget_of(method, path)
         try:
@@ -69,10 +76,13 @@
             raise
         except PlatformError:
             self.breaker.failed(time.monotonic())
+            for listener in self.failure_listeners:
+                listener()
             raise
         finally:
             # Also for a call that was cancelled, or that our own budget held up.
-            self.breaker.ended()
+            if not paced:
+                self.breaker.ended()
 
     async def wait_for_budget(self, budget: Budget, path: str, rows: int) -> None:
         """Wait for our own share of the platform, no longer than for an answer."""
--- a/src/godwitmast/relay/feed.py
+++ b/src/godwitmast/relay/feed.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from godwitmast.errors import PeerError
+from godwitmast.errors import PeerError, PlatformError
 from godwitmast.platform_api.port import Changes, Feed, FeedRow, HistoryLost, Snapshot
 from godwitmast.relay.copies import Sharing, TableCopy
 from godwitmast.relay.messages import TableChanged, TableTold
@@ -78,8 +78,50 @@
                     return answer
             if self.fresh_for(copy) > 0 and copy.version >= after:
                 return Changes((), copy.version, shared=True)
+            return await self.ask_or_hear(table, after, wait_s)
         return await self.ask(table, after, wait_s)
 
+    async def ask_or_hear(
+        self, table: str, after: int, wait_s: float
+    ) -> Changes | HistoryLost:
+        """Ask the platform, unless the relay tells again before it has answered.
+
+        A call that a silent platform has swallowed would hide what the relay tells.
+        """
+        copy = self.copy_of(table)
+        if self.was_told_lately(copy):
+            # Relay and platform may both have gone silent; a long wait would hide it.
+            wait_s = min(wait_s, self.sharing.fresh_s)
+        answer: Changes | HistoryLost | PlatformError | None = None
+
+        async def ask() -> None:
+            nonlocal answer
+            try:
+                answer = await self.ask(table, after, wait_s)
+            except PlatformError as error:
+                answer = error
+            tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            await self.fresh_again(copy, after)
+            tasks.cancel_scope.cancel()
+        if isinstance(answer, PlatformError):
+            raise answer
+        if answer is None:
+            return copy.since(after) or HistoryLost()
+        return answer
+
+    def was_told_lately(self, copy: TableCopy) -> bool:
+        if math.isinf(copy.told_at):
+            return False
+        return self.clock.store_now() - copy.told_at < self.sharing.wait_s
+
+    async def fresh_again(self, copy: TableCopy, after: int) -> None:
+        """Wait until the relay has told what the platform has after a version."""
+        while self.fresh_for(copy) <= 0 or copy.version < after:
+            await self.changed.wait()
+
     async def told_change(
         self, copy: TableCopy, after: int
     ) -> Changes | HistoryLost | None:
--- a/src/godwitmast/relay/table.py
+++ b/src/godwitmast/relay/table.py
@@ -72,6 +72,8 @@
         self.timeout_s = gather_s + ANSWER_S
         self.alone_until = 0.0
         self.on_answer: Callable[[], None] = lambda: None
+        self.on_failure: Callable[[], None] = lambda: None
+        """Called when the relay could not write."""
 
     @property
     def through_link(self) -> bool:
@@ -90,12 +92,16 @@
         try:
             return await self.relay.link.transact(checks, writes, self.timeout_s)
         except PlatformUnavailable:
-            self.alone_until = self.clock.now() + ALONE_S
+            self.note_failure()
         except PlatformError:
-            self.alone_until = self.clock.now() + ALONE_S
+            self.note_failure()
             raise
         return await self.transact_alone(checks, writes)
 
+    def note_failure(self) -> None:
+        self.alone_until = self.clock.now() + ALONE_S
+        self.on_failure()
+
     async def transact_alone(
         self, checks: dict[str, int], writes: dict[str, Json]
     ) -> TransactOutcome:
