Load no pydantic on VMs of the users' platform

A VM's process has 45 MB of private memory.

Cause: 10 MB of it is pydantic, its core and the compiled schemas of configuration documents, which a VM of the platform never reads: its settings file and all of the platform's shapes are small, and msgspec is there already.

Change: documents and their checks are apart (config.document, config.parsing); bounds of values are annotated_types', which pydantic checks; the platform's settings are msgspec structures, whose check names the first problem only. Their file is read again only if its content changed; it was parsed each second, and a bad one was logged each second.

--- a/src/godwitmast/config/change.py
+++ b/src/godwitmast/config/change.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from godwitmast.config.document import parse_document
 from godwitmast.config.machine import ConfigState, catch_up
+from godwitmast.config.parsing import parse_document
 from godwitmast.config.patch import merge_patch, overlap, touched
 from godwitmast.config.rows import (
     DELTA_PREFIX,
--- a/src/godwitmast/config/document.py
+++ b/src/godwitmast/config/document.py
@@ -1,16 +1,13 @@
 """The configuration document: what operators number, patch and put in force."""
 
-from collections.abc import Container, Iterable, Iterator
-from typing import Annotated, Any, Literal, NamedTuple
+from typing import Annotated, Literal, NamedTuple
 
-from pydantic import Field, TypeAdapter, ValidationError
+from annotated_types import Ge, Gt, Le
 
-from godwitmast.errors import ConfigInvalid
-from godwitmast.settings import describe
 from godwitmast.types import Json
 
-Positive = Annotated[float, Field(gt=0)]
-Share = Annotated[float, Field(ge=0, le=1)]
+Positive = Annotated[float, Gt(0)]
+Share = Annotated[float, Ge(0), Le(1)]
 
 
 class RequestClass(NamedTuple):
@@ -23,14 +20,14 @@
     the tier.
     """
 
-    tier: Annotated[int, Field(ge=1, le=99)]
+    tier: Annotated[int, Ge(1), Le(99)]
     first_token_s: Positive | None = None
     between_tokens_s: Positive | None = None
     completion_s: Positive | None = None
     patience_s: Positive | None = None
     turn_share: Share = 0.02
     attainment_goal: Share = 0.95
-    engine_priority: Annotated[int, Field(ge=0)] | None = None
+    engine_priority: Annotated[int, Ge(0)] | None = None
 
     @property
     def order_in_engines(self) -> int:
@@ -51,8 +48,8 @@
     models: frozenset[str] = frozenset()
     requests_per_s: Positive | None = None
     tokens_per_s: Positive | None = None
-    concurrency: Annotated[int, Field(gt=0)] | None = None
-    offline_grace_s: Annotated[float, Field(ge=0)] | None = None
+    concurrency: Annotated[int, Gt(0)] | None = None
+    offline_grace_s: Annotated[float, Ge(0)] | None = None
 
 
 class KeyGrant(NamedTuple):
@@ -81,7 +78,7 @@
     """A model that backend servers serve."""
 
     idempotent: bool = True
-    max_output_tokens: Annotated[int, Field(gt=0)] = 1024
+    max_output_tokens: Annotated[int, Gt(0)] = 1024
     weight_gb: Positive = 14.0
     fetches: bool = False
     """Its engines copy parts of prompts from each other, far faster than they read."""
@@ -113,8 +110,8 @@
     kind: Literal["on_demand", "cheap"] = "on_demand"
     checks_fences: bool = False
     leaving: bool = False
-    places: Annotated[int, Field(gt=0)] | None = None
-    cold_s: Annotated[float, Field(ge=0)] | None = None
+    places: Annotated[int, Gt(0)] | None = None
+    cold_s: Annotated[float, Ge(0)] | None = None
     incarnation: int = 0
 
 
@@ -128,12 +125,12 @@
     unit of `budget_per_hour`.
     """
 
-    min_servers: Annotated[int, Field(ge=0)] = 1
-    max_servers: Annotated[int, Field(ge=0)] = 64
+    min_servers: Annotated[int, Ge(0)] = 1
+    max_servers: Annotated[int, Ge(0)] = 64
     cheap_share: Share = 0.6
     budget_per_hour: Positive | None = None
-    min_on_demand: Annotated[int, Field(ge=0)] = 1
-    high_tiers: Annotated[int, Field(ge=0)] = 2
+    min_on_demand: Annotated[int, Ge(0)] = 1
+    high_tiers: Annotated[int, Ge(0)] = 2
     zones: frozenset[str] = frozenset()
     start_s: Positive = 180.0
     prompt_tokens_per_s: Positive = 12_000.0
@@ -167,99 +164,3 @@
     version: int
     document: Document
     raw: Json
-
-
-ADAPTER = TypeAdapter(Document)
-ITEM_ADAPTERS: dict[str, TypeAdapter[Any]] = {
-    "classes": TypeAdapter(RequestClass),
-    "teams": TypeAdapter(Team),
-    "keys": TypeAdapter(KeyGrant),
-    "models": TypeAdapter(Model),
-    "services": TypeAdapter(Service),
-    "backends": TypeAdapter(Backend),
-    "capacity": TypeAdapter(CapacityIntention),
-    "evacuated": TypeAdapter(Evacuation),
-}
-"""The items of each section of a document."""
-
-
-def parse_document(raw: Json) -> Document:
-    """Return the checked document, or raise ConfigInvalid naming every problem."""
-    try:
-        document = ADAPTER.validate_python(raw)
-    except ValidationError as error:
-        raise ConfigInvalid(describe(error)) from None
-    problems = find_problems(document)
-    if problems:
-        raise ConfigInvalid("; ".join(problems))
-    return document
-
-
-def parse_change(before: Document, raw: Json, patch: Json) -> Document:
-    """Return `parse_document(raw)`, where `patch` led from `before` to `raw`.
-
-    Only what the patch names is checked for its shape. With thousands of teams the
-    whole would hold up every request of the process for a tenth of a second at each
-    change.
-    """
-    if not isinstance(patch, dict) or not patch.keys() <= ITEM_ADAPTERS.keys():
-        return parse_document(raw)
-    changed: dict[str, dict[str, Json]] = {}
-    for section, items in patch.items():
-        if not isinstance(items, dict):
-            return parse_document(raw)
-        kept = dict(getattr(before, section))
-        for name in items:
-            kept.pop(name, None)
-            if name in raw[section]:
-                try:
-                    item = ITEM_ADAPTERS[section].validate_python(raw[section][name])
-                except ValidationError:
-                    # The whole check names the place of each problem.
-                    return parse_document(raw)
-                kept[name] = item
-        changed[section] = kept
-    document = before._replace(**changed)
-    problems = find_problems(document)
-    if problems:
-        raise ConfigInvalid("; ".join(problems))
-    return document
-
-
-def find_problems(document: Document) -> list[str]:
-    """Return what contradicts itself in a document of the right shape."""
-    problems = [
-        f"classes.{name}: names no target"
-        for name, item in document.classes.items()
-        if (item.first_token_s, item.between_tokens_s, item.completion_s) == (None,) * 3
-    ]
-    shares = sum(item.turn_share for item in document.classes.values())
-    if shares > 1:
-        problems.append(f"classes: turn shares add up to {shares:.3g}, over 1")
-    for name, team in document.teams.items():
-        problems += unknown(f"teams.{name}.classes", team.classes, document.classes)
-        problems += unknown(f"teams.{name}.models", team.models, document.models)
-    for digest, grant in document.keys.items():
-        place = f"keys.{digest[:12]}"
-        problems += unknown(f"{place}.team", {grant.team}, document.teams)
-        problems += unknown(
-            f"{place}.default_class", {grant.default_class}, document.classes
-        )
-        problems += unknown(f"{place}.classes", grant.classes, document.classes)
-        problems += unknown(f"{place}.models", grant.models, document.models)
-    pools = document.models.keys() | document.services.keys()
-    for name, backend in document.backends.items():
-        problems += unknown(f"backends.{name}.pools", backend.pools, pools)
-    problems += unknown("capacity", document.capacity, document.models)
-    return problems
-
-
-def unknown(place: str, names: Iterable[str], known: Container[str]) -> Iterator[str]:
-    """Give a problem for each of `names` that is not among `known`.
-
-    `known` is asked and never copied: it may hold thousands of teams, and this runs
-    once for each key.
-    """
-    for name in sorted(names):
-        if name not in known:
-            yield f"{place}: {name!r} is not configured"
--- a/src/godwitmast/config/machine.py
+++ b/src/godwitmast/config/machine.py
@@ -8,7 +8,8 @@
 from collections import deque
 from enum import Enum
 
-from godwitmast.config.document import NumberedConfig, parse_change, parse_document
+from godwitmast.config.document import NumberedConfig
+from godwitmast.config.parsing import parse_change, parse_document
 from godwitmast.config.patch import merge_patch
 from godwitmast.config.rows import (
     DELTA_PREFIX,
--- a/src/godwitmast/ctl/cli.py
+++ b/src/godwitmast/ctl/cli.py
@@ -18,7 +18,7 @@
     Stale,
     Unsettled,
 )
-from godwitmast.config.document import parse_document
+from godwitmast.config.parsing import parse_document
 from godwitmast.config.patch import differences
 from godwitmast.ctl.session import CommandFailed, Session, Waited, new_patch
 from godwitmast.errors import ConfigInvalid, PlatformError
--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -213,6 +213,11 @@
         limit = self.warmup_of(spec)
         return self.count.most / safe_rate(limit) if limit else math.inf
 
+    def turns_per_s(self) -> float:
+        """Return this router's turns a second at a cold server of the tightest pool."""
+        rates = [safe_rate(limit) / self.count.most for limit in self.warmups.values()]
+        return min(rates, default=0.0)
+
     def note_start(
         self,
         state: BackendState,
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -64,7 +64,7 @@
         self.zone = ZoneName(zone)
         self.clock = clock
         self.client = client
-        self.router: Policy | None = None
+        self.router: Router | None = None
         self.document: Document | None = None
         self.backends: dict[str, Backend] = {}
         self.fleet = EMPTY
@@ -130,6 +130,14 @@
         configured = self.document.evacuated if self.document else {}
         return self.evacuated | {ZoneName(zone) for zone in configured}
 
+    def count_cold(self) -> int:
+        """Return at how many servers this entry takes turns."""
+        return len(self.router.backends.cold) if self.router else 0
+
+    def cold_turns_per_s(self) -> float:
+        """Return this entry's turns a second at a cold server of the tightest pool."""
+        return self.router.backends.turns_per_s() if self.router else 0.0
+
     def update_backends(self) -> None:
         """Hand the router every backend server: configured, listed or ordered."""
         assert self.document is not None
--- a/src/godwitmast/entry/intake.py
+++ b/src/godwitmast/entry/intake.py
@@ -1,16 +1,17 @@
 """Reads a caller's request: its body, its key, and what it asks for."""
 
 from http.cookies import CookieError, SimpleCookie
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
 from urllib.parse import parse_qsl, urlencode
 
 import anyio
 import msgspec
 import xxhash
+from annotated_types import Gt
 
 from godwitmast.entry.refusals import ErrorAnswer
-from godwitmast.entry.settings import Limits
 from godwitmast.http_server import Receive, Scope
+from godwitmast.settings import Seconds
 
 KEY_HEADERS = ("authorization", "x-api-key", "api-key")
 KEY_PARAMETERS = ("key", "api_key")
@@ -44,6 +45,13 @@
 """A rough measure, good enough to weigh prompts before an engine counts them."""
 
 
+class Limits(NamedTuple):
+    """What an entry takes of one caller."""
+
+    max_body_bytes: Annotated[int, Gt(0)] = 8 * 1024 * 1024
+    body_timeout_s: Seconds = 20.0
+
+
 class Envelope(NamedTuple):
     """A request's head, with the key taken out of it.
 
--- a/src/godwitmast/entry/settings.py
+++ b/src/godwitmast/entry/settings.py
@@ -2,21 +2,15 @@
 
 from typing import Annotated, NamedTuple
 
-from pydantic import Field
+from annotated_types import Ge
 
+from godwitmast.entry.intake import Limits
 from godwitmast.peers.settings import CheckedPeerSettings
 from godwitmast.settings import Listen, LogSettings, PlatformSettings, Seconds
 from godwitmast.tls import TlsFiles
 from godwitmast.usage.windows import UsageTiming
 
 
-class Limits(NamedTuple):
-    """What an entry takes of one caller."""
-
-    max_body_bytes: Annotated[int, Field(gt=0)] = 8 * 1024 * 1024
-    body_timeout_s: Seconds = 20.0
-
-
 class EntrySettings(NamedTuple):
     """An entry's own facts; all else is in the numbered configuration."""
 
@@ -28,7 +22,7 @@
     tls: TlsFiles | None = None
     peers: CheckedPeerSettings | None = None
     limits: Limits = Limits()
-    balancer_wait_s: Annotated[float, Field(ge=0)] = 2.0
+    balancer_wait_s: Annotated[float, Ge(0)] = 2.0
     stop_timeout_s: Seconds = 120.0
     usage: UsageTiming = UsageTiming()
     log: LogSettings = LogSettings()
--- a/src/godwitmast/load/admission_cost.py
+++ b/src/godwitmast/load/admission_cost.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from godwitmast.admission.queue import Admission
-from godwitmast.config.document import parse_document
+from godwitmast.config.parsing import parse_document
 from godwitmast.dispatch.messages import RequestSpec
 from godwitmast.types import ClassName, PoolName, RequestId, TeamName
 
--- a/src/godwitmast/load/decision_cost.py
+++ b/src/godwitmast/load/decision_cost.py
@@ -16,7 +16,8 @@
 from rich.console import Console
 from rich.table import Table
 
-from godwitmast.config.document import Document, parse_document
+from godwitmast.config.document import Document
+from godwitmast.config.parsing import parse_document
 from godwitmast.dispatch.messages import Action, BackendSpec, RequestSpec, Start
 from godwitmast.dispatch.router import Router
 from godwitmast.types import (
--- a/src/godwitmast/load/slopes.py
+++ b/src/godwitmast/load/slopes.py
@@ -26,7 +26,8 @@
 )
 from godwitmast.capacity.messages import ClassDemand, ServerState, ServerView, View
 from godwitmast.capacity.planner import Planner
-from godwitmast.config.document import CapacityIntention, RequestClass, parse_document
+from godwitmast.config.document import CapacityIntention, RequestClass
+from godwitmast.config.parsing import parse_document
 from godwitmast.dispatch.messages import BackendSpec, RequestSpec, Start
 from godwitmast.dispatch.router import Router
 from godwitmast.entry.metrics import EntryMetrics, Timing
--- a/src/godwitmast/load/world.py
+++ b/src/godwitmast/load/world.py
@@ -12,7 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from godwitmast.config.document import Document, parse_document
+from godwitmast.config.document import Document
+from godwitmast.config.parsing import parse_document
 from godwitmast.dispatch.messages import (
     Action,
     BackendSpec,
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -134,6 +134,14 @@
     return LeaseTiming(ttl_s, LEASE_GUARD_S, renew_s=ttl_s / 3, watch_s=ttl_s * 0.8)
 
 
+def read_bytes(path: Path) -> bytes:
+    """Return a file's content; a file that cannot be read has none."""
+    try:
+        return path.read_bytes()
+    except OSError:
+        return b""
+
+
 class Node:
     """Everything that runs on one entry VM."""
 
@@ -145,6 +153,7 @@
     ) -> None:
         self.settings = settings
         self.path = path
+        self.settings_read: bytes | None = None
         bounds = settings.bounds
         self.clock = SystemClock()
         self.true_time = AgreedClock(self.clock)
@@ -248,6 +257,24 @@
             ["table"],
             registry=registry,
         )
+        evacuated = Gauge(
+            "godwit_zone_evacuated",
+            "Availability zones whose servers get no new work.",
+            registry=registry,
+        )
+        evacuated.set_function(lambda: len(self.driver.closed_zones))
+        cold = Gauge(
+            "godwit_cold_servers",
+            "Servers that are, or may be, cold: this VM takes turns at them.",
+            registry=registry,
+        )
+        cold.set_function(self.driver.count_cold)
+        share = Gauge(
+            "godwit_cold_turns_per_second",
+            "Requests a second that this VM may send to one cold server.",
+            registry=registry,
+        )
+        share.set_function(self.driver.cold_turns_per_s)
         for table in (OPERATOR_TABLE, SERVERS_TABLE):
             age.labels(table).set_function(partial(self.feed.age_s, table))
 
@@ -351,7 +378,8 @@
                 state = "gone" if server is None else "in"
                 if server is not None and server.leaving:
                     state = "leaving"
-                log_event("server_listed", server=name, state=state)
+                cold_s = server.cold_s if server is not None else None
+                log_event("server_listed", server=name, state=state, cold_s=cold_s)
         self.servers_known = True
         self.driver.backends_listed(servers)
 
@@ -398,6 +426,10 @@
         """
         if self.path is None:
             return
+        content = read_bytes(self.path)
+        if content == self.settings_read:
+            return
+        self.settings_read = content
         try:
             settings = load_settings(self.path, PlatformFile, {})
         except SettingsError as error:
--- a/src/godwitmast/settings.py
+++ b/src/godwitmast/settings.py
@@ -1,20 +1,24 @@
 """Checked TOML settings, with overrides from the environment."""
 
 import os
+import re
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Annotated, Any, NamedTuple, TypeVar
 
-from pydantic import Field, TypeAdapter, ValidationError
+import msgspec
+from annotated_types import Ge, Gt, Le
 
 from godwitmast.errors import SettingsError
 
 ENV_PREFIX = "GODWIT__"
 """`GODWIT__LISTEN__PORT=8080` overrides `port` in the table `listen`."""
 
-Port = Annotated[int, Field(ge=0, le=65535)]
-Seconds = Annotated[float, Field(gt=0)]
+Port = Annotated[int, Ge(0), Le(65535)]
+Seconds = Annotated[float, Gt(0)]
+
+MISSING_FIELD = re.compile(r"missing required field `(.*)`")
 
 T = TypeVar("T")
 
@@ -35,8 +39,8 @@
 
     url: str
     timeout_s: Seconds = 2.0
-    reads_per_s: Annotated[float, Field(ge=4)] = 100.0
-    writes_per_s: Annotated[float, Field(ge=4)] = 30.0
+    reads_per_s: Annotated[float, Ge(4)] = 100.0
+    writes_per_s: Annotated[float, Ge(4)] = 30.0
 
 
 class LogSettings(NamedTuple):
@@ -60,20 +64,26 @@
 
 def check_settings(raw: Mapping[str, Any], schema: type[T], origin: str) -> T:
     """Return `raw` as `schema`; `origin` opens the error's text."""
+    if isinstance(schema, type) and issubclass(schema, msgspec.Struct):
+        return convert(raw, schema, origin)
+    # Imported here because it takes megabytes that a VM of the users' platform, whose
+    # settings are a structure of msgspec's, has no other use for.
+    from godwitmast.validation import validate
+
+    return validate(raw, schema, origin)
+
+
+def convert(raw: Mapping[str, Any], schema: type[T], origin: str) -> T:
+    """Return `raw` as a structure of msgspec's, which names the first problem only."""
     try:
-        return TypeAdapter(schema).validate_python(raw)
-    except ValidationError as error:
-        raise SettingsError(f"{origin}: " + describe(error)) from None
-
-
-def describe(error: ValidationError) -> str:
-    """Return one line with key, value and what is allowed for each problem."""
-    lines = []
-    for problem in error.errors(include_url=False):
-        key = ".".join(str(part) for part in problem["loc"])
-        value = "" if problem["type"] == "missing" else f" = {problem['input']!r}"
-        lines.append(f"{key}{value}: {problem['msg']}")
-    return "; ".join(lines)
+        return msgspec.convert(raw, schema, strict=False)
+    except msgspec.ValidationError as error:
+        what, _, place = str(error).partition(" - at `$")
+        path = place.strip("`.")
+        missing = MISSING_FIELD.search(what)
+        if missing:
+            path = f"{path}.{missing[1]}".strip(".")
+        raise SettingsError(f"{origin}: {path}: {what}") from None
 
 
 def read_toml(path: Path) -> dict[str, Any]:
--- a/src/godwitmast/standins/platform.py
+++ b/src/godwitmast/standins/platform.py
@@ -14,7 +14,7 @@
 from starlette.routing import Route
 from starlette.types import ASGIApp, Receive, Scope, Send
 
-from godwitmast.config.document import parse_document
+from godwitmast.config.parsing import parse_document
 from godwitmast.config.rows import (
     HEAD_KEY,
     Delta,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,7 +7,8 @@
 from godwitmast.admission.preemption import MAX_PREEMPTIONS
 from godwitmast.admission.queue import Admission
 from godwitmast.admission.returns import MAX_RETRY_S
-from godwitmast.config.document import Document, RequestClass, Team, parse_document
+from godwitmast.config.document import Document, RequestClass, Team
+from godwitmast.config.parsing import parse_document
 from godwitmast.dispatch.messages import RefusalCode, RequestSpec
 
 POOL = "godwit-lm"
--- a/tests/test_admission_model.py
+++ b/tests/test_admission_model.py
@@ -8,7 +8,7 @@
 
 from godwitmast.admission.preemption import MAX_PREEMPTIONS
 from godwitmast.admission.turns import AGED_S, Turns, choose_class
-from godwitmast.config.document import parse_document
+from godwitmast.config.parsing import parse_document
 from godwitmast.dispatch.messages import (
     Action,
     BackendSpec,
--- a/tests/test_capacity_orders.py
+++ b/tests/test_capacity_orders.py
@@ -16,8 +16,9 @@
 from godwitmast.capacity.messages import Drain, Order, Release, ServerState
 from godwitmast.capacity.orders import DRAIN_LEAST_S, SILENT_DRAIN_S, OrderBook
 from godwitmast.clock import ManualClock
-from godwitmast.config.document import CapacityIntention, parse_document
+from godwitmast.config.document import CapacityIntention
 from godwitmast.config.follower import ConfigFollower
+from godwitmast.config.parsing import parse_document
 from godwitmast.dev.document import MODEL, dev_document, dev_key
 from godwitmast.entry.daemon import Entry
 from godwitmast.entry.settings import EntrySettings
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -4,8 +4,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from godwitmast.config.document import parse_change, parse_document
 from godwitmast.config.machine import ConfigState, Offered
+from godwitmast.config.parsing import parse_change, parse_document
 from godwitmast.config.patch import merge_patch, overlap, touched
 from godwitmast.config.rows import Delta
 from godwitmast.dev.document import dev_document
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -120,6 +120,20 @@
     assert fleet.plain[1].served
 
 
+async def test_metrics_tell_of_evacuated_zones_and_cold_servers(
+    fleet: ZonedFleet, http: httpx.AsyncClient
+) -> None:
+    cold = {"coldStartS": 30.0, "coldPerS": 7.0}
+    services = [{"name": "lm", "engine": {"batchSlots": 8}, **cold}, {"name": "app"}]
+    await fleet.configure(2, services=services)
+    await fleet.evacuate()
+    fleet.engines[0].say(READY, coldLeftMs=30_000)
+    await fleet.until(lambda: fleet.node.driver.count_cold() == 1)
+    page = (await http.get(f"{fleet.node.scrapes.url}/metrics")).text
+    assert "godwit_zone_evacuated 1.0" in page
+    assert "godwit_cold_servers 1.0" in page
+
+
 class EvacuatedFleet(ZonedFleet):
     """A fleet whose VM starts while zone `z1` is evacuated."""
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 
 from godwitmast.admission.queue import Admission
-from godwitmast.config.document import Document, parse_document
+from godwitmast.config.document import Document
+from godwitmast.config.parsing import parse_document
 from godwitmast.dispatch.flights import Flight
 from godwitmast.dispatch.messages import (
     Action,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -10,7 +10,7 @@
 
 from godwitmast import __version__
 from godwitmast.burn.cli import app as burn_app
-from godwitmast.config.document import parse_document
+from godwitmast.config.parsing import parse_document
 from godwitmast.control.cli import app as control_app
 from godwitmast.ctl.cli import app as ctl_app
 from godwitmast.dev.cli import app as dev_app
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from godwitmast.config.document import Document, parse_document
+from godwitmast.config.document import Document
+from godwitmast.config.parsing import parse_document
 from godwitmast.dispatch.census import RouterCount
 from godwitmast.dispatch.messages import (
     BackendSpec,
