--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -1,5 +1,6 @@
 """HTTP to backend servers, with every failure named."""
 
+import ssl
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from typing import Protocol, TypeAlias
@@ -56,13 +57,17 @@
         read_timeout_s: float = READ_TIMEOUT_S,
         wire: BackendWire | None = None,
         socket_options: SocketOptions = (),
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         self.wire = wire or EngineWire()
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=512)
         self.http = httpx.AsyncClient(
             timeout=httpx.Timeout(read_timeout_s, connect=CONNECT_TIMEOUT_S),
             transport=httpx.AsyncHTTPTransport(
-                limits=limits, trust_env=False, socket_options=list(socket_options)
+                verify=tls or True,
+                limits=limits,
+                trust_env=False,
+                socket_options=list(socket_options),
             ),
             trust_env=False,
             follow_redirects=False,
--- a/src/godwitmast/burn/cli.py
+++ b/src/godwitmast/burn/cli.py
@@ -11,7 +11,8 @@
 from godwitmast.burn.report import as_json, make_report
 from godwitmast.burn.snapshot import Snapshot, load, save, scrape
 from godwitmast.burn.tables import print_report
-from godwitmast.program import EXIT_FAILED, EXIT_USAGE, VersionOption
+from godwitmast.daemons import EXIT_FAILED, EXIT_USAGE
+from godwitmast.program import VersionOption
 
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 
--- a/src/godwitmast/ctl/cli.py
+++ b/src/godwitmast/ctl/cli.py
@@ -21,10 +21,11 @@
 from godwitmast.config.parsing import parse_document
 from godwitmast.config.patch import differences
 from godwitmast.ctl.session import CommandFailed, Session, Waited, new_patch
+from godwitmast.daemons import EXIT_FAILED, EXIT_USAGE
 from godwitmast.errors import ConfigInvalid, PlatformError
 from godwitmast.keys.hashing import KEY_PREFIX, hash_key, new_key
 from godwitmast.platform_api.client import PlatformClient
-from godwitmast.program import EXIT_FAILED, EXIT_USAGE, VersionOption
+from godwitmast.program import VersionOption
 from godwitmast.settings import PlatformSettings
 from godwitmast.types import Json
 
--- a/src/godwitmast/dev/cli.py
+++ b/src/godwitmast/dev/cli.py
@@ -4,11 +4,12 @@
 import typer
 from rich.console import Console
 
+from godwitmast.daemons import EXIT_FAILED
 from godwitmast.dev.demo import run_demo
 from godwitmast.dev.document import TEAMS, dev_key
 from godwitmast.dev.system import DevSystem
 from godwitmast.logs import setup_logs
-from godwitmast.program import EXIT_FAILED, VersionOption, run_daemon
+from godwitmast.program import VersionOption, run_daemon
 from godwitmast.settings import LogSettings
 
 app = typer.Typer(add_completion=False)
--- a/src/godwitmast/load/play.py
+++ b/src/godwitmast/load/play.py
@@ -9,10 +9,10 @@
 from rich.console import Console
 from rich.table import Table
 
+from godwitmast.daemons import EXIT_FAILED, EXIT_USAGE
 from godwitmast.load.scenario import Scenario
 from godwitmast.load.steps import ScenarioInvalid, read_scenarios
 from godwitmast.load.world import POLICIES, World
-from godwitmast.program import EXIT_FAILED, EXIT_USAGE
 
 
 class PlayResult(NamedTuple):
--- a/src/godwitmast/load/run.py
+++ b/src/godwitmast/load/run.py
@@ -10,6 +10,7 @@
 from rich.console import Console
 from rich.progress import Progress, SpinnerColumn, TextColumn, TimeElapsedColumn
 
+from godwitmast.daemons import EXIT_USAGE
 from godwitmast.errors import SettingsError
 from godwitmast.load.http_load import KEY_PREFIX, MOST_OPEN, HttpLoad
 from godwitmast.load.mixes import MIXES
@@ -22,7 +23,6 @@
     save_result,
 )
 from godwitmast.load.schedule import RunPlan
-from godwitmast.program import EXIT_USAGE
 from godwitmast.settings import check_settings
 
 
--- a/src/godwitmast/load/spend.py
+++ b/src/godwitmast/load/spend.py
@@ -14,10 +14,10 @@
 from godwitmast.capacity.planner import Planner
 from godwitmast.capacity.sizing import USE
 from godwitmast.config.document import CapacityIntention
+from godwitmast.daemons import EXIT_FAILED
 from godwitmast.load.fleet_model import FleetModel, FleetResult, Scaler
 from godwitmast.load.mixes import MIXES, Mix
 from godwitmast.load.scalers import FixedFleet, TargetUtilisation
-from godwitmast.program import EXIT_FAILED
 from godwitmast.types import PoolName, ZoneName
 
 ROUNDING = 1e-9
--- a/src/godwitmast/platform/__main__.py
+++ b/src/godwitmast/platform/__main__.py
@@ -1,35 +1,47 @@
 """Starts the process of one VM from the settings file that the platform wrote."""
 
 import os
+import sys
 from pathlib import Path
 
-import typer
-
+from godwitmast.daemons import EXIT_USAGE, run_until_told
+from godwitmast.errors import SettingsError
 from godwitmast.logs import LogTarget
 from godwitmast.platform.daemon import Node
 from godwitmast.platform.settings import PlatformFile
-from godwitmast.program import (
-    CheckOption,
-    SettingsOption,
-    VersionOption,
-    read_settings,
-    run_daemon,
-)
-from godwitmast.settings import LogSettings
+from godwitmast.settings import LogSettings, load_settings
 
 FILE_VARIABLE = "GODWITMAST_NODE_FILE"
 
 
-def run(
-    settings: SettingsOption = None,
-    check: CheckOption = False,
-    version: VersionOption = False,
-) -> None:
-    """Serve callers on one entry VM of the platform, and contend for its duties."""
-    path = settings or Path(os.environ.get(FILE_VARIABLE, "settings.toml"))
-    read = read_settings(path, PlatformFile, check)
-    run_daemon("godwit-node", LogSettings(), lambda: Node(read, path), LogTarget.STDOUT)
+def serve(path: Path | None = None, check: bool = False) -> int:
+    """Serve callers on one VM until told to stop; return the exit code."""
+    path = path or Path(os.environ.get(FILE_VARIABLE, "settings.toml"))
+    try:
+        settings = load_settings(path, PlatformFile)
+    except SettingsError as error:
+        print(f"error: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    if check:
+        print("settings are valid")
+        return 0
+    return run_until_told(
+        "godwit-node", LogSettings(), lambda: Node(settings, path), LogTarget.STDOUT
+    )
+
+
+def main() -> None:
+    """Serve, or read the command line first if there is one.
+
+    What reads it takes megabytes, and the platform starts a VM's process without any.
+    """
+    if sys.argv[1:]:
+        from godwitmast.platform.cli import run
+
+        run(serve)
+    else:
+        sys.exit(serve())
 
 
 if __name__ == "__main__":
-    typer.run(run)
+    main()
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -49,6 +49,7 @@
 from godwitmast.relay.feed import SharedFeed
 from godwitmast.settings import Listen, load_settings
 from godwitmast.sockets import SILENCE_OPTIONS
+from godwitmast.tls import trusting_nobody
 from godwitmast.types import PoolName
 from godwitmast.usage.duty import UsageDuty
 from godwitmast.usage.journal import Journal
@@ -158,7 +159,9 @@
         self.clock = SystemClock()
         self.true_time = AgreedClock(self.clock)
         self.store = StoreClient(settings, self.true_time.heard)
-        self.client = BackendClient(wire=ReplicaWire(), socket_options=SILENCE_OPTIONS)
+        self.client = BackendClient(
+            wire=ReplicaWire(), socket_options=SILENCE_OPTIONS, tls=trusting_nobody()
+        )
         self.front = RouteFront()
         self.budgets = DividedBudgets(
             bounds.budget_slack, bounds.retry_budget_ratio * REPEATS_SHARE
--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -31,6 +31,7 @@
 from godwitmast.platform_api.port import Changes, FeedRow, HistoryLost, Snapshot
 from godwitmast.settings import Listen, PlatformSettings
 from godwitmast.sockets import SILENCE_OPTIONS
+from godwitmast.tls import trusting_nobody
 from godwitmast.types import Json, PoolName
 from godwitmast.usage.rows import FrozenWindow
 
@@ -79,7 +80,10 @@
 def make_http(address: Listen, timeout_s: float) -> httpx.AsyncClient:
     limits = httpx.Limits(max_connections=CONNECTIONS, keepalive_expiry=60)
     transport = httpx.AsyncHTTPTransport(
-        limits=limits, trust_env=False, socket_options=SILENCE_OPTIONS
+        verify=trusting_nobody(),
+        limits=limits,
+        trust_env=False,
+        socket_options=SILENCE_OPTIONS,
     )
     return httpx.AsyncClient(
         base_url=url_of(address),
--- a/src/godwitmast/tls.py
+++ b/src/godwitmast/tls.py
@@ -108,3 +108,11 @@
 def peer_server_tls(files: MutualTlsFiles) -> TlsContext:
     """Return the context in which a peer is dialled."""
     return server_tls(TlsFiles(*files))
+
+
+def trusting_nobody() -> ssl.SSLContext:
+    """Return a context for clients that speak plain HTTP only.
+
+    The default one reads all well-known authorities, which takes megabytes.
+    """
+    return ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
