--- a/src/godwitmast/ctl/cli.py
+++ b/src/godwitmast/ctl/cli.py
@@ -20,7 +20,7 @@
 )
 from godwitmast.config.parsing import parse_document
 from godwitmast.config.patch import differences
-from godwitmast.ctl.session import CommandFailed, Session, Waited, new_patch
+from godwitmast.ctl.session import CommandFailed, Edit, Session, Waited, new_patch
 from godwitmast.daemons import EXIT_FAILED, EXIT_USAGE
 from godwitmast.errors import ConfigInvalid, PlatformError
 from godwitmast.keys.hashing import KEY_PREFIX, hash_key, new_key
@@ -254,6 +254,16 @@
     run(platform, work)
 
 
+def edit(platform: str, make: Edit, reason: str, wait: bool, timeout: float) -> None:
+    """Run a command that means the same whatever others changed meanwhile."""
+
+    async def work(session: Session) -> int:
+        outcome = await session.edit(make, reason)
+        return await conclude(session, outcome, wait, timeout)
+
+    run(platform, work)
+
+
 @app.command()
 def withdraw(
     key: Annotated[str, typer.Argument(help="The key or its hash; - for stdin.")],
@@ -271,11 +281,7 @@
             raise CommandFailed("no such key is granted")
         return {"keys": {digest: None}}
 
-    async def work(session: Session) -> int:
-        outcome = await session.edit(make, reason)
-        return await conclude(session, outcome, wait, timeout)
-
-    run(platform, work)
+    edit(platform, make, reason, wait, timeout)
 
 
 @app.command()
@@ -294,11 +300,7 @@
             raise CommandFailed(f"there is no backend server {backend!r}")
         return {"backends": {backend: {"leaving": not undo}}}
 
-    async def work(session: Session) -> int:
-        outcome = await session.edit(make, reason)
-        return await conclude(session, outcome, wait, timeout)
-
-    run(platform, work)
+    edit(platform, make, reason, wait, timeout)
 
 
 @app.command()
@@ -339,11 +341,7 @@
             raise CommandFailed(f"zone {zone!r} is not evacuated")
         return {"evacuated": {zone: None}}
 
-    async def work(session: Session) -> int:
-        outcome = await session.edit(make, reason)
-        return await conclude(session, outcome, wait, timeout)
-
-    run(platform, work)
+    edit(platform, make, reason, wait, timeout)
 
 
 @app.command()
--- a/tests/test_platform_catalog.py
+++ b/tests/test_platform_catalog.py
@@ -152,6 +152,15 @@
     assert model.cold_start is None
 
 
+ROW = {
+    "service": "lm",
+    "address": "10.0.0.1:80",
+    "zone": "z1",
+    "state": "ready",
+    "batchSlots": 8,
+}
+
+
 @pytest.mark.parametrize(
     ("said", "cold_s", "incarnation"),
     [
@@ -163,14 +172,7 @@
 def test_row_tells_how_long_its_server_stays_cold(
     said: dict[str, float], cold_s: float, incarnation: int
 ) -> None:
-    row = {
-        "service": "lm",
-        "address": "10.0.0.1:80",
-        "zone": "z1",
-        "state": "ready",
-        "batchSlots": 8,
-    }
-    [server] = read_servers({"e1": json.encode(row | said)}).values()
+    [server] = read_servers({"e1": json.encode(ROW | said)}).values()
     assert (server.cold_s, server.incarnation) == (cold_s, incarnation)
 
 
@@ -178,11 +180,4 @@
 def test_row_with_a_field_of_another_type_names_no_server(
     said: dict[str, object],
 ) -> None:
-    row = {
-        "service": "lm",
-        "address": "10.0.0.1:80",
-        "zone": "z1",
-        "state": "ready",
-        "batchSlots": 8,
-    }
-    assert read_servers({"e1": json.encode(row | said)}) == {}
+    assert read_servers({"e1": json.encode(ROW | said)}) == {}
