Tell a change that comes at the end of a wait, in the stand-in of the store

Cause: the stand-in's answer to a call that waits for changes, when its wait ends in the turn of the event loop in which a change comes, has no rows and the version of that change. The VM goes on from that version. The record fits: nothing failed or was doubted, and the change never came.

Before: test_change_at_the_end_of_a_wait_is_told_with_its_version fails, twice of two. After: it passes.

--- a/src/godwitmast/standins/store.py
+++ b/src/godwitmast/standins/store.py
@@ -218,18 +218,14 @@
         """Return what changed after a version, once something has."""
         after = int(query["afterRevision"])
         with anyio.move_on_after(int(query["waitMs"]) / 1000):
-            while True:
-                if after < self.forgotten:
-                    return 410, b"{}"
-                rows = [
-                    row
-                    for row in self.history
-                    if row.ver > after and row.table == query["table"]
-                ]
-                if rows:
-                    return 200, self.encode(rows)
+            while after >= self.forgotten and not self.since(after, query["table"]):
                 await self.changed.wait()
-        return 200, self.encode([])
+        if after < self.forgotten:
+            return 410, b"{}"
+        return 200, self.encode(self.since(after, query["table"]))
+
+    def since(self, version: int, table: str) -> list[StoredRow]:
+        return [row for row in self.history if row.ver > version and row.table == table]
 
     def encode(self, rows: list[StoredRow], truncated: bool = False) -> bytes:
         now_ms = (time.monotonic() - self.started_at) * 1000
--- a/tests/test_standin_fleet.py
+++ b/tests/test_standin_fleet.py
@@ -1,10 +1,13 @@
 """The stand-ins of the users' platform in one process, with a VM's process on them."""
 
+import asyncio
 import json
+import time
 from pathlib import Path
 
 import anyio
 import httpx
+import msgspec
 import pytest
 
 from fleet import PROMPT, READY_WITHIN_S, config_of, head, settings_of
@@ -13,11 +16,34 @@
 from godwitmast.settings import check_settings
 from godwitmast.standins.fleet import FleetStandin
 from godwitmast.standins.settings import FleetSettings
+from godwitmast.standins.store import StoreStandin
 from running import running
 
 pytestmark = pytest.mark.anyio
 
 
+async def test_change_at_the_end_of_a_wait_is_told_with_its_version() -> None:
+    """The store's answer had the new version and not the change, which was lost."""
+    store = StoreStandin()
+    store.put("op", "before", b"1")
+    query = {"table": "op", "afterRevision": str(store.version), "waitMs": "20"}
+    async with anyio.create_task_group() as tasks:
+        answers = []
+
+        async def follow() -> None:
+            answers.append(await store.follow(query))
+
+        tasks.start_soon(follow)
+        await anyio.sleep(0)
+        # Both are due at once, and the end of the wait comes first.
+        asyncio.get_running_loop().call_later(0.03, store.put, "op", "after", b"2")
+        time.sleep(0.05)
+    [(_, content)] = answers
+    answer = msgspec.json.decode(content)
+    told = [row["key"] for row in answer["rows"]]
+    assert (told, answer["ver"]) in ((["after"], 2), ([], 1))
+
+
 async def test_node_serves_streams_and_plain_calls_of_a_standin_fleet(
     http: httpx.AsyncClient, tmp_path: Path
 ) -> None:
