--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -226,7 +226,7 @@
         is_first: bool,
         now: float,
     ) -> None:
-        """Take what the list says of whether the server is cold."""
+        """Update whether the server is cold from its entry in the list."""
         limit = self.warmup_of(spec)
         if limit is None:
             state.warmup = Warmup()
@@ -248,7 +248,7 @@
         state.warmup.advance(self.turn_period_s(state.spec), now, self.random)
 
     def unreachable(self, backend_id: BackendId, now: float) -> None:
-        """Take that a server took no connection: it may come back cold, unannounced."""
+        """Record a refused connection: the server may restart cold before its list entry."""
         state = self.states.get(backend_id)
         if state is None:
             return
--- a/src/godwitmast/dispatch/census.py
+++ b/src/godwitmast/dispatch/census.py
@@ -18,7 +18,7 @@
     counted_at: float = -math.inf
 
     def note(self, routers: int, now: float) -> bool:
-        """Take a count, 0 if it is not known; return whether it was taken."""
+        """Record a count, 0 if it is not known; return whether it replaces the last one."""
         if routers < 1:
             return False
         if routers < self.routers and now < self.counted_at + COUNT_KEPT_S:
--- a/src/godwitmast/dispatch/warmup.py
+++ b/src/godwitmast/dispatch/warmup.py
@@ -1,9 +1,9 @@
 """Bounds what all routers together send to a server that has just started.
 
-Load pattern: a server that starts is emptier than any other, so that each of hundreds of
-routers sends it its next request in the same second. One that has yet to warm up crashes
-under that. Routers share no count of what they send, learn of the start at unlike times,
-and one that is cut off learns nothing more.
+Load pattern: a server that has just started is the least loaded one, so that each of
+hundreds of routers sends it its next request in the same second. A cold server crashes
+under that. Routers share no count of what they send, learn of the start at different
+times, and one that is partitioned learns nothing more.
 
 So each router takes turns at a cold server, as many a second as its part of what the
 server bears, from a start that it draws at random. What adds up at the server is then
@@ -78,11 +78,11 @@
     """When the present or next turn begins."""
 
     def told(self, left_s: float, now: float) -> None:
-        """Take what the server itself says; it may become cold again at any time."""
+        """Record what the server reports; it may become cold again at any time."""
         self.told_until = now + min(LONGEST_S, left_s) if left_s > 0 else -math.inf
 
     def assume(self, until: float) -> None:
-        """Take the server for cold until then, without a word of its own."""
+        """Treat the server as cold until then, whatever it reports."""
         self.assumed_until = max(self.assumed_until, until)
 
     def is_cold(self, now: float) -> bool:
@@ -104,6 +104,6 @@
         return self.turn_at <= now < self.turn_at + TURN_S
 
     def sent(self, period_s: float, now: float) -> None:
-        """Use the turn up."""
+        """Record a request, which uses the turn up."""
         if self.is_cold(now):
             self.turn_at += period_s
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -87,7 +87,7 @@
         await self.background.close()
 
     def count_entries(self, entries: int) -> None:
-        """Take how many entries there are, each with a router; 0 if not known."""
+        """Record how many entries there are, each with a router; 0 if not known."""
         self.count.note(entries, self.clock.now())
 
     def config_changed(self, config: NumberedConfig) -> None:
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -344,12 +344,12 @@
         log_event("node_stopped", node=self.settings.node)
 
     def doubt_feeds(self) -> None:
-        """Have all calls that wait for changes made anew."""
+        """Reissue all calls that wait for changes."""
         for follower in self.followers:
             follower.doubt()
 
     def take_operator(self, rows: dict[str, bytes]) -> None:
-        """Take evacuations first: a VM is ready from its first configuration on."""
+        """Apply evacuations first: a VM is ready from its first configuration on."""
         self.driver.evacuate(read_evacuations(rows))
         self.take_config(rows)
 
--- a/src/godwitmast/platform_api/feed.py
+++ b/src/godwitmast/platform_api/feed.py
@@ -187,9 +187,9 @@
         return None
 
     def doubt(self) -> None:
-        """Ask again at once, as the platform did not answer this process's other call.
+        """Reissue the call that waits for changes, after another call failed.
 
-        It may have swallowed the one that waits for changes as well.
+        A platform that is silent swallows both.
         """
         if self.waiting is not None:
             self.waiting.cancel()
