Let all but the last kind go to a full engine rather than be refused

Cause: a VM whose list of places is full may interrupt its own less urgent requests, of which each of many VMs has few; to a full engine it sent only what engines put first. A mark, which engines put before every review that runs there, was refused instead.

Now any request but those that engines put last goes to a full engine when it would otherwise be refused and nobody here gives way. Each engine takes one such request of a VM at a time, until its first token, as before. The first kind alone still goes at once.

--- a/src/godwitmast/admission/queue.py
+++ b/src/godwitmast/admission/queue.py
@@ -6,6 +6,7 @@
 
 import random
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from godwitmast.admission.class_queue import ClassQueue, Job
 from godwitmast.admission.deadlines import RESUMED_WAIT_S, Slack, find_slack
@@ -36,6 +37,14 @@
 UNMEASURED_RATE = 1.0
 """Requests a second that a pool is taken to start before any answer was timed."""
 
+
+class EngineOrders(NamedTuple):
+    """The most and the least urgent number that engines order requests by."""
+
+    first: int
+    last: int
+
+
 NO_TEAM = Team()
 """For requests that outlive their team's entry in the configuration."""
 
@@ -47,7 +56,7 @@
         self, document: Document, seed: int = 0, max_waiting: int = MAX_WAITING
     ) -> None:
         self.document = document
-        self.first_in_engines = find_first_in_engines(document)
+        self.engine_orders = find_engine_orders(document)
         self.max_waiting = max_waiting
         self.random = random.Random(seed)
         self.jobs: dict[RequestId, Job] = {}
@@ -60,7 +69,7 @@
     def update_config(self, document: Document) -> None:
         """Take a configuration; what waits keeps its place and its deadline."""
         self.document = document
-        self.first_in_engines = find_first_in_engines(document)
+        self.engine_orders = find_engine_orders(document)
         for pool in self.pools.values():
             for queue in pool.by_tier:
                 queue.target = document.classes.get(queue.name, queue.target)
@@ -169,7 +178,8 @@
 
         The one that gives way waits again, before those of its class that never ran.
         Where the caller has a server that takes one more than its limit, a request that
-        engines put first comes alone if places come free soon, or if nobody can give way.
+        engines put first comes alone if places come free soon. So does any but those
+        that engines put last if nobody can give way.
         """
         pool = self.pools.get(pool_name)
         if pool is None or not pool.waiting:
@@ -179,9 +189,9 @@
             if request_id is None:
                 continue
             job = self.jobs[request_id]
-            is_first = queue.order_in_engines <= self.first_in_engines
-            may_go_alone = may_overcommit and is_first
-            if may_go_alone and frees_soon(pool):
+            is_first = queue.order_in_engines <= self.engine_orders.first
+            is_last = queue.order_in_engines >= self.engine_orders.last
+            if may_overcommit and is_first and frees_soon(pool):
                 return Preemption(None, self.start_next(queue, now))
             if job.urgent_at > now:
                 continue
@@ -190,7 +200,7 @@
                 victim.preemptions += 1
                 self.put_back(victim.request, now)
                 return Preemption(victim.request, self.start(job, queue, now))
-            if may_go_alone:
+            if may_overcommit and (is_first or not is_last):
                 return Preemption(None, self.start(job, queue, now))
         return None
 
@@ -352,10 +362,10 @@
         self.waiting += change
 
 
-def find_first_in_engines(document: Document) -> int:
-    """Return the priority of the requests that engines put before all others."""
-    classes = document.classes.values()
-    return min((item.order_in_engines for item in classes), default=1)
+def find_engine_orders(document: Document) -> EngineOrders:
+    """Return the first and the last of what engines order the classes' requests by."""
+    orders = [item.order_in_engines for item in document.classes.values()]
+    return EngineOrders(min(orders, default=1), max(orders, default=1))
 
 
 def refuse(request: RequestSpec, code: RefusalCode, after_s: float) -> Refuse:
