--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -28,7 +28,7 @@
     may_eject,
 )
 from godwitmast.dispatch.limits import ServerLimit
-from godwitmast.dispatch.loads import OtherLoad, UsualLoad
+from godwitmast.dispatch.loads import OtherLoad
 from godwitmast.dispatch.messages import BackendSpec, LoadReport, RequestSpec
 from godwitmast.dispatch.pace import GapWindow, PoolPace
 from godwitmast.dispatch.placement import Placement, Running
@@ -143,7 +143,6 @@
     servers: int = 0
     slow: int = 0
     placement: Placement = field(default_factory=Placement)
-    usual: UsualLoad = field(default_factory=UsualLoad)
 
     def members(self) -> list[BackendState]:
         """Return the servers that are in the choice, with room or not."""
@@ -191,10 +190,7 @@
             if known is not None and known.spec.incarnation != spec.incarnation:
                 # A flight that is still counted there ends on the state that is kept.
                 known.health, known.window = Health(), GapWindow()
-                known.other.listed(now)
             state = known or BackendState(spec)
-            if known is None:
-                state.other.listed(now)
             self.note_start(state, spec, known is None, is_first, now)
             state.spec = spec
             if spec.places is not None:
@@ -272,11 +268,7 @@
             if known is not None:
                 view.pace, view.targets = known.pace, known.targets
                 view.placement = known.placement
-                view.usual = known.usual
                 view.placement.cheap = set()
-        if state.spec.places is not None:
-            # A learned limit follows the load that is known, not one that is assumed.
-            state.other.usual = view.usual
         if state.spec.cheap:
             view.placement.cheap.add(state.backend_id)
         cell = view.cells.setdefault(state.spec.zone, Cell(view))
@@ -519,12 +511,9 @@
         if state is None:
             return
         state.limit.reported(report.running, report.waiting)
-        is_new = state.other.reported(
+        state.other.reported(
             report, state.in_flight, state.limit.value, now, self.random
         )
-        if is_new:
-            for cell in state.cells:
-                cell.pool.usual.add(state.other.others, now)
         self.refresh(state, now)
 
     def first_token(
--- a/src/godwitmast/dispatch/loads.py
+++ b/src/godwitmast/dispatch/loads.py
@@ -9,16 +9,11 @@
 leaves free is not all ours to take: of the room that others might take as well, an
 entry claims its share, rounded at random, so that many entries together claim about
 the whole.
-
-The more entries there are, the longer it is since one of them heard of a server. What
-an old report no longer tells is taken from the newer ones of the pool's other servers.
-Taken for nothing, it made every entry send to the servers that it had not heard of for
-longest, however full all of them were.
 """
 
 import math
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from godwitmast.dispatch.messages import LoadReport
 
@@ -37,41 +32,16 @@
 nine entries, about its equal share."""
 
 
-USUAL_WEIGHT = 0.1
-"""Least weight of one report in the usual load of a pool: the last ten or so decide."""
-
-
-@dataclass(slots=True)
-class UsualLoad:
-    """What others have on a server of a pool, over the reports of all its servers."""
-
-    mean: float = 0.0
-    at: float = -math.inf
-
-    def add(self, others: float, now: float) -> None:
-        """Take a report; the first one after a silence counts for more."""
-        faded = 1 - 0.5 ** (max(0.0, now - self.at) / HALF_LIFE_S)
-        self.mean += max(USUAL_WEIGHT, faded) * (others - self.mean)
-        self.at = now
-
-
 @dataclass(slots=True)
 class OtherLoad:
     """What is on one server beside our own requests."""
 
-    usual: UsualLoad = field(default_factory=UsualLoad)
     others: float = 0.0
     reported_at: float = -math.inf
     own_mean: float = 0.0
     own_mean_at: float = 0.0
     claims: float = math.inf
 
-    def listed(self, now: float) -> None:
-        """Take a server that has just started: nobody has sent there yet."""
-        self.others = 0.0
-        self.reported_at = now
-        self.claims = math.inf
-
     def own_changed(self, in_flight: int, now: float) -> None:
         """Take our own count before it changes."""
         past = max(0.0, now - self.own_mean_at)
@@ -86,11 +56,11 @@
         limit: float,
         now: float,
         draw: random.Random,
-    ) -> bool:
-        """Take a report; return False if it is older than the last, and was dropped."""
+    ) -> None:
+        """Take a report; an older one than the last is dropped."""
         made_at = now - report.age_s
         if made_at < self.reported_at:
-            return False
+            return
         self.own_changed(in_flight, now)
         total = report.running + report.waiting
         self.reported_at = made_at
@@ -98,14 +68,14 @@
         self.others = max(0.0, total - own)
         if self.others < 1:
             self.claims = math.inf
-            return True
+            return
         share = max(LEAST_SHARE, min(1.0, own / total))
         room = max(0.0, limit - self.estimate(now) - in_flight)
         whole, part = divmod(room * share, 1.0)
         self.claims = whole + (draw.random() < part)
-        return True
 
     def estimate(self, now: float) -> float:
         """Return how many requests of others are on the server, as far as is known."""
-        kept = 0.5 ** (max(0.0, now - self.reported_at) / HALF_LIFE_S)
-        return self.others * kept + self.usual.mean * (1 - kept)
+        if not self.others:
+            return 0.0
+        return self.others * 0.5 ** ((now - self.reported_at) / HALF_LIFE_S)
