Overfill only engines of a fixed number of places with the kinds between

Cause: where a server's limit is learned, one request more runs beside the rest and slows all of them; only an engine that says how many it runs lets it wait or gives it a less urgent request's place. Now the kinds between the first and the last go to such engines alone, and to others as before. On the users' platform all engines say it, so that nothing changes there.

The test of who may go has both cases for each kind; a draft still may not without fixed places.

--- a/src/godwitmast/admission/preemption.py
+++ b/src/godwitmast/admission/preemption.py
@@ -13,9 +13,11 @@
 
 Entries share servers and do not see each other's queues. One whose places have all gone
 to lower tiers of the others has nobody to interrupt; its urgent request goes to a full
-server then, as engines serve the highest priority first. What engines put last stays:
-it could only wait there. Where places come free soon, requests that engines put before
-all others go there at once; others would overfill the engines.
+server then, as engines serve the highest priority first. Where places come free soon,
+requests that engines put before all others go there at once. Others go only to engines
+with a fixed number of places, where they take one of a less urgent request or wait; an
+engine without would run them beside the rest and slow all of them. What engines put last
+stays: it could only wait there.
 """
 
 from typing import NamedTuple
--- a/src/godwitmast/admission/queue.py
+++ b/src/godwitmast/admission/queue.py
@@ -172,14 +172,19 @@
         return self.start(job, queue, now)
 
     def preempt(
-        self, pool_name: str, now: float, may_overcommit: bool = False
+        self,
+        pool_name: str,
+        now: float,
+        may_overcommit: bool = False,
+        excess_waits: bool = False,
     ) -> Preemption | None:
         """Take a request that is about to be too late, and who gives way to it.
 
         The one that gives way waits again, before those of its class that never ran.
         Where the caller has a server that takes one more than its limit, a request that
-        engines put first comes alone if places come free soon. So does any but those
-        that engines put last if nobody can give way.
+        engines put first comes alone if places come free soon, or if nobody can give way.
+        With `excess_waits` that server has a fixed number of places, so that one more
+        does not slow what runs there: then any but those that engines put last does.
         """
         pool = self.pools.get(pool_name)
         if pool is None or not pool.waiting:
@@ -200,7 +205,8 @@
                 victim.preemptions += 1
                 self.put_back(victim.request, now)
                 return Preemption(victim.request, self.start(job, queue, now))
-            if may_overcommit and (is_first or not is_last):
+            may_go_alone = is_first or (excess_waits and not is_last)
+            if may_overcommit and may_go_alone:
                 return Preemption(None, self.start(job, queue, now))
         return None
 
--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -453,6 +453,10 @@
         best = min(states, key=lambda s: s.in_flight / s.limit.value, default=None)
         return best.spec.backend_id if best else None
 
+    def has_places(self, backend_id: BackendId) -> bool:
+        """Return whether the server said how many requests it runs at a time."""
+        return self.states[backend_id].limit.fixed
+
     def has_other(self, pool: str, taken: Collection[BackendId]) -> bool:
         """Return whether a server in the choice is not `taken`, or none is left."""
         view = self.pools.get(pool)
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -453,7 +453,10 @@
         actions: list[Action] = []
         while True:
             place = self.spare_server(pool, now)
-            preemption = self.admission.preempt(pool, now, place is not None)
+            excess_waits = place is not None and self.backends.has_places(place)
+            preemption = self.admission.preempt(
+                pool, now, place is not None, excess_waits
+            )
             if preemption is None:
                 return actions
             flight = self.book.flights[preemption.request.request_id]
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -173,18 +173,28 @@
 
 @pytest.mark.parametrize("team", ["gold", "many"])
 @pytest.mark.parametrize(
-    ("kind", "goes"), [(CHAT, True), (DRAFT, True), (DIGEST, False)]
+    ("kind", "excess_waits", "goes"),
+    [
+        (CHAT, True, True),
+        (CHAT, False, True),
+        (DRAFT, True, True),
+        (DRAFT, False, False),
+        (DIGEST, True, False),
+        (DIGEST, False, False),
+    ],
 )
 def test_all_but_the_last_kind_of_every_team_may_go_to_a_full_engine(
-    kind: int, team: str, goes: bool
+    kind: int, team: str, excess_waits: bool, goes: bool
 ) -> None:
     """Guards against requests turned away while other VMs' summaries hold engines."""
     front = front_of(**TEAMS)
     admission = Admission(front.document)
     request = prepare(front, kind, team).spec
     assert admission.offer(request, 0.0) == []
-    ticks = [tick * 0.05 for tick in range(100)]
-    found = [admission.preempt(request.pool, now, may_overcommit=True) for now in ticks]
+    found = [
+        admission.preempt(request.pool, tick * 0.05, True, excess_waits)
+        for tick in range(100)
+    ]
     alone = [preemption for preemption in found if preemption is not None]
     assert [preemption.request for preemption in alone] == [request] * goes
 
@@ -197,8 +207,8 @@
     assert admission.offer(request, 0.0) == []
     urgent_at = admission.jobs[request.request_id].urgent_at
     assert urgent_at > 0.1
-    assert admission.preempt(request.pool, urgent_at - 0.01, True) is None
-    assert admission.preempt(request.pool, urgent_at, True) is not None
+    assert admission.preempt(request.pool, urgent_at - 0.01, True, True) is None
+    assert admission.preempt(request.pool, urgent_at, True, True) is not None
 
 
 def test_draft_interrupts_a_summary_of_its_own_vm_before_it_overfills_an_engine() -> (
@@ -214,7 +224,7 @@
     waiting = prepare(front, DRAFT, "many").spec
     assert admission.offer(waiting, 0.0) == []
     urgent_at = admission.jobs[waiting.request_id].urgent_at
-    preemption = admission.preempt(waiting.pool, urgent_at, may_overcommit=True)
+    preemption = admission.preempt(waiting.pool, urgent_at, True, True)
     assert preemption is not None
     assert preemption == (running, waiting)
 
