--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -7,7 +7,8 @@
 
 from fleet import HOST, config_of, route
 from godwitmast.admission.queue import Admission
-from godwitmast.dispatch.messages import RequestSpec
+from godwitmast.dispatch.messages import BackendSpec, Refuse, RequestSpec, Start
+from godwitmast.dispatch.router import Router
 from godwitmast.entry.front import Incoming, Prepared
 from godwitmast.entry.intake import Envelope
 from godwitmast.keys.authorizer import Caller
@@ -15,6 +16,7 @@
 from godwitmast.platform.front import RouteFront
 from godwitmast.platform.wire import REQUEST_PRIORITY
 from godwitmast.standins.engine_model import EngineModel, EngineSpeed, Sequence
+from godwitmast.types import BackendId, ZoneName
 
 CHAT, DRAFT, DIGEST = 0, 1, 2
 """Three kinds of request by their route's priority."""
@@ -236,3 +238,31 @@
     order = [ranks.of(kind, team) for team, kind in pairs]
     assert order == sorted(order)
     assert len(set(order)) == len(pairs)
+
+
+@pytest.mark.parametrize(
+    ("kind", "sent"), [(CHAT, True), (DRAFT, True), (DIGEST, False)]
+)
+def test_request_reaches_a_full_engine_before_the_router_refuses_it(
+    kind: int, sent: bool
+) -> None:
+    """Guards against drafts refused by VMs that have no place on any engine's list."""
+    front = front_of(**TEAMS)
+    router = Router(front.document, ZoneName("a"), seed=1)
+    pools = frozenset(["lm"])
+    engines = [
+        BackendSpec(BackendId(f"engine-{n}"), ZoneName("a"), pools, places=1)
+        for n in range(2)
+    ]
+    router.update_backends(engines, 0.0)
+    for _ in engines:
+        running = prepare(front, CHAT, "many").spec
+        router.submit(running, 0.0)
+        assert router.book.flights[running.request_id].backend_id is not None
+    waiting = prepare(front, kind, "many").spec
+    assert router.submit(waiting, 0.1) == []
+    actions = [action for tick in range(2, 400) for action in router.tick(tick * 0.05)]
+    mine = [
+        type(action) for action in actions if action.request_id == waiting.request_id
+    ]
+    assert mine[0] is (Start if sent else Refuse)
