--- a/src/godwitmast/dispatch/active_requests.py
+++ b/src/godwitmast/dispatch/active_requests.py
@@ -105,3 +105,14 @@
     def on_server(self, backend_id: BackendId) -> list[ActiveRequest]:
         """Return the requests that run on a server, oldest attempt first."""
         return list(self.by_server.get(backend_id, {}).values())
+
+    def oldest_attempt_at(self) -> float | None:
+        """Return when the oldest running attempt started, or None without any."""
+        return min(
+            (
+                active.started_at
+                for requests in self.by_server.values()
+                for active in requests.values()
+            ),
+            default=None,
+        )
--- /dev/null
+++ b/src/godwitmast/dispatch/connectivity.py
@@ -0,0 +1,134 @@
+"""Detection that this entry reaches no backend server, as its own network is at fault.
+
+Load pattern: a network partition between one VM and all backend servers, while callers,
+the platform and the other VMs still reach it. Connections are reset, or hang, or open
+ones live on while new ones are refused. Server by server it looks like the crash of
+each of them, and costs every request a time-out for each.
+
+A failed connection, or silence of all servers while requests wait, starts a round of
+probes that only open a connection. Two servers come first, since one that accepts ends
+the round; the others follow if both fail. Bytes on an open connection do not count as
+an answer to a probe: new requests need new connections.
+"""
+
+import random
+from collections.abc import Iterable
+from enum import Enum
+
+from godwitmast.types import BackendId
+
+SILENCE_S = 0.8
+"""Silence of all servers while a request waits for one, after which they are probed.
+The first token of a long prompt may take longer, which costs a probe."""
+
+FIRST_PROBES = 2
+MAX_PROBES = 16
+"""Probes in one round. In a large fleet so many random servers stand for all."""
+
+QUIET_S = 0.5
+"""Shortest time between two rounds."""
+
+
+class ProbeOutcome(Enum):
+    """Outcome of an attempt to open a connection."""
+
+    CONNECTED = "connected"
+    FAILED = "failed"
+    INCONCLUSIVE = "inconclusive"
+    """This process was suspended meanwhile, so that the time-out tells nothing."""
+
+
+class Connectivity:
+    """Whether backend servers accept connections from this entry."""
+
+    def __init__(self, seed: int | None = None) -> None:
+        self.random = random.Random(seed)
+        self.servers: list[BackendId] = []
+        self.heard_at: dict[BackendId, float] = {}
+        self.last_heard_at = 0.0
+        self.is_suspected = False
+        self.candidates: list[BackendId] = []
+        self.in_flight: set[BackendId] = set()
+        self.next_round_at = 0.0
+        self.unreachable_since: float | None = None
+
+    @property
+    def is_unreachable(self) -> bool:
+        """Return whether no server accepts connections from this entry."""
+        return self.unreachable_since is not None
+
+    def update_servers(self, backend_ids: Iterable[BackendId]) -> None:
+        """Replace the servers that may be probed."""
+        self.servers = sorted(backend_ids)
+        self.heard_at = {
+            name: at for name, at in self.heard_at.items() if name in set(self.servers)
+        }
+
+    def record_heard(self, backend_id: BackendId, now: float) -> None:
+        """Record that bytes of an answer arrived from a server."""
+        self.heard_at[backend_id] = self.last_heard_at = now
+
+    def record_failure(self) -> None:
+        """Record a connection that was refused, timed out or broke."""
+        self.is_suspected = True
+
+    def is_silent(self, backend_id: BackendId, since: float, now: float) -> bool:
+        """Return whether a server has sent nothing for `SILENCE_S`, `since` at least."""
+        return now >= max(since, self.heard_at.get(backend_id, since)) + SILENCE_S
+
+    def due_probes(
+        self, oldest_attempt_at: float | None, now: float
+    ) -> list[BackendId]:
+        """Return the servers to probe now; `oldest_attempt_at` is None without any."""
+        if oldest_attempt_at is not None:
+            silent_since = max(self.last_heard_at, oldest_attempt_at)
+            self.is_suspected |= now >= silent_since + SILENCE_S
+        if not (self.is_suspected or self.is_unreachable):
+            return []
+        if self.in_flight or now < self.next_round_at or not self.servers:
+            return []
+        count = min(MAX_PROBES, len(self.servers))
+        self.candidates = self.random.sample(self.servers, count)
+        self.is_suspected = False
+        return self.send_probes(FIRST_PROBES)
+
+    def send_probes(self, count: int) -> list[BackendId]:
+        sent, self.candidates = self.candidates[:count], self.candidates[count:]
+        self.in_flight = set(sent)
+        return sent
+
+    def record_probe(
+        self, backend_id: BackendId, outcome: ProbeOutcome, now: float
+    ) -> list[BackendId]:
+        """Record the outcome of a probe; return the servers to probe next."""
+        if backend_id not in self.in_flight:
+            return []
+        self.in_flight.discard(backend_id)
+        match outcome:
+            case ProbeOutcome.CONNECTED:
+                self.last_heard_at = now
+                self.end_round(now)
+                self.unreachable_since = None
+            case ProbeOutcome.INCONCLUSIVE:
+                self.end_round(now)
+                self.is_suspected = True
+            case ProbeOutcome.FAILED if not self.in_flight:
+                return self.continue_round(now)
+        return []
+
+    def continue_round(self, now: float) -> list[BackendId]:
+        """Probe the other servers, or conclude that none is reachable."""
+        if self.is_unreachable:
+            self.end_round(now)
+        elif self.candidates:
+            return self.send_probes(MAX_PROBES)
+        else:
+            self.unreachable_since = now
+            self.end_round(now)
+        return []
+
+    def end_round(self, now: float) -> None:
+        """End the round; probes that are still in flight no longer count."""
+        self.in_flight = set()
+        self.candidates = []
+        self.next_round_at = now + QUIET_S
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -21,6 +21,7 @@
 from godwitmast.capacity.fleet import EMPTY_FLEET, FleetRow, merge_backends
 from godwitmast.clock import Clock
 from godwitmast.config.document import Backend, Document, NumberedConfig
+from godwitmast.dispatch.connectivity import Connectivity
 from godwitmast.dispatch.messages import (
     Action,
     BackendSpec,
@@ -86,6 +87,9 @@
         self.load_listeners: list[Callable[[BackendId, LoadReport], None]] = []
         self.leaving_until: dict[BackendId, float] = {}
         self.count = RouterCount()
+        self.connectivity = Connectivity()
+        self.tick_listeners: list[Callable[[float], None]] = []
+        """Called with the time after each tick of the router."""
 
     async def start(self, tasks: TaskGroup) -> None:
         await self.background.start(tasks)
@@ -183,6 +187,9 @@
             for name, item in self.backends.items()
         ]
         self.urls = {BackendId(n): item.url for n, item in self.backends.items()}
+        self.connectivity.update_servers(
+            spec.backend_id for spec in specs if not spec.leaving
+        )
         self.deliver_actions(self.policy.update_backends(specs, now))
 
     def is_evicted(self, name: str) -> bool:
@@ -269,11 +276,23 @@
         self, request_id: RequestId, attempt_id: AttemptId, kind: FailureKind
     ) -> None:
         now = self.clock.now()
+        if kind in (FailureKind.CONNECT, FailureKind.CUT):
+            self.connectivity.record_failure()
         self.deliver_actions(
             self.policy.record_failure(request_id, attempt_id, kind, now)
         )
         self.report_crashes()
 
+    def record_heard(self, backend_id: BackendId) -> None:
+        """Record that bytes of an answer arrived from a backend server."""
+        self.connectivity.record_heard(backend_id, self.clock.now())
+
+    def oldest_attempt_at(self) -> float | None:
+        """Return when the oldest running attempt started, or None without any."""
+        if self.router is None:
+            return None
+        return self.router.active_requests.oldest_attempt_at()
+
     def cancel_request(self, request_id: RequestId, reason: CancelReason) -> None:
         self.deliver_actions(
             self.policy.cancel_request(request_id, reason, self.clock.now())
@@ -344,8 +363,11 @@
                 with anyio.move_on_after(IDLE_TICK_S):
                     await self.request_submitted.wait()
             if self.router is not None:
-                self.deliver_actions(self.router.tick(self.clock.now()))
+                now = self.clock.now()
+                self.deliver_actions(self.router.tick(now))
                 self.report_crashes()
+                for listener in self.tick_listeners:
+                    listener(now)
 
     async def run_load_polls(self) -> None:
         """Poll the load of the backend servers that are assigned to this entry."""
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -365,6 +365,7 @@
                     FailureKind.CUT, "the answer belongs to another request"
                 )
             self.reached_backend = True
+            self.driver.record_heard(start.backend_id)
             load = (
                 self.client.header_parser.parse_load(answer)
                 if outbound.reports_load
@@ -404,6 +405,7 @@
         """Forward complete events until the stream is complete."""
         reader = self.reader
         async for data in answer.aiter_raw():
+            self.driver.record_heard(start.backend_id)
             scope.defer_cancel()
             await self.forward_events(start, answer, data)
             scope.allow_cancel()
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -20,6 +20,7 @@
 from godwitmast.entry.app import EntryApp, with_connection_close
 from godwitmast.entry.crash_reports import CrashReports
 from godwitmast.entry.driver import RouterDriver
+from godwitmast.entry.probes import ConnectionProbes
 from godwitmast.entry.refusals import send_json, send_response
 from godwitmast.entry.request_parsing import CallerGone
 from godwitmast.errors import ConfigInvalid, SettingsError
@@ -183,7 +184,9 @@
             self.clock, self.driver, self.client, self.meter, self.frontend
         )
         self.app.ends_withdrawn_streams = bounds.strict_revoke
+        self.probes = ConnectionProbes(self.driver, self.app.metrics.registry)
         self.servers_known = False
+        self.reported_ready = False
         self.app.ready_checks.append(lambda: self.servers_known)
         self.crash_reports = CrashReports(
             self.driver, self.store, self.agreed_clock, settings.node
@@ -348,6 +351,7 @@
     async def start(self, tasks: TaskGroup) -> None:
         """Listen, and follow configuration and servers; ready once both are known."""
         await self.driver.start(tasks)
+        await self.probes.start(tasks)
         for follower in self.followers:
             await follower.start(tasks)
         await self.crash_reports.start(tasks)
@@ -391,6 +395,7 @@
             await follower.close()
         for server in (self.readiness_server, self.metrics_server):
             await server.close()
+        await self.probes.close()
         await self.driver.close()
         await self.client.close()
         await self.store.close()
@@ -460,6 +465,7 @@
         match scope["path"]:
             case path if path == READY_PATH:
                 ready = self.app.ready
+                self.log_readiness(ready)
                 await send_json(send, 200 if ready else 503, {"ready": ready})
             case "/metrics":
                 headers = [(b"content-type", CONTENT_TYPE_LATEST.encode())]
@@ -468,6 +474,12 @@
             case _:
                 await send_json(send, 404, {"error": "not found"})
 
+    def log_readiness(self, ready: bool) -> None:
+        """Log what the load balancer is told, when that changes."""
+        if ready != self.reported_ready:
+            self.reported_ready = ready
+            log_event("readiness_changed", ready=ready)
+
     async def poll_settings(self) -> None:
         """Apply the number of VMs and a changed settings file, at a fixed interval."""
         while True:
