--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -112,8 +112,10 @@
 
     bounds: dict[str, Any] = field(default_factory=dict)
     configured: bool = True
+    added: list[Node] = field(default_factory=list)
 
     async def start(self, tasks: TaskGroup) -> None:
+        self.tasks = tasks
         self.store = StoreStandin()
         await self.store.start(tasks)
         self.engines = [
@@ -131,9 +133,21 @@
         if self.configured:
             await self.wait_until(lambda: self.node.app.ready)
 
+    async def add_vm(self, name: str, **changes: Any) -> Node:
+        """Start one more VM; `changes` replace fields of its settings."""
+        raw = {**settings_of(self.store.server.port, **self.bounds), "node": name}
+        settings = check_settings({**raw, **changes}, PlatformFile, "settings")
+        node = Node(settings, metrics_port=0)
+        await node.start(self.tasks)
+        await self.wait_until(lambda: node.app.ready)
+        self.added.append(node)
+        return node
+
     async def close(self) -> None:
         self.store.faults.refusal_status = 503
-        await self.node.close()
+        async with anyio.create_task_group() as closing_tasks:
+            for node in self.nodes:
+                closing_tasks.start_soon(node.close)
         for replica in self.replicas:
             await replica.close()
         await self.store.close()
@@ -142,6 +156,10 @@
     def replicas(self) -> list[ReplicaStandin]:
         return [*self.engines, *self.plain]
 
+    @property
+    def nodes(self) -> list[Node]:
+        return [self.node, *self.added]
+
     @property
     def url(self) -> str:
         return self.node.caller_server.url
@@ -157,11 +175,12 @@
         path: str,
         method: str = "GET",
         content: bytes = b"",
+        node: Node | None = None,
         **headers: str,
     ) -> httpx.Response:
         return await http.request(
             method,
-            self.url + path,
+            (node or self.node).caller_server.url + path,
             headers=request_headers(
                 **{k.replace("_", "-"): v for k, v in headers.items()}
             ),
--- /dev/null
+++ b/tests/partition.py
@@ -0,0 +1,139 @@
+"""A network partition between one VM and all backend servers, over real sockets."""
+
+from enum import Enum
+from typing import Any
+
+import anyio
+import httpcore
+import httpx
+
+from godwitmast.entry.probes import open_connection
+from godwitmast.platform.daemon import Node
+from godwitmast.sockets import UNACKNOWLEDGED_TIMEOUT_MS
+
+
+class Cut(Enum):
+    """How connections to backend servers fail."""
+
+    NONE = "none"
+    RESET = "reset"
+    """Open connections are reset, new ones are refused."""
+    SILENT = "silent"
+    """Nothing arrives; bytes sent meanwhile do once the cut ends."""
+    REFUSE = "refuse"
+    """Open connections live on, new ones are refused."""
+
+
+class Partition(httpcore.AsyncNetworkBackend):
+    """Network of one VM's client for backend servers, which can be cut."""
+
+    def __init__(self, node: Node) -> None:
+        self.cut = Cut.NONE
+        self.changed = anyio.Event()
+        transport = node.client.http._transport
+        assert isinstance(transport, httpx.AsyncHTTPTransport)
+        self.network = transport._pool._network_backend
+        transport._pool._network_backend = self
+        node.probes.connect = self.probe
+
+    def set(self, cut: Cut) -> None:
+        self.cut = cut
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def connect_tcp(
+        self, host: str, port: int, timeout: float | None = None, **options: Any
+    ) -> httpcore.AsyncNetworkStream:
+        with anyio.move_on_after(timeout):
+            await self.pass_connect()
+            stream = await self.network.connect_tcp(host, port, timeout, **options)
+            return PartitionedStream(self, stream)
+        raise httpcore.ConnectTimeout
+
+    async def pass_connect(self) -> None:
+        """Return if a connection can be opened."""
+        while self.cut is Cut.SILENT:
+            await self.changed.wait()
+        if self.cut is not Cut.NONE:
+            raise httpcore.ConnectError("refused")
+
+    async def probe(self, host: str, port: int) -> None:
+        try:
+            await self.pass_connect()
+        except httpcore.ConnectError as error:
+            raise OSError(str(error)) from None
+        await open_connection(host, port)
+
+    async def sleep(self, seconds: float) -> None:
+        await anyio.sleep(seconds)
+
+
+class PartitionedStream(httpcore.AsyncNetworkStream):
+    """A connection across the partition."""
+
+    def __init__(
+        self, partition: Partition, stream: httpcore.AsyncNetworkStream
+    ) -> None:
+        self.partition = partition
+        self.stream = stream
+        self.unsent = b""
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        while True:
+            match self.partition.cut:
+                case Cut.RESET:
+                    raise httpcore.ReadError("reset")
+                case Cut.SILENT:
+                    await self.outlast_silence()
+                case _:
+                    data = await self.read_unless_cut(max_bytes, timeout)
+                    if data is not None:
+                        return data
+
+    async def read_unless_cut(
+        self, max_bytes: int, timeout: float | None
+    ) -> bytes | None:
+        """Return what arrives, or None if the partition changes first."""
+        if self.unsent:
+            unsent, self.unsent = self.unsent, b""
+            await self.stream.write(unsent)
+        received: list[bytes] = []
+        errors: list[Exception] = []
+        async with anyio.create_task_group() as tasks:
+
+            async def read() -> None:
+                try:
+                    received.append(await self.stream.read(max_bytes, timeout))
+                except (httpcore.ReadError, httpcore.ReadTimeout) as error:
+                    errors.append(error)
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(read)
+            await self.partition.changed.wait()
+            tasks.cancel_scope.cancel()
+        if errors:
+            raise errors[0]
+        return received[0] if received else None
+
+    async def outlast_silence(self) -> None:
+        """Wait for the end of the silence, no longer than the kernel would."""
+        with anyio.move_on_after(UNACKNOWLEDGED_TIMEOUT_MS / 1000):
+            await self.partition.changed.wait()
+            return
+        raise httpcore.ReadError("timed out")
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        match self.partition.cut:
+            case Cut.RESET:
+                raise httpcore.WriteError("reset")
+            case Cut.SILENT:
+                self.unsent += buffer
+            case _:
+                await self.stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        self.unsent = b""
+        await self.stream.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        return self.stream.get_extra_info(info)
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -7,13 +7,11 @@
 import pytest
 from anyio.abc import TaskGroup
 
-from fleet import Fleet, request_headers, settings_of
+from fleet import Fleet, request_headers
 from godwitmast.dispatch.poison import InFlight, PoisonGuard
 from godwitmast.errors import PlatformOutcomeUnknown
 from godwitmast.platform.daemon import Node
-from godwitmast.platform.settings import PlatformFile
 from godwitmast.platform.store import CRASHES_TABLE
-from godwitmast.settings import check_settings
 from godwitmast.standins.replica import ReplicaStandin
 from godwitmast.types import BackendId
 from running import running
@@ -30,8 +28,6 @@
 
     async def start(self, tasks: TaskGroup) -> None:
         await super().start(tasks)
-        self.tasks = tasks
-        self.nodes = [self.node]
         for number in range(3, ENGINES + 1):
             engine = ReplicaStandin(self.store, f"e{number}", "lm", streams=True)
             self.engines.append(engine)
@@ -43,19 +39,6 @@
         for node in self.nodes:
             await self.wait_until(lambda n=node: len(n.driver.listed_backends) == 10)
 
-    async def add_vm(self, name: str) -> Node:
-        raw = {**settings_of(self.store.server.port), "node": name}
-        node = Node(check_settings(raw, PlatformFile, "settings"), metrics_port=0)
-        await node.start(self.tasks)
-        await self.wait_until(lambda: node.app.ready)
-        self.nodes.append(node)
-        return node
-
-    async def close(self) -> None:
-        for node in self.nodes[1:]:
-            await node.close()
-        await super().close()
-
     @property
     def crashes(self) -> int:
         return sum(engine.crashes for engine in self.engines)
