--- a/src/godwitmast/dispatch/active_requests.py
+++ b/src/godwitmast/dispatch/active_requests.py
@@ -1,11 +1,12 @@
 """The admitted requests that have not ended, by id and by the server on which they
 run."""
 
+import math
 from dataclasses import dataclass, field
 
 from godwitmast.config.document import RequestClass
 from godwitmast.dispatch.messages import RequestSpec
-from godwitmast.types import AttemptId, BackendId, RequestId
+from godwitmast.types import AttemptId, BackendId, PoolName, RequestId
 
 
 @dataclass(slots=True)
@@ -44,8 +45,13 @@
     @property
     def may_run_again(self) -> bool:
         """Return whether its route allows another server to run it."""
+        return self.attempts_left is None or self.attempts_left > 0
+
+    @property
+    def attempts_left(self) -> int | None:
+        """Return how many more servers may run it, None if that is not bounded."""
         most = self.request.attempts
-        return most is None or self.run_count < most
+        return None if most is None else most - self.run_count
 
 
 class ActiveRequests:
@@ -106,13 +112,11 @@
         """Return the requests that run on a server, oldest attempt first."""
         return list(self.by_server.get(backend_id, {}).values())
 
-    def oldest_attempt_at(self) -> float | None:
-        """Return when the oldest running attempt started, or None without any."""
-        return min(
-            (
-                active.started_at
-                for requests in self.by_server.values()
-                for active in requests.values()
-            ),
-            default=None,
-        )
+    def oldest_attempts(self) -> dict[PoolName, float]:
+        """Return when the oldest running attempt of each pool started."""
+        oldest: dict[PoolName, float] = {}
+        for requests in self.by_server.values():
+            for active in requests.values():
+                pool = active.request.pool
+                oldest[pool] = min(active.started_at, oldest.get(pool, math.inf))
+        return oldest
--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -734,6 +734,14 @@
         state.limit.reset()
         self.refresh(state, now)
 
+    def readmit_unreachable(self, pool: str, now: float) -> None:
+        """Return a pool's servers that were ejected while none could be reached."""
+        for state in self.states.values():
+            is_down = state.health.condition is Condition.DOWN
+            if is_down and pool in state.spec.pools:
+                state.health = Health()
+                self.refresh(state, now)
+
     def adjust_slow_count(self, state: BackendState, change: int) -> None:
         for cell in state.cells:
             cell.pool.slow_count += change
--- a/src/godwitmast/dispatch/connectivity.py
+++ b/src/godwitmast/dispatch/connectivity.py
@@ -1,26 +1,33 @@
-"""Detection that this entry reaches no backend server, as its own network is at fault.
+"""Detection that this entry reaches no backend server of a pool.
 
-Load pattern: a network partition between one VM and all backend servers, while callers,
-the platform and the other VMs still reach it. Connections are reset, or hang, or open
-ones live on while new ones are refused. Server by server it looks like the crash of
-each of them, and costs every request a time-out for each.
+Load pattern: a network partition between one VM and all backend servers, or those of
+one pool, while callers, the platform and the other VMs still reach it. Connections are
+reset, or hang, or open ones live on while new ones are refused. Server by server it
+looks like the crash of each of them, and costs every request a time-out for each.
 
-A failed connection, or silence of all servers while requests wait, starts a round of
-probes that only open a connection. Two servers come first, since one that accepts ends
-the round; the others follow if both fail. Bytes on an open connection do not count as
-an answer to a probe: new requests need new connections.
+A failed connection, or silence of a pool's servers while requests wait for them, starts
+a round of probes that only open a connection. Two servers come first, since one that
+accepts ends the round; the others follow if both fail. Bytes on an open connection do
+not count as an answer to a probe: new requests need new connections.
+
+Whether the network is at fault or the servers are, cannot be told from here: other
+entries can, and are asked before they get requests.
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from enum import Enum
 
-from godwitmast.types import BackendId
+from godwitmast.types import BackendId, PoolName
 
-SILENCE_S = 0.8
+SILENCE_S = 0.5
 """Silence of all servers while a request waits for one, after which they are probed.
 The first token of a long prompt may take longer, which costs a probe."""
 
+LOST_ATTEMPT_S = 0.8
+"""Silence of its server after which an attempt is given up, once none is reachable. On
+open connections that live on, a prompt may take most of a second."""
+
 FIRST_PROBES = 2
 MAX_PROBES = 16
 """Probes in one round. In a large fleet so many random servers stand for all."""
@@ -39,7 +46,7 @@
 
 
 class Connectivity:
-    """Whether backend servers accept connections from this entry."""
+    """Whether the servers of one pool accept connections from this entry."""
 
     def __init__(self, seed: int | None = None) -> None:
         self.random = random.Random(seed)
@@ -64,6 +71,11 @@
             name: at for name, at in self.heard_at.items() if name in set(self.servers)
         }
 
+    def sample_servers(self) -> list[BackendId]:
+        """Return random servers that may stand for all."""
+        count = min(FIRST_PROBES, len(self.servers))
+        return self.random.sample(self.servers, count)
+
     def record_heard(self, backend_id: BackendId, now: float) -> None:
         """Record that bytes of an answer arrived from a server."""
         self.heard_at[backend_id] = self.last_heard_at = now
@@ -73,8 +85,8 @@
         self.is_suspected = True
 
     def is_silent(self, backend_id: BackendId, since: float, now: float) -> bool:
-        """Return whether a server has sent nothing for `SILENCE_S`, `since` at least."""
-        return now >= max(since, self.heard_at.get(backend_id, since)) + SILENCE_S
+        """Return whether an attempt that got its last token at `since` is lost."""
+        return now >= max(since, self.heard_at.get(backend_id, since)) + LOST_ATTEMPT_S
 
     def due_probes(
         self, oldest_attempt_at: float | None, now: float
@@ -132,3 +144,38 @@
         self.in_flight = set()
         self.candidates = []
         self.next_round_at = now + QUIET_S
+
+
+class ConnectivityTable:
+    """The connectivity of this entry by pool."""
+
+    def __init__(self) -> None:
+        self.pools: dict[PoolName, Connectivity] = {}
+        self.pools_of: dict[BackendId, list[PoolName]] = {}
+
+    def update_servers(self, servers: Mapping[PoolName, Iterable[BackendId]]) -> None:
+        """Replace the servers by pool."""
+        self.pools_of = {}
+        for pool, backend_ids in servers.items():
+            connectivity = self.pools.setdefault(pool, Connectivity())
+            connectivity.update_servers(backend_ids)
+            for backend_id in connectivity.servers:
+                self.pools_of.setdefault(backend_id, []).append(pool)
+        self.pools = {pool: self.pools[pool] for pool in servers}
+
+    def record_heard(self, backend_id: BackendId, now: float) -> None:
+        """Record that bytes of an answer arrived from a server."""
+        for pool in self.pools_of.get(backend_id, ()):
+            self.pools[pool].record_heard(backend_id, now)
+
+    def record_failure(self, backend_id: BackendId) -> None:
+        """Record a connection that was refused, timed out or broke."""
+        for pool in self.pools_of.get(backend_id, ()):
+            self.pools[pool].record_failure()
+
+    def is_unreachable(self, pool: PoolName) -> bool:
+        """Return whether no server of the pool accepts connections from this entry."""
+        return pool in self.pools and self.pools[pool].is_unreachable
+
+    def unreachable_pools(self) -> list[PoolName]:
+        return [pool for pool, item in self.pools.items() if item.is_unreachable]
--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -24,7 +24,8 @@
     the same team and body; `prefix` is the same for prompts with the same prefix. An
     answer `streams` if the caller receives it token by token, and is `resumable` if
     another attempt can continue where one ended. `attempts` is the largest number of
-    servers that may run it, if that is bounded.
+    servers that may run it, if that is bounded. `may_forward` says that another entry
+    can serve it instead.
     """
 
     request_id: RequestId
@@ -42,6 +43,7 @@
     streams: bool = True
     attempts: int | None = None
     parts: tuple[PromptPart, ...] = ()
+    may_forward: bool = False
 
     @property
     def prompt(self) -> Prompt:
@@ -130,6 +132,8 @@
     SLOW = "slow"
     """The server hangs, or is far slower than its peers."""
     QUARANTINED = "quarantined"
+    UNREACHABLE = "unreachable"
+    """No server can be reached from this entry."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,7 +170,18 @@
     reason: CancelReason
 
 
-Action = Start | Refuse | Cancel
+@dataclass(frozen=True, slots=True)
+class Release:
+    """The router drops the request, for another entry to serve it.
+
+    `attempts` is how many servers may still run it, if that is bounded.
+    """
+
+    request_id: RequestId
+    attempts: int | None = None
+
+
+Action = Start | Refuse | Cancel | Release
 
 
 class Crash(NamedTuple):
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -6,7 +6,7 @@
 
 import random
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from godwitmast.admission.controller import Admission
 from godwitmast.config.document import Document
@@ -24,6 +24,7 @@
     PoisonUpdate,
     RefusalCode,
     Refuse,
+    Release,
     RequestSpec,
     Start,
 )
@@ -32,7 +33,7 @@
 from godwitmast.dispatch.router_count import RouterCount
 from godwitmast.dispatch.timeouts import CheckQueue, hang_deadline, silence_limit_s
 from godwitmast.dispatch.warmup import WarmupLimit
-from godwitmast.types import AttemptId, BackendId, RequestId, ZoneName
+from godwitmast.types import AttemptId, BackendId, PoolName, RequestId, ZoneName
 
 MAX_FAILURES = 3
 """A request that failed on this many servers is more likely the cause than the
@@ -374,6 +375,54 @@
         self.admission.requeue(active.request, now)
         return cancel
 
+    def release_requests(
+        self,
+        pool: PoolName,
+        is_silent: Callable[[BackendId, float], bool],
+        now: float,
+    ) -> list[Action]:
+        """Release what another entry can serve, while this one reaches no server.
+
+        `is_silent` tells whether a server has sent nothing for long, since a time at
+        least; attempts on other servers continue, as on open connections that live on.
+        """
+        actions: list[Action] = []
+        for active in list(self.active_requests.by_id.values()):
+            request = active.request
+            if request.pool != pool or not request.may_forward:
+                continue
+            if not self.may_run_elsewhere(active):
+                continue
+            if active.backend_id is None:
+                self.remove_from_queues(active)
+            elif is_silent(active.backend_id, active.last_token_at):
+                if not self.spend_retry(active):
+                    continue
+                actions.append(self.cancel_unreachable(active, now))
+            else:
+                continue
+            self.end_request(active, now)
+            actions.append(Release(request.request_id, active.attempts_left))
+        return actions
+
+    def cancel_unreachable(self, active: ActiveRequest, now: float) -> Cancel:
+        """Cancel an attempt on a server that cannot be reached."""
+        assert active.attempt_id is not None, "only running attempts are cancelled"
+        request_id, attempt_id = active.request.request_id, active.attempt_id
+        self.end_attempt(active, now)
+        return Cancel(request_id, attempt_id, CancelReason.UNREACHABLE)
+
+    def may_run_elsewhere(self, active: ActiveRequest) -> bool:
+        """Return whether the request may be sent again, if it was sent at all."""
+        if active.attempt_id is not None:
+            return active.may_move
+        is_unsafe = active.may_have_run and not active.request.idempotent
+        return active.may_run_again and not is_unsafe
+
+    def readmit_servers(self, pool: PoolName, now: float) -> None:
+        """Forget the ejections of servers that this entry could not reach."""
+        self.backends.readmit_unreachable(pool, now)
+
     def cancel_request(
         self, request_id: RequestId, reason: CancelReason, now: float
     ) -> list[Action]:
--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -15,7 +15,7 @@
 from godwitmast.config.document import Document, NumberedConfig
 from godwitmast.dispatch.messages import CancelReason, RequestSpec
 from godwitmast.entry.driver import RouterDriver
-from godwitmast.entry.exchange import Exchange
+from godwitmast.entry.exchange import Exchange, Forwarder
 from godwitmast.entry.frontend import Frontend, Incoming, Prepared, Reply
 from godwitmast.entry.metrics import EntryMetrics
 from godwitmast.entry.refusals import (
@@ -25,12 +25,16 @@
     send_response,
 )
 from godwitmast.entry.request_parsing import CallerGone, read_body
+from godwitmast.forwarding.terms import ForwardTerms
 from godwitmast.http_server import Receive, Scope, Send
 from godwitmast.keys.authorizer import Caller, Denial, still_granted
 from godwitmast.logs import log_event
 from godwitmast.types import RequestId
 from godwitmast.usage.meter import Meter, UsageKey
 
+FORWARD_TERMS = "godwitmast.forward_terms"
+"""Key in the ASGI scope of a request that another VM forwarded."""
+
 NOT_READY = ErrorAnswer(
     503, "not_ready", "No configuration is in force here yet.", retry_after_s=1.0
 )
@@ -62,6 +66,8 @@
         self.exchanges: dict[RequestId, Exchange] = {}
         self.ready_checks: list[Callable[[], bool]] = []
         self.seconds_since_contact: Callable[[], float] = lambda: 0.0
+        self.forwarder: Forwarder | None = None
+        """Forwards requests to other VMs while this one reaches no server."""
         self.ends_withdrawn_streams = True
         """Whether an open stream is ended when its key is withdrawn."""
 
@@ -184,7 +190,9 @@
             return answer_denial(Denial.UNKNOWN)
         match self.frontend.prepare(Incoming(head, caller, body, arrived)):
             case Prepared() as prepared:
-                await self.run(self.make_exchange(prepared, caller, receive, send))
+                terms = scope.get(FORWARD_TERMS)
+                exchange = self.make_exchange(prepared, caller, receive, send)
+                await self.run(apply_terms(exchange, terms) if terms else exchange)
             case Reply(status, content):
                 await send_json(send, status, content)
             case ErrorAnswer() as error:
@@ -206,6 +214,7 @@
             answer_deadline=prepared.answer_deadline,
             claimed=prepared.claimed,
         )
+        exchange.forwarder = self.forwarder
         exchange.on_backend_start = partial(
             self.meter.count_request, usage_key(prepared.spec)
         )
@@ -247,6 +256,8 @@
             outcome=exchange.error_code or "answered",
             status=exchange.status,
             backend=exchange.last_backend,
+            forwarded_to=exchange.forwarded_to,
+            forwarded=exchange.is_forwarded,
             attempts=exchange.attempts,
             may_have_run=exchange.may_have_run,
             first_s=first_s,
@@ -290,6 +301,18 @@
     await send_response(send, 200, headers, body)
 
 
+def apply_terms(exchange: Exchange, terms: ForwardTerms) -> Exchange:
+    """Apply the terms of a request that another VM forwarded; it is not passed on."""
+    exchange.forwarder = None
+    exchange.is_forwarded = True
+    exchange.backend_started = terms.metered
+    allowed = exchange.spec.attempts
+    if terms.attempts is not None:
+        allowed = min(terms.attempts, terms.attempts if allowed is None else allowed)
+    exchange.spec = exchange.spec._replace(attempts=allowed)
+    return exchange
+
+
 def demand_key(spec: RequestSpec) -> DemandKey:
     return DemandKey(spec.pool, spec.class_name)
 
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -21,7 +21,7 @@
 from godwitmast.capacity.fleet import EMPTY_FLEET, FleetRow, merge_backends
 from godwitmast.clock import Clock
 from godwitmast.config.document import Backend, Document, NumberedConfig
-from godwitmast.dispatch.connectivity import Connectivity
+from godwitmast.dispatch.connectivity import ConnectivityTable
 from godwitmast.dispatch.messages import (
     Action,
     BackendSpec,
@@ -87,7 +87,7 @@
         self.load_listeners: list[Callable[[BackendId, LoadReport], None]] = []
         self.leaving_until: dict[BackendId, float] = {}
         self.count = RouterCount()
-        self.connectivity = Connectivity()
+        self.connectivity = ConnectivityTable()
         self.tick_listeners: list[Callable[[float], None]] = []
         """Called with the time after each tick of the router."""
 
@@ -187,9 +187,7 @@
             for name, item in self.backends.items()
         ]
         self.urls = {BackendId(n): item.url for n, item in self.backends.items()}
-        self.connectivity.update_servers(
-            spec.backend_id for spec in specs if not spec.leaving
-        )
+        self.connectivity.update_servers(servers_by_pool(specs))
         self.deliver_actions(self.policy.update_backends(specs, now))
 
     def is_evicted(self, name: str) -> bool:
@@ -276,22 +274,35 @@
         self, request_id: RequestId, attempt_id: AttemptId, kind: FailureKind
     ) -> None:
         now = self.clock.now()
-        if kind in (FailureKind.CONNECT, FailureKind.CUT):
-            self.connectivity.record_failure()
         self.deliver_actions(
             self.policy.record_failure(request_id, attempt_id, kind, now)
         )
         self.report_crashes()
 
+    def record_broken_connection(self, backend_id: BackendId) -> None:
+        """Record a connection to a backend server that failed or broke."""
+        self.connectivity.record_failure(backend_id)
+
+    def release_requests(self, pool: PoolName, now: float) -> None:
+        """Release the requests for a pool that another entry can serve."""
+        is_silent = partial(self.connectivity.pools[pool].is_silent, now=now)
+        if self.router is not None:
+            self.deliver_actions(self.router.release_requests(pool, is_silent, now))
+
+    def readmit_servers(self, pool: PoolName, now: float) -> None:
+        """Return a pool's servers to rotation that this entry could not reach."""
+        if self.router is not None:
+            self.router.readmit_servers(pool, now)
+
     def record_heard(self, backend_id: BackendId) -> None:
         """Record that bytes of an answer arrived from a backend server."""
         self.connectivity.record_heard(backend_id, self.clock.now())
 
-    def oldest_attempt_at(self) -> float | None:
-        """Return when the oldest running attempt started, or None without any."""
+    def oldest_attempts(self) -> dict[PoolName, float]:
+        """Return when the oldest running attempt of each pool started."""
         if self.router is None:
-            return None
-        return self.router.active_requests.oldest_attempt_at()
+            return {}
+        return self.router.active_requests.oldest_attempts()
 
     def cancel_request(self, request_id: RequestId, reason: CancelReason) -> None:
         self.deliver_actions(
@@ -431,6 +442,17 @@
             self.deliver_actions(self.router.record_load(backend_id, report, now))
 
 
+def servers_by_pool(specs: list[BackendSpec]) -> dict[PoolName, list[BackendId]]:
+    """Return the servers of each pool that are not leaving."""
+    servers: dict[PoolName, list[BackendId]] = {}
+    for spec in specs:
+        for pool in spec.pools:
+            members = servers.setdefault(PoolName(pool), [])
+            if not spec.leaving:
+                members.append(spec.backend_id)
+    return servers
+
+
 def log_notice(notice: Notice) -> None:
     """Log what may have crashed a server, or what is quarantined."""
     match notice:
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -9,8 +9,8 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
-from typing import Any
+from dataclasses import dataclass, field, replace
+from typing import Any, Protocol
 
 import anyio
 import httpx
@@ -33,6 +33,7 @@
     NotRun,
     RefusalCode,
     Refuse,
+    Release,
     RequestSpec,
     Start,
 )
@@ -47,11 +48,18 @@
     StreamReader,
     WholeAnswer,
 )
-from godwitmast.entry.refusals import ErrorAnswer, send_response
+from godwitmast.entry.refusals import (
+    NOT_RUN_HEADER,
+    NOT_TAKEN,
+    ErrorAnswer,
+    send_response,
+)
+from godwitmast.forwarding.peers import Peer
+from godwitmast.forwarding.terms import ForwardTerms
 from godwitmast.http_server import Receive, Send
 from godwitmast.keys.authorizer import Caller
 from godwitmast.logs import log_event
-from godwitmast.types import AttemptId, BackendId, TokenCount
+from godwitmast.types import AttemptId, BackendId, PoolName, TokenCount
 
 REPLAYED = (b"godwit-replayed", b"true")
 """Marks the stored answer of an earlier call with the same idempotency key."""
@@ -73,6 +81,23 @@
         return await mailbox.receive()
 
 
+class Forwarder(Protocol):
+    """Chooses other VMs for requests while this one reaches no backend server."""
+
+    client: BackendClient
+    config_version: Callable[[], int]
+
+    def may_forward(self, spec: RequestSpec) -> bool: ...
+
+    def choose(self, pool: PoolName, tried: set[str]) -> Peer | None: ...
+
+    def record_failure(self, peer: Peer, pool: PoolName, kind: FailureKind) -> None: ...
+
+    def record_answer(self) -> None: ...
+
+    def record_exhausted(self, pool: PoolName) -> None: ...
+
+
 def do_nothing() -> None:
     """Default of `Exchange.on_backend_start`."""
 
@@ -156,9 +181,17 @@
     answered: bool = False
     """The whole answer or an error was sent; a disconnect after that is normal."""
     tokens_by_kind: Counter[str] = field(default_factory=Counter)
+    forwarder: Forwarder | None = None
+    forwarded_to: str | None = None
+    """The VM that served the request, or the last one that it was offered to."""
+    forwarded_tokens: int = 0
+    """Tokens that another VM delivered, which that one meters."""
+    is_forwarded: bool = False
+    """Another VM forwarded the request to this one."""
 
     def __post_init__(self) -> None:
         self.scope = anyio.CancelScope()
+        self.mailbox: Mailbox | None = None
 
     @property
     def reader(self) -> StreamReader:
@@ -168,21 +201,20 @@
         """Serve the request until its whole answer or one error has been sent."""
         if not await self.look_up_claim():
             return
-        mailbox = self.driver.submit(self.spec)
         try:
             with self.scope:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self.watch_disconnect)
                     if self.answer_deadline is not None:
                         tasks.start_soon(self.watch_deadline, self.answer_deadline)
-                    while not await self.execute(await next_action(mailbox)):
-                        pass
+                    await self.serve()
                     tasks.cancel_scope.cancel()
         finally:
             reason = self.abort_reason or CancelReason.CALLER_GONE
             self.driver.cancel_request(self.spec.request_id, reason)
             self.driver.forget(self.spec.request_id)
-            mailbox.close()
+            if self.mailbox is not None:
+                self.mailbox.close()
             await self.settle_claim()
         match self.abort_reason:
             case CancelReason.KEY_WITHDRAWN:
@@ -190,6 +222,115 @@
             case CancelReason.DEADLINE:
                 await self.send_timeout_answer()
 
+    async def serve(self) -> None:
+        """Carry out the router's actions, or have another VM serve the request."""
+        forwards = self.forwarder is not None and self.forwarder.may_forward(self.spec)
+        while not (forwards and await self.forward_to_peer()):
+            released = await self.run_locally()
+            if released is None:
+                return
+            self.driver.forget(self.spec.request_id)
+            if self.is_forwarded:
+                await self.hand_back()
+                return
+            self.spec = self.spec._replace(attempts=released.attempts)
+            forwards = self.forwarder is not None
+
+    async def run_locally(self) -> Release | None:
+        """Carry out actions until the request is over, or the router releases it."""
+        mailbox = self.mailbox = self.driver.submit(self.spec)
+        while True:
+            action = await next_action(mailbox)
+            if isinstance(action, Release):
+                return action
+            if await self.execute(action):
+                return None
+
+    async def hand_back(self) -> None:
+        """Tell the VM that forwarded the request that no server can be reached here."""
+        if self.may_have_run or self.head_sent:
+            await self.refuse_failed()
+        else:
+            await self.send_error_answer(NOT_TAKEN)
+
+    async def forward_to_peer(self) -> bool:
+        """Have another VM serve the request; return whether the caller is answered.
+
+        A VM that does not take the request has not run it, and the next one is asked.
+        """
+        assert self.forwarder is not None
+        tried: set[str] = set()
+        while (peer := self.forwarder.choose(self.spec.pool, tried)) is not None:
+            tried.add(peer.address)
+            self.forwarded_to = peer.name
+            self.may_have_run_before = self.may_have_run
+            try:
+                await self.forward_via(peer)
+            except AttemptFailed as failure:
+                self.reader.discard_partial_event()
+                log_event(
+                    "forward_failed",
+                    request=self.spec.request_id,
+                    peer=peer.name,
+                    kind=failure.kind.value,
+                    detail=failure.detail,
+                )
+                self.forwarder.record_failure(peer, self.spec.pool, failure.kind)
+                if failure.kind in (FailureKind.CONNECT, FailureKind.REFUSED):
+                    self.may_have_run = self.may_have_run_before
+                if self.may_have_run and not self.spec.idempotent:
+                    await self.refuse_failed()
+                    return True
+                continue
+            self.forwarder.record_answer()
+            # The other VM counts what it ran.
+            self.reached_backend = self.backend_started
+            return True
+        self.forwarder.record_exhausted(self.spec.pool)
+        return False
+
+    async def refuse_failed(self) -> None:
+        """Refuse a request that another VM may have run, and that may not be repeated."""
+        code = RefusalCode.BACKEND_FAILED
+        refusal = Refuse(self.spec.request_id, code, NotRun.UNKNOWN)
+        await self.send_error_answer(self.frontend.answer_refusal(refusal))
+
+    async def forward_via(self, peer: Peer) -> None:
+        """Send the request to another VM and pass its answer on."""
+        assert self.forwarder is not None
+        request = self.outbound.build_forwarded(self.driver.clock.now())
+        version = self.forwarder.config_version()
+        terms = ForwardTerms(
+            version, self.spec.pool, self.spec.attempts, self.backend_started
+        )
+        self.may_have_run = True
+        async with self.forwarder.client.exchange(
+            self.outbound.method,
+            f"http://{peer.address}",
+            self.outbound.path,
+            terms.add_to(request.headers),
+            request.content,
+        ) as answer:
+            not_run = answer.headers.get(NOT_RUN_HEADER.decode())
+            if not_run is not None:
+                await self.pass_refusal(answer, not_run == NotRun.TRUE.value)
+            elif self.outbound.streams and answer.status_code == 200:
+                await self.forward_stream(None, answer, AttemptScope())
+            else:
+                await self.forward_whole(None, answer)
+
+    async def pass_refusal(self, answer: httpx.Response, not_run: bool) -> None:
+        """Pass on another VM's refusal, or fail if the request may be sent again."""
+        body = await read_raw(answer)
+        if self.head_sent or (not not_run and self.spec.idempotent):
+            detail = f"status {answer.status_code} of another VM"
+            raise AttemptFailed(FailureKind.ERROR, detail)
+        if not_run:
+            self.may_have_run = self.may_have_run_before
+        self.error_code = "refused_by_peer"
+        headers = self.outbound.whole_headers(answer)
+        await self.send_answer(WholeAnswer(answer.status_code, headers, body))
+
     async def watch_disconnect(self) -> None:
         """Abort the exchange when the caller disconnects.
 
@@ -233,6 +374,9 @@
             case Start():
                 return await self.run_attempt(action)
             case Refuse():
+                if self.may_have_run:
+                    # The router does not know of the runs before it released this one.
+                    action = replace(action, not_run=NotRun.UNKNOWN)
                 # The claim is released before the caller gets "not run", so that it
                 # doesn't block the caller's next try.
                 await self.settle_claim()
@@ -249,6 +393,7 @@
             return False
         url = self.driver.urls.get(start.backend_id)
         if url is None:
+            self.may_have_run_before = self.may_have_run
             self.record_attempt_failure(start, FailureKind.CONNECT)
             return False
         try:
@@ -400,12 +545,13 @@
         raise AttemptFailed(FailureKind.ERROR, f"status {answer.status_code}")
 
     async def forward_stream(
-        self, start: Start, answer: httpx.Response, scope: AttemptScope
+        self, start: Start | None, answer: httpx.Response, scope: AttemptScope
     ) -> None:
         """Forward complete events until the stream is complete."""
         reader = self.reader
         async for data in answer.aiter_raw():
-            self.driver.record_heard(start.backend_id)
+            if start is not None:
+                self.driver.record_heard(start.backend_id)
             scope.defer_cancel()
             await self.forward_events(start, answer, data)
             scope.allow_cancel()
@@ -424,7 +570,7 @@
         await self.send({"type": "http.response.body", "body": rest})
 
     async def forward_events(
-        self, start: Start, answer: httpx.Response, data: bytes
+        self, start: Start | None, answer: httpx.Response, data: bytes
     ) -> None:
         """Forward the events that `data` completes, and count their tokens."""
         reader = self.reader
@@ -432,7 +578,8 @@
         events = reader.feed(data)
         if not events:
             return
-        self.record_backend_start()
+        if start is not None:
+            self.record_backend_start()
         await self.send_head(answer)
         if self.claimed is not None:
             self.streamed_events.append(events)
@@ -462,21 +609,25 @@
             self.backend_started = True
             self.on_backend_start()
 
-    def count_tokens(self, start: Start, count: int) -> None:
+    def count_tokens(self, start: Start | None, count: int) -> None:
         """Record tokens that were forwarded."""
         if not count:
             return
         self.token_times.record_arrival(self.driver.clock.now())
+        if start is None:
+            self.forwarded_tokens += count
+            return
         self.tokens_by_kind[self.driver.backend_kind(start.backend_id)] += count
         self.driver.record_tokens(self.spec.request_id, start.attempt_id, count)
 
-    async def forward_whole(self, start: Start, answer: httpx.Response) -> None:
+    async def forward_whole(self, start: Start | None, answer: httpx.Response) -> None:
         """Forward an answer that isn't streamed, with its status."""
         body = await read_raw(answer)
-        self.record_backend_start()
         self.token_times.last_at = self.driver.clock.now()
-        self.reported_usage = self.outbound.usage(body)
-        if self.reported_usage:
+        if start is not None:
+            self.record_backend_start()
+            self.reported_usage = self.outbound.usage(body)
+        if start is not None and self.reported_usage:
             kind = self.driver.backend_kind(start.backend_id)
             self.tokens_by_kind[kind] += self.reported_usage.output
             self.driver.record_tokens(
@@ -501,6 +652,8 @@
             # No byte was sent, or the server says that it did not run the request;
             # only an earlier attempt may have run it.
             self.may_have_run = self.may_have_run_before
+        if kind in (FailureKind.CONNECT, FailureKind.CUT):
+            self.driver.record_broken_connection(start.backend_id)
         if kind is not FailureKind.CONNECT:
             self.reached_backend = True
         self.driver.record_failure(self.spec.request_id, start.attempt_id, kind)
@@ -520,7 +673,8 @@
         reported_usage = self.reported_usage or self.reader.usage
         if reported_usage:
             return reported_usage
-        return TokenCount(self.spec.prompt_tokens, self.reader.delivered)
+        delivered = self.reader.delivered - self.forwarded_tokens
+        return TokenCount(self.spec.prompt_tokens, delivered)
 
     @property
     def timing(self) -> Timing:
--- /dev/null
+++ b/src/godwitmast/entry/forwarding.py
@@ -0,0 +1,226 @@
+"""Forwards requests to other VMs while this VM reaches no server, and serves theirs."""
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import httpx
+from anyio.abc import TaskGroup
+from prometheus_client import CollectorRegistry, Counter
+
+from godwitmast.backends.client import BackendClient
+from godwitmast.background import BackgroundTasks
+from godwitmast.dispatch.messages import FailureKind, LoadReport, RequestSpec
+from godwitmast.entry.app import FORWARD_TERMS, EntryApp
+from godwitmast.entry.driver import RouterDriver
+from godwitmast.entry.probes import ConnectionProbes
+from godwitmast.entry.refusals import MISDIRECTED, NOT_TAKEN, send_error
+from godwitmast.entry.request_parsing import CallerGone, read_body
+from godwitmast.errors import PlatformError
+from godwitmast.forwarding.peers import Peer, PeerChoice
+from godwitmast.forwarding.terms import ForwardTerms, split_terms
+from godwitmast.http_server import Receive, Scope, Send
+from godwitmast.logs import log_event
+from godwitmast.platform_api.messages import Row
+from godwitmast.platform_api.port import Table
+from godwitmast.types import Json, PoolName
+from godwitmast.usage.rows import NODE_PREFIX
+
+READ_INTERVAL_S = 2.0
+"""Interval at which the rows of other VMs are read while no server is reached."""
+
+READ_RETRY_S = 0.5
+FORWARDING_KEY = "forwarding"
+"""Key in a VM's row of what others need to know to forward requests to it."""
+
+
+class PeerHeaderParser:
+    """Parses the response headers of other VMs."""
+
+    def reports_not_run(self, answer: httpx.Response) -> bool:
+        return answer.status_code == MISDIRECTED
+
+    def parse_load(self, answer: httpx.Response) -> LoadReport | None:
+        return None
+
+    def parse_rate_limit(self, answer: httpx.Response) -> float | None:
+        return None
+
+
+class RequestForwarder:
+    """Reads which VMs there are while no server is reached, and chooses among them."""
+
+    def __init__(
+        self,
+        driver: RouterDriver,
+        probes: ConnectionProbes,
+        client: BackendClient,
+        table: Table,
+        choice: PeerChoice,
+        config_version: Callable[[], int],
+        registry: CollectorRegistry,
+    ) -> None:
+        self.driver = driver
+        self.connectivity = driver.connectivity
+        self.client = client
+        self.table = table
+        self.choice = choice
+        self.config_version = config_version
+        self.address = ""
+        self.background = BackgroundTasks(self.run)
+        self.was_unreachable = False
+        self.changed = anyio.Event()
+        self.on_change: Callable[[], None] = lambda: None
+        """Called when a pool's servers become unreachable, or reachable again."""
+        probes.change_listeners.append(self.connectivity_changed)
+        driver.tick_listeners.append(self.check)
+        self.forwarded = Counter(
+            "godwit_forwarded_requests_total",
+            "Attempts to have another VM serve a request, by their outcome.",
+            ["outcome"],
+            registry=registry,
+        )
+
+    async def start(self, tasks: TaskGroup) -> None:
+        await self.background.start(tasks)
+
+    async def close(self) -> None:
+        await self.background.close()
+
+    def row(self) -> dict[str, Json]:
+        """Return what this VM's row tells the others."""
+        return {
+            "address": self.address,
+            "region": self.choice.region,
+            "unreachable_pools": self.connectivity.unreachable_pools(),
+        }
+
+    def connectivity_changed(self, pool: PoolName, is_unreachable: bool) -> None:
+        """Read the other VMs' rows, or return servers to rotation."""
+        if not is_unreachable:
+            self.driver.readmit_servers(pool, self.driver.clock.now())
+        self.changed.set()
+        self.on_change()
+
+    async def run(self) -> None:
+        while True:
+            if not self.connectivity.unreachable_pools():
+                self.changed = anyio.Event()
+                await self.changed.wait()
+                continue
+            found = await self.read_peers()
+            await anyio.sleep(READ_INTERVAL_S if found else READ_RETRY_S)
+
+    async def read_peers(self) -> bool:
+        """Read the rows of other VMs; return whether the table answered."""
+        try:
+            rows = await self.table.scan(NODE_PREFIX)
+        except PlatformError as error:
+            log_event("peer_rows_not_read", level="WARNING", error=str(error))
+            return False
+        peers = [peer for row in rows.values() if (peer := read_peer(row))]
+        self.choice.update(peers, self.driver.clock.now())
+        return True
+
+    def check(self, now: float) -> None:
+        """Release waiting requests to other VMs, while there are any to take them."""
+        for pool in self.connectivity.unreachable_pools():
+            if self.choice.is_available(pool, now):
+                self.driver.release_requests(pool, now)
+
+    def may_forward(self, spec: RequestSpec) -> bool:
+        """Return whether a new request goes to another VM at once."""
+        if not spec.may_forward or not self.connectivity.is_unreachable(spec.pool):
+            return False
+        return self.choice.is_available(spec.pool, self.driver.clock.now())
+
+    def choose(self, pool: PoolName, tried: set[str]) -> Peer | None:
+        return self.choice.choose(pool, tried, self.driver.clock.now())
+
+    def record_failure(self, peer: Peer, pool: PoolName, kind: FailureKind) -> None:
+        """Record that a peer did not take a request, or did not complete it."""
+        now = self.driver.clock.now()
+        self.forwarded.labels(kind.value).inc()
+        match kind:
+            case FailureKind.REFUSED:
+                self.choice.record_refusal(peer.address, pool, now)
+            case FailureKind.CONNECT | FailureKind.CUT | FailureKind.TIMEOUT:
+                self.choice.record_unreachable(peer.address, now)
+
+    def record_answer(self) -> None:
+        self.forwarded.labels("answered").inc()
+
+    def record_exhausted(self, pool: PoolName) -> None:
+        """Record that no peer took a request, which then waits here."""
+        self.forwarded.labels("no_peer").inc()
+        self.choice.record_exhausted(pool, self.driver.clock.now())
+
+
+def read_peer(row: Row) -> Peer | None:
+    """Return the VM that a row describes, or None if others cannot forward to it."""
+    match row.value:
+        case {
+            "node": str(name),
+            "zone": str(zone),
+            "ended": False,
+            "load": {
+                "forwarding": {
+                    "address": str(address),
+                    "region": str(region),
+                    "unreachable_pools": list(pools),
+                }
+            },
+        } if address:
+            unreachable = frozenset(str(pool) for pool in pools)
+            return Peer(name, zone, region, address, unreachable, row.version)
+    return None
+
+
+class ForwardedRequests:
+    """Serves the requests that other VMs forward, on a listener of their own."""
+
+    def __init__(
+        self, app: EntryApp, probes: ConnectionProbes, registry: CollectorRegistry
+    ) -> None:
+        self.app = app
+        self.probes = probes
+        self.received = Counter(
+            "godwit_received_forwards_total",
+            "Requests that other VMs forwarded to this one, by whether it took them.",
+            ["taken"],
+            registry=registry,
+        )
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] != "http":
+            return
+        terms, headers = split_terms(scope["headers"])
+        taken = terms is not None and await self.may_take(terms)
+        self.received.labels(str(taken).lower()).inc()
+        try:
+            if taken:
+                scope = {**scope, "headers": headers, FORWARD_TERMS: terms}
+                await self.app.handle_request(scope, receive, send)
+            else:
+                await self.refuse(receive, send)
+        except CallerGone:
+            return
+
+    async def may_take(self, terms: ForwardTerms) -> bool:
+        """Return whether this VM reaches servers, and has the request's configuration."""
+        config = self.app.config
+        if self.app.stopping or config is None or config.version < terms.config:
+            return False
+        return await self.probes.verify(terms.pool)
+
+    async def refuse(self, receive: Receive, send: Send) -> None:
+        """Refuse a request; its body is read before, see `read_body`."""
+        await read_body(receive, self.app.frontend.limits())
+        await send_error(send, NOT_TAKEN)
+
+
+def forwarding_load(
+    load: Callable[[], dict[str, Any]], forwarder: RequestForwarder
+) -> dict[str, Any]:
+    """Return a VM's published load with what others need to forward requests to it."""
+    return {**load(), FORWARDING_KEY: forwarder.row()}
--- a/src/godwitmast/entry/outbound.py
+++ b/src/godwitmast/entry/outbound.py
@@ -93,6 +93,9 @@
         of the prompt.
         """
 
+    def build_forwarded(self, now: float) -> AttemptRequest:
+        """Return what is sent to another VM that is to serve the request now."""
+
     def belongs_to_request(self, answer: httpx.Response) -> bool:
         """Return whether an answer belongs to this request."""
 
@@ -137,6 +140,9 @@
     ) -> AttemptRequest:
         return AttemptRequest(self.headers, self.content)
 
+    def build_forwarded(self, now: float) -> AttemptRequest:
+        raise NotImplementedError("requests of this API are not forwarded")
+
     def belongs_to_request(self, answer: httpx.Response) -> bool:
         return True
 
--- a/src/godwitmast/entry/probes.py
+++ b/src/godwitmast/entry/probes.py
@@ -9,15 +9,19 @@
 
 from godwitmast.backends.client import CONNECT_TIMEOUT_S
 from godwitmast.background import BackgroundTasks
-from godwitmast.dispatch.connectivity import ProbeOutcome
+from godwitmast.dispatch.connectivity import Connectivity, ProbeOutcome
 from godwitmast.entry.driver import RouterDriver
 from godwitmast.logs import log_event
-from godwitmast.types import BackendId
+from godwitmast.types import BackendId, PoolName
 
 SUSPENDED_S = 0.2
 """A probe that takes this much longer than its time-out was suspended with its process."""
 
+FRESH_S = 0.5
+"""How long a sign of a server shows that this VM reaches servers."""
+
 Connect = Callable[[str, int], Awaitable[None]]
+Listener = Callable[[PoolName, bool], None]
 
 
 async def open_connection(host: str, port: int) -> None:
@@ -27,7 +31,7 @@
 
 
 class ConnectionProbes:
-    """Probes backend servers when the router's driver suspects that none is reachable."""
+    """Probes a pool's servers when it seems that none of them can be reached."""
 
     def __init__(
         self,
@@ -36,10 +40,11 @@
         connect: Connect = open_connection,
     ) -> None:
         self.driver = driver
-        self.connectivity = driver.connectivity
         self.connect = connect
         self.background = BackgroundTasks(self.run)
         self.group: TaskGroup | None = None
+        self.change_listeners: list[Listener] = []
+        """Called when a pool becomes unreachable (True), or reachable again."""
         driver.tick_listeners.append(self.check)
         self.probes = Counter(
             "godwit_connection_probes_total",
@@ -49,7 +54,7 @@
         )
         unreachable = Gauge(
             "godwit_servers_unreachable_seconds",
-            "Since no backend server accepts connections from this VM; 0 if one does.",
+            "Longest time since no server of a pool accepts connections from this VM.",
             registry=registry,
         )
         unreachable.set_function(self.unreachable_s)
@@ -64,55 +69,90 @@
         async with anyio.create_task_group() as self.group:
             await anyio.sleep_forever()
 
+    @property
+    def pools(self) -> dict[PoolName, Connectivity]:
+        return self.driver.connectivity.pools
+
     def unreachable_s(self) -> float:
-        since = self.connectivity.unreachable_since
-        return 0.0 if since is None else self.driver.clock.now() - since
+        now = self.driver.clock.now()
+        since = [item.unreachable_since for item in self.pools.values()]
+        return max((now - at for at in since if at is not None), default=0.0)
 
     def check(self, now: float) -> None:
         """Start the probes that are due."""
-        self.send(self.connectivity.due_probes(self.driver.oldest_attempt_at(), now))
+        oldest = self.driver.oldest_attempts()
+        for pool, connectivity in self.pools.items():
+            self.send(pool, connectivity.due_probes(oldest.get(pool), now))
 
-    def send(self, backend_ids: list[BackendId]) -> None:
+    def send(self, pool: PoolName, backend_ids: list[BackendId]) -> None:
         if self.group is not None:
             for backend_id in backend_ids:
-                self.group.start_soon(self.probe, backend_id)
+                self.group.start_soon(self.probe, pool, backend_id)
 
-    async def probe(self, backend_id: BackendId) -> None:
+    async def probe(self, pool: PoolName, backend_id: BackendId) -> None:
         """Probe one server, and continue with those that are next."""
-        began = self.driver.clock.now()
         outcome = await self.try_connecting(backend_id)
+        connectivity = self.pools.get(pool)
+        if connectivity is None:
+            return
         now = self.driver.clock.now()
-        if outcome is ProbeOutcome.FAILED and now > began + (
-            CONNECT_TIMEOUT_S + SUSPENDED_S
-        ):
-            outcome = ProbeOutcome.INCONCLUSIVE
-        self.probes.labels(outcome.value).inc()
-        since = self.connectivity.unreachable_since
-        following = self.connectivity.record_probe(backend_id, outcome, now)
-        self.log_change(since, now)
-        self.send(following)
+        since = connectivity.unreachable_since
+        following = connectivity.record_probe(backend_id, outcome, now)
+        if (since is None) == connectivity.is_unreachable:
+            self.report_change(pool, connectivity, since, now)
+        self.send(pool, following)
 
     async def try_connecting(self, backend_id: BackendId) -> ProbeOutcome:
+        """Open a connection to a server, and return the outcome."""
+        began = self.driver.clock.now()
+        outcome = ProbeOutcome.FAILED
         address = urlsplit(self.driver.urls.get(backend_id, ""))
         if address.hostname is None or address.port is None:
             return ProbeOutcome.INCONCLUSIVE
         with anyio.move_on_after(CONNECT_TIMEOUT_S):
             try:
                 await self.connect(address.hostname, address.port)
+                outcome = ProbeOutcome.CONNECTED
             except OSError:
-                return ProbeOutcome.FAILED
-            return ProbeOutcome.CONNECTED
-        return ProbeOutcome.FAILED
-
-    def log_change(self, since: float | None, now: float) -> None:
-        """Log that servers became unreachable, or reachable, from this VM."""
-        connectivity = self.connectivity
-        if since is None and connectivity.is_unreachable:
+                outcome = ProbeOutcome.FAILED
+        took_s = self.driver.clock.now() - began
+        if outcome is ProbeOutcome.FAILED and took_s > CONNECT_TIMEOUT_S + SUSPENDED_S:
+            outcome = ProbeOutcome.INCONCLUSIVE
+        self.probes.labels(outcome.value).inc()
+        return outcome
+
+    async def verify(self, pool: PoolName) -> bool:
+        """Return whether a pool's server was heard of just now, or accepts a
+        connection."""
+        connectivity = self.pools.get(pool)
+        if connectivity is None or connectivity.is_unreachable:
+            return False
+        if self.driver.clock.now() < connectivity.last_heard_at + FRESH_S:
+            return True
+        for backend_id in connectivity.sample_servers():
+            if await self.try_connecting(backend_id) is ProbeOutcome.CONNECTED:
+                connectivity.last_heard_at = self.driver.clock.now()
+                return True
+        connectivity.record_failure()
+        return False
+
+    def report_change(
+        self,
+        pool: PoolName,
+        connectivity: Connectivity,
+        since: float | None,
+        now: float,
+    ) -> None:
+        """Log and report that a pool became unreachable, or reachable, from this VM."""
+        if since is None:
             log_event(
                 "servers_unreachable",
                 level="WARNING",
+                pool=pool,
                 servers=len(connectivity.servers),
                 heard_s=now - connectivity.last_heard_at,
             )
-        elif since is not None and not connectivity.is_unreachable:
-            log_event("servers_reachable", after_s=now - since)
+        else:
+            log_event("servers_reachable", pool=pool, after_s=now - since)
+        for listener in self.change_listeners:
+            listener(pool, connectivity.is_unreachable)
--- a/src/godwitmast/entry/refusals.py
+++ b/src/godwitmast/entry/refusals.py
@@ -40,6 +40,16 @@
     RefusalCode.STOPPING: "This entry is stopping.",
 }
 
+NOT_RUN_HEADER = b"godwit-not-run"
+"""Says whether a refused request certainly reached no backend server."""
+
+MISDIRECTED = 421
+"""Status of a VM that does not take a forwarded request, which has not run."""
+
+NOT_TAKEN = ErrorAnswer(
+    MISDIRECTED, "not_taken", "This VM cannot serve requests of other VMs now."
+)
+
 OFFLINE_RETRY_AFTER_S = 10.0
 
 STATUS_OF_DENIAL = {
@@ -106,7 +116,7 @@
 def error_headers(answer: ErrorAnswer) -> list[tuple[bytes, bytes]]:
     headers = [
         (b"content-type", b"application/json"),
-        (b"godwit-not-run", answer.not_run.value.encode()),
+        (NOT_RUN_HEADER, answer.not_run.value.encode()),
     ]
     if answer.retry_after_s is not None:
         seconds = max(1, math.ceil(answer.retry_after_s))
--- /dev/null
+++ b/src/godwitmast/forwarding/terms.py
@@ -0,0 +1,69 @@
+"""What a VM states about a request that it forwards to another VM."""
+
+import base64
+from typing import NamedTuple
+
+from godwitmast.types import PoolName
+
+Headers = list[tuple[str, str]]
+RawHeaders = list[tuple[bytes, bytes]]
+
+CONFIG_HEADER = b"godwit-forward-config"
+ATTEMPTS_HEADER = b"godwit-forward-attempts"
+METERED_HEADER = b"godwit-forward-metered"
+POOL_HEADER = b"godwit-forward-pool"
+HEADERS = frozenset([CONFIG_HEADER, POOL_HEADER, ATTEMPTS_HEADER, METERED_HEADER])
+
+
+class ForwardTerms(NamedTuple):
+    """Terms of a forwarded request.
+
+    `config` is the configuration by which it was accepted, and the oldest that may
+    serve it. `pool` is the one whose servers could not be reached. `attempts` is how many servers may still run it, if that is bounded.
+    `metered` says that its start has been counted as usage.
+    """
+
+    config: int
+    pool: PoolName
+    attempts: int | None = None
+    metered: bool = False
+
+    def add_to(self, headers: Headers) -> Headers:
+        """Return a caller's headers with the terms, in place of any that it sent."""
+        others = [pair for pair in headers if pair[0].encode("latin-1") not in HEADERS]
+        return [*others, *self.encode()]
+
+    def encode(self) -> Headers:
+        """Return the terms as headers."""
+        pairs = {
+            CONFIG_HEADER: str(self.config),
+            POOL_HEADER: base64.urlsafe_b64encode(self.pool.encode()).decode(),
+        }
+        if self.attempts is not None:
+            pairs[ATTEMPTS_HEADER] = str(self.attempts)
+        if self.metered:
+            pairs[METERED_HEADER] = "1"
+        return [(name.decode(), value) for name, value in pairs.items()]
+
+
+def split_terms(headers: RawHeaders) -> tuple[ForwardTerms | None, RawHeaders]:
+    """Return the terms, None if they are missing or malformed, and the other headers."""
+    found = {name.lower(): value.decode("latin-1") for name, value in headers}
+    rest = [pair for pair in headers if pair[0].lower() not in HEADERS]
+    config = found.get(CONFIG_HEADER, "")
+    attempts = found.get(ATTEMPTS_HEADER)
+    pool = decode_pool(found.get(POOL_HEADER, ""))
+    if pool is None or not config.isdecimal():
+        return None, rest
+    if attempts is not None and not attempts.isdecimal():
+        return None, rest
+    allowed = None if attempts is None else int(attempts)
+    return ForwardTerms(int(config), pool, allowed, METERED_HEADER in found), rest
+
+
+def decode_pool(text: str) -> PoolName | None:
+    """Return a pool's name, which may have characters that a header may not."""
+    try:
+        return PoolName(base64.urlsafe_b64decode(text).decode()) or None
+    except ValueError:
+        return None
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -20,10 +20,17 @@
 from godwitmast.entry.app import EntryApp, with_connection_close
 from godwitmast.entry.crash_reports import CrashReports
 from godwitmast.entry.driver import RouterDriver
+from godwitmast.entry.forwarding import (
+    ForwardedRequests,
+    PeerHeaderParser,
+    RequestForwarder,
+    forwarding_load,
+)
 from godwitmast.entry.probes import ConnectionProbes
 from godwitmast.entry.refusals import send_json, send_response
 from godwitmast.entry.request_parsing import CallerGone
 from godwitmast.errors import ConfigInvalid, SettingsError
+from godwitmast.forwarding.peers import PeerChoice
 from godwitmast.http_server import HttpServer, Receive, Scope, Send
 from godwitmast.lease.driver import DutyGroup, LeaseDriver
 from godwitmast.lease.machine import LeaseTiming
@@ -144,6 +151,12 @@
     return LeaseTiming(ttl_s, LEASE_GUARD_S, renew_s=ttl_s / 3, watch_s=ttl_s * 0.8)
 
 
+def forwarding_port(port_range: tuple[int, int]) -> int:
+    """Return the port for requests of other VMs; the first port is the relay's."""
+    first, last = port_range
+    return first + 1 if first < last else 0
+
+
 def read_bytes(path: Path) -> bytes:
     """Return a file's content, or no bytes if it cannot be read."""
     try:
@@ -226,6 +239,21 @@
             self.app.metrics.registry,
         )
         self.relay.table.on_failure = self.reissue_waits
+        self.peer_client = BackendClient(
+            header_parser=PeerHeaderParser(),
+            socket_options=DEAD_PEER_OPTIONS,
+            tls=tls_without_authorities(),
+        )
+        self.forwarder = RequestForwarder(
+            self.driver,
+            self.probes,
+            self.peer_client,
+            self.store,
+            PeerChoice(settings.node, settings.zone, settings.region),
+            self.config_version,
+            self.app.metrics.registry,
+        )
+        self.app.forwarder = self.forwarder
         journal = Journal(settings.node, settings.zone, timing.window_s)
         self.writer = NodeWriter(
             self.relay.table,
@@ -233,11 +261,12 @@
             journal,
             timing,
             self.config_version,
-            self.driver.load_row,
+            partial(forwarding_load, self.driver.load_row, self.forwarder),
             entry_count=lambda: 1 if self.relay.batches_writes else self.count_vms(),
             read_recent=self.relay.table.read_recent,
         )
         self.meter.listeners.append(self.writer.count)
+        self.forwarder.on_change = self.writer.flush_requested_now
         duty = UsageDuty(
             self.store,
             self.clock,
@@ -271,6 +300,11 @@
             settings.listen.front,
             grace_s=bounds.grace_s * REQUESTS_GRACE_SHARE - BALANCER_WAIT_S,
         )
+        self.forwarded_server = HttpServer(
+            ForwardedRequests(self.app, self.probes, self.app.metrics.registry),
+            Listen(settings.ip, forwarding_port(settings.port_range)),
+            grace_s=self.caller_server.grace_s,
+        )
         self.readiness_server = HttpServer(
             self.serve_internal, settings.listen.ready, grace_s=0.1
         )
@@ -352,6 +386,9 @@
         """Listen, and follow configuration and servers; ready once both are known."""
         await self.driver.start(tasks)
         await self.probes.start(tasks)
+        await self.forwarded_server.start(tasks)
+        self.forwarder.address = f"{self.settings.ip}:{self.forwarded_server.port}"
+        await self.forwarder.start(tasks)
         for follower in self.followers:
             await follower.start(tasks)
         await self.crash_reports.start(tasks)
@@ -387,7 +424,10 @@
         async with anyio.create_task_group() as closing_tasks:
             closing_tasks.start_soon(self.lease.close)
             await anyio.sleep(BALANCER_WAIT_S)
-        await self.caller_server.close()
+        async with anyio.create_task_group() as closing_tasks:
+            closing_tasks.start_soon(self.caller_server.close)
+            closing_tasks.start_soon(self.forwarded_server.close)
+        await self.forwarder.close()
         await self.relay.close()
         await self.writer.close()
         await self.crash_reports.close()
@@ -398,6 +438,7 @@
         await self.probes.close()
         await self.driver.close()
         await self.client.close()
+        await self.peer_client.close()
         await self.store.close()
         log_event("node_stopped", node=self.settings.node)
 
--- a/src/godwitmast/platform/frontend.py
+++ b/src/godwitmast/platform/frontend.py
@@ -29,6 +29,7 @@
 )
 from godwitmast.entry.refusals import (
     MESSAGE_OF_REFUSAL,
+    NOT_RUN_HEADER,
     ErrorAnswer,
     answer_denial,
     send_response,
@@ -101,6 +102,8 @@
     streams: bool
     error_policy: ErrorPolicy
     reports_load: bool = True
+    key: str | None = None
+    """The caller's key, which only another VM may get."""
     events: EventIdReader = field(default_factory=EventIdReader)
 
     @property
@@ -119,10 +122,23 @@
         ]
         if source is not None:
             headers.append((KV_FETCH, source))
-        if self.events.last_id is not None:
-            headers = [pair for pair in headers if pair[0] != LAST_EVENT_ID]
-            headers.append((LAST_EVENT_ID, self.events.last_id))
-        return AttemptRequest(headers, self.content)
+        return AttemptRequest(self.resumed(headers), self.content)
+
+    def build_forwarded(self, now: float) -> AttemptRequest:
+        """Return the request as its caller sent it, with its remaining time."""
+        left_ms = max(1, int((self.deadline - now) * 1000))
+        headers = [pair for pair in self.headers if pair[0] not in SET_BY_ROUTER]
+        headers.append((DEADLINE_MS, str(left_ms)))
+        if self.key is not None:
+            headers.append(("authorization", f"Bearer {self.key}"))
+        return AttemptRequest(self.resumed(headers), self.content)
+
+    def resumed(self, headers: Headers) -> Headers:
+        """Return headers that ask for the events after the last one delivered."""
+        if self.events.last_id is None:
+            return headers
+        others = [pair for pair in headers if pair[0] != LAST_EVENT_ID]
+        return [*others, (LAST_EVENT_ID, self.events.last_id)]
 
     def belongs_to_request(self, answer: httpx.Response) -> bool:
         """Return whether an answer belongs to this request, not an earlier one."""
@@ -263,6 +279,7 @@
             answer_deadline,
             route.streams,
             ErrorPolicy.RETRY_OR_ANSWER if retries else ErrorPolicy.ANSWER,
+            key=head.key,
         )
         return Prepared(spec, outbound, answer_deadline=answer_deadline)
 
@@ -294,6 +311,7 @@
             route.streams,
             route.attempts,
             read_parts(by_name.get(PROMPT_PREFIX, "")),
+            may_forward=True,
         )
 
     def answer_refusal(self, refusal: Refuse) -> ErrorAnswer:
@@ -320,7 +338,10 @@
         """
         if began:
             return
-        headers = [(b"content-type", b"application/json")]
+        headers = [
+            (b"content-type", b"application/json"),
+            (NOT_RUN_HEADER, answer.not_run.value.encode()),
+        ]
         if answer.retry_after_s is not None:
             headers.append((b"retry-after", f"{answer.retry_after_s:.3f}".encode()))
         body = {"error": {"code": answer.code, "message": answer.message}}
--- a/src/godwitmast/usage/writer.py
+++ b/src/godwitmast/usage/writer.py
@@ -75,6 +75,10 @@
         """Publish the version in force soon, since an operator may be waiting for it."""
         self.flush_requested.set()
 
+    def flush_requested_now(self) -> None:
+        """Write the row soon, as its load has changed."""
+        self.flush_requested.set()
+
     async def start(self, tasks: TaskGroup) -> None:
         tasks.start_soon(self.run)
 
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -8,7 +8,7 @@
 import pytest
 from anyio.abc import TaskGroup
 
-from fleet import Fleet
+from fleet import Fleet, config_of, request_headers, route
 from godwitmast.platform.daemon import Node
 from partition import Cut, Partition
 from running import running
@@ -99,12 +99,196 @@
             assert (answer.status_code, answer.text) == (200, text_of(path)), path
 
 
+@pytest.mark.parametrize("count", [1, 2])
+@pytest.mark.parametrize("cut", [Cut.RESET, Cut.SILENT, Cut.REFUSE])
 async def test_callers_of_a_vm_without_servers_are_served(
-    fleet: VmFleet, http: httpx.AsyncClient
+    fleet: VmFleet, http: httpx.AsyncClient, cut: Cut, count: int
 ) -> None:
     """Guards against refusing all requests of a VM that lost its links to servers."""
     callers = Callers(fleet, http)
     await assert_served(callers, fleet.nodes)
-    nodes = fleet.cut(Cut.RESET, count=2)
+    nodes = fleet.cut(cut, count)
     await settle(callers, nodes)
     await assert_served(callers, nodes)
+
+
+async def test_vm_serves_its_callers_itself_once_servers_are_back(
+    fleet: VmFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against servers that stay ejected for the time of a cut, doubled."""
+    callers = Callers(fleet, http)
+    [node] = fleet.cut(Cut.RESET, 1)
+    await settle(callers, [node])
+    fleet.heal()
+    await fleet.wait_until(lambda: not node.driver.connectivity.unreachable_pools())
+    await assert_served(callers, [node])
+    assert forwards(node, "answered") > 0
+    before = forwards(node, "answered")
+    await assert_served(callers, [node])
+    assert forwards(node, "answered") == before
+
+
+def forwards(node: Node, outcome: str) -> float:
+    labels = {"outcome": outcome}
+    name = "godwit_forwarded_requests_total"
+    return node.app.metrics.registry.get_sample_value(name, labels) or 0.0
+
+
+@pytest.mark.parametrize("cut", [Cut.RESET, Cut.SILENT])
+async def test_open_stream_continues_on_another_vm(
+    fleet: VmFleet, http: httpx.AsyncClient, cut: Cut
+) -> None:
+    """Guards against repeated or missing events of a stream whose server was lost."""
+    chat = {"gapAimMs": 250, "resumable": True, "timeoutMs": 10_000}
+    routes = [route("chat", "/chat/", "streaming", "lm", **chat)]
+    fleet.store.put_config(config_of(2, routes=routes))
+    await fleet.wait_until(lambda: all(n.config_version() == 2 for n in fleet.nodes))
+    for engine in fleet.engines:
+        engine.events, engine.event_s = 60, 0.05
+    callers = Callers(fleet, http)
+    [node] = fleet.cut(Cut.NONE, 1)
+    async with anyio.create_task_group() as tasks:
+
+        async def cut_later() -> None:
+            await anyio.sleep(0.5)
+            fleet.cut(cut, 1)
+
+        tasks.start_soon(cut_later)
+        answer = await callers.send(node, "/chat/1")
+    numbers = [line[4:] for line in answer.text.splitlines() if line[:3] == "id:"]
+    assert numbers == [str(number) for number in range(1, 61)]
+    assert sum(len(engine.served) for engine in fleet.engines) == 2
+
+
+@pytest.mark.parametrize("cut", [Cut.RESET, Cut.SILENT, Cut.REFUSE])
+async def test_payment_runs_once_and_is_refused_truly(
+    fleet: VmFleet, http: httpx.AsyncClient, cut: Cut
+) -> None:
+    """Guards against a payment that is sent again through another VM."""
+    callers = Callers(fleet, http)
+    await assert_served(callers, fleet.nodes)
+    statuses: dict[str, int] = {}
+
+    async def pay(node: Node, number: int) -> None:
+        headers = {"Attempt-Id": f"pay{number}"}
+        answer = await fleet.request(http, "/pay/1", "POST", node=node, **headers)
+        statuses[headers["Attempt-Id"]] = answer.status_code
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(60):
+            if number == 10:
+                fleet.cut(cut, 2)
+            if number == 45:
+                fleet.heal()
+            tasks.start_soon(pay, fleet.nodes[number % VMS], number)
+            await anyio.sleep(0.1)
+    ran = [
+        served.headers["attempt-id"]
+        for replica in fleet.plain
+        for served in replica.served
+        if served.headers["attempt-id"] in statuses
+    ]
+    assert len(ran) == len(set(ran))
+    refused = {name for name, status in statuses.items() if status == 503}
+    assert not refused & set(ran)
+    answered = {name for name, status in statuses.items() if status == 200}
+    assert answered <= set(ran)
+
+
+async def test_usage_of_a_forwarded_request_is_counted_once(
+    fleet: VmFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against two VMs that both bill a request."""
+    [node] = fleet.cut(Cut.RESET, 1)
+    callers = Callers(fleet, http)
+    await settle(callers, [node])
+    before = started_requests(fleet)
+    await assert_served(callers, [node])
+    assert started_requests(fleet) == before + len(PATHS)
+
+
+def started_requests(fleet: VmFleet) -> int:
+    return sum(s.requests for node in fleet.nodes for s in node.meter.sums.values())
+
+
+async def test_without_any_server_nothing_goes_to_and_fro(
+    fleet: VmFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against VMs that pass requests on while servers are lost for all."""
+    callers = Callers(fleet, http)
+    fleet.cut(Cut.RESET, VMS)
+    await settle(callers, fleet.nodes)
+    sent = callers.sent
+    for node in fleet.nodes:
+        assert node.app.ready
+        assert forwards(node, "answered") == 0
+    received = sum(received_forwards(node) for node in fleet.nodes)
+    assert received <= sent / 2
+    fleet.heal()
+    await fleet.wait_until(
+        lambda: not any(n.driver.connectivity.unreachable_pools() for n in fleet.nodes)
+    )
+    await assert_served(callers, fleet.nodes)
+
+
+def received_forwards(node: Node) -> float:
+    name = "godwit_received_forwards_total"
+    registry = node.app.metrics.registry
+    counts = [registry.get_sample_value(name, {"taken": t}) for t in ("true", "false")]
+    return sum(count or 0.0 for count in counts)
+
+
+async def test_vm_without_servers_and_platform_still_answers(
+    fleet: VmFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against requests that wait for a list of VMs that cannot be read."""
+    fleet.store.faults.refusal_status = 503
+    [node] = fleet.cut(Cut.RESET, 1)
+    callers = Callers(fleet, http)
+    await settle(callers, [node])
+    answer = await callers.send(node, "/pay/1")
+    assert answer.status_code == 503
+    assert answer.headers["godwit-not-run"] == "true"
+
+
+async def test_peer_with_an_older_configuration_does_not_take_a_request(
+    fleet: VmFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against a route or key that is handled by an older configuration."""
+    node, *others = fleet.nodes
+    await settle(Callers(fleet, http), fleet.cut(Cut.RESET, 1))
+    for other in others:
+        other.apply_config = lambda rows: None
+    await fleet.configure(2)
+    answer = await Callers(fleet, http).send(node, "/pay/1")
+    assert answer.status_code == 503
+    assert forwards(node, "refused") > 0
+
+
+async def test_caller_cannot_set_the_terms_of_a_forwarded_request(
+    fleet: VmFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against callers that decide how their request is metered."""
+    [node] = fleet.cut(Cut.RESET, 1)
+    await settle(Callers(fleet, http), [node])
+    before = started_requests(fleet)
+    forged = {"Godwit-Forward-Config": "9", "Godwit-Forward-Metered": "1"}
+    answer = await fleet.request(http, "/pay/1", "POST", node=node, **forged)
+    assert answer.status_code == 200
+    assert started_requests(fleet) == before + 1
+
+
+async def test_caller_that_leaves_is_noticed_across_two_vms(
+    fleet: VmFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against servers that go on working for a caller that has left."""
+    [node] = fleet.cut(Cut.RESET, 1)
+    await settle(Callers(fleet, http), [node])
+    for engine in fleet.engines:
+        engine.events, engine.event_s = 500, 0.02
+    url = node.caller_server.url + "/chat/1"
+    headers = request_headers("left")
+    async with http.stream("POST", url, headers=headers) as answer:
+        async for _ in answer.aiter_raw():
+            break
+    await fleet.wait_until(lambda: not any(e.running for e in fleet.engines))
