--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -158,6 +158,11 @@
             if state.health.is_in_rotation()
         ]
 
+    def members_by_id(self) -> dict[str, BackendState]:
+        """Return all servers of the pool, in rotation or not."""
+        cells = self.cells.values()
+        return {name: state for cell in cells for name, state in cell.members.items()}
+
     def strictest_gap_s(self, now: float) -> float | None:
         """Return the strictest inter-token gap that recently used classes ask for."""
         if not self.targets:
--- a/src/godwitmast/dispatch/connectivity.py
+++ b/src/godwitmast/dispatch/connectivity.py
@@ -177,5 +177,9 @@
         """Return whether no server of the pool accepts connections from this entry."""
         return pool in self.pools and self.pools[pool].is_unreachable
 
+    def is_undecided(self) -> bool:
+        """Return whether broken connections may still turn out to be lost links."""
+        return any(item.is_suspected or item.in_flight for item in self.pools.values())
+
     def unreachable_pools(self) -> list[PoolName]:
         return [pool for pool, item in self.pools.items() if item.is_unreachable]
--- a/src/godwitmast/dispatch/poison.py
+++ b/src/godwitmast/dispatch/poison.py
@@ -155,6 +155,8 @@
         self.recent_crashes: deque[CrashRecord] = deque()
         self.updates: list[PoisonUpdate] = []
         self.notices: deque[Notice] = deque(maxlen=MAX_NOTICES)
+        self.quarantined_here: dict[str, Suspect] = {}
+        """Suspects that a crash observed here quarantined."""
 
     def quarantine_left_s(self, fingerprint: str, now: float) -> float | None:
         """Return for how many seconds the fingerprint is still refused, or None."""
@@ -309,18 +311,35 @@
         suspect = self.suspects.get(fingerprint)
         if suspect is None:
             return
-        suspect.crashes = [
-            item for item in suspect.crashes if item[:2] != (backend_id, at)
-        ]
+        suspect.crashes = without_crash(suspect, backend_id, at)
         if not suspect.crashes:
             del self.suspects[fingerprint]
 
+    def withdraw_crash(self, backend_id: BackendId, at: float) -> None:
+        """Withdraw a crash that was none, with the suspicions and quarantines by it."""
+        for fingerprint, suspect in list(self.quarantined_here.items()):
+            crashes = without_crash(suspect, backend_id, at)
+            if len(crashes) < len(suspect.crashes) and not identify_cause(crashes):
+                del self.quarantined_here[fingerprint]
+                self.quarantined.pop(fingerprint, None)
+                self.suspects[fingerprint] = suspect
+        for fingerprint in list(self.suspects):
+            self.drop_crash(fingerprint, backend_id, at)
+        self.updates = [
+            update
+            for update in self.updates
+            if not isinstance(update, Suspicion | Quarantine)
+            or update.fingerprint in self.suspects
+            or update.fingerprint in self.quarantined
+        ]
+
     def update_suspects(self, fingerprints: set[str], now: float) -> list[str]:
         """Quarantine suspects with enough crashes, and announce the others."""
         quarantined = []
         for fingerprint in sorted(fingerprints & self.suspects.keys()):
             suspect = self.suspects[fingerprint]
             if identify_cause(suspect.crashes):
+                self.quarantined_here[fingerprint] = suspect
                 self.quarantine(fingerprint, now + QUARANTINE_S)
                 self.updates.append(Quarantine(fingerprint, QUARANTINE_S))
                 quarantined.append(fingerprint)
@@ -368,6 +387,7 @@
         for fingerprint, until in list(self.quarantined.items()):
             if until <= now:
                 del self.quarantined[fingerprint]
+                self.quarantined_here.pop(fingerprint, None)
         for fingerprint, at in list(self.cleared_at.items()):
             if at < now - SUSPICION_S:
                 del self.cleared_at[fingerprint]
@@ -490,6 +510,13 @@
     return events
 
 
+def without_crash(
+    suspect: Suspect, backend_id: BackendId, at: float
+) -> list[SeenCrash]:
+    """Return a suspect's crashes without the one that was observed here at a time."""
+    return [item for item in suspect.crashes if item[:2] != (backend_id, at)]
+
+
 def add_crash(suspect: Suspect, crash: SeenCrash) -> None:
     """Add a crash, unless it was counted already.
 
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -51,6 +51,9 @@
 """A crash breaks all connections of its server within milliseconds. A request that is
 still served there after this time was not part of it."""
 
+LINK_LOSS_S = 2.0
+"""How long broken connections may precede the finding that no server can be reached."""
+
 EXPIRE_EVERY_S = 1.0
 
 DEFAULT_CHECK_S = 1.0
@@ -85,6 +88,7 @@
         self.random = random.Random(seed)
         self.removal_notices: dict[BackendId, RemovalNotice] = {}
         self.crashed_at: dict[BackendId, float] = {}
+        self.unreachable_pools: set[PoolName] = set()
         self.unconfirmed_crashes: deque[tuple[BackendId, float]] = deque()
         self.overcommitted: dict[BackendId, ActiveRequest] = {}
         self.next_expiry_at = 0.0
@@ -239,6 +243,8 @@
         server that was leaving is no crash, and hundreds may end at the same time.
         """
         self.backends.record_connection_failure(backend_id, now)
+        if active.request.pool in self.unreachable_pools:
+            return []
         last = self.crashed_at.get(backend_id, -CRASH_DEDUP_S)
         leaving = self.backends.is_leaving(backend_id)
         if leaving or (now - last < CRASH_DEDUP_S and active.started_at <= last):
@@ -419,8 +425,18 @@
         is_unsafe = active.may_have_run and not active.request.idempotent
         return active.may_run_again and not is_unsafe
 
-    def readmit_servers(self, pool: PoolName, now: float) -> None:
-        """Forget the ejections of servers that this entry could not reach."""
+    def record_unreachable_pool(self, pool: PoolName, now: float) -> None:
+        """Withdraw crashes that were broken links: no server can be reached any more."""
+        self.unreachable_pools.add(pool)
+        view = self.backends.pools.get(pool)
+        members = view.members_by_id() if view is not None else {}
+        for backend_id, at in self.crashed_at.items():
+            if backend_id in members and at >= now - LINK_LOSS_S:
+                self.guard.withdraw_crash(backend_id, at)
+
+    def record_reachable_pool(self, pool: PoolName, now: float) -> None:
+        """Return servers to rotation that only this entry could not reach."""
+        self.unreachable_pools.discard(pool)
         self.backends.readmit_unreachable(pool, now)
 
     def cancel_request(
--- a/src/godwitmast/entry/crash_reports.py
+++ b/src/godwitmast/entry/crash_reports.py
@@ -36,6 +36,12 @@
 """By then a crash is confirmed (`router.CRASH_CONFIRM_S`), and one row holds what an entry
 observed of it."""
 
+MAX_PROBES_S = 1.5
+"""Longest wait for probes: the pause before a round, and two time-outs in it. A request
+that crashes servers all the time keeps starting rounds."""
+
+PROBES_CHECK_S = 0.05
+
 RETRY_S = 0.5
 """Mean pause after a failed write, with 50 % jitter."""
 
@@ -97,6 +103,7 @@
         while True:
             await self.driver.wait_for_poison_updates()
             await anyio.sleep(GATHER_S)
+            await self.wait_for_probes()
             self.collect()
             while self.pending:
                 try:
@@ -106,6 +113,12 @@
                     await anyio.sleep(random.uniform(0.5, 1.5) * RETRY_S)
                 self.collect()
 
+    async def wait_for_probes(self) -> None:
+        """Wait until probes tell crashes from lost links of this VM, if that is open."""
+        with anyio.move_on_after(MAX_PROBES_S):
+            while self.driver.connectivity.is_undecided():
+                await anyio.sleep(PROBES_CHECK_S)
+
     def collect(self) -> None:
         """Take the router's updates; of several on one request the last one counts."""
         if self.clock.updated_at is None:
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -289,10 +289,14 @@
         if self.router is not None:
             self.deliver_actions(self.router.release_requests(pool, is_silent, now))
 
-    def readmit_servers(self, pool: PoolName, now: float) -> None:
-        """Return a pool's servers to rotation that this entry could not reach."""
-        if self.router is not None:
-            self.router.readmit_servers(pool, now)
+    def record_reachability(self, pool: PoolName, is_unreachable: bool) -> None:
+        """Record that no server of a pool can be reached any more, or one can again."""
+        if self.router is None:
+            return
+        if is_unreachable:
+            self.router.record_unreachable_pool(pool, self.clock.now())
+        else:
+            self.router.record_reachable_pool(pool, self.clock.now())
 
     def record_heard(self, backend_id: BackendId) -> None:
         """Record that bytes of an answer arrived from a backend server."""
--- a/src/godwitmast/entry/forwarding.py
+++ b/src/godwitmast/entry/forwarding.py
@@ -96,9 +96,7 @@
         }
 
     def connectivity_changed(self, pool: PoolName, is_unreachable: bool) -> None:
-        """Read the other VMs' rows, or return servers to rotation."""
-        if not is_unreachable:
-            self.driver.readmit_servers(pool, self.driver.clock.now())
+        """Read the other VMs' rows, and tell them soon."""
         self.changed.set()
         self.on_change()
 
--- a/src/godwitmast/entry/probes.py
+++ b/src/godwitmast/entry/probes.py
@@ -154,5 +154,6 @@
             )
         else:
             log_event("servers_reachable", pool=pool, after_s=now - since)
+        self.driver.record_reachability(pool, connectivity.is_unreachable)
         for listener in self.change_listeners:
             listener(pool, connectivity.is_unreachable)
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -1,6 +1,7 @@
 """VMs that are partitioned from all backend servers, with callers still reaching them."""
 
 from collections.abc import AsyncIterator, Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import anyio
@@ -10,6 +11,7 @@
 
 from fleet import Fleet, config_of, request_headers, route
 from godwitmast.platform.daemon import Node
+from godwitmast.platform.store import CRASHES_TABLE
 from partition import Cut, Partition
 from running import running
 
@@ -75,10 +77,12 @@
                 await anyio.sleep(0.2)
             tasks.cancel_scope.cancel()
 
-    async def send(self, node: Node, path: str) -> httpx.Response:
+    async def send(self, node: Node, path: str, content: bytes = b"") -> httpx.Response:
         self.sent += 1
         headers = {"Attempt-Id": f"c{self.sent}"}
-        return await self.fleet.request(self.http, path, "POST", node=node, **headers)
+        return await self.fleet.request(
+            self.http, path, "POST", content, node, **headers
+        )
 
 
 async def settle(callers: Callers, nodes: list[Node]) -> None:
@@ -292,3 +296,51 @@
         async for _ in answer.aiter_raw():
             break
     await fleet.wait_until(lambda: not any(e.running for e in fleet.engines))
+
+
+async def test_loss_of_links_is_not_reported_as_crashes(
+    fleet: VmFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against requests that all VMs refuse, as two lost their own links."""
+    for engine in fleet.engines:
+        engine.events, engine.event_s = 40, 0.02
+    callers = Callers(fleet, http)
+    copies: list[int] = []
+
+    async def send_copy(node: Node) -> None:
+        with suppress(httpx.RemoteProtocolError):
+            answer = await callers.send(node, "/chat/1", b"the same")
+            copies.append(answer.status_code)
+
+    async with anyio.create_task_group() as tasks:
+        for node in fleet.nodes * 4:
+            tasks.start_soon(send_copy, node)
+        await anyio.sleep(0.4)
+        fleet.cut(Cut.RESET, 2)
+    await anyio.sleep(1.0)
+    for node in fleet.nodes:
+        guard = node.driver.router.guard
+        assert (guard.suspects, guard.quarantined) == ({}, {})
+    assert not any(table == CRASHES_TABLE for table, _ in fleet.store.rows)
+
+
+async def test_streams_survive_the_loss_of_links_without_being_suspected(
+    fleet: VmFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against streams that wait for each other, as each may crash servers."""
+    for engine in fleet.engines:
+        engine.events, engine.event_s = 40, 0.02
+    callers = Callers(fleet, http)
+    statuses: list[int] = []
+
+    async def send(node: Node, number: int) -> None:
+        answer = await callers.send(node, "/chat/1", str(number).encode())
+        statuses.append(answer.status_code)
+        assert answer.text.endswith("data: event 40\n\n")
+
+    async with anyio.create_task_group() as tasks:
+        for number, node in enumerate(fleet.nodes[:2] * 3):
+            tasks.start_soon(send, node, number)
+        await anyio.sleep(0.4)
+        fleet.cut(Cut.RESET, 2)
+    assert statuses == [200] * 6
