--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -20,6 +20,7 @@
 NOT_RUN_HEADER = "engine-not-run"
 LOAD_HEADER = "engine-load"
 RATE_LIMIT_HEADER = "engine-rate-limit"
+REJECTION_LIMIT_HEADER = "engine-rejection-limit"
 
 
 class AttemptFailed(Exception):
@@ -45,6 +46,10 @@
         """Return the requests a second that the server states to take from all
         routers together, or None if it states no limit."""
 
+    def parse_rejection_limit(self, answer: httpx.Response) -> float | None:
+        """Return the rejections a second that the server says it bears, or None if it
+        states no limit."""
+
 
 class EngineHeaderParser:
     """Parses the response headers of this project's own backend server interface."""
@@ -58,6 +63,9 @@
     def parse_rate_limit(self, answer: httpx.Response) -> float | None:
         return parse_rate(answer.headers.get(RATE_LIMIT_HEADER))
 
+    def parse_rejection_limit(self, answer: httpx.Response) -> float | None:
+        return parse_rate(answer.headers.get(REJECTION_LIMIT_HEADER))
+
 
 class BackendClient:
     """An HTTP connection pool for backend servers."""
--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -31,6 +31,7 @@
 from godwitmast.dispatch.pace import GapWindow, PoolPace
 from godwitmast.dispatch.placement import PoolLoad, PromptPlacement
 from godwitmast.dispatch.rate_limit import ASSUMED_ROUTERS, RateLimit
+from godwitmast.dispatch.rejection_limit import RejectionLimit, ServerUsage
 from godwitmast.dispatch.router_count import RouterCount
 from godwitmast.dispatch.warmup import (
     RESTART_DETECTION_S,
@@ -63,7 +64,10 @@
     late_first_token_at: float = 0.0
     warmup: Warmup = field(default_factory=Warmup)
     rate_limit: RateLimit = field(default_factory=RateLimit)
+    rejection_limit: RejectionLimit = field(default_factory=RejectionLimit)
     cells: list["Cell"] = field(default_factory=list)
+    routers: float = ASSUMED_ROUTERS
+    """Routers that share the server; kept up to date while it states a limit."""
 
     def load(self, now: float) -> float:
         """Return the estimated number of requests on the server, ours and others'."""
@@ -79,7 +83,23 @@
 
     def may_send(self, now: float) -> bool:
         """Return whether this router may send the server a request now."""
-        return self.warmup.may_send(now) and self.rate_limit.may_send(now)
+        return (
+            self.warmup.may_send(now)
+            and self.rate_limit.may_send(now)
+            and self.rejection_limit.may_send(self.usage, now)
+        )
+
+    @property
+    def usage(self) -> ServerUsage:
+        return ServerUsage(
+            self.in_flight, self.other_load, self.limit.value, self.routers
+        )
+
+    @property
+    def has_turns(self) -> bool:
+        """Return whether a limit that it states has this router take turns."""
+        limits = (self.rate_limit.per_s, self.rejection_limit.per_s)
+        return any(limit is not None for limit in limits)
 
     def has_room(self, now: float) -> bool:
         if not self.may_send(now):
@@ -203,10 +223,11 @@
                 # Requests that are still counted there end on the same state object.
                 previous.health, previous.gap_window = Health(), GapWindow()
                 previous.rate_limit = RateLimit()
+                previous.rejection_limit = RejectionLimit()
             state = previous or BackendState(spec)
             self.update_warmup(state, spec, previous is None, is_first_list, now)
             state.spec = spec
-            if state.rate_limit.per_s is not None:
+            if state.has_turns:
                 self.limited_servers[spec.backend_id] = state
             if spec.places is not None:
                 state.limit.value, state.limit.fixed = float(spec.places), True
@@ -527,6 +548,7 @@
     def add_request(self, backend_id: BackendId, now: float) -> None:
         """Count a request that starts on a server."""
         state = self.states[backend_id]
+        state.rejection_limit.use_turn(state.usage)
         state.other_load.update_own(state.in_flight, now)
         state.in_flight += 1
         state.warmup.use_turn(self.turn_period_s(state.spec), now)
@@ -574,9 +596,20 @@
         periods = [
             state.rate_limit.period_s(self.assumed_routers)
             for state in self.limited_servers.values()
+            if state.rate_limit.per_s is not None
         ]
         return 1 / max(periods) if periods else 0.0
 
+    def count_rate_limited(self) -> int:
+        """Return the number of servers that state a rate."""
+        states = self.limited_servers.values()
+        return sum(state.rate_limit.per_s is not None for state in states)
+
+    def count_brittle(self) -> int:
+        """Return the number of servers that state a limit on rejections."""
+        states = self.limited_servers.values()
+        return sum(state.rejection_limit.per_s is not None for state in states)
+
     def record_rate_limit(
         self, backend_id: BackendId, per_s: float | None, sent_at: float, now: float
     ) -> bool:
@@ -586,13 +619,34 @@
         if state is None:
             return False
         changed = state.rate_limit.record_statement(per_s, sent_at, now)
-        if state.rate_limit.per_s is None:
-            self.limited_servers.pop(backend_id, None)
+        self.track_turns(state, now)
+        return changed
+
+    def record_rejection_limit(
+        self, backend_id: BackendId, per_s: float | None, sent_at: float, now: float
+    ) -> bool:
+        """Record the rejections a second that a server's answer says it bears, or
+        none; return whether that changed."""
+        state = self.states.get(backend_id)
+        if state is None:
+            return False
+        changed = state.rejection_limit.record_statement(per_s, sent_at, now)
+        self.track_turns(state, now)
+        return changed
+
+    def track_turns(self, state: BackendState, now: float) -> None:
+        """Start or stop turns at a server by the limits that it states."""
+        if state.has_turns:
+            self.limited_servers[state.backend_id] = state
+            self.advance_turns(state, now)
         else:
-            self.limited_servers[backend_id] = state
-            state.rate_limit.advance(self.assumed_routers, now, self.random)
+            self.limited_servers.pop(state.backend_id, None)
         self.refresh(state, now)
-        return changed
+
+    def advance_turns(self, state: BackendState, now: float) -> None:
+        routers = state.routers = self.assumed_routers
+        state.rate_limit.advance(routers, now, self.random)
+        state.rejection_limit.advance(routers, now, self.random)
 
     def record_first_token(
         self, backend_id: BackendId, pool: str, waited_s: float, late: bool, now: float
@@ -707,7 +761,11 @@
         if state is None:
             return
         state.limit.record_late_first_token(state.limit.value)
-        self.record_error(backend_id, now)
+        if state.rejection_limit.per_s is None:
+            self.record_error(backend_id, now)
+        else:
+            # Turns are spaced already; an ejection would delay the next report.
+            state.other_load.record_full(state.in_flight, state.limit.value, now)
         self.refresh(state, now)
 
     def record_success(
@@ -760,7 +818,7 @@
             if not state.warmup.is_cold(now):
                 del self.cold_servers[state.backend_id]
         for state in self.limited_servers.values():
-            state.rate_limit.advance(self.assumed_routers, now, self.random)
+            self.advance_turns(state, now)
             self.refresh(state, now)
         still_ejected = []
         for state in self.ejected:
--- a/src/godwitmast/dispatch/other_load.py
+++ b/src/godwitmast/dispatch/other_load.py
@@ -78,6 +78,12 @@
         whole, part = divmod(room * share, 1.0)
         self.claimable = whole + (rng.random() < part)
 
+    def record_full(self, in_flight: int, limit: float, now: float) -> None:
+        """Record that the server rejected a request of ours, as it had no room."""
+        self.others = max(self.others, limit - in_flight, 1.0)
+        self.reported_at = now
+        self.claimable = 0.0
+
     def estimate(self, now: float) -> float:
         """Return the estimated number of other entries' requests on the server."""
         if not self.others:
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -478,6 +478,14 @@
             return []
         return self.start_waiting(now)
 
+    def record_rejection_limit(
+        self, backend_id: BackendId, per_s: float | None, sent_at: float, now: float
+    ) -> list[Action]:
+        """Record the rejections a second that a server says it bears, or no limit."""
+        if not self.backends.record_rejection_limit(backend_id, per_s, sent_at, now):
+            return []
+        return self.start_waiting(now)
+
     def pop_poison_updates(self) -> list[PoisonUpdate]:
         """Return and clear the updates on suspects that other entries are to be sent at
         once."""
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -417,11 +417,11 @@
         if self.router is None:
             return
         table = self.router.backends
-        was_limited = backend_id in table.limited_servers
+        limited = table.count_rate_limited()
         actions = self.router.record_rate_limit(
             backend_id, per_s, sent_at, self.clock.now()
         )
-        if was_limited != (backend_id in table.limited_servers):
+        if limited != table.count_rate_limited():
             log_event(
                 "server_rate_limit",
                 backend=backend_id,
@@ -433,7 +433,31 @@
     def count_limited_servers(self) -> int:
         """Return the number of servers that state a rate, to which this entry sends in
         turns."""
-        return len(self.router.backends.limited_servers) if self.router else 0
+        return self.router.backends.count_rate_limited() if self.router else 0
+
+    def record_rejection_limit(
+        self, backend_id: BackendId, per_s: float | None, sent_at: float
+    ) -> None:
+        """Record the rejections a second that a server says it bears, or no limit."""
+        if self.router is None:
+            return
+        table = self.router.backends
+        brittle = table.count_brittle()
+        actions = self.router.record_rejection_limit(
+            backend_id, per_s, sent_at, self.clock.now()
+        )
+        if brittle != table.count_brittle():
+            log_event(
+                "server_rejection_limit",
+                backend=backend_id,
+                per_s=per_s,
+                routers=table.assumed_routers,
+            )
+        self.deliver_actions(actions)
+
+    def count_brittle_servers(self) -> int:
+        """Return the number of servers that state a limit on rejections."""
+        return self.router.backends.count_brittle() if self.router else 0
 
     def limited_turns_per_s(self) -> float:
         """Return this entry's turns per second at the server with the lowest rate."""
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -499,7 +499,7 @@
             outbound.path,
             attempt_request.headers,
             attempt_request.content,
-            lambda head: self.record_rate_limit(start.backend_id, head, sent_at),
+            lambda head: self.record_head(start.backend_id, head, sent_at),
         ) as answer:
             if not outbound.belongs_to_request(answer):
                 # An earlier request left this answer on the connection. The answer to
@@ -510,14 +510,6 @@
                     FailureKind.CUT, "the answer belongs to another request"
                 )
             self.reached_backend = True
-            self.driver.record_heard(start.backend_id)
-            load = (
-                self.client.header_parser.parse_load(answer)
-                if outbound.reports_load
-                else None
-            )
-            if load is not None:
-                self.driver.record_load(start.backend_id, load)
             if (
                 answer.status_code >= 500
                 and outbound.error_policy is not ErrorPolicy.ANSWER
@@ -528,11 +520,20 @@
             else:
                 await self.forward_whole(start, answer)
 
-    def record_rate_limit(
+    def record_head(
         self, backend_id: BackendId, answer: httpx.Response, sent_at: float
     ) -> None:
-        per_s = self.client.header_parser.parse_rate_limit(answer)
+        """Record what the headers of an answer, also of a rejection, say of its
+        server."""
+        self.driver.record_heard(backend_id)
+        parser = self.client.header_parser
+        load = parser.parse_load(answer) if self.outbound.reports_load else None
+        if load is not None:
+            self.driver.record_load(backend_id, load)
+        per_s = parser.parse_rate_limit(answer)
         self.driver.record_rate_limit(backend_id, per_s, sent_at)
+        rejections_per_s = parser.parse_rejection_limit(answer)
+        self.driver.record_rejection_limit(backend_id, rejections_per_s, sent_at)
 
     async def raise_server_error(self, answer: httpx.Response) -> None:
         """Fail the attempt; keep the server's answer if the caller may get it."""
--- a/src/godwitmast/entry/forwarding.py
+++ b/src/godwitmast/entry/forwarding.py
@@ -46,6 +46,9 @@
     def parse_rate_limit(self, answer: httpx.Response) -> float | None:
         return None
 
+    def parse_rejection_limit(self, answer: httpx.Response) -> float | None:
+        return None
+
 
 class RequestForwarder:
     """Reads which VMs there are while no server is reached, and chooses among them."""
--- a/src/godwitmast/platform/frontend.py
+++ b/src/godwitmast/platform/frontend.py
@@ -52,6 +52,7 @@
     NOT_EXECUTED,
     PROMPT_PREFIX,
     REQUEST_PRIORITY,
+    SERVER_BRITTLE,
     SERVER_LIMIT,
     SERVER_LOAD,
     SET_BY_ROUTER,
@@ -175,6 +176,9 @@
     def parse_rate_limit(self, answer: httpx.Response) -> float | None:
         return parse_rate(answer.headers.get(SERVER_LIMIT))
 
+    def parse_rejection_limit(self, answer: httpx.Response) -> float | None:
+        return parse_rate(answer.headers.get(SERVER_BRITTLE))
+
 
 class RouteFrontend:
     """The API for callers with a key, with requests routed by host and path."""
--- a/src/godwitmast/standins/replica.py
+++ b/src/godwitmast/standins/replica.py
@@ -14,6 +14,7 @@
     LAST_EVENT_ID,
     NOT_EXECUTED,
     READY,
+    SERVER_BRITTLE,
     SERVER_LIMIT,
     SERVER_LOAD,
 )
@@ -53,6 +54,8 @@
     """It accepts requests and never answers."""
     rate_limit: str | None = None
     """Requests a second that it states to take, in each of its answers."""
+    rejection_limit: str | None = None
+    """Rejections a second that it says it bears, in each of its answers."""
     crash_on: bytes | None = None
     """A request whose body is this crashes it: all of its answers break off."""
 
@@ -73,6 +76,7 @@
     served: list[ReceivedRequest] = field(default_factory=list)
     running: int = 0
     crashes: int = 0
+    shed: int = 0
     disconnects: int = 0
     """Number of callers that closed their connection before the end of the answer."""
 
@@ -110,7 +114,8 @@
             await send_response(send, 421, [], b"")
             return
         if self.faults.sheds:
-            refusal = [(NOT_EXECUTED.encode(), b"1"), *self.rate_limit_headers()]
+            self.shed += 1
+            refusal = [(NOT_EXECUTED.encode(), b"1"), *self.limit_headers()]
             await send_response(send, 503, refusal, b"")
             return
         target = scope["raw_path"].decode()
@@ -164,7 +169,7 @@
             (ATTEMPT_ID.encode(), attempt_id.encode()),
             (SEAL_HEADER, self.server_id.encode()),
             (SERVER_LOAD.encode(), f"{self.running},0,{self.places}".encode()),
-            *self.rate_limit_headers(),
+            *self.limit_headers(),
         ]
         if self.streams and self.faults.status == 200:
             await self.send_events(int(headers.get(LAST_EVENT_ID, "0")), head, send)
@@ -178,9 +183,17 @@
         half = body[: len(body) // 2]
         await send({"type": "http.response.body", "body": half, "more_body": True})
 
-    def rate_limit_headers(self) -> list[tuple[bytes, bytes]]:
-        limit = self.faults.rate_limit
-        return [] if limit is None else [(SERVER_LIMIT.encode(), limit.encode())]
+    def limit_headers(self) -> list[tuple[bytes, bytes]]:
+        faults = self.faults
+        stated = [
+            (SERVER_LIMIT, faults.rate_limit),
+            (SERVER_BRITTLE, faults.rejection_limit),
+        ]
+        return [
+            (name.encode(), limit.encode())
+            for name, limit in stated
+            if limit is not None
+        ]
 
     async def send_events(
         self, after: int, head: list[tuple[bytes, bytes]], send: Send
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -663,3 +663,28 @@
             async with anyio.create_task_group() as tasks:
                 for _ in range(4):
                     tasks.start_soon(fleet.request, http, "/chat/1", "POST")
+
+
+async def test_server_that_states_a_limit_rejects_few_requests(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against a server that falls over as it has to reject too many."""
+    brittle = fleet.plain[0]
+    brittle.faults.sheds = True
+    brittle.faults.rejection_limit = "2"
+    began_at = time.monotonic()
+    for number in range(60):
+        headers = {"Attempt-Id": f"b{number}"}
+        answer = await fleet.request(http, "/peek/1", "POST", **headers)
+        assert answer.status_code == 200
+        await anyio.sleep(0.02)
+    assert fleet.node.driver.count_brittle_servers() == 1
+    allowed = 2 * (time.monotonic() - began_at) + 2
+    assert 0 < brittle.shed <= allowed
+    brittle.faults.sheds = False
+    brittle.faults.rejection_limit = None
+    with anyio.fail_after(20):
+        while fleet.node.driver.count_brittle_servers():
+            async with anyio.create_task_group() as tasks:
+                for _ in range(4):
+                    tasks.start_soon(fleet.request, http, "/peek/1", "POST")
