--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -172,7 +172,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Release:
-    """The router drops the request, for another entry to serve it.
+    """Have another entry serve the request; the router waits for what comes of it.
 
     `attempts` is how many servers may still run it, if that is bounded.
     """
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -89,6 +89,7 @@
         self.removal_notices: dict[BackendId, RemovalNotice] = {}
         self.crashed_at: dict[BackendId, float] = {}
         self.unreachable_pools: set[PoolName] = set()
+        self.released: set[RequestId] = set()
         self.unconfirmed_crashes: deque[tuple[BackendId, float]] = deque()
         self.overcommitted: dict[BackendId, ActiveRequest] = {}
         self.next_expiry_at = 0.0
@@ -397,7 +398,9 @@
             request = active.request
             if request.pool != pool or not request.may_forward:
                 continue
-            if not self.may_run_elsewhere(active):
+            if request.request_id in self.released or not self.may_run_elsewhere(
+                active
+            ):
                 continue
             if active.backend_id is None:
                 self.remove_from_queues(active)
@@ -407,7 +410,7 @@
                 actions.append(self.cancel_unreachable(active, now))
             else:
                 continue
-            self.end_request(active, now)
+            self.released.add(request.request_id)
             actions.append(Release(request.request_id, active.attempts_left))
         return actions
 
@@ -415,9 +418,20 @@
         """Cancel an attempt on a server that cannot be reached."""
         assert active.attempt_id is not None, "only running attempts are cancelled"
         request_id, attempt_id = active.request.request_id, active.attempt_id
+        active.may_have_run = True
         self.end_attempt(active, now)
+        self.admission.mark_awaiting_retry(active.request)
         return Cancel(request_id, attempt_id, CancelReason.UNREACHABLE)
 
+    def take_back(self, request_id: RequestId, now: float) -> list[Action]:
+        """Queue a released request again that no other entry took."""
+        active = self.active_requests.get(request_id)
+        if active is None or request_id not in self.released:
+            return []
+        self.released.discard(request_id)
+        self.admission.requeue(active.request, now)
+        return self.start_waiting(now)
+
     def may_run_elsewhere(self, active: ActiveRequest) -> bool:
         """Return whether the request may be sent again, if it was sent at all."""
         if active.attempt_id is not None:
@@ -458,7 +472,9 @@
     def remove_from_queues(self, active: ActiveRequest) -> None:
         """Remove a request from the queue in which it waits."""
         request_id = active.request.request_id
-        if request_id in self.retries.pending:
+        if request_id in self.released:
+            self.released.discard(request_id)
+        elif request_id in self.retries.pending:
             self.retries.discard(request_id)
         else:
             self.admission.remove(active.request)
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -289,6 +289,12 @@
         if self.router is not None:
             self.deliver_actions(self.router.release_requests(pool, is_silent, now))
 
+    def take_back(self, request_id: RequestId) -> None:
+        """Have the router serve a request that no other entry took."""
+        if self.router is not None:
+            now = self.clock.now()
+            self.deliver_actions(self.router.take_back(request_id, now))
+
     def record_reachability(self, pool: PoolName, is_unreachable: bool) -> None:
         """Record that no server of a pool can be reached any more, or one can again."""
         if self.router is None:
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -93,7 +93,7 @@
 
     def record_failure(self, peer: Peer, pool: PoolName, kind: FailureKind) -> None: ...
 
-    def record_answer(self) -> None: ...
+    def record_answer(self, peer: Peer, pool: PoolName) -> None: ...
 
     def record_exhausted(self, pool: PoolName) -> None: ...
 
@@ -223,28 +223,27 @@
                 await self.send_timeout_answer()
 
     async def serve(self) -> None:
-        """Carry out the router's actions, or have another VM serve the request."""
-        forwards = self.forwarder is not None and self.forwarder.may_forward(self.spec)
-        while not (forwards and await self.forward_to_peer()):
-            released = await self.run_locally()
-            if released is None:
-                return
-            self.driver.forget(self.spec.request_id)
-            if self.is_forwarded:
-                await self.hand_back()
-                return
-            self.spec = self.spec._replace(attempts=released.attempts)
-            forwards = self.forwarder is not None
-
-    async def run_locally(self) -> Release | None:
-        """Carry out actions until the request is over, or the router releases it."""
+        """Have another VM serve the request, or carry out the router's actions."""
+        forwarder = self.forwarder
+        forwards = forwarder is not None and forwarder.may_forward(self.spec)
+        if forwards and await self.forward_to_peer(self.spec.attempts):
+            return
         mailbox = self.mailbox = self.driver.submit(self.spec)
-        while True:
-            action = await next_action(mailbox)
-            if isinstance(action, Release):
-                return action
-            if await self.execute(action):
-                return None
+        while not await self.execute(await next_action(mailbox)):
+            pass
+
+    async def serve_released(self, attempts: int | None) -> bool:
+        """Have another VM serve a request that the router released.
+
+        Return whether the caller has been answered; else the router has it again.
+        """
+        if self.is_forwarded:
+            await self.hand_back()
+            return True
+        if self.forwarder is not None and await self.forward_to_peer(attempts):
+            return True
+        self.driver.take_back(self.spec.request_id)
+        return False
 
     async def hand_back(self) -> None:
         """Tell the VM that forwarded the request that no server can be reached here."""
@@ -253,10 +252,10 @@
         else:
             await self.send_error_answer(NOT_TAKEN)
 
-    async def forward_to_peer(self) -> bool:
+    async def forward_to_peer(self, attempts: int | None) -> bool:
         """Have another VM serve the request; return whether the caller is answered.
 
-        A VM that does not take the request has not run it, and the next one is asked.
+        `attempts` is how many servers may still run it, if that is bounded. A VM that does not take the request has not run it, and the next one is asked.
         """
         assert self.forwarder is not None
         tried: set[str] = set()
@@ -265,7 +264,7 @@
             self.forwarded_to = peer.name
             self.may_have_run_before = self.may_have_run
             try:
-                await self.forward_via(peer)
+                await self.forward_via(peer, attempts)
             except AttemptFailed as failure:
                 self.reader.discard_partial_event()
                 log_event(
@@ -282,7 +281,7 @@
                     await self.refuse_failed()
                     return True
                 continue
-            self.forwarder.record_answer()
+            self.forwarder.record_answer(peer, self.spec.pool)
             # The other VM counts what it ran.
             self.reached_backend = self.backend_started
             return True
@@ -295,14 +294,12 @@
         refusal = Refuse(self.spec.request_id, code, NotRun.UNKNOWN)
         await self.send_error_answer(self.frontend.answer_refusal(refusal))
 
-    async def forward_via(self, peer: Peer) -> None:
+    async def forward_via(self, peer: Peer, attempts: int | None) -> None:
         """Send the request to another VM and pass its answer on."""
         assert self.forwarder is not None
         request = self.outbound.build_forwarded(self.driver.clock.now())
         version = self.forwarder.config_version()
-        terms = ForwardTerms(
-            version, self.spec.pool, self.spec.attempts, self.backend_started
-        )
+        terms = ForwardTerms(version, self.spec.pool, attempts, self.backend_started)
         self.may_have_run = True
         async with self.forwarder.client.exchange(
             self.outbound.method,
@@ -373,9 +370,11 @@
         match action:
             case Start():
                 return await self.run_attempt(action)
+            case Release(attempts=attempts):
+                return await self.serve_released(attempts)
             case Refuse():
                 if self.may_have_run:
-                    # The router does not know of the runs before it released this one.
+                    # The router does not know of a run through another VM.
                     action = replace(action, not_run=NotRun.UNKNOWN)
                 # The claim is released before the caller gets "not run", so that it
                 # doesn't block the caller's next try.
--- a/src/godwitmast/entry/forwarding.py
+++ b/src/godwitmast/entry/forwarding.py
@@ -8,13 +8,18 @@
 from anyio.abc import TaskGroup
 from prometheus_client import CollectorRegistry, Counter
 
-from godwitmast.backends.client import BackendClient
+from godwitmast.backends.client import AttemptFailed, BackendClient
 from godwitmast.background import BackgroundTasks
 from godwitmast.dispatch.messages import FailureKind, LoadReport, RequestSpec
 from godwitmast.entry.app import FORWARD_TERMS, EntryApp
 from godwitmast.entry.driver import RouterDriver
 from godwitmast.entry.probes import ConnectionProbes
-from godwitmast.entry.refusals import MISDIRECTED, NOT_TAKEN, send_error
+from godwitmast.entry.refusals import (
+    MISDIRECTED,
+    NOT_TAKEN,
+    send_error,
+    send_json,
+)
 from godwitmast.entry.request_parsing import CallerGone, read_body
 from godwitmast.errors import PlatformError
 from godwitmast.forwarding.peers import Peer, PeerChoice
@@ -30,6 +35,12 @@
 """Interval at which the rows of other VMs are read while no server is reached."""
 
 READ_RETRY_S = 0.5
+ASK_INTERVAL_S = 0.25
+"""Interval at which peers are asked whether they reach servers, until one does."""
+
+ASK_TIMEOUT_S = 0.8
+"""Longer than the probes of a peer that has heard of no server lately."""
+
 FORWARDING_KEY = "forwarding"
 """Key in a VM's row of what others need to know to forward requests to it."""
 
@@ -71,7 +82,7 @@
         self.config_version = config_version
         self.address = ""
         self.background = BackgroundTasks(self.run)
-        self.was_unreachable = False
+        self.next_read_at = 0.0
         self.changed = anyio.Event()
         self.on_change: Callable[[], None] = lambda: None
         """Called when a pool's servers become unreachable, or reachable again."""
@@ -109,8 +120,13 @@
                 self.changed = anyio.Event()
                 await self.changed.wait()
                 continue
-            found = await self.read_peers()
-            await anyio.sleep(READ_INTERVAL_S if found else READ_RETRY_S)
+            if self.driver.clock.now() >= self.next_read_at:
+                found = await self.read_peers()
+                wait_s = READ_INTERVAL_S if found else READ_RETRY_S
+                self.next_read_at = self.driver.clock.now() + wait_s
+            for pool in self.connectivity.unreachable_pools():
+                await self.ask_peers(pool)
+            await anyio.sleep(ASK_INTERVAL_S)
 
     async def read_peers(self) -> bool:
         """Read the rows of other VMs; return whether the table answered."""
@@ -123,6 +139,31 @@
         self.choice.update(peers, self.driver.clock.now())
         return True
 
+    async def ask_peers(self, pool: PoolName) -> None:
+        """Ask peers whether they reach a pool's servers, until one does."""
+        tried: set[str] = set()
+        while not self.choice.is_available(pool, self.driver.clock.now()):
+            peer = self.choose(pool, tried)
+            if peer is None:
+                return
+            tried.add(peer.address)
+            try:
+                await self.ask(peer, pool)
+            except AttemptFailed as failure:
+                self.record_failure(peer, pool, failure.kind)
+
+    async def ask(self, peer: Peer, pool: PoolName) -> None:
+        """Ask one peer; raise AttemptFailed unless it takes requests for the pool."""
+        terms = ForwardTerms(self.config_version(), pool, is_question=True)
+        with anyio.move_on_after(ASK_TIMEOUT_S) as scope:
+            async with self.client.exchange(
+                "GET", f"http://{peer.address}", "/", terms.encode(), b""
+            ) as answer:
+                await answer.aread()
+        if scope.cancelled_caught:
+            raise AttemptFailed(FailureKind.TIMEOUT, "no answer")
+        self.choice.record_confirmation(peer.address, pool, self.driver.clock.now())
+
     def check(self, now: float) -> None:
         """Release waiting requests to other VMs, while there are any to take them."""
         for pool in self.connectivity.unreachable_pools():
@@ -148,7 +189,9 @@
             case FailureKind.CONNECT | FailureKind.CUT | FailureKind.TIMEOUT:
                 self.choice.record_unreachable(peer.address, now)
 
-    def record_answer(self) -> None:
+    def record_answer(self, peer: Peer, pool: PoolName) -> None:
+        now = self.driver.clock.now()
+        self.choice.record_confirmation(peer.address, pool, now)
         self.forwarded.labels("answered").inc()
 
     def record_exhausted(self, pool: PoolName) -> None:
@@ -197,6 +240,9 @@
             return
         terms, headers = split_terms(scope["headers"])
         taken = terms is not None and await self.may_take(terms)
+        if taken and terms is not None and terms.is_question:
+            await send_json(send, 200, {"taken": True})
+            return
         self.received.labels(str(taken).lower()).inc()
         try:
             if taken:
--- a/src/godwitmast/forwarding/peers.py
+++ b/src/godwitmast/forwarding/peers.py
@@ -8,8 +8,8 @@
   its VMs reach servers: each of them then gets the requests of one more VM at most.
 - A peer that refuses reaches no server either. Its zone is then the last choice for a
   while, as a cut mostly affects several VMs of a zone.
-- If several peers in a row refuse a request, servers are lost for all. Forwarding stops
-  for a while, so that requests wait for servers here instead of going to and fro.
+- Nothing is forwarded before a peer has confirmed that it reaches servers, and none is
+  while servers are lost for all: requests wait here instead of going to and fro.
 """
 
 import random
@@ -26,6 +26,9 @@
 """How long a peer that refused, and the own zone after it, are not preferred; and the
 pause after a request that no peer took."""
 
+CONFIRMED_S = 2.0
+"""How long a peer that reached servers, or served a request, is taken to do so."""
+
 UNREACHABLE_S = 5.0
 """How long a peer that did not accept a connection is not chosen."""
 
@@ -53,6 +56,7 @@
     row_changed_at: float
     avoid_until: float = 0.0
     refused_until: dict[PoolName, float] = field(default_factory=dict)
+    confirmed_until: dict[PoolName, float] = field(default_factory=dict)
 
     def is_usable(self, pool: PoolName, now: float) -> bool:
         if pool in self.peer.unreachable_pools:
@@ -95,7 +99,16 @@
 
     def is_available(self, pool: PoolName, now: float) -> bool:
         """Return whether requests for a pool may be forwarded now."""
-        return not self.is_paused(pool, now) and bool(self.usable(pool, now))
+        return not self.is_paused(pool, now) and any(
+            state.is_usable(pool, now) and now < state.confirmed_until.get(pool, 0.0)
+            for state in self.states.values()
+        )
+
+    def record_confirmation(self, address: str, pool: PoolName, now: float) -> None:
+        """Record that a peer reaches servers of a pool."""
+        state = self.states.get(address)
+        if state is not None:
+            state.confirmed_until[pool] = now + CONFIRMED_S
 
     def usable(self, pool: PoolName, now: float) -> list[Peer]:
         states = self.states.values()
@@ -126,6 +139,7 @@
         if state is None:
             return
         state.refused_until[pool] = now + REFUSED_S
+        state.confirmed_until.pop(pool, None)
         if state.peer.zone == self.zone:
             self.zone_refused_until[pool] = now + REFUSED_S
 
--- a/src/godwitmast/forwarding/terms.py
+++ b/src/godwitmast/forwarding/terms.py
@@ -12,7 +12,10 @@
 ATTEMPTS_HEADER = b"godwit-forward-attempts"
 METERED_HEADER = b"godwit-forward-metered"
 POOL_HEADER = b"godwit-forward-pool"
-HEADERS = frozenset([CONFIG_HEADER, POOL_HEADER, ATTEMPTS_HEADER, METERED_HEADER])
+QUESTION_HEADER = b"godwit-forward-question"
+HEADERS = frozenset(
+    [CONFIG_HEADER, POOL_HEADER, ATTEMPTS_HEADER, METERED_HEADER, QUESTION_HEADER]
+)
 
 
 class ForwardTerms(NamedTuple):
@@ -20,13 +23,15 @@
 
     `config` is the configuration by which it was accepted, and the oldest that may
     serve it. `pool` is the one whose servers could not be reached. `attempts` is how many servers may still run it, if that is bounded.
-    `metered` says that its start has been counted as usage.
+    `metered` says that its start has been counted as usage. If `is_question`, there is
+    no request yet: the VM is asked whether it would take one.
     """
 
     config: int
     pool: PoolName
     attempts: int | None = None
     metered: bool = False
+    is_question: bool = False
 
     def add_to(self, headers: Headers) -> Headers:
         """Return a caller's headers with the terms, in place of any that it sent."""
@@ -43,6 +48,8 @@
             pairs[ATTEMPTS_HEADER] = str(self.attempts)
         if self.metered:
             pairs[METERED_HEADER] = "1"
+        if self.is_question:
+            pairs[QUESTION_HEADER] = "1"
         return [(name.decode(), value) for name, value in pairs.items()]
 
 
@@ -58,7 +65,8 @@
     if attempts is not None and not attempts.isdecimal():
         return None, rest
     allowed = None if attempts is None else int(attempts)
-    return ForwardTerms(int(config), pool, allowed, METERED_HEADER in found), rest
+    flags = METERED_HEADER in found, QUESTION_HEADER in found
+    return ForwardTerms(int(config), pool, allowed, *flags), rest
 
 
 def decode_pool(text: str) -> PoolName | None:
--- a/tests/partition.py
+++ b/tests/partition.py
@@ -29,6 +29,7 @@
 
     def __init__(self, node: Node) -> None:
         self.cut = Cut.NONE
+        self.ports: frozenset[int] | None = None
         self.changed = anyio.Event()
         transport = node.client.http._transport
         assert isinstance(transport, httpx.AsyncHTTPTransport)
@@ -36,30 +37,34 @@
         transport._pool._network_backend = self
         node.probes.connect = self.probe
 
-    def set(self, cut: Cut) -> None:
-        self.cut = cut
+    def set(self, cut: Cut, ports: frozenset[int] | None = None) -> None:
+        """Cut the links to the servers at some ports, or to all."""
+        self.cut, self.ports = cut, ports
         self.changed.set()
         self.changed = anyio.Event()
 
+    def cut_of(self, port: int) -> Cut:
+        return self.cut if self.ports is None or port in self.ports else Cut.NONE
+
     async def connect_tcp(
         self, host: str, port: int, timeout: float | None = None, **options: Any
     ) -> httpcore.AsyncNetworkStream:
         with anyio.move_on_after(timeout):
-            await self.pass_connect()
+            await self.pass_connect(port)
             stream = await self.network.connect_tcp(host, port, timeout, **options)
-            return PartitionedStream(self, stream)
+            return PartitionedStream(self, stream, port)
         raise httpcore.ConnectTimeout
 
-    async def pass_connect(self) -> None:
+    async def pass_connect(self, port: int) -> None:
         """Return if a connection can be opened."""
-        while self.cut is Cut.SILENT:
+        while self.cut_of(port) is Cut.SILENT:
             await self.changed.wait()
-        if self.cut is not Cut.NONE:
+        if self.cut_of(port) is not Cut.NONE:
             raise httpcore.ConnectError("refused")
 
     async def probe(self, host: str, port: int) -> None:
         try:
-            await self.pass_connect()
+            await self.pass_connect(port)
         except httpcore.ConnectError as error:
             raise OSError(str(error)) from None
         await open_connection(host, port)
@@ -72,15 +77,16 @@
     """A connection across the partition."""
 
     def __init__(
-        self, partition: Partition, stream: httpcore.AsyncNetworkStream
+        self, partition: Partition, stream: httpcore.AsyncNetworkStream, port: int
     ) -> None:
         self.partition = partition
+        self.port = port
         self.stream = stream
         self.unsent = b""
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         while True:
-            match self.partition.cut:
+            match self.partition.cut_of(self.port):
                 case Cut.RESET:
                     raise httpcore.ReadError("reset")
                 case Cut.SILENT:
@@ -123,7 +129,7 @@
         raise httpcore.ReadError("timed out")
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        match self.partition.cut:
+        match self.partition.cut_of(self.port):
             case Cut.RESET:
                 raise httpcore.WriteError("reset")
             case Cut.SILENT:
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -344,3 +344,46 @@
         await anyio.sleep(0.4)
         fleet.cut(Cut.RESET, 2)
     assert statuses == [200] * 6
+
+
+@pytest.mark.parametrize("lost", ["one", "all"])
+async def test_servers_silent_for_a_second_complete_their_requests(
+    fleet: VmFleet, http: httpx.AsyncClient, lost: str
+) -> None:
+    """Guards against a short silence that is taken for a crash or for lost links."""
+    for engine in fleet.engines:
+        engine.events, engine.event_s = 30, 0.03
+    silent = fleet.replicas if lost == "all" else [fleet.engines[0], fleet.plain[0]]
+    ports = frozenset(replica.server.port for replica in silent)
+    callers = Callers(fleet, http)
+    statuses: list[tuple[str, int]] = []
+
+    async def send(node: Node, path: str, number: int) -> None:
+        answer = await callers.send(node, path, str(number).encode())
+        statuses.append((path, answer.status_code))
+        if path.startswith("/chat/"):
+            lines = answer.text.splitlines()
+            numbers = [int(line[4:]) for line in lines if line.startswith("id:")]
+            assert numbers == list(range(1, 31))
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(12):
+            if number == 4:
+                for partition in fleet.partitions:
+                    partition.set(Cut.SILENT, ports)
+            if number == 10:
+                fleet.heal()
+            for path in PATHS:
+                tasks.start_soon(send, fleet.nodes[number % VMS], path, number)
+            await anyio.sleep(0.2)
+    assert [item for item in statuses if item[1] != 200] == []
+    for node in fleet.nodes:
+        guard = node.driver.router.guard
+        assert (guard.suspects, guard.quarantined) == ({}, {})
+    payments = [
+        served.headers["attempt-id"]
+        for replica in fleet.plain
+        for served in replica.served
+        if served.target.startswith("/pay/")
+    ]
+    assert len(payments) == len(set(payments)) == 12
