--- a/src/godwitmast/dispatch/connectivity.py
+++ b/src/godwitmast/dispatch/connectivity.py
@@ -154,14 +154,13 @@
         self.pools_of: dict[BackendId, list[PoolName]] = {}
 
     def update_servers(self, servers: Mapping[PoolName, Iterable[BackendId]]) -> None:
-        """Replace the servers by pool."""
+        """Replace the servers by pool; a pool without servers keeps its state."""
         self.pools_of = {}
-        for pool, backend_ids in servers.items():
+        for pool in [*servers.keys(), *(self.pools.keys() - servers.keys())]:
             connectivity = self.pools.setdefault(pool, Connectivity())
-            connectivity.update_servers(backend_ids)
+            connectivity.update_servers(servers.get(pool, ()))
             for backend_id in connectivity.servers:
                 self.pools_of.setdefault(backend_id, []).append(pool)
-        self.pools = {pool: self.pools[pool] for pool in servers}
 
     def record_heard(self, backend_id: BackendId, now: float) -> None:
         """Record that bytes of an answer arrived from a server."""
--- a/src/godwitmast/entry/forwarding.py
+++ b/src/godwitmast/entry/forwarding.py
@@ -258,7 +258,9 @@
         config = self.app.config
         if self.app.stopping or config is None or config.version < terms.config:
             return False
-        return await self.probes.verify(terms.pool)
+        # Servers whose connections are all in use refuse new ones of every VM: a VM that
+        # has some open would otherwise draw the requests of all others.
+        return await self.probes.verify(terms.pool, connects=terms.is_question)
 
     async def refuse(self, receive: Receive, send: Send) -> None:
         """Refuse a request; its body is read before, see `read_body`."""
--- a/src/godwitmast/entry/probes.py
+++ b/src/godwitmast/entry/probes.py
@@ -121,13 +121,16 @@
         self.probes.labels(outcome.value).inc()
         return outcome
 
-    async def verify(self, pool: PoolName) -> bool:
-        """Return whether a pool's server was heard of just now, or accepts a
-        connection."""
+    async def verify(self, pool: PoolName, connects: bool = False) -> bool:
+        """Return whether a server of a pool accepts connections from this VM.
+
+        Unless `connects`, a server that was heard of just now counts as well.
+        """
         connectivity = self.pools.get(pool)
         if connectivity is None or connectivity.is_unreachable:
             return False
-        if self.driver.clock.now() < connectivity.last_heard_at + FRESH_S:
+        now = self.driver.clock.now()
+        if not connects and now < connectivity.last_heard_at + FRESH_S:
             return True
         for backend_id in connectivity.sample_servers():
             if await self.try_connecting(backend_id) is ProbeOutcome.CONNECTED:
