--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -51,6 +51,9 @@
 """A crash breaks all connections of its server within milliseconds. A request that is
 still served there after this time was not part of it."""
 
+UNREACHABLE_RETRY_S = (0.1, 0.2)
+"""Random wait of a request while no server of its pool can be reached from here."""
+
 LINK_LOSS_S = 2.0
 """How long broken connections may precede the finding that no server can be reached."""
 
@@ -327,8 +330,13 @@
             active.failures >= MAX_FAILURES
             or active.unsent_failures >= MAX_UNSENT_FAILURES
         )
-        is_exhausted = too_many or not active.may_run_again
         arrived = kind is not FailureKind.CONNECT
+        is_unreachable = active.request.pool in self.unreachable_pools
+        if is_unreachable and not arrived and not is_unsafe:
+            # Another entry may take it at any moment, or the links be back.
+            self.delay(active, now + self.random.uniform(*UNREACHABLE_RETRY_S))
+            return []
+        is_exhausted = too_many or not active.may_run_again
         if is_unsafe or is_exhausted or (arrived and not self.spend_retry(active)):
             self.end_request(active, now)
             code = RefusalCode.BACKEND_FAILED
--- a/src/godwitmast/forwarding/peers.py
+++ b/src/godwitmast/forwarding/peers.py
@@ -30,7 +30,7 @@
 """How long a peer that reached servers, or served a request, is taken to do so."""
 
 UNREACHABLE_S = 5.0
-"""How long a peer that did not accept a connection is not chosen."""
+"""How long a peer that did not accept a connection, or broke it, is the last choice."""
 
 STALE_S = 8.0
 """A peer whose row has not changed for this long has ended. Rows change every 2.5 s or
@@ -50,19 +50,19 @@
 
 @dataclass(slots=True)
 class PeerState:
-    """A peer, since when its row has not changed, and until when it is not chosen."""
+    """A peer, since when its row has not changed, and what is known of it."""
 
     peer: Peer
     row_changed_at: float
-    avoid_until: float = 0.0
+    unreachable_until: float = 0.0
     refused_until: dict[PoolName, float] = field(default_factory=dict)
     confirmed_until: dict[PoolName, float] = field(default_factory=dict)
 
     def is_usable(self, pool: PoolName, now: float) -> bool:
         if pool in self.peer.unreachable_pools:
             return False
-        avoided = now < max(self.avoid_until, self.refused_until.get(pool, 0.0))
-        return not avoided and now < self.row_changed_at + STALE_S
+        refused = now < self.refused_until.get(pool, 0.0)
+        return not refused and now < self.row_changed_at + STALE_S
 
 
 class PeerChoice:
@@ -110,15 +110,22 @@
         if state is not None:
             state.confirmed_until[pool] = now + CONFIRMED_S
 
-    def usable(self, pool: PoolName, now: float) -> list[Peer]:
-        states = self.states.values()
-        return [state.peer for state in states if state.is_usable(pool, now)]
+    def usable(self, pool: PoolName, tried: set[str], now: float) -> list[Peer]:
+        """Return the peers that may be chosen; unreachable ones if there are no
+        others."""
+        states = [
+            state
+            for address, state in self.states.items()
+            if address not in tried and state.is_usable(pool, now)
+        ]
+        reachable = [state for state in states if now >= state.unreachable_until]
+        return [state.peer for state in reachable or states]
 
     def choose(self, pool: PoolName, tried: set[str], now: float) -> Peer | None:
         """Return the peer for a request that was offered to `tried`, or None."""
         if len(tried) >= MAX_PEERS or self.is_paused(pool, now):
             return None
-        usable = [p for p in self.usable(pool, now) if p.address not in tried]
+        usable = self.usable(pool, tried, now)
         own = [peer for peer in usable if peer.zone == self.zone]
         others = [peer for peer in usable if peer.zone != self.zone]
         if now < self.zone_refused_until.get(pool, 0.0):
@@ -147,7 +154,8 @@
         """Record that a peer did not accept a connection, or broke it."""
         state = self.states.get(address)
         if state is not None:
-            state.avoid_until = now + UNREACHABLE_S
+            state.unreachable_until = now + UNREACHABLE_S
+            state.confirmed_until.clear()
 
     def record_exhausted(self, pool: PoolName, now: float) -> None:
         """Record that no peer took a request for a pool."""
--- a/tests/test_connectivity.py
+++ b/tests/test_connectivity.py
@@ -5,13 +5,30 @@
 import pytest
 
 from godwitmast.backends.client import CONNECT_TIMEOUT_S
+from godwitmast.config.parsing import parse_document
 from godwitmast.dispatch.connectivity import (
     MAX_PROBES,
     SILENCE_S,
     Connectivity,
+    ConnectivityTable,
     ProbeOutcome,
 )
-from godwitmast.types import BackendId
+from godwitmast.dispatch.messages import (
+    BackendSpec,
+    FailureKind,
+    Release,
+    RequestSpec,
+    Start,
+)
+from godwitmast.dispatch.router import MAX_UNSENT_FAILURES, Router
+from godwitmast.types import (
+    BackendId,
+    ClassName,
+    PoolName,
+    RequestId,
+    TeamName,
+    ZoneName,
+)
 
 TICK_S = 0.05
 KNOWN_WITHIN_S = 2.0
@@ -153,3 +170,73 @@
 
     play(machine, answer, 5.5)
     assert not machine.is_unreachable
+
+
+def test_pool_whose_servers_are_gone_for_a_while_is_still_unreachable() -> None:
+    """Guards against a pool that is reachable by its state and not by the router's."""
+    table = ConnectivityTable()
+    pool = PoolName("lm")
+    table.update_servers({pool: servers(2)})
+    table.record_failure(BackendId("s0"))
+    play(table.pools[pool], fail, KNOWN_WITHIN_S)
+    assert table.is_unreachable(pool)
+    table.update_servers({})
+    assert table.unreachable_pools() == [pool]
+    assert table.pools[pool].due_probes(None, 10.0) == []
+    table.update_servers({pool: servers(1)})
+    [probed] = table.pools[pool].due_probes(None, 10.0)
+    table.pools[pool].record_probe(probed, ProbeOutcome.CONNECTED, 10.0)
+    assert not table.is_unreachable(pool)
+
+
+def test_failure_of_one_pool_leaves_the_others_alone() -> None:
+    table = ConnectivityTable()
+    table.update_servers(
+        {PoolName("lm"): servers(2), PoolName("app"): [BackendId("p")]}
+    )
+    table.record_failure(BackendId("p"))
+    assert table.is_undecided()
+    assert table.pools[PoolName("lm")].due_probes(None, 1.0) == []
+    assert table.pools[PoolName("app")].due_probes(None, 1.0) == ["p"]
+
+
+def test_request_waits_while_no_server_can_be_reached() -> None:
+    """Guards against a refusal within a moment, before another entry can take it."""
+    document = parse_document(
+        {
+            "classes": {"question": {"tier": 1, "first_token_s": 5.0}},
+            "teams": {"arima": {}},
+            "models": {"lm": {}},
+        }
+    )
+    router = Router(document, ZoneName("a"), 1)
+    specs = [BackendSpec(s, ZoneName("a"), frozenset(["lm"])) for s in servers(8)]
+    router.update_backends(specs, 0.0)
+    pool = PoolName("lm")
+    router.record_unreachable_pool(pool, 0.0)
+    request = RequestSpec(
+        RequestId("r1"),
+        TeamName("arima"),
+        ClassName("question"),
+        pool,
+        0.0,
+        may_forward=True,
+    )
+    now, failed = 0.0, 0
+    actions = router.submit(request, now)
+    while now < 2.0:
+        now += TICK_S
+        starts = [action for action in actions if isinstance(action, Start)]
+        assert starts == actions, "nothing is refused"
+        actions = router.tick(now)
+        for start in starts:
+            failed += 1
+            ids = (start.request_id, start.attempt_id)
+            actions += router.record_failure(*ids, FailureKind.CONNECT, now)
+    assert failed > MAX_UNSENT_FAILURES
+    released = router.release_requests(pool, lambda server, since: True, now)
+    assert [a for a in released if isinstance(a, Release)] == [Release(RequestId("r1"))]
+    assert router.release_requests(pool, lambda server, since: True, now) == []
+    router.record_reachable_pool(pool, now)
+    [start] = router.take_back(RequestId("r1"), now)
+    assert isinstance(start, Start)
