--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -54,6 +54,10 @@
 UNREACHABLE_RETRY_S = (0.1, 0.2)
 """Random wait of a request while no server of its pool can be reached from here."""
 
+UNREACHABLE_HOLD_S = 1.5
+"""How long after its arrival a request is held then. Other entries are found within a
+second, if any reaches servers; else its caller is told soon."""
+
 LINK_LOSS_S = 2.0
 """How long broken connections may precede the finding that no server can be reached."""
 
@@ -331,8 +335,7 @@
             or active.unsent_failures >= MAX_UNSENT_FAILURES
         )
         arrived = kind is not FailureKind.CONNECT
-        is_unreachable = active.request.pool in self.unreachable_pools
-        if is_unreachable and not arrived and not is_unsafe:
+        if not arrived and not is_unsafe and self.may_hold(active, now):
             # Another entry may take it at any moment, or the links be back.
             self.delay(active, now + self.random.uniform(*UNREACHABLE_RETRY_S))
             return []
@@ -348,6 +351,11 @@
         self.delay(active, now + wait_s)
         return []
 
+    def may_hold(self, active: ActiveRequest, now: float) -> bool:
+        """Return whether a request may wait although no server can be reached."""
+        is_unreachable = active.request.pool in self.unreachable_pools
+        return is_unreachable and now < active.request.arrived + UNREACHABLE_HOLD_S
+
     def spend_retry(self, active: ActiveRequest) -> bool:
         """Spend a retry from the pool's budget; return whether one was available."""
         return self.budgets.for_pool(active.request.pool).try_spend()
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -255,7 +255,8 @@
     async def forward_to_peer(self, attempts: int | None) -> bool:
         """Have another VM serve the request; return whether the caller is answered.
 
-        `attempts` is how many servers may still run it, if that is bounded. A VM that does not take the request has not run it, and the next one is asked.
+        `attempts` is how many servers may still run it, if that is bounded. A VM that
+        does not take the request has not run it, and the next one is asked.
         """
         assert self.forwarder is not None
         tried: set[str] = set()
@@ -277,7 +278,9 @@
                 self.forwarder.record_failure(peer, self.spec.pool, failure.kind)
                 if failure.kind in (FailureKind.CONNECT, FailureKind.REFUSED):
                     self.may_have_run = self.may_have_run_before
-                if self.may_have_run and not self.spec.idempotent:
+                elif attempts is not None:
+                    attempts -= 1
+                if attempts == 0 or (self.may_have_run and not self.spec.idempotent):
                     await self.refuse_failed()
                     return True
                 continue
@@ -317,13 +320,16 @@
                 await self.forward_whole(None, answer)
 
     async def pass_refusal(self, answer: httpx.Response, not_run: bool) -> None:
-        """Pass on another VM's refusal, or fail if the request may be sent again."""
+        """Pass on another VM's refusal; a stream that has begun may go on elsewhere."""
         body = await read_raw(answer)
-        if self.head_sent or (not not_run and self.spec.idempotent):
-            detail = f"status {answer.status_code} of another VM"
-            raise AttemptFailed(FailureKind.ERROR, detail)
         if not_run:
             self.may_have_run = self.may_have_run_before
+        if self.head_sent and not_run:
+            detail = f"status {answer.status_code} of another VM"
+            raise AttemptFailed(FailureKind.REFUSED, detail)
+        if self.head_sent:
+            await self.refuse_failed()
+            return
         self.error_code = "refused_by_peer"
         headers = self.outbound.whole_headers(answer)
         await self.send_answer(WholeAnswer(answer.status_code, headers, body))
