--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -605,7 +605,7 @@
         states = self.limited_servers.values()
         return sum(state.rate_limit.per_s is not None for state in states)
 
-    def count_brittle(self) -> int:
+    def count_rejection_limited(self) -> int:
         """Return the number of servers that state a limit on rejections."""
         states = self.limited_servers.values()
         return sum(state.rejection_limit.per_s is not None for state in states)
--- a/src/godwitmast/dispatch/rejection_limit.py
+++ b/src/godwitmast/dispatch/rejection_limit.py
@@ -1,8 +1,8 @@
-"""A limit on rejections a second that a brittle backend server can bear.
+"""A limit on rejections a second that a backend server can bear.
 
-Load pattern: a burst at servers that fall over when they have to reject too many
+Load pattern: a burst at servers that crash when they have to reject too many
 requests in a second. Each of many routers sees little of a server's load, sends it one
-request more than it has room for, and together they make it fall over; the others then
+request more than it has room for, and together they crash it; the others then
 get its load and follow.
 
 While a server states the limit, only what fits into part of its places by its latest
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -448,11 +448,11 @@
         if self.router is None:
             return
         table = self.router.backends
-        brittle = table.count_brittle()
+        limited = table.count_rejection_limited()
         actions = self.router.record_rejection_limit(
             backend_id, per_s, sent_at, self.clock.now()
         )
-        if brittle != table.count_brittle():
+        if limited != table.count_rejection_limited():
             log_event(
                 "server_rejection_limit",
                 backend=backend_id,
@@ -461,9 +461,9 @@
             )
         self.deliver_actions(actions)
 
-    def count_brittle_servers(self) -> int:
+    def count_rejection_limited_servers(self) -> int:
         """Return the number of servers that state a limit on rejections."""
-        return self.router.backends.count_brittle() if self.router else 0
+        return self.router.backends.count_rejection_limited() if self.router else 0
 
     def limited_turns_per_s(self) -> float:
         """Return this entry's turns per second at the server with the lowest rate."""
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -351,12 +351,12 @@
             registry=registry,
         )
         limited_share.set_function(self.driver.limited_turns_per_s)
-        brittle = Gauge(
-            "godwit_brittle_servers",
+        rejection_limited = Gauge(
+            "godwit_rejection_limited_servers",
             "Servers that state how many rejections a second they bear.",
             registry=registry,
         )
-        brittle.set_function(self.driver.count_brittle_servers)
+        rejection_limited.set_function(self.driver.count_rejection_limited_servers)
         quarantined = Gauge(
             "godwit_quarantined_fingerprints",
             "Requests, by fingerprint, that this VM refuses as they crash servers.",
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -678,13 +678,13 @@
         answer = await fleet.request(http, "/peek/1", "POST", **headers)
         assert answer.status_code == 200
         await anyio.sleep(0.02)
-    assert fleet.node.driver.count_brittle_servers() == 1
+    assert fleet.node.driver.count_rejection_limited_servers() == 1
     allowed = 2 * (time.monotonic() - began_at) + 2
     assert 0 < brittle.shed <= allowed
     brittle.faults.sheds = False
     brittle.faults.rejection_limit = None
     with anyio.fail_after(20):
-        while fleet.node.driver.count_brittle_servers():
+        while fleet.node.driver.count_rejection_limited_servers():
             async with anyio.create_task_group() as tasks:
                 for _ in range(4):
                     tasks.start_soon(fleet.request, http, "/peek/1", "POST")
