--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -4,6 +4,7 @@
 import ssl
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
+from enum import Enum
 from typing import Protocol, TypeAlias
 
 import httpx
@@ -23,6 +24,15 @@
 REJECTION_LIMIT_HEADER = "engine-rejection-limit"
 
 
+class Framing(Enum):
+    """How the end of an answer's body is told on its connection."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+    """The body ends with the connection, and so does one that was broken off."""
+
+
 class AttemptFailed(Exception):
     """An attempt ended without a complete answer."""
 
@@ -173,6 +183,13 @@
     return rate if math.isfinite(rate) and rate >= 0 else None
 
 
+def framing_of(answer: httpx.Response) -> Framing:
+    """Return how the end of an answer's body is told."""
+    if "transfer-encoding" in answer.headers:
+        return Framing.CHUNKED
+    return Framing.LENGTH if "content-length" in answer.headers else Framing.CLOSE
+
+
 def failure_kind(error: httpx.HTTPError) -> FailureKind:
     """Return how an exchange failed, which tells whether the request may have run."""
     match error:
--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -260,6 +260,8 @@
             forwarded=exchange.is_forwarded,
             attempts=exchange.attempts,
             may_have_run=exchange.may_have_run,
+            framing=exchange.framing.value if exchange.framing else None,
+            partial_bytes=exchange.partial_bytes,
             first_s=first_s,
             total_s=self.clock.now() - spec.arrived,
             tokens=tokens,
@@ -267,6 +269,8 @@
             gap_ended_s=None if gap_ended_at is None else gap_ended_at - spec.arrived,
             config=self.config.version if self.config else None,
         )
+        if exchange.framing is not None:
+            self.metrics.count_answer(exchange.framing.value, exchange.error_code)
         for kind, tokens in exchange.tokens_by_kind.items():
             self.metrics.count_server_tokens(kind, tokens)
         if exchange.reached_backend:
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -16,7 +16,12 @@
 import httpx
 from anyio.lowlevel import checkpoint
 
-from godwitmast.backends.client import AttemptFailed, BackendClient
+from godwitmast.backends.client import (
+    AttemptFailed,
+    BackendClient,
+    Framing,
+    framing_of,
+)
 from godwitmast.claims.keeper import ClaimedCall
 from godwitmast.claims.machine import (
     Answer,
@@ -166,6 +171,10 @@
     last_backend: BackendId | None = None
     failed_answer: WholeAnswer | None = None
     """A server's error answer, sent to the caller if no other server succeeds."""
+    framing: Framing | None = None
+    """Framing of the last backend server's answer."""
+    partial_bytes: int = 0
+    """Length of the incomplete event with which the last attempt at a stream ended."""
     head_sent: bool = False
     reached_backend: bool = False
     token_times: TokenTimes = field(default_factory=TokenTimes)
@@ -267,7 +276,7 @@
             try:
                 await self.forward_via(peer, attempts)
             except AttemptFailed as failure:
-                self.reader.discard_partial_event()
+                self.discard_partial_event()
                 log_event(
                     "forward_failed",
                     request=self.spec.request_id,
@@ -411,10 +420,10 @@
                     await checkpoint()
                 await self.forward(start, url, scope)
             if scope.cancelled:
-                self.reader.discard_partial_event()
+                self.discard_partial_event()
                 return False
         except AttemptFailed as failure:
-            self.reader.discard_partial_event()
+            self.discard_partial_event()
             log_event(
                 "attempt_failed",
                 request=self.spec.request_id,
@@ -422,6 +431,8 @@
                 attempt=start.attempt_id,
                 kind=failure.kind.value,
                 detail=failure.detail,
+                framing=self.framing.value if self.framing else None,
+                partial_bytes=self.partial_bytes,
             )
             self.record_attempt_failure(start, failure.kind)
             return False
@@ -494,6 +505,7 @@
             start.backend_id, self.driver.clock.now(), source
         )
         self.attempts += 1
+        self.framing, self.partial_bytes = None, 0
         self.last_backend = start.backend_id
         self.may_have_run_before = self.may_have_run
         self.may_have_run = True
@@ -515,6 +527,7 @@
                     FailureKind.CUT, "the answer belongs to another request"
                 )
             self.reached_backend = True
+            self.framing = framing_of(answer)
             if (
                 answer.status_code >= 500
                 and outbound.error_policy is not ErrorPolicy.ANSWER
@@ -561,6 +574,7 @@
             scope.defer_cancel()
             await self.forward_events(start, answer, data)
             scope.allow_cancel()
+        self.partial_bytes = len(reader.partial_event)
         rest = reader.end()
         if not reader.done:
             raise AttemptFailed(
@@ -653,6 +667,11 @@
         self.status = answer.status
         await send_response(self.send, *answer)
 
+    def discard_partial_event(self) -> None:
+        """Drop what an attempt that ended left of an incomplete event."""
+        self.partial_bytes = len(self.reader.partial_event)
+        self.reader.discard_partial_event()
+
     def record_attempt_failure(self, start: Start, kind: FailureKind) -> None:
         if kind in (FailureKind.CONNECT, FailureKind.REFUSED):
             # No byte was sent, or the server says that it did not run the request;
--- a/src/godwitmast/entry/metrics.py
+++ b/src/godwitmast/entry/metrics.py
@@ -120,6 +120,13 @@
             ["kind"],
             registry=self.registry,
         )
+        self.answers = Counter(
+            "godwit_backend_answers",
+            "Requests that a backend server answered, by the framing of the answer and "
+            "by whether the caller got a whole answer.",
+            ["framing", "whole"],
+            registry=self.registry,
+        )
         self.first_token = Histogram(
             "godwit_first_token_seconds",
             "From a request's arrival to its first token.",
@@ -181,6 +188,10 @@
         if tokens:
             self.wasted_tokens.labels(class_name).inc(tokens)
 
+    def count_answer(self, framing: str, error_code: str | None) -> None:
+        """Count a request by the framing of the last answer to it."""
+        self.answers.labels(framing, str(error_code is None).lower()).inc()
+
     def count_server_tokens(self, kind: str, tokens: int) -> None:
         """Count tokens by the kind of backend server that generated them."""
         self.server_tokens.labels(kind).inc(tokens)
--- a/src/godwitmast/entry/outbound.py
+++ b/src/godwitmast/entry/outbound.py
@@ -56,6 +56,7 @@
 
     done: bool
     usage: TokenCount | None
+    partial_event: bytes
 
     @property
     def delivered(self) -> int:
