Failing tests: a stream that broke off inside an event looks complete

Answers of the stand-in replica can lose their framing, so that they end with their connection; with that a stream that breaks off inside an event reaches its caller as a complete answer, and one that may be resumed isn't.

--- a/src/godwitmast/standins/replica.py
+++ b/src/godwitmast/standins/replica.py
@@ -20,6 +20,7 @@
 )
 from godwitmast.settings import Listen
 from godwitmast.standins.store import StoreStandin, read_body
+from godwitmast.standins.unframed import UnframedFront
 from godwitmast.types import Json
 
 SEAL_HEADER = b"server-seal"
@@ -48,6 +49,8 @@
     """It refuses every request with a header that says that it was not executed."""
     cut_after: int | None = None
     """Streams break off within the event after this number; plain answers half-way."""
+    cut_between: bool = False
+    """Streams break off before that event instead."""
     wrong_id: bool = False
     """Its answers carry the attempt id of another request."""
     hangs: bool = False
@@ -83,9 +86,18 @@
     def __post_init__(self) -> None:
         self.server = HttpServer(self, Listen(), grace_s=0.1)
         self.running_scopes: set[anyio.CancelScope] = set()
+        self.port = 0
 
     async def start(self, tasks: TaskGroup) -> None:
         await self.server.start(tasks)
+        self.port = self.server.port
+        self.publish_row(READY)
+
+    async def remove_framing(self, tasks: TaskGroup, resets: bool = False) -> None:
+        """Answer without a length or chunks from now on; see `UnframedFront`."""
+        front = UnframedFront(self.server.port, resets)
+        await front.start(tasks)
+        self.port = front.port
         self.publish_row(READY)
 
     async def close(self) -> None:
@@ -95,7 +107,7 @@
         """Write this server's row to the store; `more_fields` replace or add to it."""
         row = {
             "service": self.service,
-            "address": f"127.0.0.1:{self.server.port}",
+            "address": f"127.0.0.1:{self.port}",
             "zone": self.zone,
             "version": "v1",
             "batchSlots": self.places,
@@ -204,7 +216,7 @@
         )
         for number in range(after + 1, self.events + 1):
             if self.faults.cut_after is not None and number > self.faults.cut_after:
-                half = f"id: {number}\nda".encode()
+                half = b"" if self.faults.cut_between else f"id: {number}\nda".encode()
                 await send(
                     {"type": "http.response.body", "body": half, "more_body": True}
                 )
--- /dev/null
+++ b/tests/test_unframed_answers.py
@@ -0,0 +1,67 @@
+"""Answers of backend servers that have no length and end with their connection."""
+
+from collections.abc import AsyncIterator
+
+import anyio
+import httpx
+import pytest
+
+from fleet import PROMPT, Fleet
+from running import running
+
+pytestmark = pytest.mark.anyio
+
+WHOLE_STREAM = "".join(f"id: {n}\ndata: event {n}\n\n" for n in range(1, 6))
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[Fleet]:
+    async with running(Fleet()) as started:
+        yield started
+
+
+async def remove_framing(fleet: Fleet, resets: bool = False) -> None:
+    """Have all servers answer without framing, and wait until the VM knows."""
+    for replica in fleet.replicas:
+        await replica.remove_framing(fleet.tasks, resets)
+    ports = {replica.port for replica in fleet.replicas}
+
+    def known() -> bool:
+        urls = fleet.node.driver.urls.values()
+        return {httpx.URL(url).port for url in urls} == ports
+
+    await fleet.wait_until(known)
+
+
+@pytest.mark.parametrize("resets", [False, True], ids=["closed", "reset"])
+async def test_stream_broken_off_inside_an_event_does_not_look_complete(
+    fleet: Fleet, http: httpx.AsyncClient, resets: bool
+) -> None:
+    """Guards against the end of a connection that is taken for the end of a stream."""
+    await remove_framing(fleet, resets)
+    for engine in fleet.engines:
+        engine.faults.cut_after = 2
+    with pytest.raises(httpx.RemoteProtocolError):
+        await fleet.request(http, "/digest/1", "POST", **PROMPT)
+    assert sum(len(engine.served) for engine in fleet.engines) == 1
+
+
+async def test_stream_broken_off_inside_an_event_is_resumed(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against a broken stream that is passed on instead of being resumed."""
+    await remove_framing(fleet)
+    first, second = fleet.engines
+    first.faults.cut_after = second.faults.cut_after = 2
+
+    async def repair_the_other() -> None:
+        await fleet.wait_until(lambda: first.served or second.served)
+        (second if first.served else first).faults.cut_after = None
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(repair_the_other)
+        answer = await fleet.request(http, "/chat/1", "POST", **PROMPT)
+    assert answer.text == WHOLE_STREAM
+    served = [s for engine in fleet.engines for s in engine.served]
+    resumed = [s.headers.get("last-event-id") for s in served]
+    assert sorted(resumed, key=str) == ["2", None]
