Take a stream that ends inside an event for broken off

Callers got 200 and half an event, framed as complete: the servers of these streams had crashed. The answers had neither a length nor chunks, and EventIdReader took the end of the HTTP framing, which is then any close but a reset, for the end of the stream, and passed on what was left.

A stream is complete only after a complete event. What ends inside one fails as a stream that was cut in chunks does: it is resumed where the route allows, else its caller's connection is closed midway, or gets 502 before the first event; the crash counts against the request and the server. Until now it counted as a complete answer, which ends a suspicion.

Events may end with CRLF or CR as well as LF: such streams were held back until their end, and would now be taken for one incomplete event. An answer of another type than text/event-stream is passed on whole.

--- a/src/godwitmast/entry/events.py
+++ b/src/godwitmast/entry/events.py
@@ -1,12 +1,16 @@
 """Readers of server-sent events, which meter an answer and let an attempt resume it."""
 
+import re
 from typing import Any
 
 import msgspec
 
 from godwitmast.types import TokenCount
 
-EVENT_END = b"\n\n"
+LINE_ENDS = b"\r\n"
+EVENT_END = re.compile(rb"(?:\r\n|\r(?!\n)|\n){2}")
+"""An empty line, after a line that ends in any of the ways that the format allows."""
+
 DATA_PREFIX = b"data:"
 ID_PREFIX = b"id:"
 DONE_DATA = b"[DONE]"
@@ -42,11 +46,14 @@
 CHUNK_DECODER = msgspec.json.Decoder(Chunk)
 
 
-def split_events(joined: bytes) -> tuple[bytes, bytes]:
+def split_events(joined: bytes) -> tuple[list[bytes], bytes]:
     """Return the complete events at the start of `joined`, and the rest."""
-    cut = joined.rfind(EVENT_END)
-    end = cut + len(EVENT_END) if cut >= 0 else 0
-    return joined[:end], joined[end:]
+    events = []
+    start = 0
+    for match in EVENT_END.finditer(joined):
+        events.append(joined[start : match.end()])
+        start = match.end()
+    return events, joined[start:]
 
 
 class CompletionReader:
@@ -65,10 +72,10 @@
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes; return the events that they complete."""
-        whole, self.partial_event = split_events(self.partial_event + data)
-        for event in whole.split(EVENT_END):
-            self.read_event(event)
-        return whole
+        events, self.partial_event = split_events(self.partial_event + data)
+        for event in events:
+            self.read_event(event.lstrip(LINE_ENDS))
+        return b"".join(events)
 
     def read_event(self, event: bytes) -> None:
         if not event.startswith(DATA_PREFIX):
@@ -105,8 +112,9 @@
 class EventIdReader:
     """Splits a stream into events, and keeps the id of the last one.
 
-    Such a stream has no closing event: it is complete when the answer's HTTP framing
-    ends.
+    Such a stream has no closing event: it is complete when the answer ends after a
+    complete event. The end of the answer's HTTP framing is not enough: an answer without
+    a length or chunks ends with its connection, however that came about.
     """
 
     def __init__(self) -> None:
@@ -118,15 +126,21 @@
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes; return the events that they complete."""
-        whole, self.partial_event = split_events(self.partial_event + data)
-        self.delivered += whole.count(EVENT_END)
+        events, self.partial_event = split_events(self.partial_event + data)
+        self.delivered += len(events)
+        whole = b"".join(events)
         for line in whole.splitlines():
             if line.startswith(ID_PREFIX):
                 self.last_id = line[len(ID_PREFIX) :].strip().decode("latin-1")
         return whole
 
     def end(self) -> bytes:
-        """Mark the stream as complete; return the bytes after its last event."""
+        """Mark the stream as complete unless it ended inside an event.
+
+        Return the bytes after its last event, which can only be ends of lines.
+        """
+        if self.partial_event.strip(LINE_ENDS):
+            return b""
         self.done = True
         rest, self.partial_event = self.partial_event, b""
         return rest
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -52,6 +52,7 @@
     Outbound,
     StreamReader,
     WholeAnswer,
+    is_event_stream,
 )
 from godwitmast.entry.refusals import (
     NOT_RUN_HEADER,
@@ -323,7 +324,7 @@
             not_run = answer.headers.get(NOT_RUN_HEADER.decode())
             if not_run is not None:
                 await self.pass_refusal(answer, not_run == NotRun.TRUE.value)
-            elif self.outbound.streams and answer.status_code == 200:
+            elif self.outbound.streams and self.is_stream(answer):
                 await self.forward_stream(None, answer, AttemptScope())
             else:
                 await self.forward_whole(None, answer)
@@ -533,7 +534,7 @@
                 and outbound.error_policy is not ErrorPolicy.ANSWER
             ):
                 await self.raise_server_error(answer)
-            if outbound.streams and answer.status_code == 200:
+            if outbound.streams and self.is_stream(answer):
                 await self.forward_stream(start, answer, scope)
             else:
                 await self.forward_whole(start, answer)
@@ -563,6 +564,15 @@
             )
         raise AttemptFailed(FailureKind.ERROR, f"status {answer.status_code}")
 
+    def is_stream(self, answer: httpx.Response) -> bool:
+        """Return whether an answer to a streamed request consists of events.
+
+        What continues a stream that has begun does in any case.
+        """
+        if answer.status_code != 200:
+            return False
+        return self.head_sent or is_event_stream(answer)
+
     async def forward_stream(
         self, start: Start | None, answer: httpx.Response, scope: AttemptScope
     ) -> None:
--- a/src/godwitmast/entry/outbound.py
+++ b/src/godwitmast/entry/outbound.py
@@ -19,8 +19,9 @@
 )
 """Headers of an answer that apply to a single connection."""
 
+EVENT_STREAM = "text/event-stream"
 EVENT_STREAM_HEADERS: RawHeaders = [
-    (b"content-type", b"text/event-stream"),
+    (b"content-type", EVENT_STREAM.encode()),
     (b"cache-control", b"no-cache"),
 ]
 
@@ -66,7 +67,10 @@
         """Add received bytes; return the events that they complete."""
 
     def end(self) -> bytes:
-        """Handle the end of the answer's HTTP framing; return the remaining bytes."""
+        """Handle the end of the answer's HTTP framing; return the remaining bytes.
+
+        `done` then tells whether the stream is complete.
+        """
 
     def discard_partial_event(self) -> None:
         """Drop an incomplete event, before another attempt resumes the stream."""
@@ -110,6 +114,12 @@
         """Return the usage that the server reported in a whole answer, or None."""
 
 
+def is_event_stream(answer: httpx.Response) -> bool:
+    """Return whether the answer's type is that of an event stream, or is not given."""
+    media_type = answer.headers.get("content-type", EVENT_STREAM).partition(";")[0]
+    return media_type.strip().lower() == EVENT_STREAM
+
+
 def forwarded_headers(
     answer: httpx.Response, dropped: Sequence[str] = ()
 ) -> RawHeaders:
--- a/src/godwitmast/standins/replica.py
+++ b/src/godwitmast/standins/replica.py
@@ -49,6 +49,8 @@
     """It refuses every request with a header that says that it was not executed."""
     cut_after: int | None = None
     """Streams break off within the event after this number; plain answers half-way."""
+    content_type: str = "text/event-stream"
+    """Type that it gives for its streams."""
     cut_between: bool = False
     """Streams break off before that event instead."""
     wrong_id: bool = False
@@ -211,9 +213,8 @@
         self, after: int, head: list[tuple[bytes, bytes]], send: Send
     ) -> None:
         """Send the events after number `after`; the fault `cut_after` breaks off the stream."""
-        await self.send_head(
-            send, 200, [*head, (b"content-type", b"text/event-stream")]
-        )
+        content_type = (b"content-type", self.faults.content_type.encode())
+        await self.send_head(send, 200, [*head, content_type])
         for number in range(after + 1, self.events + 1):
             if self.faults.cut_after is not None and number > self.faults.cut_after:
                 half = b"" if self.faults.cut_between else f"id: {number}\nda".encode()
--- a/tests/test_platform_catalog.py
+++ b/tests/test_platform_catalog.py
@@ -85,13 +85,33 @@
     assert read_tokens("1460") == read_tokens("a,b") == (0, 0)
 
 
-def test_reader_keeps_the_last_complete_event_id_however_bytes_are_split() -> None:
-    stream = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, 4))
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_reader_keeps_the_last_complete_event_id_however_bytes_are_split(
+    line_end: bytes,
+) -> None:
+    event = b"id: %d\ndata: x\n\n".replace(b"\n", line_end)
+    stream = b"".join(event % n for n in range(1, 4))
     for size in range(1, len(stream)):
         reader = EventIdReader()
         pieces = [stream[i : i + size] for i in range(0, len(stream), size)]
         assert b"".join(map(reader.feed, pieces)) + reader.end() == stream
         assert (reader.delivered, reader.last_id) == (3, "3")
+        assert reader.done
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_stream_is_complete_only_after_a_complete_event(line_end: bytes) -> None:
+    """Guards against half an event that is passed on as the end of a stream."""
+    event = b"id: 1\ndata: x\n\n".replace(b"\n", line_end)
+    # Of an empty line's CRLF the CR alone ends the event.
+    complete_from = 2 * len(event) - (line_end == b"\r\n")
+    for size in range(len(event), 2 * len(event) + 1):
+        sent = (event * 2)[:size]
+        reader = EventIdReader()
+        forwarded = reader.feed(sent) + reader.end()
+        is_whole = size == len(event) or size >= complete_from
+        assert reader.done == is_whole
+        assert forwarded == (sent if is_whole else event)
 
 
 def test_partial_event_is_discarded_before_another_server_resumes() -> None:
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -170,6 +170,28 @@
     assert sum(len(engine.served) for engine in fleet.engines) == 2
 
 
+async def test_stream_broken_off_under_another_vm_does_not_look_complete(
+    fleet: VmFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against a broken stream that gets a framing of its own between two VMs."""
+    callers = Callers(fleet, http)
+    [node] = fleet.cut(Cut.RESET, 1)
+    await fleet.settle(callers, [node])
+    for engine in fleet.engines:
+        await engine.remove_framing(fleet.tasks)
+        engine.faults.cut_after = 2
+    ports = {engine.port for engine in fleet.engines}
+    for other in fleet.nodes:
+        await fleet.wait_until(lambda n=other: ports <= ports_of(n))
+    with pytest.raises(httpx.RemoteProtocolError):
+        await callers.send(node, "/chat/1")
+    assert forwards(node, "cut") > 0
+
+
+def ports_of(node: Node) -> set[int | None]:
+    return {httpx.URL(url).port for url in node.driver.urls.values()}
+
+
 @pytest.mark.parametrize("cut", [Cut.RESET, Cut.SILENT, Cut.REFUSE])
 async def test_payment_runs_once_and_is_refused_truly(
     fleet: VmFleet, http: httpx.AsyncClient, cut: Cut
