Take an unframed answer without any event for broken off

A stream whose answer ends with its connection before its first event reached its caller as an empty, complete stream; one that was resumed ended where the second server broke off at once, as if that was all. With neither framing nor an event nothing says that the server was done.

Such an attempt fails as a cut one does: 502 for a request that may not be repeated, the next server or the end of the connection for one that may. A stream whose framing says that it is complete may still be empty.

--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -578,6 +578,7 @@
     ) -> None:
         """Forward complete events until the stream is complete."""
         reader = self.reader
+        before = reader.delivered
         async for data in answer.aiter_raw():
             if start is not None:
                 self.driver.record_heard(start.backend_id)
@@ -585,6 +586,9 @@
             await self.forward_events(start, answer, data)
             scope.allow_cancel()
         self.partial_bytes = len(reader.partial_event)
+        if framing_of(answer) is Framing.CLOSE and reader.delivered == before:
+            # Its server may have failed at once; no event says otherwise.
+            raise AttemptFailed(FailureKind.CUT, "the connection ended without events")
         rest = reader.end()
         if not reader.done:
             raise AttemptFailed(
--- a/src/godwitmast/standins/unframed.py
+++ b/src/godwitmast/standins/unframed.py
@@ -76,7 +76,7 @@
     """Return the next bytes, or none at the end of the connection."""
     try:
         return await stream.receive(READ_BYTES)
-    except (anyio.EndOfStream, anyio.BrokenResourceError):
+    except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
         return b""
 
 
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -109,6 +109,36 @@
     assert answer.status_code == 502
 
 
+async def test_stream_broken_off_before_its_first_event_has_an_error_status(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against an empty stream that looks complete."""
+    await remove_framing(fleet)
+    for engine in fleet.engines:
+        engine.faults.cut_after, engine.faults.cut_between = 0, True
+    answer = await fleet.request(http, "/digest/1", "POST", **PROMPT)
+    assert answer.status_code == 502
+
+
+async def test_stream_resumed_without_any_event_does_not_look_complete(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against a stream that ends where a second server broke off at once."""
+    await remove_framing(fleet)
+    first, second = fleet.engines
+    first.faults.cut_after = second.faults.cut_after = 2
+
+    async def cut_the_other_earlier() -> None:
+        await fleet.wait_until(lambda: first.served or second.served)
+        (second if first.served else first).faults.cut_between = True
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(cut_the_other_earlier)
+        with pytest.raises(httpx.RemoteProtocolError):
+            await fleet.request(http, "/chat/1", "POST", **PROMPT)
+    assert sum(len(engine.served) for engine in fleet.engines) == 2
+
+
 async def test_request_that_ends_streams_of_its_servers_is_suspected(
     fleet: Fleet, http: httpx.AsyncClient
 ) -> None:
