Count a stream whose rest is refused as failed

A server that was to continue a stream and answered with another status than 200 had its answer sent after the events: the HTTP server raised, the caller's connection broke, and the request was logged as answered and counted as late, beside request_broke. Such an attempt now fails, and the next server may continue the stream. The test counted 'late' before.

--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -324,7 +324,9 @@
             not_run = answer.headers.get(NOT_RUN_HEADER.decode())
             if not_run is not None:
                 await self.pass_refusal(answer, not_run == NotRun.TRUE.value)
-            elif self.outbound.streams and self.is_stream(answer):
+                return
+            self.check_continuation(answer)
+            if self.outbound.streams and self.is_stream(answer):
                 await self.forward_stream(None, answer, AttemptScope())
             else:
                 await self.forward_whole(None, answer)
@@ -534,6 +536,7 @@
                 and outbound.error_policy is not ErrorPolicy.ANSWER
             ):
                 await self.raise_server_error(answer)
+            self.check_continuation(answer)
             if outbound.streams and self.is_stream(answer):
                 await self.forward_stream(start, answer, scope)
             else:
@@ -573,6 +576,12 @@
             return False
         return self.head_sent or is_event_stream(answer)
 
+    def check_continuation(self, answer: httpx.Response) -> None:
+        """Fail an attempt whose answer cannot continue a stream that has begun."""
+        if self.head_sent and answer.status_code != 200:
+            detail = f"status {answer.status_code} for the rest of a stream"
+            raise AttemptFailed(FailureKind.ERROR, detail)
+
     async def forward_stream(
         self, start: Start | None, answer: httpx.Response, scope: AttemptScope
     ) -> None:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -182,6 +182,31 @@
     assert answer.headers["server-seal"] == broken.server_id
 
 
+async def test_stream_whose_rest_is_refused_counts_as_failed(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against an error answer that is sent after the events of a stream."""
+    first, second = fleet.engines
+    first.faults.cut_after = second.faults.cut_after = 2
+
+    async def refuse_the_rest() -> None:
+        await fleet.wait_until(lambda: first.served or second.served)
+        other = second if first.served else first
+        other.faults.status, other.faults.cut_after = 404, None
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(refuse_the_rest)
+        with pytest.raises(httpx.RemoteProtocolError):
+            await fleet.request(http, "/chat/1", "POST", **PROMPT)
+    [outcome] = [
+        sample.labels["outcome"]
+        for metric in fleet.node.app.metrics.registry.collect()
+        for sample in metric.samples
+        if sample.name == "godwit_requests_total"
+    ]
+    assert outcome == "backend_failed"
+
+
 async def test_cut_stream_that_may_not_be_resumed_does_not_look_complete(
     fleet: Fleet, http: httpx.AsyncClient
 ) -> None:
