Take an unframed completion that is no JSON document for broken off

godwit-entry's own API: an engine's answer in one piece without a length or chunks, cut by a plain close, reached its caller as a complete answer of half a document (200 in the new test before). The attempt now fails as a cut one does; a completion is idempotent and may be tried elsewhere.

--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -666,6 +666,13 @@
     async def forward_whole(self, start: Start | None, answer: httpx.Response) -> None:
         """Forward an answer that isn't streamed, with its status."""
         body = await read_raw(answer)
+        is_unframed = framing_of(answer) is Framing.CLOSE
+        if (
+            is_unframed
+            and answer.status_code == 200
+            and self.outbound.is_truncated(body)
+        ):
+            raise AttemptFailed(FailureKind.CUT, "the answer ended before it was whole")
         self.token_times.last_at = self.driver.clock.now()
         if start is not None:
             self.record_backend_start()
--- a/src/godwitmast/entry/outbound.py
+++ b/src/godwitmast/entry/outbound.py
@@ -113,6 +113,9 @@
     def usage(self, body: bytes) -> TokenCount | None:
         """Return the usage that the server reported in a whole answer, or None."""
 
+    def is_truncated(self, body: bytes) -> bool:
+        """Return whether the content shows that a successful answer was broken off."""
+
 
 def is_event_stream(answer: httpx.Response) -> bool:
     """Return whether the answer's type is that of an event stream, or is not given."""
@@ -166,6 +169,9 @@
     def usage(self, body: bytes) -> TokenCount | None:
         return None
 
+    def is_truncated(self, body: bytes) -> bool:
+        return False
+
 
 @dataclass
 class ModelOutbound(PlainOutbound):
@@ -193,3 +199,11 @@
 
     def usage(self, body: bytes) -> TokenCount | None:
         return read_usage(body)
+
+    def is_truncated(self, body: bytes) -> bool:
+        """Return whether a completion, which is a JSON document, cannot be decoded."""
+        try:
+            msgspec.json.decode(body)
+        except msgspec.DecodeError:
+            return True
+        return False
--- a/src/godwitmast/platform/frontend.py
+++ b/src/godwitmast/platform/frontend.py
@@ -154,6 +154,9 @@
     def usage(self, body: bytes) -> TokenCount | None:
         return None
 
+    def is_truncated(self, body: bytes) -> bool:
+        return False
+
 
 class ReplicaHeaderParser:
     """Parser for the response headers of the platform's backend servers."""
--- a/src/godwitmast/standins/unframed.py
+++ b/src/godwitmast/standins/unframed.py
@@ -17,12 +17,16 @@
     """Relays each connection's first answer without a length or chunks.
 
     The end of the answer is the end of its connection; so is a break of the server's,
-    unless `resets` has the front reset the connection then.
+    unless `resets` has the front reset the connection then. Of a body only the first
+    `max_bytes` are passed on.
     """
 
-    def __init__(self, server_port: int, resets: bool = False) -> None:
+    def __init__(
+        self, server_port: int, resets: bool = False, max_bytes: int | None = None
+    ) -> None:
         self.server_port = server_port
         self.resets = resets
+        self.max_bytes = max_bytes
         self.port = 0
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -60,7 +64,7 @@
                     case h11.Response():
                         await caller.send(unframed_head(event))
                     case h11.Data():
-                        await caller.send(bytes(event.data))
+                        await caller.send(bytes(event.data)[: self.max_bytes])
                     case _:
                         parser.receive_data(await receive(server))
         except h11.RemoteProtocolError:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -11,6 +11,7 @@
 from godwitmast.dev.system import DevSystem
 from godwitmast.entry.openai import OpenAiFrontend, is_below
 from godwitmast.standins.engine import EngineCrashed
+from godwitmast.standins.unframed import UnframedFront
 from godwitmast.usage.meter import UsageKey
 from running import running
 
@@ -209,3 +210,26 @@
         assert answer.status_code == 200
         [record] = system.service.records
         assert (record["path"], record["query"]) == ("/a?b c", "page=2")
+
+
+async def test_completion_broken_off_without_framing_is_not_forwarded(
+    system: DevSystem, http: httpx.AsyncClient
+) -> None:
+    """Guards against half a document that looks complete with its connection's end."""
+    system.engines = system.engines[:1]
+    async with running(system), anyio.create_task_group() as tasks:
+        entry, engine = system.entries[0], system.engines[0]
+        front = UnframedFront(engine.server.port)
+        await front.start(tasks)
+        urls = entry.driver.urls
+        [name] = [name for name, url in urls.items() if url == engine.server.url]
+        urls[name] = f"http://127.0.0.1:{front.port}"
+        url = f"{entry.server.url}/v1/chat/completions"
+        whole = await http.post(url, headers=BEARER, json=prompt("length=5"))
+        front.max_bytes = 40
+        hurried = {**BEARER, "Godwit-Deadline": "1"}
+        cut = await http.post(url, headers=hurried, json=prompt("length=5"))
+        tasks.cancel_scope.cancel()
+    assert whole.status_code == 200
+    assert whole.json()["usage"]["completion_tokens"] == 5
+    assert (cut.status_code, cut.headers["godwit-not-run"]) == (504, "unknown")
