Parse what servers state of themselves in one place, and log leaving and rest

A BackendHeaderParser returns one ServerStatement an answer in place of a value for each header. It also has whether the server says that it is leaving (Server-Leaving, Engine-Leaving) and for how long it wants no requests (Retry-After of a 503); both are logged and nothing more: server_rest, server_stated_leaving.

--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -9,7 +9,7 @@
 
 import httpx
 
-from godwitmast.dispatch.messages import FailureKind, LoadReport
+from godwitmast.dispatch.messages import FailureKind, LoadReport, ServerStatement
 
 CONNECT_TIMEOUT_S = 0.3
 """A reachable backend server accepts within milliseconds, one in another region within
@@ -22,6 +22,7 @@
 LOAD_HEADER = "engine-load"
 RATE_LIMIT_HEADER = "engine-rate-limit"
 REJECTION_LIMIT_HEADER = "engine-rejection-limit"
+LEAVING_HEADER = "engine-leaving"
 
 
 class Framing(Enum):
@@ -50,16 +51,8 @@
         """Return whether the server reported that it did not run the request, and will
         not."""
 
-    def parse_load(self, answer: httpx.Response) -> LoadReport | None:
-        """Return the load report of the response, if it has one."""
-
-    def parse_rate_limit(self, answer: httpx.Response) -> float | None:
-        """Return the requests a second that the server states to take from all
-        routers together, or None if it states no limit."""
-
-    def parse_rejection_limit(self, answer: httpx.Response) -> float | None:
-        """Return the rejections a second that the server says it bears, or None if it
-        states no limit."""
+    def parse_statement(self, answer: httpx.Response) -> ServerStatement:
+        """Return what the server states of itself."""
 
 
 class EngineHeaderParser:
@@ -68,14 +61,15 @@
     def reports_not_run(self, answer: httpx.Response) -> bool:
         return NOT_RUN_HEADER in answer.headers
 
-    def parse_load(self, answer: httpx.Response) -> LoadReport | None:
-        return parse_load(answer)
-
-    def parse_rate_limit(self, answer: httpx.Response) -> float | None:
-        return parse_rate(answer.headers.get(RATE_LIMIT_HEADER))
-
-    def parse_rejection_limit(self, answer: httpx.Response) -> float | None:
-        return parse_rate(answer.headers.get(REJECTION_LIMIT_HEADER))
+    def parse_statement(self, answer: httpx.Response) -> ServerStatement:
+        headers = answer.headers
+        return ServerStatement(
+            parse_load(answer),
+            parse_number(headers.get(RATE_LIMIT_HEADER)),
+            parse_number(headers.get(REJECTION_LIMIT_HEADER)),
+            LEAVING_HEADER in headers,
+            parse_rest(answer),
+        )
 
 
 class BackendClient:
@@ -173,15 +167,22 @@
     return LoadReport(int(running), int(waiting))
 
 
-def parse_rate(text: str | None) -> float | None:
-    """Return a rate in requests a second; None without one, or if it is unusable."""
+def parse_number(text: str | None) -> float | None:
+    """Return a number that is not negative; None without one, or if it is unusable."""
     if text is None:
         return None
     try:
-        rate = float(text)
+        number = float(text)
     except ValueError:
         return None
-    return rate if math.isfinite(rate) and rate >= 0 else None
+    return number if math.isfinite(number) and number >= 0 else None
+
+
+def parse_rest(answer: httpx.Response) -> float | None:
+    """Return the seconds for which a server that is overloaded wants no requests."""
+    if answer.status_code != 503:
+        return None
+    return parse_number(answer.headers.get("retry-after")) or None
 
 
 def framing_of(answer: httpx.Response) -> Framing:
--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -86,6 +86,21 @@
     age_s: float = 0.0
 
 
+class ServerStatement(NamedTuple):
+    """What a backend server states of itself in the headers of one answer.
+
+    `requests_per_s` is what it takes from all routers together, `rejections_per_s` how
+    many rejections it bears; None if it states no limit. `rest_s` is for how long it
+    wants no more requests of this router.
+    """
+
+    load: LoadReport | None = None
+    requests_per_s: float | None = None
+    rejections_per_s: float | None = None
+    is_leaving: bool = False
+    rest_s: float | None = None
+
+
 class NotRun(Enum):
     """Whether a refused request certainly reached no backend server."""
 
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -31,6 +31,7 @@
     LoadReport,
     PoisonUpdate,
     RequestSpec,
+    ServerStatement,
     Start,
 )
 from godwitmast.dispatch.poison import CrashNotice, Notice, QuarantineNotice
@@ -86,6 +87,7 @@
         self.should_poll: Callable[[BackendId], bool] = lambda backend_id: True
         self.load_listeners: list[Callable[[BackendId, LoadReport], None]] = []
         self.leaving_until: dict[BackendId, float] = {}
+        self.stated_leaving: set[BackendId] = set()
         self.count = RouterCount()
         self.connectivity = ConnectivityTable()
         self.tick_listeners: list[Callable[[float], None]] = []
@@ -416,6 +418,20 @@
             listener(backend_id, report)
         self.record_load(backend_id, report)
 
+    def record_statement(
+        self, backend_id: BackendId, statement: ServerStatement, sent_at: float
+    ) -> None:
+        """Record what an answer to a request sent at `sent_at` states of its server."""
+        if statement.load is not None:
+            self.record_load(backend_id, statement.load)
+        self.record_rate_limit(backend_id, statement.requests_per_s, sent_at)
+        self.record_rejection_limit(backend_id, statement.rejections_per_s, sent_at)
+        if statement.is_leaving and backend_id not in self.stated_leaving:
+            self.stated_leaving.add(backend_id)
+            log_event("server_stated_leaving", backend=backend_id)
+        if statement.rest_s is not None:
+            log_event("server_rest", backend=backend_id, rest_s=statement.rest_s)
+
     def record_rate_limit(
         self, backend_id: BackendId, per_s: float | None, sent_at: float
     ) -> None:
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -548,14 +548,10 @@
         """Record what the headers of an answer, also of a rejection, say of its
         server."""
         self.driver.record_heard(backend_id)
-        parser = self.client.header_parser
-        load = parser.parse_load(answer) if self.outbound.reports_load else None
-        if load is not None:
-            self.driver.record_load(backend_id, load)
-        per_s = parser.parse_rate_limit(answer)
-        self.driver.record_rate_limit(backend_id, per_s, sent_at)
-        rejections_per_s = parser.parse_rejection_limit(answer)
-        self.driver.record_rejection_limit(backend_id, rejections_per_s, sent_at)
+        statement = self.client.header_parser.parse_statement(answer)
+        if not self.outbound.reports_load:
+            statement = statement._replace(load=None)
+        self.driver.record_statement(backend_id, statement, sent_at)
 
     async def raise_server_error(self, answer: httpx.Response) -> None:
         """Fail the attempt; keep the server's answer if the caller may get it."""
--- a/src/godwitmast/entry/forwarding.py
+++ b/src/godwitmast/entry/forwarding.py
@@ -10,7 +10,7 @@
 
 from godwitmast.backends.client import AttemptFailed, BackendClient
 from godwitmast.background import BackgroundTasks
-from godwitmast.dispatch.messages import FailureKind, LoadReport, RequestSpec
+from godwitmast.dispatch.messages import FailureKind, RequestSpec, ServerStatement
 from godwitmast.entry.app import FORWARD_TERMS, EntryApp
 from godwitmast.entry.driver import RouterDriver
 from godwitmast.entry.probes import ConnectionProbes
@@ -51,14 +51,8 @@
     def reports_not_run(self, answer: httpx.Response) -> bool:
         return answer.status_code == MISDIRECTED
 
-    def parse_load(self, answer: httpx.Response) -> LoadReport | None:
-        return None
-
-    def parse_rate_limit(self, answer: httpx.Response) -> float | None:
-        return None
-
-    def parse_rejection_limit(self, answer: httpx.Response) -> float | None:
-        return None
+    def parse_statement(self, answer: httpx.Response) -> ServerStatement:
+        return ServerStatement()
 
 
 class RequestForwarder:
--- a/src/godwitmast/platform/frontend.py
+++ b/src/godwitmast/platform/frontend.py
@@ -7,7 +7,7 @@
 import httpx
 import msgspec
 
-from godwitmast.backends.client import parse_rate
+from godwitmast.backends.client import parse_number, parse_rest
 from godwitmast.config.document import Document, NumberedConfig
 from godwitmast.dispatch.messages import (
     LoadReport,
@@ -15,6 +15,7 @@
     RefusalCode,
     Refuse,
     RequestSpec,
+    ServerStatement,
 )
 from godwitmast.dispatch.placement import PromptPart
 from godwitmast.entry.events import EventIdReader
@@ -53,6 +54,7 @@
     PROMPT_PREFIX,
     REQUEST_PRIORITY,
     SERVER_BRITTLE,
+    SERVER_LEAVING,
     SERVER_LIMIT,
     SERVER_LOAD,
     SET_BY_ROUTER,
@@ -169,18 +171,15 @@
         """
         return NOT_EXECUTED in answer.headers or answer.status_code == 421
 
-    def parse_load(self, answer: httpx.Response) -> LoadReport | None:
-        """Return running and waiting requests; the third number is the batch size."""
-        parts = answer.headers.get(SERVER_LOAD, "").split(",")
-        if len(parts) < 2 or not (parts[0].isdecimal() and parts[1].isdecimal()):
-            return None
-        return LoadReport(int(parts[0]), int(parts[1]))
-
-    def parse_rate_limit(self, answer: httpx.Response) -> float | None:
-        return parse_rate(answer.headers.get(SERVER_LIMIT))
-
-    def parse_rejection_limit(self, answer: httpx.Response) -> float | None:
-        return parse_rate(answer.headers.get(SERVER_BRITTLE))
+    def parse_statement(self, answer: httpx.Response) -> ServerStatement:
+        headers = answer.headers
+        return ServerStatement(
+            read_load(headers.get(SERVER_LOAD, "")),
+            parse_number(headers.get(SERVER_LIMIT)),
+            parse_number(headers.get(SERVER_BRITTLE)),
+            headers.get(SERVER_LEAVING) == "1",
+            parse_rest(answer),
+        )
 
 
 class RouteFrontend:
@@ -355,6 +354,14 @@
         await send_response(send, answer.status, headers, msgspec.json.encode(body))
 
 
+def read_load(text: str) -> LoadReport | None:
+    """Return running and waiting requests; the third number is the batch size."""
+    parts = text.split(",")
+    if len(parts) < 2 or not (parts[0].isdecimal() and parts[1].isdecimal()):
+        return None
+    return LoadReport(int(parts[0]), int(parts[1]))
+
+
 def read_bearer(header: str) -> str | None:
     scheme, _, token = header.partition(" ")
     return token.strip() if scheme.lower() == "bearer" and token.strip() else None
--- a/src/godwitmast/platform/wire.py
+++ b/src/godwitmast/platform/wire.py
@@ -21,6 +21,8 @@
 SERVER_BRITTLE = "server-brittle"
 """Rejections a second that a server bears; with more it falls over. In each of its
 answers while that is so."""
+SERVER_LEAVING = "server-leaving"
+"""`1` in each answer of a server that is leaving, whatever its row says."""
 SERVER_LIMIT = "server-limit"
 """Requests a second that a server takes from all callers together, while it says so."""
 SERVER_LOAD = "server-load"
