Failing test: servers that say that they leave go on getting requests

A server whose answers carry Server-Leaving gets 12 of 12 further requests that fall to it, whether its row in the store is unchanged, written anew as ready, or cannot be read.

--- a/src/godwitmast/standins/replica.py
+++ b/src/godwitmast/standins/replica.py
@@ -15,6 +15,7 @@
     NOT_EXECUTED,
     READY,
     SERVER_BRITTLE,
+    SERVER_LEAVING,
     SERVER_LIMIT,
     SERVER_LOAD,
 )
@@ -61,6 +62,10 @@
     """Requests a second that it states to take, in each of its answers."""
     rejection_limit: str | None = None
     """Rejections a second that it says it bears, in each of its answers."""
+    leaving: bool = False
+    """It states in each of its answers that it is leaving."""
+    retry_after: str | None = None
+    """For how long it says, with each refusal, that it wants no more requests."""
     crash_on: bytes | None = None
     """A request whose body is this crashes it: all of its answers break off."""
 
@@ -129,7 +134,9 @@
             return
         if self.faults.sheds:
             self.shed += 1
-            refusal = [(NOT_EXECUTED.encode(), b"1"), *self.limit_headers()]
+            refusal = [(NOT_EXECUTED.encode(), b"1"), *self.stated_headers()]
+            if self.faults.retry_after is not None:
+                refusal.append((b"retry-after", self.faults.retry_after.encode()))
             await send_response(send, 503, refusal, b"")
             return
         target = scope["raw_path"].decode()
@@ -183,7 +190,7 @@
             (ATTEMPT_ID.encode(), attempt_id.encode()),
             (SEAL_HEADER, self.server_id.encode()),
             (SERVER_LOAD.encode(), f"{self.running},0,{self.places}".encode()),
-            *self.limit_headers(),
+            *self.stated_headers(),
         ]
         if self.streams and self.faults.status == 200:
             await self.send_events(int(headers.get(LAST_EVENT_ID, "0")), head, send)
@@ -197,16 +204,17 @@
         half = body[: len(body) // 2]
         await send({"type": "http.response.body", "body": half, "more_body": True})
 
-    def limit_headers(self) -> list[tuple[bytes, bytes]]:
+    def stated_headers(self) -> list[tuple[bytes, bytes]]:
         faults = self.faults
         stated = [
+            (SERVER_LEAVING, "1" if faults.leaving else None),
             (SERVER_LIMIT, faults.rate_limit),
             (SERVER_BRITTLE, faults.rejection_limit),
         ]
         return [
-            (name.encode(), limit.encode())
-            for name, limit in stated
-            if limit is not None
+            (name.encode(), value.encode())
+            for name, value in stated
+            if value is not None
         ]
 
     async def send_events(
