Send no requests to a server whose answers say that it is leaving

dispatch.departures keeps what servers state of themselves, for the start of the server that the request was sent to. It goes before a row that says ready, older or newer, since rows lag and do not tell when they were written; it ends with another start, or ten minutes after the row is gone. The server is then closed as one that is draining: requests that wait, resume, are retried, probe or follow a prefix go elsewhere, open streams stay. Other VMs are not told, so that one VM's word empties no pool.

--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import urlsplit
 
 import anyio
@@ -22,6 +22,7 @@
 from godwitmast.clock import Clock
 from godwitmast.config.document import Backend, Document, NumberedConfig
 from godwitmast.dispatch.connectivity import ConnectivityTable
+from godwitmast.dispatch.departures import Departures
 from godwitmast.dispatch.messages import (
     Action,
     BackendSpec,
@@ -55,6 +56,13 @@
 Mailbox = MemoryObjectReceiveStream[Action]
 
 
+class Sent(NamedTuple):
+    """When a request was sent to a server, and to which start of it."""
+
+    at: float
+    incarnation: int
+
+
 class RouterDriver:
     """Runs one router, with a mailbox for each open request."""
 
@@ -87,7 +95,7 @@
         self.should_poll: Callable[[BackendId], bool] = lambda backend_id: True
         self.load_listeners: list[Callable[[BackendId, LoadReport], None]] = []
         self.leaving_until: dict[BackendId, float] = {}
-        self.stated_leaving: set[BackendId] = set()
+        self.departures = Departures()
         self.count = RouterCount()
         self.connectivity = ConnectivityTable()
         self.tick_listeners: list[Callable[[float], None]] = []
@@ -173,13 +181,17 @@
         self.backends = merge_backends(
             {**self.document.backends, **self.listed_backends}, self.fleet
         )
+        incarnations = {
+            BackendId(name): item.incarnation for name, item in self.backends.items()
+        }
+        self.departures.update(incarnations, now)
         specs = [
             BackendSpec(
                 BackendId(name),
                 ZoneName(item.zone),
                 item.pools,
                 item.kind == "cheap",
-                item.leaving or BackendId(name) in self.leaving_until,
+                self.is_leaving(BackendId(name), item),
                 now + EVICTION_REMAINING_S if self.is_evicted(name) else None,
                 item.places,
                 item.zone in closed,
@@ -192,6 +204,14 @@
         self.connectivity.update_servers(servers_by_pool(specs))
         self.deliver_actions(self.policy.update_backends(specs, now))
 
+    def is_leaving(self, backend_id: BackendId, backend: Backend) -> bool:
+        """Return whether the list, a peer or the server itself says that it leaves."""
+        return (
+            backend.leaving
+            or backend_id in self.leaving_until
+            or self.departures.is_leaving(backend_id, backend.incarnation)
+        )
+
     def is_evicted(self, name: str) -> bool:
         """Return whether an ordered server is leaving without having been drained.
 
@@ -418,20 +438,47 @@
             listener(backend_id, report)
         self.record_load(backend_id, report)
 
+    def sent_now(self, backend_id: BackendId) -> Sent:
+        """Return what tells of a request that is sent now."""
+        return Sent(self.clock.now(), self.incarnation(backend_id))
+
+    def incarnation(self, backend_id: BackendId) -> int:
+        """Return which start of a server this entry's list has."""
+        backend = self.backends.get(backend_id)
+        return backend.incarnation if backend is not None else 0
+
     def record_statement(
-        self, backend_id: BackendId, statement: ServerStatement, sent_at: float
+        self, backend_id: BackendId, statement: ServerStatement, sent: Sent
     ) -> None:
-        """Record what an answer to a request sent at `sent_at` states of its server."""
+        """Record what an answer states of its server; `sent` tells of the request."""
+        sent_at = sent.at
         if statement.load is not None:
             self.record_load(backend_id, statement.load)
         self.record_rate_limit(backend_id, statement.requests_per_s, sent_at)
         self.record_rejection_limit(backend_id, statement.rejections_per_s, sent_at)
-        if statement.is_leaving and backend_id not in self.stated_leaving:
-            self.stated_leaving.add(backend_id)
-            log_event("server_stated_leaving", backend=backend_id)
+        if statement.is_leaving:
+            self.record_departure(backend_id, sent.incarnation)
         if statement.rest_s is not None:
             log_event("server_rest", backend=backend_id, rest_s=statement.rest_s)
 
+    def record_departure(self, backend_id: BackendId, incarnation: int) -> None:
+        """Send a server no new requests: it states that it is leaving."""
+        now = self.clock.now()
+        if not self.departures.record_statement(backend_id, incarnation, now):
+            return
+        listed = self.backends.get(backend_id)
+        log_event(
+            "server_stated_leaving",
+            backend=backend_id,
+            incarnation=incarnation,
+            listed_as_leaving=listed.leaving if listed is not None else None,
+        )
+        self.update_backends()
+
+    def count_departures(self) -> int:
+        """Return the number of servers that stated to be leaving, listed or not."""
+        return len(self.departures.by_server)
+
     def record_rate_limit(
         self, backend_id: BackendId, per_s: float | None, sent_at: float
     ) -> None:
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -43,7 +43,7 @@
     Start,
 )
 from godwitmast.entry.claim_answers import OUTCOME_UNKNOWN, answer_claim
-from godwitmast.entry.driver import Mailbox, RouterDriver
+from godwitmast.entry.driver import Mailbox, RouterDriver, Sent
 from godwitmast.entry.frontend import Frontend
 from godwitmast.entry.metrics import Timing, TokenTimes
 from godwitmast.entry.outbound import (
@@ -512,14 +512,14 @@
         self.last_backend = start.backend_id
         self.may_have_run_before = self.may_have_run
         self.may_have_run = True
-        sent_at = self.driver.clock.now()
+        sent = self.driver.sent_now(start.backend_id)
         async with self.client.exchange(
             outbound.method,
             url,
             outbound.path,
             attempt_request.headers,
             attempt_request.content,
-            lambda head: self.record_head(start.backend_id, head, sent_at),
+            lambda head: self.record_head(start.backend_id, head, sent),
         ) as answer:
             if not outbound.belongs_to_request(answer):
                 # An earlier request left this answer on the connection. The answer to
@@ -543,7 +543,7 @@
                 await self.forward_whole(start, answer)
 
     def record_head(
-        self, backend_id: BackendId, answer: httpx.Response, sent_at: float
+        self, backend_id: BackendId, answer: httpx.Response, sent: Sent
     ) -> None:
         """Record what the headers of an answer, also of a rejection, say of its
         server."""
@@ -551,7 +551,7 @@
         statement = self.client.header_parser.parse_statement(answer)
         if not self.outbound.reports_load:
             statement = statement._replace(load=None)
-        self.driver.record_statement(backend_id, statement, sent_at)
+        self.driver.record_statement(backend_id, statement, sent)
 
     async def raise_server_error(self, answer: httpx.Response) -> None:
         """Fail the attempt; keep the server's answer if the caller may get it."""
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -357,6 +357,12 @@
             registry=registry,
         )
         rejection_limited.set_function(self.driver.count_rejection_limited_servers)
+        departing = Gauge(
+            "godwit_departing_servers",
+            "Servers whose answers said that they are leaving: they get no requests.",
+            registry=registry,
+        )
+        departing.set_function(self.driver.count_departures)
         quarantined = Gauge(
             "godwit_quarantined_fingerprints",
             "Requests, by fingerprint, that this VM refuses as they crash servers.",
