Tell the VM that forwarded a request which server answered it

A VM that has another serve its requests passes on answers of servers that it doesn't know of: it did not learn that one is leaving, and sent to it as soon as its own links were back. The VM that serves names the server in Godwit-Served-By, which callers don't get; the other takes the statement that it passes on for its own.

--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -50,6 +50,7 @@
     EVENT_STREAM_HEADERS,
     ErrorPolicy,
     Outbound,
+    RawHeaders,
     StreamReader,
     WholeAnswer,
     is_event_stream,
@@ -61,7 +62,7 @@
     send_response,
 )
 from godwitmast.forwarding.peers import Peer
-from godwitmast.forwarding.terms import ForwardTerms
+from godwitmast.forwarding.terms import SERVED_BY_HEADER, ForwardTerms
 from godwitmast.http_server import Receive, Send
 from godwitmast.keys.authorizer import Caller
 from godwitmast.logs import log_event
@@ -321,6 +322,7 @@
             terms.add_to(request.headers),
             request.content,
         ) as answer:
+            self.record_departure(answer)
             not_run = answer.headers.get(NOT_RUN_HEADER.decode())
             if not_run is not None:
                 await self.pass_refusal(answer, not_run == NotRun.TRUE.value)
@@ -331,6 +333,15 @@
             else:
                 await self.forward_whole(None, answer)
 
+    def record_departure(self, answer: httpx.Response) -> None:
+        """Record that the server of another VM's answer states to be leaving."""
+        served_by = answer.headers.get(SERVED_BY_HEADER.decode())
+        statement = self.client.header_parser.parse_statement(answer)
+        if served_by is not None and statement.is_leaving:
+            backend_id = BackendId(served_by)
+            incarnation = self.driver.incarnation(backend_id)
+            self.driver.record_departure(backend_id, incarnation)
+
     async def pass_refusal(self, answer: httpx.Response, not_run: bool) -> None:
         """Pass on another VM's refusal; a stream that has begun may go on elsewhere."""
         body = await read_raw(answer)
@@ -558,7 +569,7 @@
         if self.outbound.error_policy is ErrorPolicy.RETRY_OR_ANSWER:
             self.failed_answer = WholeAnswer(
                 answer.status_code,
-                self.outbound.whole_headers(answer),
+                self.answer_headers(self.outbound.whole_headers(answer)),
                 await read_raw(answer),
             )
         raise AttemptFailed(FailureKind.ERROR, f"status {answer.status_code}")
@@ -637,11 +648,17 @@
             return
         self.head_sent = True
         self.status = 200
-        headers = self.outbound.stream_headers(answer)
+        headers = self.answer_headers(self.outbound.stream_headers(answer))
         await self.send(
             {"type": "http.response.start", "status": 200, "headers": headers}
         )
 
+    def answer_headers(self, headers: RawHeaders) -> RawHeaders:
+        """Return a server's headers; another VM is told which server it was."""
+        if not self.is_forwarded or self.last_backend is None:
+            return headers
+        return [*headers, (SERVED_BY_HEADER, self.last_backend.encode())]
+
     def record_backend_start(self) -> None:
         """Report once that a backend server has started the request."""
         if not self.backend_started:
@@ -679,7 +696,7 @@
             self.driver.record_tokens(
                 self.spec.request_id, start.attempt_id, self.reported_usage.output
             )
-        headers = self.outbound.whole_headers(answer)
+        headers = self.answer_headers(self.outbound.whole_headers(answer))
         if self.claimed is not None:
             stored_headers = [
                 (name.decode(), value.decode()) for name, value in headers
--- a/src/godwitmast/entry/outbound.py
+++ b/src/godwitmast/entry/outbound.py
@@ -9,13 +9,21 @@
 import msgspec
 
 from godwitmast.entry.events import CompletionReader, read_usage
+from godwitmast.forwarding.terms import SERVED_BY_HEADER
 from godwitmast.types import BackendId, TokenCount
 
 Headers = list[tuple[str, str]]
 RawHeaders = list[tuple[bytes, bytes]]
 
 CONNECTION_HEADERS = frozenset(
-    ["connection", "content-length", "date", "keep-alive", "transfer-encoding"]
+    [
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "transfer-encoding",
+        SERVED_BY_HEADER.decode(),
+    ]
 )
 """Headers of an answer that apply to a single connection."""
 
--- a/src/godwitmast/forwarding/terms.py
+++ b/src/godwitmast/forwarding/terms.py
@@ -13,6 +13,9 @@
 METERED_HEADER = b"godwit-forward-metered"
 POOL_HEADER = b"godwit-forward-pool"
 QUESTION_HEADER = b"godwit-forward-question"
+SERVED_BY_HEADER = b"godwit-served-by"
+"""Names the backend server of an answer that one VM sends to another."""
+
 HEADERS = frozenset(
     [CONFIG_HEADER, POOL_HEADER, ATTEMPTS_HEADER, METERED_HEADER, QUESTION_HEADER]
 )
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -188,6 +188,31 @@
     assert forwards(node, "cut") > 0
 
 
+@pytest.mark.parametrize("path", ["/chat/1", "/peek/1"])
+async def test_vm_that_passed_on_another_vms_answer_knows_that_its_server_leaves(
+    fleet: VmFleet, http: httpx.AsyncClient, path: str
+) -> None:
+    """Guards against a statement that only the VM next to the server reads."""
+    callers = Callers(fleet, http)
+    [node] = fleet.cut(Cut.RESET, 1)
+    await fleet.settle(callers, [node])
+    servers = fleet.engines if path == "/chat/1" else fleet.plain
+    for server in servers:
+        server.faults.leaving = True
+    answer = await callers.send(node, path)
+    assert (answer.status_code, answer.headers["server-leaving"]) == (200, "1")
+    assert "godwit-served-by" not in answer.headers
+    [leaving] = [s for s in servers if s.server_id == answer.headers["server-seal"]]
+    [other] = [s for s in servers if s is not leaving]
+    other.faults.leaving = False
+    fleet.heal()
+    await fleet.wait_until(lambda: not node.driver.connectivity.unreachable_pools())
+    before = len(leaving.served)
+    for _ in range(8):
+        assert (await callers.send(node, path)).status_code == 200
+    assert len(leaving.served) == before
+
+
 def ports_of(node: Node) -> set[int | None]:
     return {httpx.URL(url).port for url in node.driver.urls.values()}
 
