Send nothing to a server until the rest that it asked for is over

A server that turned requests away with Retry-After: 3 got three more from one VM in that time, which it turned away as well; callers were refused though other servers had room, as each such try spent from the retry allowance.

dispatch.rest keeps the longest rest that a server asked this router for. It is part of BackendState.may_send, which every way to a server asks: queue, probe, overcommit, retry, resume, suspect, prefix. It ends with another start of the server. After it a router sends one request, at a random moment that spreads all routers over about one request a second and place, and the rest once that was answered. A server that rests isn't ejected for the rejection besides. While all servers of a pool rest, what cannot wait for the first is refused at once, not run, with the time until then.

--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -32,6 +32,7 @@
 from godwitmast.dispatch.placement import PoolLoad, PromptPlacement
 from godwitmast.dispatch.rate_limit import ASSUMED_ROUTERS, RateLimit
 from godwitmast.dispatch.rejection_limit import RejectionLimit, ServerUsage
+from godwitmast.dispatch.rest import Rest
 from godwitmast.dispatch.router_count import RouterCount
 from godwitmast.dispatch.warmup import (
     RESTART_DETECTION_S,
@@ -65,6 +66,7 @@
     warmup: Warmup = field(default_factory=Warmup)
     rate_limit: RateLimit = field(default_factory=RateLimit)
     rejection_limit: RejectionLimit = field(default_factory=RejectionLimit)
+    rest: Rest = field(default_factory=Rest)
     cells: list["Cell"] = field(default_factory=list)
     routers: float = ASSUMED_ROUTERS
     """Routers that share the server; kept up to date while it states a limit."""
@@ -84,7 +86,8 @@
     def may_send(self, now: float) -> bool:
         """Return whether this router may send the server a request now."""
         return (
-            self.warmup.may_send(now)
+            self.rest.may_send(now)
+            and self.warmup.may_send(now)
             and self.rate_limit.may_send(now)
             and self.rejection_limit.may_send(self.usage, now)
         )
@@ -208,6 +211,7 @@
         self.ejected: list[BackendState] = []
         self.cold_servers: dict[BackendId, BackendState] = {}
         self.limited_servers: dict[BackendId, BackendState] = {}
+        self.resting_servers: dict[BackendId, BackendState] = {}
 
     def update(self, specs: list[BackendSpec], now: float) -> None:
         """Replace the list of servers; the state of those that stay is kept."""
@@ -215,6 +219,7 @@
         is_first_list = not old
         self.cold_servers = {}
         self.limited_servers = {}
+        self.resting_servers = {}
         self.states = {}
         self.pools = {}
         for spec in specs:
@@ -224,11 +229,14 @@
                 previous.health, previous.gap_window = Health(), GapWindow()
                 previous.rate_limit = RateLimit()
                 previous.rejection_limit = RejectionLimit()
+                previous.rest = Rest()
             state = previous or BackendState(spec)
             self.update_warmup(state, spec, previous is None, is_first_list, now)
             state.spec = spec
             if state.has_turns:
                 self.limited_servers[spec.backend_id] = state
+            if state.rest.left_s(now):
+                self.resting_servers[spec.backend_id] = state
             if spec.places is not None:
                 state.limit.value, state.limit.fixed = float(spec.places), True
             state.cells = []
@@ -553,6 +561,7 @@
         state.in_flight += 1
         state.warmup.use_turn(self.turn_period_s(state.spec), now)
         state.rate_limit.use_turn(self.assumed_routers)
+        state.rest.record_start()
         state.other_load.claimable -= 1
         for cell in state.cells:
             cell.in_flight += 1
@@ -565,6 +574,7 @@
             return
         state.other_load.update_own(state.in_flight, now)
         state.in_flight -= 1
+        state.rest.record_end()
         state.other_load.claimable += 1
         for cell in state.cells:
             cell.in_flight -= 1
@@ -634,6 +644,34 @@
         self.track_turns(state, now)
         return changed
 
+    def record_rest(
+        self, backend_id: BackendId, rest_s: float | None, sent_at: float, now: float
+    ) -> bool:
+        """Record the rest that a server's answer asks for, or none; return whether that
+        changes when requests are sent there."""
+        state = self.states.get(backend_id)
+        if state is None:
+            return False
+        if rest_s is not None:
+            spread_s = self.assumed_routers / max(1.0, state.limit.value)
+            state.rest.record_statement(rest_s, spread_s, now, self.random)
+            self.resting_servers[backend_id] = state
+        elif state.rest.is_returning:
+            state.rest.record_answer(sent_at)
+        else:
+            return False
+        self.refresh(state, now)
+        return True
+
+    def rest_left_s(self, pool: str, now: float) -> float:
+        """Return the seconds until the first server of a pool has rested; 0 if some
+        server in rotation does not rest."""
+        view = self.pools.get(pool)
+        if view is None or not self.resting_servers:
+            return 0.0
+        left_s = (state.rest.left_s(now) for state in view.members())
+        return min(left_s, default=0.0)
+
     def track_turns(self, state: BackendState, now: float) -> None:
         """Start or stop turns at a server by the limits that it states."""
         if state.has_turns:
@@ -761,7 +799,10 @@
         if state is None:
             return
         state.limit.record_late_first_token(state.limit.value)
-        if state.rejection_limit.per_s is None:
+        if state.rest.left_s(now):
+            # An ejection would keep it out for longer than it asked for.
+            pass
+        elif state.rejection_limit.per_s is None:
             self.record_error(backend_id, now)
         else:
             # Turns are spaced already; an ejection would delay the next report.
@@ -810,8 +851,8 @@
             cell.pool.slow_count += change
 
     def tick(self, now: float) -> None:
-        """Update the turns at cold and limited servers, and make ejected servers
-        available to probes."""
+        """Update the turns at cold and limited servers, and make servers available that
+        have rested, and ejected ones to probes."""
         for state in list(self.cold_servers.values()):
             state.warmup.advance(self.turn_period_s(state.spec), now, self.random)
             self.refresh(state, now)
@@ -820,6 +861,10 @@
         for state in self.limited_servers.values():
             self.advance_turns(state, now)
             self.refresh(state, now)
+        for state in list(self.resting_servers.values()):
+            if not state.rest.left_s(now):
+                del self.resting_servers[state.backend_id]
+                self.refresh(state, now)
         still_ejected = []
         for state in self.ejected:
             if state.health.is_in_rotation():
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -7,8 +7,10 @@
 import random
 from collections import deque
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from godwitmast.admission.controller import Admission
+from godwitmast.admission.returns import MAX_RETRY_AFTER_S
 from godwitmast.config.document import Document
 from godwitmast.dispatch.active_requests import ActiveRequest, ActiveRequests
 from godwitmast.dispatch.backends import BackendTable
@@ -128,6 +130,9 @@
             return [refuse(request, RefusalCode.QUARANTINED, left_s)]
         if not self.backends.serves(request.pool):
             return [refuse(request, RefusalCode.NO_BACKEND, RETRY_AFTER_S)]
+        if self.is_hopeless(request, now):
+            after_s = self.retry_after_s(request, now)
+            return [refuse(request, RefusalCode.SHED, after_s)]
         request_class = self.document.classes[request.class_name]
         self.active_requests.add(ActiveRequest(request, request_class))
         placement = self.backends.placement_of(request)
@@ -135,7 +140,7 @@
             placement.record_arrival(
                 request.prompt, now, request_class.between_tokens_s
             )
-        refusals = self.end_refused(self.admission.offer(request, now))
+        refusals = self.end_refused(self.admission.offer(request, now), now)
         return [*refusals, *self.start_waiting(now)]
 
     def record_tokens(
@@ -339,11 +344,12 @@
             # Another entry may take it at any moment, or the links be back.
             self.delay(active, now + self.random.uniform(*UNREACHABLE_RETRY_S))
             return []
-        is_exhausted = too_many or not active.may_run_again
+        is_hopeless = self.is_hopeless(active.request, now)
+        is_exhausted = too_many or is_hopeless or not active.may_run_again
         if is_unsafe or is_exhausted or (arrived and not self.spend_retry(active)):
             self.end_request(active, now)
             code = RefusalCode.BACKEND_FAILED
-            after_s = None if is_unsafe else RETRY_AFTER_S
+            after_s = None if is_unsafe else self.retry_after_s(active.request, now)
             return [refuse(active.request, code, after_s, active.may_have_run)]
         is_suspect = self.guard.is_suspect(active.request.fingerprint)
         tries = active.failures + active.unsent_failures if arrived else 1
@@ -518,6 +524,32 @@
             return []
         return self.start_waiting(now)
 
+    def record_rest(
+        self, backend_id: BackendId, rest_s: float | None, sent_at: float, now: float
+    ) -> list[Action]:
+        """Record the rest that a server's answer asks for, or that it asks for none."""
+        if not self.backends.record_rest(backend_id, rest_s, sent_at, now):
+            return []
+        actions: list[Action] = []
+        for active in list(self.active_requests.by_id.values()):
+            waits = active.backend_id is None
+            if waits and self.is_hopeless(active.request, now):
+                after_s = self.retry_after_s(active.request, now)
+                actions += self.end_with_refusal(active, RefusalCode.SHED, after_s, now)
+        return [*actions, *self.start_waiting(now)]
+
+    def is_hopeless(self, request: RequestSpec, now: float) -> bool:
+        """Return whether all servers rest until after the request's deadline."""
+        if request.deadline is None:
+            return False
+        left_s = self.backends.rest_left_s(request.pool, now)
+        return left_s > 0 and now + left_s >= request.deadline
+
+    def retry_after_s(self, request: RequestSpec, now: float) -> float:
+        """Return when a refused request may come back: once a server has rested."""
+        left_s = self.backends.rest_left_s(request.pool, now)
+        return min(max(RETRY_AFTER_S, left_s), MAX_RETRY_AFTER_S)
+
     def pop_poison_updates(self) -> list[PoisonUpdate]:
         """Return and clear the updates on suspects that other entries are to be sent at
         once."""
@@ -543,7 +575,7 @@
         if now >= self.next_expiry_at:
             self.next_expiry_at = now + EXPIRE_EVERY_S
             self.guard.expire(now)
-        actions = self.end_refused(self.admission.refuse_expired(now))
+        actions = self.end_refused(self.admission.refuse_expired(now), now)
         for active in self.check_queue.pop_due(now):
             actions += self.check_attempt(active, now)
         for notice in self.removal_notices.values():
@@ -594,13 +626,17 @@
         self.admission.requeue(active.request, now)
         return []
 
-    def end_refused(self, refusals: list[Refuse]) -> list[Action]:
+    def end_refused(self, refusals: list[Refuse], now: float) -> list[Action]:
         """End requests that admission refused, and mark those that may have run."""
         actions: list[Action] = []
         for refusal in refusals:
             active = self.active_requests.by_id.pop(refusal.request_id)
             if active.may_have_run:
                 refusal = without_not_run_claim(refusal)
+            if self.backends.rest_left_s(active.request.pool, now):
+                after_s = self.retry_after_s(active.request, now)
+                told_s = max(after_s, refusal.retry_after_s or 0.0)
+                refusal = replace(refusal, retry_after_s=told_s)
             actions.append(refusal)
         return actions
 
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -31,6 +31,7 @@
     FailureKind,
     LoadReport,
     PoisonUpdate,
+    Refuse,
     RequestSpec,
     ServerStatement,
     Start,
@@ -418,7 +419,7 @@
             await anyio.sleep(LOAD_POLL_INTERVAL_S)
             async with anyio.create_task_group() as tasks:
                 for backend_id, url in self.urls.items():
-                    if self.should_poll(backend_id):
+                    if self.should_poll(backend_id) and not self.is_resting(backend_id):
                         tasks.start_soon(partial(self.poll_load, backend_id, url))
 
     async def poll_load(self, backend_id: BackendId, url: str) -> None:
@@ -458,8 +459,35 @@
         self.record_rejection_limit(backend_id, statement.rejections_per_s, sent_at)
         if statement.is_leaving:
             self.record_departure(backend_id, sent.incarnation)
-        if statement.rest_s is not None:
-            log_event("server_rest", backend=backend_id, rest_s=statement.rest_s)
+        self.record_rest(backend_id, statement.rest_s, sent_at)
+
+    def record_rest(
+        self, backend_id: BackendId, rest_s: float | None, sent_at: float
+    ) -> None:
+        """Record the rest that an answer asks for, or that it asks for none."""
+        if self.router is None:
+            return
+        now = self.clock.now()
+        actions = self.router.record_rest(backend_id, rest_s, sent_at, now)
+        if rest_s is not None:
+            log_event(
+                "server_rest",
+                backend=backend_id,
+                rest_s=rest_s,
+                resting=self.count_resting(),
+                refused=sum(isinstance(action, Refuse) for action in actions),
+            )
+        self.deliver_actions(actions)
+
+    def count_resting(self) -> int:
+        """Return the number of servers that asked this entry for rest."""
+        return len(self.router.backends.resting_servers) if self.router else 0
+
+    def is_resting(self, backend_id: BackendId) -> bool:
+        return (
+            self.router is not None
+            and backend_id in self.router.backends.resting_servers
+        )
 
     def record_departure(self, backend_id: BackendId, incarnation: int) -> None:
         """Send a server no new requests: it states that it is leaving."""
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -363,6 +363,12 @@
             registry=registry,
         )
         departing.set_function(self.driver.count_departures)
+        resting = Gauge(
+            "godwit_resting_servers",
+            "Servers that asked this VM for rest: they get no requests of it.",
+            registry=registry,
+        )
+        resting.set_function(self.driver.count_resting)
         quarantined = Gauge(
             "godwit_quarantined_fingerprints",
             "Requests, by fingerprint, that this VM refuses as they crash servers.",
