Let requests wait for an ejected server while the others of its pool rest

What could not wait for a resting server was refused although another one, out for half a second after a broken connection, was about to be probed. The new test failed before (refused as shed).

--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -665,12 +665,12 @@
 
     def rest_left_s(self, pool: str, now: float) -> float:
         """Return the seconds until the first server of a pool has rested; 0 if some
-        server in rotation does not rest."""
+        server, also an ejected one, does not rest."""
         view = self.pools.get(pool)
         if view is None or not self.resting_servers:
             return 0.0
-        left_s = (state.rest.left_s(now) for state in view.members())
-        return min(left_s, default=0.0)
+        states = view.members_by_id().values()
+        return min((state.rest.left_s(now) for state in states), default=0.0)
 
     def track_turns(self, state: BackendState, now: float) -> None:
         """Start or stop turns at a server by the limits that it states."""
--- a/tests/test_server_rest.py
+++ b/tests/test_server_rest.py
@@ -180,6 +180,16 @@
     assert starts(router.tick(5.0)) == [FIRST]
 
 
+def test_requests_wait_for_an_ejected_server_while_the_others_rest(
+    router: Router,
+) -> None:
+    """Guards against refusing what a server that is about to be probed would serve."""
+    router.backends.record_connection_failure(SECOND, 0.0)
+    router.record_rest(FIRST, REST_S, 0.0, 0.0)
+    assert not router.submit(request(1, 0.1, "patient"), 0.1)
+    assert starts(router.tick(1.0)) == [SECOND]
+
+
 def test_request_turned_away_by_the_last_server_is_refused_with_its_rest(
     router: Router,
 ) -> None:
