Take a plain service's own 503 for no rest of its server

On the own API any 503 with Retry-After would have closed its server to all requests of that entry, also an application's answer to one caller. Only a 503 that says Engine-Not-Run asks for rest. The new test failed before (3.0 s).

--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -68,7 +68,8 @@
             parse_number(headers.get(RATE_LIMIT_HEADER)),
             parse_number(headers.get(REJECTION_LIMIT_HEADER)),
             LEAVING_HEADER in headers,
-            parse_rest(answer),
+            # A plain service's own 503 may concern one request, not its server.
+            parse_rest(answer) if self.reports_not_run(answer) else None,
         )
 
 
--- a/tests/test_server_rest.py
+++ b/tests/test_server_rest.py
@@ -9,7 +9,7 @@
 import pytest
 
 from fleet import Fleet
-from godwitmast.backends.client import parse_rest
+from godwitmast.backends.client import EngineHeaderParser, parse_rest
 from godwitmast.config.document import Document
 from godwitmast.config.parsing import parse_document
 from godwitmast.dispatch.messages import (
@@ -236,6 +236,16 @@
     assert parse_rest(httpx.Response(status, headers=headers)) == rest_s
 
 
+def test_503_of_a_plain_service_itself_asks_for_no_rest() -> None:
+    """Guards against a service that is closed as it has one caller wait."""
+    headers = {"Retry-After": "3"}
+    parser = EngineHeaderParser()
+    assert parser.parse_statement(httpx.Response(503, headers=headers)).rest_s is None
+    headers |= {"Engine-Not-Run": "true", "Engine-Leaving": "true"}
+    statement = parser.parse_statement(httpx.Response(503, headers=headers))
+    assert (statement.rest_s, statement.is_leaving) == (3.0, True)
+
+
 @dataclass
 class RestingServer:
     """A server that asks all routers at once for rest, and counts who returns when."""
