--- a/src/godwitmast/dispatch/poison.py
+++ b/src/godwitmast/dispatch/poison.py
@@ -22,6 +22,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import NamedTuple
 
 from godwitmast.dispatch.messages import (
@@ -107,7 +108,22 @@
     crashed: tuple[BackendId, ...]
 
 
-Notice = CrashNotice | QuarantineNotice
+class WithdrawalReason(Enum):
+    """Why a crash no longer counts against requests that were on the server."""
+
+    OUTAGE = "outage"
+    LOST_LINKS = "lost_links"
+
+
+class WithdrawalNotice(NamedTuple):
+    """A crash observed here that no longer counts against these fingerprints."""
+
+    backend_id: BackendId
+    reason: WithdrawalReason
+    fingerprints: tuple[str, ...]
+
+
+Notice = CrashNotice | QuarantineNotice | WithdrawalNotice
 
 
 class CrashRecord(NamedTuple):
@@ -300,20 +316,35 @@
             for fingerprint in crash_record.fingerprints:
                 seen[fingerprint] = seen.get(fingerprint, 0) + 1
         for crash_record in self.recent_crashes:
-            for fingerprint in crash_record.fingerprints:
-                if seen[fingerprint] == 1:
-                    self.drop_crash(
-                        fingerprint, crash_record.backend_id, crash_record.at
-                    )
+            backend_id, at = crash_record.backend_id, crash_record.at
+            once = [name for name in crash_record.fingerprints if seen[name] == 1]
+            dropped = [name for name in once if self.drop_crash(name, backend_id, at)]
+            self.report_withdrawal(backend_id, WithdrawalReason.OUTAGE, dropped)
+
+    def drop_crash(self, fingerprint: str, backend_id: BackendId, at: float) -> bool:
+        """Withdraw a crash, and the suspicion if it was the only one.
 
-    def drop_crash(self, fingerprint: str, backend_id: BackendId, at: float) -> None:
-        """Withdraw a crash, and the suspicion if it was the only one."""
+        Return whether the crash had counted against the fingerprint.
+        """
         suspect = self.suspects.get(fingerprint)
         if suspect is None:
-            return
+            return False
+        before = len(suspect.crashes)
         suspect.crashes = without_crash(suspect, backend_id, at)
         if not suspect.crashes:
             del self.suspects[fingerprint]
+        return len(suspect.crashes) < before
+
+    def report_withdrawal(
+        self,
+        backend_id: BackendId,
+        reason: WithdrawalReason,
+        fingerprints: Iterable[str],
+    ) -> None:
+        """Keep for the log that a crash no longer counts against some requests."""
+        names = tuple(sorted(fingerprints))
+        if names:
+            self.notices.append(WithdrawalNotice(backend_id, reason, names))
 
     def withdraw_crash(self, backend_id: BackendId, at: float) -> None:
         """Withdraw a crash that was none, with the suspicions and quarantines by it."""
@@ -323,8 +354,12 @@
                 del self.quarantined_here[fingerprint]
                 self.quarantined.pop(fingerprint, None)
                 self.suspects[fingerprint] = suspect
-        for fingerprint in list(self.suspects):
-            self.drop_crash(fingerprint, backend_id, at)
+        dropped = [
+            fingerprint
+            for fingerprint in list(self.suspects)
+            if self.drop_crash(fingerprint, backend_id, at)
+        ]
+        self.report_withdrawal(backend_id, WithdrawalReason.LOST_LINKS, dropped)
         self.updates = [
             update
             for update in self.updates
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -36,7 +36,12 @@
     ServerStatement,
     Start,
 )
-from godwitmast.dispatch.poison import CrashNotice, Notice, QuarantineNotice
+from godwitmast.dispatch.poison import (
+    CrashNotice,
+    Notice,
+    QuarantineNotice,
+    WithdrawalNotice,
+)
 from godwitmast.dispatch.policy import Policy
 from godwitmast.dispatch.retries import RetryBudgets
 from godwitmast.dispatch.router import Router
@@ -324,6 +329,7 @@
             return
         if is_unreachable:
             self.router.record_unreachable_pool(pool, self.clock.now())
+            self.report_crashes()
         else:
             self.router.record_reachable_pool(pool, self.clock.now())
 
@@ -596,3 +602,10 @@
                 fingerprint=fingerprint,
                 crashed=",".join(crashed) or None,
             )
+        case WithdrawalNotice(backend_id, reason, fingerprints):
+            log_event(
+                "crash_withdrawn",
+                backend=backend_id,
+                reason=reason.value,
+                requests=",".join(fingerprints),
+            )
--- a/tests/test_dispatch_poison.py
+++ b/tests/test_dispatch_poison.py
@@ -12,6 +12,8 @@
     InFlight,
     PoisonGuard,
     QuarantineNotice,
+    WithdrawalNotice,
+    WithdrawalReason,
 )
 from godwitmast.types import BackendId
 
@@ -47,6 +49,24 @@
     assert guard.pop_notices() == []
 
 
+def test_withdrawn_crashes_are_reported_with_their_reason() -> None:
+    """Guards against a log that does not tell why a request is sent on after crashes."""
+    guard = PoisonGuard()
+    for number in range(OUTAGE_SERVERS):
+        server = BackendId(f"engine-{number}")
+        guard.record_crash(server, in_flight(f"stream-{number}"), 10 + number / 10)
+    guard.record_crash(ONE, in_flight("a"), 20.0)
+    guard.withdraw_crash(ONE, 20.0)
+    notices = guard.pop_notices()
+    outage, links = WithdrawalReason.OUTAGE, WithdrawalReason.LOST_LINKS
+    assert [item for item in notices if isinstance(item, WithdrawalNotice)] == [
+        WithdrawalNotice(BackendId("engine-0"), outage, ("stream-0",)),
+        WithdrawalNotice(BackendId("engine-1"), outage, ("stream-1",)),
+        WithdrawalNotice(BackendId("engine-2"), outage, ("stream-2",)),
+        WithdrawalNotice(ONE, links, ("a",)),
+    ]
+
+
 def test_suspect_on_probation_excludes_other_suspects_and_its_own_copies() -> None:
     guard = PoisonGuard()
     guard.record_crash(ONE, in_flight("a", "b"), 10.0)
