--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -202,12 +202,14 @@
 class Crash(NamedTuple):
     """A crash of a server `age_s` seconds ago, while the suspect ran on it.
 
-    `sole` says that no other suspect is a likely cause of it.
+    `sole` says that no other suspect is a likely cause of it, `doubtful` that so many
+    servers crashed at once that an outage is a likely one.
     """
 
     backend_id: BackendId
     age_s: float
     sole: bool = True
+    doubtful: bool = False
 
 
 class Suspicion(NamedTuple):
--- a/src/godwitmast/dispatch/poison.py
+++ b/src/godwitmast/dispatch/poison.py
@@ -14,12 +14,17 @@
 that do not learn in time what the others start, a second crash tells nothing. A request
 that was in three of them without completing is quarantined all the same.
 
+When many servers crash at once an outage is as likely a cause as a request, and the
+hundreds of streams that it cuts would stall if each were isolated. Such a crash is
+doubtful: a single one isolates nobody, but it is counted, as a request that is sent to
+several entries at the same time may crash all servers of a small pool at once.
+
 Entries exchange what they observe as `PoisonUpdate`. Call `pop_updates` often and send
 what it returns to all peers, call `export_updates` for a peer that joins, and
 `apply_updates` with what peers sent.
 """
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -65,9 +70,10 @@
 
 OUTAGE_SERVERS = 3
 OUTAGE_S = 1.0
-"""So many servers lost within this time are an outage, such as a rack's power failure
-or a network partition. A poison request crashes them one after the other; and isolating
-the hundreds of streams that an outage cuts would stall all of them."""
+"""So many servers lost within this time may be an outage, such as a rack's power failure
+or a network partition."""
+
+DOUBTFUL_CRASHES_TO_ISOLATE = 2
 
 PLACEMENT_TTL_S = 10.0
 """How long a placement received from a peer is valid if its end is never received."""
@@ -108,22 +114,24 @@
     crashed: tuple[BackendId, ...]
 
 
-class WithdrawalReason(Enum):
-    """Why a crash no longer counts against requests that were on the server."""
+class ReviewReason(Enum):
+    """Why a crash counts for more or less than before."""
 
     OUTAGE = "outage"
+    """It is doubtful, as other servers crashed at the same time."""
     LOST_LINKS = "lost_links"
+    """It is withdrawn: the links to the servers failed."""
 
 
-class WithdrawalNotice(NamedTuple):
-    """A crash observed here that no longer counts against these fingerprints."""
+class ReviewNotice(NamedTuple):
+    """A crash observed here that counts for more or less against these fingerprints."""
 
     backend_id: BackendId
-    reason: WithdrawalReason
+    reason: ReviewReason
     fingerprints: tuple[str, ...]
 
 
-Notice = CrashNotice | QuarantineNotice | WithdrawalNotice
+Notice = CrashNotice | QuarantineNotice | ReviewNotice
 
 
 class CrashRecord(NamedTuple):
@@ -135,11 +143,12 @@
 
 
 class SeenCrash(NamedTuple):
-    """A crash while a suspect ran on the server; `sole` as in `messages.Crash`."""
+    """A crash while a suspect ran on the server; the flags are as in `messages.Crash`."""
 
     backend_id: BackendId
     at: float
     sole: bool = True
+    doubtful: bool = False
 
     def is_same(self, other: "SeenCrash") -> bool:
         """Return whether this is another observation of the same crash."""
@@ -157,6 +166,12 @@
     observed_here: bool = False
     """Whether this entry saw one of the crashes."""
 
+    @property
+    def is_isolated(self) -> bool:
+        """Return whether no other suspect may run on its server meanwhile."""
+        certain = any(not crash.doubtful for crash in self.crashes)
+        return certain or len(self.crashes) >= DOUBTFUL_CRASHES_TO_ISOLATE
+
 
 class PoisonGuard:
     """The suspects, where they run, and the quarantined fingerprints."""
@@ -180,12 +195,18 @@
         return until - now if until is not None and until > now else None
 
     def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a request has to be isolated."""
+        suspect = self.suspects.get(fingerprint)
+        return suspect is not None and suspect.is_isolated
+
+    def has_crashes(self, fingerprint: str) -> bool:
+        """Return whether crashes are counted against a request, doubtful ones too."""
         return fingerprint in self.suspects
 
     def has_running_copy(self, fingerprint: str) -> bool:
         """Return whether a copy of this suspect already runs, on this entry or another
         one."""
-        return fingerprint in self.suspects and fingerprint in self.running_on
+        return self.is_suspect(fingerprint) and fingerprint in self.running_on
 
     def has_probation(self, backend_id: BackendId, now: float) -> bool:
         """Return whether a suspect is on probation on the server."""
@@ -229,7 +250,7 @@
     def record_start(self, fingerprint: str, backend_id: BackendId, now: float) -> None:
         """Record that a request runs on a server, on probation if it is a suspect."""
         suspect = self.suspects.get(fingerprint)
-        if suspect is None:
+        if suspect is None or not suspect.is_isolated:
             return
         suspect.passed_probation = False
         reservation = self.reservations.pop(fingerprint, None)
@@ -282,8 +303,7 @@
         self.notices.append(
             CrashNotice(backend_id, tuple(sorted(ran)), tuple(sorted(blamed)))
         )
-        self.drop_outage_crashes(now)
-        return self.update_suspects(set(blamed), now)
+        return self.update_suspects(set(blamed) | self.doubt_outage_crashes(now), now)
 
     def find_blamed(
         self, backend_id: BackendId, fingerprints: set[str], now: float
@@ -295,31 +315,42 @@
         since two entries placed theirs before they learned of each other's, or if
         several ran that had passed probation, the crash does not tell them apart.
         """
-        suspects = fingerprints & self.suspects.keys()
+        suspects = {name for name in fingerprints if self.is_suspect(name)}
         likely_causes = self.on_probation(backend_id, now) or suspects
         blamed = dict.fromkeys(fingerprints - suspects, True)
         blamed.update(dict.fromkeys(likely_causes & suspects, len(likely_causes) == 1))
         return blamed
 
-    def drop_outage_crashes(self, now: float) -> None:
-        """Discard the crashes of an outage, except for requests seen in several of
-        them."""
+    def doubt_outage_crashes(self, now: float) -> set[str]:
+        """Mark the crashes of an outage as doubtful, except for requests seen in several
+        of them; return the fingerprints for which that is new."""
         while self.recent_crashes and self.recent_crashes[0].at < now - OUTAGE_S:
             self.recent_crashes.popleft()
-        if (
-            len({crash_record.backend_id for crash_record in self.recent_crashes})
-            < OUTAGE_SERVERS
-        ):
-            return
-        seen: dict[str, int] = {}
-        for crash_record in self.recent_crashes:
-            for fingerprint in crash_record.fingerprints:
-                seen[fingerprint] = seen.get(fingerprint, 0) + 1
+        servers = {crash_record.backend_id for crash_record in self.recent_crashes}
+        if len(servers) < OUTAGE_SERVERS:
+            return set()
+        seen = Counter(
+            name for record in self.recent_crashes for name in record.fingerprints
+        )
+        doubted: set[str] = set()
         for crash_record in self.recent_crashes:
             backend_id, at = crash_record.backend_id, crash_record.at
             once = [name for name in crash_record.fingerprints if seen[name] == 1]
-            dropped = [name for name in once if self.drop_crash(name, backend_id, at)]
-            self.report_withdrawal(backend_id, WithdrawalReason.OUTAGE, dropped)
+            changed = [name for name in once if self.doubt_crash(name, backend_id, at)]
+            self.report_review(backend_id, ReviewReason.OUTAGE, changed)
+            doubted.update(changed)
+        return doubted
+
+    def doubt_crash(self, fingerprint: str, backend_id: BackendId, at: float) -> bool:
+        """Mark a crash that was observed here as doubtful; return whether that is new."""
+        suspect = self.suspects.get(fingerprint)
+        if suspect is None:
+            return False
+        for number, crash in enumerate(suspect.crashes):
+            if crash[:2] == (backend_id, at) and not crash.doubtful:
+                suspect.crashes[number] = SeenCrash(backend_id, at, False, True)
+                return True
+        return False
 
     def drop_crash(self, fingerprint: str, backend_id: BackendId, at: float) -> bool:
         """Withdraw a crash, and the suspicion if it was the only one.
@@ -335,16 +366,13 @@
             del self.suspects[fingerprint]
         return len(suspect.crashes) < before
 
-    def report_withdrawal(
-        self,
-        backend_id: BackendId,
-        reason: WithdrawalReason,
-        fingerprints: Iterable[str],
+    def report_review(
+        self, backend_id: BackendId, reason: ReviewReason, fingerprints: Iterable[str]
     ) -> None:
-        """Keep for the log that a crash no longer counts against some requests."""
+        """Keep for the log that a crash counts for more or less than before."""
         names = tuple(sorted(fingerprints))
         if names:
-            self.notices.append(WithdrawalNotice(backend_id, reason, names))
+            self.notices.append(ReviewNotice(backend_id, reason, names))
 
     def withdraw_crash(self, backend_id: BackendId, at: float) -> None:
         """Withdraw a crash that was none, with the suspicions and quarantines by it."""
@@ -359,7 +387,7 @@
             for fingerprint in list(self.suspects)
             if self.drop_crash(fingerprint, backend_id, at)
         ]
-        self.report_withdrawal(backend_id, WithdrawalReason.LOST_LINKS, dropped)
+        self.report_review(backend_id, ReviewReason.LOST_LINKS, dropped)
         self.updates = [
             update
             for update in self.updates
@@ -494,7 +522,7 @@
             return []
         cleared_at = self.cleared_at.get(item.fingerprint, float("-inf"))
         crashes = [
-            SeenCrash(crash.backend_id, now - crash.age_s, crash.sole)
+            SeenCrash(crash.backend_id, now - crash.age_s, crash.sole, crash.doubtful)
             for crash in item.crashes
             if crash.age_s < SUSPICION_S and now - crash.age_s > cleared_at
         ]
@@ -555,18 +583,23 @@
 def add_crash(suspect: Suspect, crash: SeenCrash) -> None:
     """Add a crash, unless it was counted already.
 
-    Of two entries that saw it, one may know of another suspect on the server.
+    Of two entries that saw it, one may know of another suspect on the server, and one
+    may not take it for part of an outage.
     """
     for number, known in enumerate(suspect.crashes):
         if known.is_same(crash):
-            sole = known.sole and crash.sole
-            suspect.crashes[number] = known._replace(sole=sole)
+            suspect.crashes[number] = known._replace(
+                sole=known.sole and crash.sole,
+                doubtful=known.doubtful and crash.doubtful,
+            )
             return
     suspect.crashes.append(crash)
 
 
 def suspicion_update(fingerprint: str, suspect: Suspect, now: float) -> Suspicion:
-    crashes = tuple(Crash(c.backend_id, now - c.at, c.sole) for c in suspect.crashes)
+    crashes = tuple(
+        Crash(c.backend_id, now - c.at, c.sole, c.doubtful) for c in suspect.crashes
+    )
     return Suspicion(fingerprint, crashes)
 
 
--- a/src/godwitmast/entry/crash_reports.py
+++ b/src/godwitmast/entry/crash_reports.py
@@ -134,12 +134,12 @@
         }
 
     def is_withdrawn(self, update: PoisonUpdate) -> bool:
-        """Return whether a suspicion was withdrawn since, as in an outage."""
+        """Return whether a suspicion was withdrawn since, as when links were lost."""
         router = self.driver.router
         return (
             isinstance(update, Suspicion)
             and router is not None
-            and not router.guard.is_suspect(update.fingerprint)
+            and not router.guard.has_crashes(update.fingerprint)
         )
 
     async def write(self) -> None:
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -40,7 +40,7 @@
     CrashNotice,
     Notice,
     QuarantineNotice,
-    WithdrawalNotice,
+    ReviewNotice,
 )
 from godwitmast.dispatch.policy import Policy
 from godwitmast.dispatch.retries import RetryBudgets
@@ -602,9 +602,9 @@
                 fingerprint=fingerprint,
                 crashed=",".join(crashed) or None,
             )
-        case WithdrawalNotice(backend_id, reason, fingerprints):
+        case ReviewNotice(backend_id, reason, fingerprints):
             log_event(
-                "crash_withdrawn",
+                "crash_reviewed",
                 backend=backend_id,
                 reason=reason.value,
                 requests=",".join(fingerprints),
--- a/tests/test_dispatch_poison.py
+++ b/tests/test_dispatch_poison.py
@@ -12,8 +12,8 @@
     InFlight,
     PoisonGuard,
     QuarantineNotice,
-    WithdrawalNotice,
-    WithdrawalReason,
+    ReviewNotice,
+    ReviewReason,
 )
 from godwitmast.types import BackendId
 
@@ -49,7 +49,7 @@
     assert guard.pop_notices() == []
 
 
-def test_withdrawn_crashes_are_reported_with_their_reason() -> None:
+def test_reviewed_crashes_are_reported_with_their_reason() -> None:
     """Guards against a log that does not tell why a request is sent on after crashes."""
     guard = PoisonGuard()
     for number in range(OUTAGE_SERVERS):
@@ -58,12 +58,12 @@
     guard.record_crash(ONE, in_flight("a"), 20.0)
     guard.withdraw_crash(ONE, 20.0)
     notices = guard.pop_notices()
-    outage, links = WithdrawalReason.OUTAGE, WithdrawalReason.LOST_LINKS
-    assert [item for item in notices if isinstance(item, WithdrawalNotice)] == [
-        WithdrawalNotice(BackendId("engine-0"), outage, ("stream-0",)),
-        WithdrawalNotice(BackendId("engine-1"), outage, ("stream-1",)),
-        WithdrawalNotice(BackendId("engine-2"), outage, ("stream-2",)),
-        WithdrawalNotice(ONE, links, ("a",)),
+    outage, links = ReviewReason.OUTAGE, ReviewReason.LOST_LINKS
+    assert [item for item in notices if isinstance(item, ReviewNotice)] == [
+        ReviewNotice(BackendId("engine-0"), outage, ("stream-0",)),
+        ReviewNotice(BackendId("engine-1"), outage, ("stream-1",)),
+        ReviewNotice(BackendId("engine-2"), outage, ("stream-2",)),
+        ReviewNotice(ONE, links, ("a",)),
     ]
 
 
@@ -150,6 +150,29 @@
     assert guard.quarantine_left_s("both", 11.0) is not None
 
 
+def test_request_that_ends_servers_in_three_outages_is_quarantined_by_all() -> None:
+    """Guards against evidence that is dropped as a small pool's servers crash at once."""
+    guards = [PoisonGuard() for _ in range(OUTAGE_SERVERS)]
+    for outage in range(3):
+        now = 10.0 * (outage + 1)
+        for number, guard in enumerate(guards):
+            # Each entry has a request on each server, and the deadly one on one of them.
+            for server in range(OUTAGE_SERVERS):
+                names = [f"stream-{outage}-{number}-{server}"]
+                names += ["deadly"] if server == number else []
+                backend_id = BackendId(f"engine-{server}-{outage}")
+                guard.record_crash(backend_id, in_flight(*names), now + server / 10)
+            assert not guard.is_suspect(f"stream-{outage}-{number}-0")
+        for guard in guards:
+            updates = guard.pop_updates()
+            shared = [item for item in updates if item.fingerprint in guard.suspects]
+            for other in guards:
+                if other is not guard:
+                    other.apply_updates(shared, now + 1.0)
+    for guard in guards:
+        assert set(guard.quarantined) == {"deadly"}
+
+
 def test_peer_refuses_a_resent_request_that_another_entry_suspects() -> None:
     here, there = PoisonGuard(), PoisonGuard()
     here.record_crash(ONE, in_flight("bad", "a"), 10.0)
