--- a/src/godwitmast/dispatch/poison.py
+++ b/src/godwitmast/dispatch/poison.py
@@ -119,8 +119,10 @@
 
     OUTAGE = "outage"
     """It is doubtful, as other servers crashed at the same time."""
-    LOST_LINKS = "lost_links"
-    """It is withdrawn: the links to the servers failed."""
+    UNREACHABLE = "unreachable"
+    """It is withdrawn until it is known whether the servers crashed or links failed."""
+    SERVERS_LOST = "servers_lost"
+    """It is doubtful: no entry reaches a server of the pool any more."""
 
 
 class ReviewNotice(NamedTuple):
@@ -135,7 +137,7 @@
 
 
 class CrashRecord(NamedTuple):
-    """A crash, and the fingerprints that became suspects by it."""
+    """A crash, and fingerprints that were on the server."""
 
     at: float
     backend_id: BackendId
@@ -305,6 +307,17 @@
         )
         return self.update_suspects(set(blamed) | self.doubt_outage_crashes(now), now)
 
+    def record_doubtful_crash(self, crash: CrashRecord, now: float) -> list[str]:
+        """Record a crash whose cause may be an outage; return the fingerprints that are
+        quarantined by it."""
+        backend_id, at = crash.backend_id, crash.at
+        for fingerprint in crash.fingerprints:
+            suspect = self.suspects.setdefault(fingerprint, Suspect())
+            suspect.observed_here = True
+            add_crash(suspect, SeenCrash(backend_id, at, sole=False, doubtful=True))
+        self.report_review(backend_id, ReviewReason.SERVERS_LOST, crash.fingerprints)
+        return self.update_suspects(set(crash.fingerprints), now)
+
     def find_blamed(
         self, backend_id: BackendId, fingerprints: set[str], now: float
     ) -> dict[str, bool]:
@@ -387,7 +400,7 @@
             for fingerprint in list(self.suspects)
             if self.drop_crash(fingerprint, backend_id, at)
         ]
-        self.report_review(backend_id, ReviewReason.LOST_LINKS, dropped)
+        self.report_review(backend_id, ReviewReason.UNREACHABLE, dropped)
         self.updates = [
             update
             for update in self.updates
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -30,7 +30,12 @@
     RequestSpec,
     Start,
 )
-from godwitmast.dispatch.poison import CRASH_DEDUP_S, InFlight, PoisonGuard
+from godwitmast.dispatch.poison import (
+    CRASH_DEDUP_S,
+    CrashRecord,
+    InFlight,
+    PoisonGuard,
+)
 from godwitmast.dispatch.retries import RetryBudgets, RetryQueue, backoff_s
 from godwitmast.dispatch.router_count import RouterCount
 from godwitmast.dispatch.timeouts import CheckQueue, hang_deadline, silence_limit_s
@@ -63,6 +68,11 @@
 LINK_LOSS_S = 2.0
 """How long broken connections may precede the finding that no server can be reached."""
 
+SERVERS_LOST_S = 1.0
+"""How long no server can be reached, and no other entry is known to reach one, until the
+servers are taken to have crashed. Entries that still reach them are found sooner, and no
+server restarts that soon."""
+
 EXPIRE_EVERY_S = 1.0
 
 DEFAULT_CHECK_S = 1.0
@@ -96,8 +106,9 @@
         self.check_queue = CheckQueue()
         self.random = random.Random(seed)
         self.removal_notices: dict[BackendId, RemovalNotice] = {}
-        self.crashed_at: dict[BackendId, float] = {}
-        self.unreachable_pools: set[PoolName] = set()
+        self.crashes: dict[BackendId, CrashRecord] = {}
+        self.unreachable_since: dict[PoolName, float] = {}
+        self.unexplained_crashes: dict[PoolName, list[CrashRecord]] = {}
         self.released: set[RequestId] = set()
         self.unconfirmed_crashes: deque[tuple[BackendId, float]] = deque()
         self.overcommitted: dict[BackendId, ActiveRequest] = {}
@@ -256,18 +267,21 @@
         server that was leaving is no crash, and hundreds may end at the same time.
         """
         self.backends.record_connection_failure(backend_id, now)
-        if active.request.pool in self.unreachable_pools:
-            return []
-        last = self.crashed_at.get(backend_id, -CRASH_DEDUP_S)
+        last = self.crashes.get(backend_id)
         leaving = self.backends.is_leaving(backend_id)
-        if leaving or (now - last < CRASH_DEDUP_S and active.started_at <= last):
+        if leaving or (last is not None and is_same_crash(last, active, now)):
             return []
-        self.crashed_at[backend_id] = now
-        self.unconfirmed_crashes.append((backend_id, now))
         in_flight = [
             InFlight(other.request.fingerprint, now - other.started_at)
             for other in self.active_requests.on_server(backend_id)
         ]
+        names = frozenset(item.fingerprint for item in in_flight if item.fingerprint)
+        crash = self.crashes[backend_id] = CrashRecord(now, backend_id, names)
+        pool = active.request.pool
+        if pool in self.unreachable_since:
+            self.unexplained_crashes.setdefault(pool, []).append(crash)
+            return []
+        self.unconfirmed_crashes.append((backend_id, now))
         quarantined = self.guard.record_crash(backend_id, in_flight, now)
         return self.refuse_quarantined(quarantined, now)
 
@@ -359,7 +373,7 @@
 
     def may_hold(self, active: ActiveRequest, now: float) -> bool:
         """Return whether a request may wait although no server can be reached."""
-        is_unreachable = active.request.pool in self.unreachable_pools
+        is_unreachable = active.request.pool in self.unreachable_since
         return is_unreachable and now < active.request.arrived + UNREACHABLE_HOLD_S
 
     def spend_retry(self, active: ActiveRequest) -> bool:
@@ -462,19 +476,41 @@
         return active.may_run_again and not is_unsafe
 
     def record_unreachable_pool(self, pool: PoolName, now: float) -> None:
-        """Withdraw crashes that were broken links: no server can be reached any more."""
-        self.unreachable_pools.add(pool)
+        """Withdraw the crashes of a pool of which no server can be reached any more.
+
+        Either this entry lost its links, or all servers crashed: see `tick`.
+        """
+        self.unreachable_since[pool] = now
         view = self.backends.pools.get(pool)
         members = view.members_by_id() if view is not None else {}
-        for backend_id, at in self.crashed_at.items():
-            if backend_id in members and at >= now - LINK_LOSS_S:
-                self.guard.withdraw_crash(backend_id, at)
+        recent = [
+            crash
+            for backend_id, crash in self.crashes.items()
+            if backend_id in members and crash.at >= now - LINK_LOSS_S
+        ]
+        for crash in recent:
+            self.guard.withdraw_crash(crash.backend_id, crash.at)
+        self.unexplained_crashes[pool] = recent
+
+    def record_lost_links(self, pool: PoolName) -> None:
+        """Record that another entry reaches servers of a pool: they did not crash."""
+        self.unexplained_crashes.pop(pool, None)
 
     def record_reachable_pool(self, pool: PoolName, now: float) -> None:
         """Return servers to rotation that only this entry could not reach."""
-        self.unreachable_pools.discard(pool)
+        self.unreachable_since.pop(pool, None)
+        self.unexplained_crashes.pop(pool, None)
         self.backends.readmit_unreachable(pool, now)
 
+    def record_lost_servers(self, now: float) -> list[Action]:
+        """Count the crashes of pools that nobody is known to reach."""
+        quarantined: list[str] = []
+        for pool, crashes in self.unexplained_crashes.items():
+            if now >= self.unreachable_since[pool] + SERVERS_LOST_S:
+                while crashes:
+                    quarantined += self.guard.record_doubtful_crash(crashes.pop(), now)
+        return self.refuse_quarantined(quarantined, now)
+
     def cancel_request(
         self, request_id: RequestId, reason: CancelReason, now: float
     ) -> list[Action]:
@@ -575,7 +611,9 @@
         if now >= self.next_expiry_at:
             self.next_expiry_at = now + EXPIRE_EVERY_S
             self.guard.expire(now)
-        actions = self.end_refused(self.admission.refuse_expired(now), now)
+            self.expire_crashes(now)
+        actions = self.record_lost_servers(now)
+        actions += self.end_refused(self.admission.refuse_expired(now), now)
         for active in self.check_queue.pop_due(now):
             actions += self.check_attempt(active, now)
         for notice in self.removal_notices.values():
@@ -586,6 +624,13 @@
             actions += self.requeue(request_id, now)
         return [*actions, *self.start_waiting(now)]
 
+    def expire_crashes(self, now: float) -> None:
+        """Drop crashes that are too old to matter to later findings."""
+        oldest = now - max(CRASH_DEDUP_S, LINK_LOSS_S)
+        self.crashes = {
+            k: crash for k, crash in self.crashes.items() if crash.at > oldest
+        }
+
     def check_attempt(self, active: ActiveRequest, now: float) -> list[Action]:
         """Move an attempt whose server has sent no token for too long."""
         backend_id = active.backend_id
@@ -854,6 +899,11 @@
         self.admission.record_end(active.request, now, whole)
 
 
+def is_same_crash(last: CrashRecord, active: ActiveRequest, now: float) -> bool:
+    """Return whether a broken connection belongs to a crash that was recorded already."""
+    return now - last.at < CRASH_DEDUP_S and active.started_at <= last.at
+
+
 def warmup_limits(document: Document) -> dict[str, WarmupLimit]:
     """Return what cold servers can handle, by pool, for pools that set a limit."""
     starts = {name: item.cold_start for name, item in document.models.items()}
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -333,6 +333,11 @@
         else:
             self.router.record_reachable_pool(pool, self.clock.now())
 
+    def record_lost_links(self, pool: PoolName) -> None:
+        """Record that another entry reaches servers of a pool that this one cannot."""
+        if self.router is not None:
+            self.router.record_lost_links(pool)
+
     def record_heard(self, backend_id: BackendId) -> None:
         """Record that bytes of an answer arrived from a backend server."""
         self.connectivity.record_heard(backend_id, self.clock.now())
--- a/src/godwitmast/entry/forwarding.py
+++ b/src/godwitmast/entry/forwarding.py
@@ -162,6 +162,7 @@
         """Release waiting requests to other VMs, while there are any to take them."""
         for pool in self.connectivity.unreachable_pools():
             if self.choice.is_available(pool, now):
+                self.driver.record_lost_links(pool)
                 self.driver.release_requests(pool, now)
 
     def may_forward(self, spec: RequestSpec) -> bool:
--- a/tests/test_dispatch_poison.py
+++ b/tests/test_dispatch_poison.py
@@ -58,7 +58,7 @@
     guard.record_crash(ONE, in_flight("a"), 20.0)
     guard.withdraw_crash(ONE, 20.0)
     notices = guard.pop_notices()
-    outage, links = ReviewReason.OUTAGE, ReviewReason.LOST_LINKS
+    outage, links = ReviewReason.OUTAGE, ReviewReason.UNREACHABLE
     assert [item for item in notices if isinstance(item, ReviewNotice)] == [
         ReviewNotice(BackendId("engine-0"), outage, ("stream-0",)),
         ReviewNotice(BackendId("engine-1"), outage, ("stream-1",)),
