--- a/src/godwitmast/dispatch/poison.py
+++ b/src/godwitmast/dispatch/poison.py
@@ -24,6 +24,7 @@
 `apply_updates` with what peers sent.
 """
 
+import math
 from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -46,9 +47,9 @@
 cause: few others are in so many without completing in between."""
 
 SAME_EVENT_S = 0.3
-"""Crashes that several entries saw within this time had one cause, as a rack that lost
-its power: a suspect is not retried that soon. Copies of a common request, such as a
-lookup, are on several servers at any time."""
+"""Crashes within this time may have one cause, as a rack that lost its power: a suspect
+is not retried that soon. Copies of a common request, such as a lookup, are on several
+servers at any time."""
 
 QUARANTINE_S = 600.0
 """Long enough that a caller's retry loop gives up or is noticed; a caller who corrected
@@ -83,6 +84,14 @@
 of it in about 0.1 s. Without it two entries placed a suspect each on one server, whose
 crash then identified neither, and a poison request crashed a third one."""
 
+FAMILIAR_S = 60.0
+"""A request that has completed within this time is a common one, whose copies are on
+several servers at any moment."""
+
+LEARNING_S = 5.0
+"""Time from the first completion until most common requests have completed here."""
+
+MAX_FAMILIAR = 10_000
 MAX_SUSPECTS = 10_000
 
 MAX_NOTICES = 100
@@ -182,6 +191,8 @@
         self.suspects: dict[str, Suspect] = {}
         self.quarantined: dict[str, float] = {}
         self.cleared_at: dict[str, float] = {}
+        self.completed_at: dict[str, float] = {}
+        self.first_completion_at = math.inf
         self.probations: dict[BackendId, dict[str, float]] = {}
         self.running_on: dict[str, BackendId] = {}
         self.reservations: dict[str, tuple[BackendId, float]] = {}
@@ -278,6 +289,11 @@
 
     def record_completion(self, fingerprint: str, now: float) -> None:
         """Clear a suspect that completed."""
+        self.first_completion_at = min(now, self.first_completion_at)
+        self.completed_at.pop(fingerprint, None)
+        self.completed_at[fingerprint] = now
+        if len(self.completed_at) > MAX_FAMILIAR:
+            del self.completed_at[next(iter(self.completed_at))]
         if fingerprint not in self.suspects:
             return
         self.end_probation(fingerprint)
@@ -409,12 +425,37 @@
             or update.fingerprint in self.quarantined
         ]
 
+    def is_common(self, fingerprint: str, now: float) -> bool:
+        """Return whether the request has completed here lately.
+
+        One that crashes its servers never does.
+        """
+        return now < self.completed_at.get(fingerprint, -math.inf) + FAMILIAR_S
+
+    def is_cause(
+        self, fingerprint: str, crashes: list[SeenCrash], seen_here: bool, now: float
+    ) -> bool:
+        """Return whether a request is taken for the cause of the crashes.
+
+        Copies of a common request are on several servers by chance, so that crashes of
+        one event count once, and two events tell nothing. Other requests are on several
+        servers if their callers, or entries that fail, send them on.
+        """
+        events = one_crash_per_event(crashes)
+        if self.is_common(fingerprint, now):
+            return len(events) >= CRASHES_AMONG_SUSPECTS
+        if identify_cause(crashes if seen_here else events):
+            return True
+        is_learning = now < self.first_completion_at + LEARNING_S
+        by_chance = is_learning and len(events) == 1
+        return len(crashes) >= CRASHES_AMONG_SUSPECTS and not by_chance
+
     def update_suspects(self, fingerprints: set[str], now: float) -> list[str]:
         """Quarantine suspects with enough crashes, and announce the others."""
         quarantined = []
         for fingerprint in sorted(fingerprints & self.suspects.keys()):
             suspect = self.suspects[fingerprint]
-            if identify_cause(suspect.crashes):
+            if self.is_cause(fingerprint, suspect.crashes, True, now):
                 self.quarantined_here[fingerprint] = suspect
                 self.quarantine(fingerprint, now + QUARANTINE_S)
                 self.updates.append(Quarantine(fingerprint, QUARANTINE_S))
@@ -544,7 +585,7 @@
         suspect = self.suspects.setdefault(item.fingerprint, Suspect())
         for crash in crashes:
             add_crash(suspect, crash)
-        if not identify_cause(one_crash_per_event(suspect.crashes)):
+        if not self.is_cause(item.fingerprint, suspect.crashes, False, now):
             return []
         self.quarantine(item.fingerprint, now + QUARANTINE_S)
         # All entries that received the same updates conclude this, hundreds of them.
--- a/tests/small_pool.py
+++ b/tests/small_pool.py
@@ -216,6 +216,8 @@
             vm.router.record_unreachable_pool(POOL, self.now)  # type: ignore[arg-type]
         elif was_unreachable and not vm.connectivity.is_unreachable:
             vm.router.record_reachable_pool(POOL, self.now)  # type: ignore[arg-type]
+        if vm.connectivity.is_unreachable and self.others_reach_servers(vm):
+            vm.router.record_lost_links(POOL)  # type: ignore[arg-type]
         self.share(vm)
         self.schedule(TICK_S, self.tick, vm)
 
@@ -230,6 +232,15 @@
         cut = self.vms.index(vm) in self.cut_vms
         return not cut and self.server_at(backend_id).is_up
 
+    def others_reach_servers(self, vm: Vm) -> bool:
+        """Return whether a VM that is asked finds a server that accepts connections."""
+        others = (other for other in self.vms if other is not vm)
+        return any(
+            self.reaches(other, server.backend_id)
+            for other in others
+            for server in self.servers
+        )
+
     def server_at(self, backend_id: BackendId) -> Server:
         return next(s for s in self.servers if backend_id.startswith(f"{s.zone}-"))
 
@@ -310,6 +321,22 @@
         if server.is_up and server.number == number:
             self.crash(server)
 
+    def cut(self, vm_numbers: set[int]) -> None:
+        """Cut VMs off from all servers, and break what they run there."""
+        self.cut_vms = vm_numbers
+        cut = [self.vms[number] for number in vm_numbers]
+        for server in self.servers:
+            for key, call in list(server.running.items()):
+                if call.vm in cut:
+                    del server.running[key]
+                    failed = Start(*key, server.backend_id)
+                    self.schedule(LINK_S, self.fail, call.vm, failed, FailureKind.CUT)
+
+    def crash_all(self) -> None:
+        for server in self.servers:
+            if server.is_up:
+                self.crash(server)
+
     def crash(self, server: Server) -> None:
         """End a server; its successor starts some seconds later."""
         server.is_up = False
