--- a/src/godwitmast/dispatch/placement.py
+++ b/src/godwitmast/dispatch/placement.py
@@ -179,8 +179,8 @@
 
 
 class PoolLoad(NamedTuple):
-    """Number of requests on all engines of a pool, and mean number of places of one
-    engine."""
+    """Expected number of requests on all engines of a pool, and mean number of places of
+    one engine."""
 
     requests: float
     places: float
@@ -189,6 +189,17 @@
 IDLE_POOL = PoolLoad(0.0, 1.0)
 
 
+class GroupSize(NamedTuple):
+    """A new size of the interactive group, and what it was computed from."""
+
+    interactive: int
+    engines: int
+    needed: float
+    token_share: float
+    place_share: float
+    requests: float
+
+
 @dataclass
 class PromptPlacement:
     """One router's view of the prompts of one pool."""
@@ -207,6 +218,8 @@
     """Mean length of each class's last part, which other prompts don't share."""
     interactive_count: int = 1
     """Number of engines in the interactive group."""
+    resized: GroupSize | None = None
+    """The last new size that has not been logged yet."""
     cheap: set[BackendId] = field(default_factory=set)
     """The engines that may be reclaimed at short notice."""
     pending_tokens: dict[BackendId, float] = field(default_factory=dict)
@@ -257,7 +270,8 @@
 
         Load pattern: short prompts with long answers. Sized by prompt tokens alone,
         their group has too few places for the answers being generated, and the rest of
-        them run beside long prompts.
+        them run beside long prompts. Sized by the requests that a router knows of, it
+        has the fewer places the more routers there are.
         """
         by_tokens = (
             INTERACTIVE_SIZE_FACTOR * self.token_demand.interactive_share * engines
@@ -279,6 +293,14 @@
         wanted = self.interactive_engines_needed(len(order), load)
         if abs(wanted - self.interactive_count) > RESIZE_THRESHOLD_ENGINES:
             self.interactive_count = round(wanted)
+            self.resized = GroupSize(
+                self.interactive_count,
+                len(order),
+                wanted,
+                self.token_demand.interactive_share,
+                self.place_demand.interactive_share,
+                load.requests,
+            )
         interactive_count = min(len(order) - 1, max(1, self.interactive_count))
         return (
             order[:interactive_count]
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -377,6 +377,15 @@
         if self.router.guard.updates:
             self.poison_updated.set()
 
+    def report_group_sizes(self) -> None:
+        """Log new sizes of the groups of engines for interactive requests."""
+        if self.router is None:
+            return
+        for pool, view in self.router.backends.pools.items():
+            size, view.placement.resized = view.placement.resized, None
+            if size is not None:
+                log_event("interactive_group_resized", pool=pool, **size._asdict())
+
     async def wait_for_poison_updates(self) -> None:
         """Wait until the router has updates on crashing requests."""
         await self.poison_updated.wait()
@@ -421,6 +430,7 @@
                 now = self.clock.now()
                 self.deliver_actions(self.router.tick(now))
                 self.report_crashes()
+                self.report_group_sizes()
                 for listener in self.tick_listeners:
                     listener(now)
 
