--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -27,7 +27,7 @@
 )
 from godwitmast.dispatch.limits import ServerLimit
 from godwitmast.dispatch.messages import BackendSpec, LoadReport, RequestSpec
-from godwitmast.dispatch.other_load import OtherLoad
+from godwitmast.dispatch.other_load import MeanOtherLoad, OtherLoad
 from godwitmast.dispatch.pace import GapWindow, PoolPace
 from godwitmast.dispatch.placement import PoolLoad, PromptPlacement
 from godwitmast.dispatch.rate_limit import ASSUMED_ROUTERS, RateLimit
@@ -171,6 +171,7 @@
     server_count: int = 0
     slow_count: int = 0
     placement: PromptPlacement = field(default_factory=PromptPlacement)
+    mean_other_load: MeanOtherLoad = field(default_factory=MeanOtherLoad)
 
     def members(self) -> list[BackendState]:
         """Return the servers in rotation, with room or not."""
@@ -186,6 +187,14 @@
         cells = self.cells.values()
         return {name: state for cell in cells for name, state in cell.members.items()}
 
+    def expected_requests(self, now: float) -> float:
+        """Return the expected number of requests on all servers in rotation."""
+        mean = self.mean_other_load.value
+        return sum(
+            state.in_flight + state.other_load.expect(mean, now)
+            for state in self.members()
+        )
+
     def strictest_gap_s(self, now: float) -> float | None:
         """Return the strictest inter-token gap that recently used classes ask for."""
         if not self.targets:
@@ -323,6 +332,7 @@
             if previous is not None:
                 view.pace, view.targets = previous.pace, previous.targets
                 view.placement = previous.placement
+                view.mean_other_load = previous.mean_other_load
                 view.placement.cheap = set()
         if state.spec.cheap:
             view.placement.cheap.add(state.backend_id)
@@ -403,7 +413,7 @@
         states = view.members()
         members = [state.backend_id for state in states]
         pool_load = PoolLoad(
-            sum(state.load(now) for state in states),
+            view.expected_requests(now),
             sum(state.limit.value for state in states) / max(1, len(states)),
         )
         open_engines = [
@@ -591,6 +601,8 @@
         state.other_load.record_report(
             report, state.in_flight, state.limit.value, now, self.random
         )
+        for cell in state.cells:
+            cell.pool.mean_other_load.add(state.other_load.others, now)
         self.refresh(state, now)
 
     @property
--- a/src/godwitmast/dispatch/other_load.py
+++ b/src/godwitmast/dispatch/other_load.py
@@ -35,6 +35,24 @@
 equal share with eight or nine entries."""
 
 
+MEAN_WEIGHT = 0.1
+"""Least weight of one report in a pool's mean, which the last ten or so determine."""
+
+
+@dataclass(slots=True)
+class MeanOtherLoad:
+    """Mean of others' requests on a pool's servers, over the newest reports of all."""
+
+    value: float = 0.0
+    updated_at: float = -math.inf
+
+    def add(self, others: float, now: float) -> None:
+        """Add a report; the first one after a silence counts for more."""
+        faded = 1 - 0.5 ** (max(0.0, now - self.updated_at) / HALF_LIFE_S)
+        self.value += max(MEAN_WEIGHT, faded) * (others - self.value)
+        self.updated_at = now
+
+
 @dataclass(slots=True)
 class OtherLoad:
     """Estimate of the requests on one server that are not our own."""
@@ -86,6 +104,18 @@
 
     def estimate(self, now: float) -> float:
         """Return the estimated number of other entries' requests on the server."""
-        if not self.others:
-            return 0.0
-        return self.others * 0.5 ** ((now - self.reported_at) / HALF_LIFE_S)
+        return self.others * self.validity(now) if self.others else 0.0
+
+    def expect(self, mean: float, now: float) -> float:
+        """Return the expected number of other entries' requests on the server.
+
+        What an old report no longer tells is taken from the pool's mean. Taken for
+        nothing, as by `estimate`, the requests of a whole pool come out the lower, the
+        more entries there are and the less often each hears of a server.
+        """
+        validity = self.validity(now)
+        return self.others * validity + mean * (1 - validity)
+
+    def validity(self, now: float) -> float:
+        """Return what part of the last report is still taken to be true."""
+        return 0.5 ** (max(0.0, now - self.reported_at) / HALF_LIFE_S)
