--- a/src/godwitmast/dispatch/poison.py
+++ b/src/godwitmast/dispatch/poison.py
@@ -212,10 +212,6 @@
         suspect = self.suspects.get(fingerprint)
         return suspect is not None and suspect.is_isolated
 
-    def has_crashes(self, fingerprint: str) -> bool:
-        """Return whether crashes are counted against a request, doubtful ones too."""
-        return fingerprint in self.suspects
-
     def has_running_copy(self, fingerprint: str) -> bool:
         """Return whether a copy of this suspect already runs, on this entry or another
         one."""
@@ -527,6 +523,15 @@
         updates, self.updates = self.updates, []
         return updates
 
+    def refresh_update(self, update: PoisonUpdate, now: float) -> PoisonUpdate | None:
+        """Return an update that is sent only now, or None if it was withdrawn since."""
+        if not isinstance(update, Suspicion):
+            return update
+        suspect = self.suspects.get(update.fingerprint)
+        if suspect is None:
+            return None
+        return suspicion_update(update.fingerprint, suspect, now)
+
     def pop_notices(self) -> list[Notice]:
         """Return and clear what is to be logged."""
         notices = list(self.notices)
--- a/src/godwitmast/entry/crash_reports.py
+++ b/src/godwitmast/entry/crash_reports.py
@@ -121,11 +121,13 @@
 
     def collect(self) -> None:
         """Take the router's updates; of several on one request the last one counts."""
-        if self.clock.updated_at is None:
+        router = self.driver.router
+        if self.clock.updated_at is None or router is None:
             return
-        now = self.clock.store_now()
-        for update in self.driver.pop_poison_updates():
-            if isinstance(update, Placement) or self.is_withdrawn(update):
+        now, router_now = self.clock.store_now(), self.driver.clock.now()
+        for popped in self.driver.pop_poison_updates():
+            update = router.guard.refresh_update(popped, router_now)
+            if update is None or isinstance(update, Placement):
                 continue
             kind = type(update).__name__.lower()
             self.pending[kind, update.fingerprint] = Observation(update, now)
@@ -133,15 +135,6 @@
             key: item for key, item in self.pending.items() if expiry_of(item) > now
         }
 
-    def is_withdrawn(self, update: PoisonUpdate) -> bool:
-        """Return whether a suspicion was withdrawn since, as when links were lost."""
-        router = self.driver.router
-        return (
-            isinstance(update, Suspicion)
-            and router is not None
-            and not router.guard.has_crashes(update.fingerprint)
-        )
-
     async def write(self) -> None:
         """Write the oldest updates as a row, and remove rows that are outdated."""
         sent = dict(list(self.pending.items())[:MAX_ROW_UPDATES])
--- a/tests/small_pool.py
+++ b/tests/small_pool.py
@@ -27,7 +27,6 @@
     Refuse,
     RequestSpec,
     Start,
-    Suspicion,
 )
 from godwitmast.dispatch.poison import advance_ages
 from godwitmast.dispatch.router import Router
@@ -256,11 +255,9 @@
         if undecided and self.now < vm.collects_at + MAX_PROBES_S:
             return
         vm.collects_at = None
-        updates = [
-            item
-            for item in vm.router.pop_poison_updates()
-            if not isinstance(item, Placement) and not is_withdrawn(vm, item)
-        ]
+        popped = vm.router.pop_poison_updates()
+        fresh = [vm.router.guard.refresh_update(item, self.now) for item in popped]
+        updates = [item for item in fresh if item and not isinstance(item, Placement)]
         if updates:
             self.rows.append((self.now, updates))
             for other in self.vms:
@@ -372,9 +369,3 @@
         if len(crashes) < 3:
             return 0
         return sum(at > crashes[2] + contact_s for at in self.runs[fingerprint])
-
-
-def is_withdrawn(vm: Vm, update: PoisonUpdate) -> bool:
-    """Return whether a suspicion was withdrawn before it was shared."""
-    guard = vm.router.guard
-    return isinstance(update, Suspicion) and update.fingerprint not in guard.suspects
--- a/tests/test_dispatch_poison.py
+++ b/tests/test_dispatch_poison.py
@@ -113,6 +113,21 @@
     assert other.is_suspect("lookup")
 
 
+def test_reports_that_are_sent_late_are_of_the_time_of_their_crash() -> None:
+    """Guards against one outage that counts as several, as its reports came apart."""
+    here, there, other = PoisonGuard(), PoisonGuard(), PoisonGuard()
+    for guard, server, sent_at in ((here, ONE, 10.2), (there, TWO, 11.5)):
+        guard.record_crash(server, in_flight("lookup"), 10.0)
+        updates = [
+            guard.refresh_update(item, sent_at)
+            for item in guard.pop_updates()
+            if isinstance(item, Suspicion)
+        ]
+        other.apply_updates(updates, sent_at)
+    assert not other.quarantined
+    assert {round(c.at, 3) for c in other.suspects["lookup"].crashes} == {10.0}
+
+
 def test_common_request_that_completes_between_crashes_is_not_quarantined() -> None:
     """Guards against crashes that several entries saw adding up for an innocent one."""
     guards = [PoisonGuard() for _ in range(3)]
