--- a/src/godwitmast/dispatch/poison.py
+++ b/src/godwitmast/dispatch/poison.py
@@ -193,6 +193,7 @@
         self.cleared_at: dict[str, float] = {}
         self.completed_at: dict[str, float] = {}
         self.first_completion_at = math.inf
+        self.was_learning = True
         self.probations: dict[BackendId, dict[str, float]] = {}
         self.running_on: dict[str, BackendId] = {}
         self.reservations: dict[str, tuple[BackendId, float]] = {}
@@ -442,10 +443,32 @@
             return len(events) >= CRASHES_AMONG_SUSPECTS
         if identify_cause(crashes if seen_here else events):
             return True
-        is_learning = now < self.first_completion_at + LEARNING_S
-        by_chance = is_learning and len(events) == 1
+        by_chance = self.is_learning(now) and len(events) == 1
         return len(crashes) >= CRASHES_AMONG_SUSPECTS and not by_chance
 
+    def is_learning(self, now: float) -> bool:
+        """Return whether common requests may not have completed here yet."""
+        return now < self.first_completion_at + LEARNING_S
+
+    def review_suspects(self, now: float) -> list[str]:
+        """Once common requests are known, quarantine others with enough crashes.
+
+        Return the fingerprints that are quarantined now.
+        """
+        if not self.was_learning or self.is_learning(now):
+            return []
+        self.was_learning = False
+        causes = [
+            (fingerprint, suspect)
+            for fingerprint, suspect in self.suspects.items()
+            if self.is_cause(fingerprint, suspect.crashes, False, now)
+        ]
+        for fingerprint, suspect in causes:
+            self.quarantine(fingerprint, now + QUARANTINE_S)
+            if suspect.observed_here:
+                self.updates.append(Quarantine(fingerprint, QUARANTINE_S))
+        return [fingerprint for fingerprint, _ in causes]
+
     def update_suspects(self, fingerprints: set[str], now: float) -> list[str]:
         """Quarantine suspects with enough crashes, and announce the others."""
         quarantined = []
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -608,11 +608,14 @@
         started."""
         self.backends.tick(now)
         self.confirm_crashes(now)
+        actions: list[Action] = []
         if now >= self.next_expiry_at:
             self.next_expiry_at = now + EXPIRE_EVERY_S
             self.guard.expire(now)
             self.expire_crashes(now)
-        actions = self.record_lost_servers(now)
+            quarantined = self.guard.review_suspects(now)
+            actions += self.refuse_quarantined(quarantined, now)
+        actions += self.record_lost_servers(now)
         actions += self.end_refused(self.admission.refuse_expired(now), now)
         for active in self.check_queue.pop_due(now):
             actions += self.check_attempt(active, now)
--- a/tests/test_dispatch_poison.py
+++ b/tests/test_dispatch_poison.py
@@ -2,9 +2,16 @@
 
 import pytest
 
-from godwitmast.dispatch.messages import Clearance, Placement, Quarantine, Suspicion
+from godwitmast.dispatch.messages import (
+    Clearance,
+    Crash,
+    Placement,
+    Quarantine,
+    Suspicion,
+)
 from godwitmast.dispatch.poison import (
     ANNOUNCE_S,
+    LEARNING_S,
     OUTAGE_SERVERS,
     QUARANTINE_S,
     SUSPICION_S,
@@ -188,6 +195,22 @@
         assert set(guard.quarantined) == {"deadly"}
 
 
+def test_request_in_crashes_soon_after_the_start_is_quarantined_once_others_are_known() -> (
+    None
+):
+    """Guards against an entry that goes on by what it could not tell when it started."""
+    guard = PoisonGuard()
+    for name, completes in (("deadly", False), ("lookup", True)):
+        crashes = tuple(Crash(server, 0.0, False, True) for server in (ONE, TWO, THREE))
+        assert guard.apply_updates([Suspicion(name, crashes)], 11.0) == []
+        if completes:
+            guard.record_completion(name, 10.0)
+            assert guard.apply_updates([Suspicion(name, crashes)], 11.0) == []
+    assert guard.review_suspects(10.0 + LEARNING_S - 0.1) == []
+    assert guard.review_suspects(10.0 + LEARNING_S) == ["deadly"]
+    assert set(guard.quarantined) == {"deadly"}
+
+
 def test_peer_refuses_a_resent_request_that_another_entry_suspects() -> None:
     here, there = PoisonGuard(), PoisonGuard()
     here.record_crash(ONE, in_flight("bad", "a"), 10.0)
