--- a/src/godwitmast/dispatch/placement.py
+++ b/src/godwitmast/dispatch/placement.py
@@ -271,16 +271,16 @@
         Load pattern: short prompts with long answers. Sized by prompt tokens alone,
         their group has too few places for the answers being generated, and the rest of
         them run beside long prompts. Sized by the requests that a router knows of, it
-        has the fewer places the more routers there are.
+        has the fewer places the more routers there are. When nearly all places of the
+        pool are in use the group gets its share of the engines, so that the long prompts
+        have theirs.
         """
         by_tokens = (
             INTERACTIVE_SIZE_FACTOR * self.token_demand.interactive_share * engines
         )
-        by_places = (
-            self.place_demand.interactive_share
-            * load.requests
-            / (INTERACTIVE_PLACE_USE * load.places)
-        )
+        share = self.place_demand.interactive_share
+        spare = INTERACTIVE_PLACE_USE * load.places
+        by_places = share * min(load.requests / spare, engines)
         return max(by_tokens, by_places)
 
     def group_for(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -284,3 +284,17 @@
     assert len(calm) == 2
     assert len(burst) == 4
     assert set(calm) <= set(burst)
+
+
+def test_long_prompts_keep_their_share_of_the_engines_in_a_full_pool() -> None:
+    """Guards against questions that take the engines of long prompts under high load."""
+    placement = PromptPlacement()
+    for number in range(200):
+        now = number / 20
+        placement.record_arrival(question(number), now, 0.15)
+        placement.record_arrival(summary(number, number), now, 0.6)
+        placement.record_end(question(number), 2.0, now)
+        placement.record_end(summary(number, number), 2.0, now)
+    names = [BackendId(f"e{number}") for number in range(12)]
+    full = placement.group_for(question(1), names, PoolLoad(12 * 32.0, 32.0))
+    assert len(full) == 6
