--- a/src/godwitmast/standins/replica.py
+++ b/src/godwitmast/standins/replica.py
@@ -79,6 +79,8 @@
     service: str
     streams: bool = False
     zone: str = "z1"
+    version: str | None = "v1"
+    """Version of its software, in its row."""
     events: int = 5
     event_s: float = 0.01
     places: int = 8
@@ -116,7 +118,7 @@
             "service": self.service,
             "address": f"127.0.0.1:{self.port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "batchSlots": self.places,
             "state": state,
             "coldLeftMs": 0,
--- /dev/null
+++ b/tests/test_software_versions.py
@@ -0,0 +1,184 @@
+"""Backend servers of several software versions, whose streams do not fit together."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import httpx
+import pytest
+from anyio.abc import TaskGroup
+
+from fleet import Fleet, request_headers
+from godwitmast.platform.daemon import Node
+from godwitmast.platform.wire import DRAINING, READY
+from godwitmast.standins.replica import ReplicaStandin
+from running import running
+
+pytestmark = pytest.mark.anyio
+
+WHOLE = "".join(f"id: {n}\ndata: event {n}\n\n" for n in range(1, 6))
+
+
+@dataclass
+class MixedFleet(Fleet):
+    """Two VMs, and two engines each of two versions."""
+
+    async def start(self, tasks: TaskGroup) -> None:
+        await super().start(tasks)
+        for number, version in ((3, "v1"), (4, "v2")):
+            engine = ReplicaStandin(self.store, f"e{number}", "lm", streams=True)
+            engine.version = version
+            self.engines.append(engine)
+            await engine.start(tasks)
+        self.engines[1].version = "v2"
+        self.engines[1].publish_row(READY)
+        await self.add_vm("front-2")
+        await self.wait_until(lambda: all(self.knows_versions(n) for n in self.nodes))
+
+    def knows_versions(self, node: Node) -> bool:
+        rows = node.driver.listed_backends
+        listed = {name: getattr(row, "version", "") for name, row in rows.items()}
+        return listed.keys() >= {"e1", "e2", "e3", "e4"} and (
+            listed["e2"] in ("v2", "")
+        )
+
+    def engines_of(self, version: str) -> list[ReplicaStandin]:
+        return [engine for engine in self.engines if engine.version == version]
+
+    def streams(self) -> list[ReplicaStandin]:
+        """Return the engines that have run a stream, in the order of these runs."""
+        return [engine for engine in self.engines if engine.served]
+
+    async def leave(self, version: str) -> None:
+        """Let all engines of a version leave."""
+        for engine in self.engines_of(version):
+            engine.publish_row(DRAINING)
+        names = {engine.server_id for engine in self.engines_of(version)}
+        await self.wait_until(
+            lambda: all(
+                node.driver.listed_backends[name].leaving
+                for node in self.nodes
+                for name in names
+            )
+        )
+
+    async def break_stream(self, http: httpx.AsyncClient) -> tuple[str, str]:
+        """Begin a stream that its client breaks off; return its version and last event."""
+        for engine in self.engines:
+            engine.event_s = 0.1
+        received = b""
+        stream = http.stream("GET", self.url + "/chat/1", headers=self.headers("a1"))
+        async with stream as answer:
+            async for data in answer.aiter_raw():
+                received += data
+                if b"event 2" in received:
+                    break
+        [begun] = self.streams()
+        await self.wait_until(lambda: not any(e.running for e in self.engines))
+        assert begun.version is not None
+        return begun.version, received.decode().rpartition("id: ")[2].partition("\n")[0]
+
+    def headers(self, attempt_id: str, **more: str) -> dict[str, str]:
+        return request_headers(attempt_id, **more)
+
+    async def resume(
+        self, http: httpx.AsyncClient, node: Node, last_id: str, resumes: str = "a1"
+    ) -> httpx.Response:
+        """Take the stream up again as a client does."""
+        for engine in self.engines:
+            engine.served.clear()
+        more = {"Last-Event-Id": last_id, "Resumes": resumes}
+        return await http.get(
+            node.caller_server.url + "/chat/1", headers=self.headers("a2", **more)
+        )
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[MixedFleet]:
+    async with running(MixedFleet()) as started:
+        yield started
+
+
+async def test_stream_goes_on_at_the_version_that_began_it(
+    fleet: MixedFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against streams whose parts two versions of the software wrote."""
+    for number in range(8):
+        for engine in fleet.engines:
+            engine.served.clear()
+            engine.faults.cut_after = 2 + number % 2
+        async with http.stream(
+            "GET", f"{fleet.url}/chat/{number}", headers=fleet.headers(f"s{number}")
+        ) as answer:
+            with pytest.raises(httpx.RemoteProtocolError):
+                async for _ in answer.aiter_raw():
+                    pass
+        versions = {engine.version for engine in fleet.streams()}
+        assert len(versions) == 1
+
+
+async def test_stream_ends_broken_where_no_server_of_its_version_is_left(
+    fleet: MixedFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against streams that go on at another version for want of their own."""
+    await fleet.leave("v1")
+    only, other = fleet.engines_of("v2")
+    other.publish_row(DRAINING)
+    await fleet.wait_until(
+        lambda: fleet.node.driver.listed_backends[other.server_id].leaving
+    )
+    only.faults.cut_after = 2
+    spare = fleet.engines_of("v1")[0]
+    stream = http.stream("GET", fleet.url + "/chat/1", headers=fleet.headers("a1"))
+    async with stream as answer:
+        events = answer.aiter_raw()
+        await anext(events)
+        spare.publish_row(READY)
+        with pytest.raises(httpx.RemoteProtocolError):
+            async for _ in events:
+                pass
+    assert not spare.served
+
+
+@pytest.mark.parametrize("vm", [0, 1])
+async def test_client_takes_its_stream_up_at_the_version_that_began_it(
+    fleet: MixedFleet, http: httpx.AsyncClient, vm: int
+) -> None:
+    """Guards against a client's own resumption that another version answers."""
+    version, last_id = await fleet.break_stream(http)
+    for _ in range(4):
+        answer = await fleet.resume(http, fleet.nodes[vm], last_id)
+        assert answer.status_code == 200
+        assert {engine.version for engine in fleet.streams()} == {version}
+
+
+@pytest.mark.parametrize("vm", [0, 1])
+async def test_client_is_refused_where_no_server_of_its_streams_version_is_left(
+    fleet: MixedFleet, http: httpx.AsyncClient, vm: int
+) -> None:
+    """Guards against a client's own resumption that another version answers."""
+    version, last_id = await fleet.break_stream(http)
+    await fleet.leave(version)
+    answer = await fleet.resume(http, fleet.nodes[vm], last_id)
+    assert answer.status_code == 503
+    assert not fleet.streams()
+
+
+@pytest.mark.parametrize("vm", [0, 1])
+async def test_client_that_takes_an_unknown_stream_up_is_refused_as_not_run(
+    fleet: MixedFleet, http: httpx.AsyncClient, vm: int
+) -> None:
+    """Guards against guesses where a VM cannot learn the version of a stream."""
+    answer = await fleet.resume(http, fleet.nodes[vm], "2", "never-seen")
+    assert answer.status_code == 503
+    assert not fleet.streams()
+
+
+async def test_resumption_of_a_resumption_stays_at_the_first_version(
+    fleet: MixedFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against a chain of resumptions that forgets where it began."""
+    version, last_id = await fleet.break_stream(http)
+    for node in (fleet.nodes[1], fleet.nodes[0], fleet.nodes[1]):
+        answer = await fleet.resume(http, node, last_id)
+        assert answer.status_code == 200
+        assert {engine.version for engine in fleet.streams()} == {version}
