--- a/src/godwitmast/config/document.py
+++ b/src/godwitmast/config/document.py
@@ -102,7 +102,8 @@
 
     `places` is how many requests it runs concurrently; if None, the limit is estimated
     at run time. A server that registers itself may report how long it stays cold in
-    `cold_s`, and a restart by a new `incarnation`.
+    `cold_s`, and a restart by a new `incarnation`. `version` is that of its software, if it
+    states one.
     """
 
     url: str
@@ -114,6 +115,7 @@
     places: Annotated[int, Gt(0)] | None = None
     cold_s: Annotated[float, Ge(0)] | None = None
     incarnation: int = 0
+    version: str = ""
 
 
 class CapacityPolicy(NamedTuple):
--- a/src/godwitmast/dispatch/active_requests.py
+++ b/src/godwitmast/dispatch/active_requests.py
@@ -32,6 +32,10 @@
     last_token_at: float = 0.0
     pending_tokens: float = 0.0
     """Tokens of the prompt that the present server has still to prefill."""
+    version: str | None = None
+    """Software version of the server that began its stream, to which it is bound."""
+    started_at_incarnation: int = 0
+    """Start of the present server, as it was listed when the attempt started."""
 
     @property
     def may_move(self) -> bool:
--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -166,6 +166,8 @@
     """A pool's servers by zone, and their usual latencies."""
 
     cells: dict[ZoneName, Cell] = field(default_factory=dict)
+    by_version: dict[str, set[BackendId]] = field(default_factory=dict)
+    """The servers by the version of their software."""
     pace: PoolPace = field(default_factory=PoolPace)
     targets: dict[float, float] = field(default_factory=dict)
     server_count: int = 0
@@ -339,6 +341,7 @@
         cell = view.cells.setdefault(state.spec.zone, Cell(view))
         cell.members[state.spec.backend_id] = state
         cell.in_flight += state.in_flight
+        view.by_version.setdefault(state.spec.version, set()).add(state.backend_id)
         view.server_count += 1
         view.slow_count += state.health.condition is Condition.SLOW
         state.cells.append(cell)
@@ -352,6 +355,24 @@
             cell.with_room.set(state, has_room)
             cell.probeable.set(state, may_probe)
 
+    def version_of(self, backend_id: BackendId) -> str | None:
+        """Return the software version of a listed server."""
+        state = self.states.get(backend_id)
+        return state.spec.version if state is not None else None
+
+    def of_version(self, pool: str, version: str) -> set[BackendId]:
+        """Return the servers of a pool that run this version and take requests."""
+        view = self.pools.get(pool)
+        return view.by_version.get(version, set()) if view is not None else set()
+
+    def of_other_versions(self, pool: str, version: str | None) -> set[BackendId]:
+        """Return the servers of a pool on which a stream of `version` can't go on."""
+        view = self.pools.get(pool)
+        if version is None or view is None:
+            return set()
+        others = (names for v, names in view.by_version.items() if v != version)
+        return set().union(*others)
+
     def serves(self, pool: str) -> bool:
         """Return whether any server that is not leaving or evacuated serves the
         pool."""
@@ -430,11 +451,16 @@
         self, request: RequestSpec, backend_id: BackendId, now: float
     ) -> BackendId | None:
         """Return the engine from which `backend_id` may copy a prompt's parts, if there
-        is one."""
+        is one; other versions of the software may store them in another way."""
         view = self.pools.get(request.pool)
         if view is None or len(request.parts) < 2:
             return None
-        members = [state.backend_id for state in view.members()]
+        others = self.of_other_versions(request.pool, self.version_of(backend_id))
+        members = [
+            state.backend_id
+            for state in view.members()
+            if state.backend_id not in others
+        ]
         return view.placement.copy_source(request.prompt, backend_id, members, now)
 
     def placement_of(self, request: RequestSpec) -> PromptPlacement | None:
--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -25,7 +25,8 @@
     answer `streams` if the caller receives it token by token, and is `resumable` if
     another attempt can continue where one ended. `attempts` is the largest number of
     servers that may run it, if that is bounded. `may_forward` says that another entry
-    can serve it instead.
+    can serve it instead. `version` is the software version to which it is bound, as it
+    takes up a stream that such a server began.
     """
 
     request_id: RequestId
@@ -44,6 +45,7 @@
     attempts: int | None = None
     parts: tuple[PromptPart, ...] = ()
     may_forward: bool = False
+    version: str | None = None
 
     @property
     def prompt(self) -> Prompt:
@@ -57,7 +59,8 @@
     router's clock, is when the platform takes it away, if that is known. `places` is
     how many requests it runs at a time, if that is known. `cold_s` is the remaining
     warm-up time that it reported, None if servers of its pool do not report it; another
-    `incarnation` is another start of the server.
+    `incarnation` is another start of the server. A stream can only go on at a server of
+    the same `version` of the software, which is empty if it is not stated.
     """
 
     backend_id: BackendId
@@ -70,6 +73,7 @@
     evacuated: bool = False
     cold_s: float | None = None
     incarnation: int = 0
+    version: str = ""
 
     @property
     def closed(self) -> bool:
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -75,6 +75,10 @@
 
 EXPIRE_EVERY_S = 1.0
 
+UNKNOWN_VERSION = "?"
+"""Version of a stream that began while its server may have been started again. No server
+states it."""
+
 DEFAULT_CHECK_S = 1.0
 """Interval between checks of an attempt while nothing has been measured in its pool."""
 
@@ -144,12 +148,18 @@
         if self.is_hopeless(request, now):
             after_s = self.retry_after_s(request, now)
             return [refuse(request, RefusalCode.SHED, after_s)]
-        request_class = self.document.classes[request.class_name]
-        self.active_requests.add(ActiveRequest(request, request_class))
+        active = ActiveRequest(
+            request,
+            self.document.classes[request.class_name],
+            version=request.version,
+        )
+        if not self.has_server_of_version(active):
+            return [refuse(request, RefusalCode.NO_BACKEND, RETRY_AFTER_S)]
+        self.active_requests.add(active)
         placement = self.backends.placement_of(request)
         if placement is not None:
             placement.record_arrival(
-                request.prompt, now, request_class.between_tokens_s
+                request.prompt, now, active.request_class.between_tokens_s
             )
         refusals = self.end_refused(self.admission.offer(request, now), now)
         return [*refusals, *self.start_waiting(now)]
@@ -162,7 +172,9 @@
         if active is None or active.backend_id is None:
             return []
         active.tokens += count
-        self.admission.record_tokens(active.request, count, now, active.may_move)
+        self.bind_to_version(active)
+        may_move = active.may_move and self.may_go_on_elsewhere(active)
+        self.admission.record_tokens(active.request, count, now, may_move)
         if not active.request.streams:
             return []
         slow = self.record_latency(active, count, now)
@@ -176,6 +188,45 @@
         )
         return [*actions, *self.start_waiting(now)] if slow or freed else []
 
+    def bind_to_version(self, active: ActiveRequest) -> None:
+        """Bind a stream that has begun to the software version of its server.
+
+        A server that started again since the request was sent there may have begun it
+        before or after that.
+        """
+        if active.version is not None or not active.request.resumable:
+            return
+        assert active.backend_id is not None
+        state = self.backends.states.get(active.backend_id)
+        is_same = state is not None and (
+            state.spec.incarnation == active.started_at_incarnation
+        )
+        active.version = state.spec.version if state and is_same else UNKNOWN_VERSION
+
+    def set_version(self, request_id: RequestId, version: str) -> None:
+        """Bind a stream to the version of a server that began it under another entry."""
+        active = self.active_requests.get(request_id)
+        if active is not None and active.version is None:
+            active.version = version
+
+    def version_of_stream(self, request_id: RequestId) -> str | None:
+        """Return the version to which a request is bound, if its stream has begun."""
+        active = self.active_requests.get(request_id)
+        return active.version if active is not None else None
+
+    def has_server_of_version(self, active: ActiveRequest) -> bool:
+        """Return whether a listed server can run the request, or go on with it."""
+        if active.version is None:
+            return True
+        return bool(self.backends.of_version(active.request.pool, active.version))
+
+    def may_go_on_elsewhere(self, active: ActiveRequest) -> bool:
+        """Return whether another server than the present one can go on with a stream."""
+        if active.version is None:
+            return True
+        servers = self.backends.of_version(active.request.pool, active.version)
+        return bool(servers - {active.backend_id})
+
     def record_latency(self, active: ActiveRequest, count: int, now: float) -> bool:
         """Record the timing of a stream's tokens; return whether its server is a
         straggler."""
@@ -359,6 +410,7 @@
             self.delay(active, now + self.random.uniform(*UNREACHABLE_RETRY_S))
             return []
         is_hopeless = self.is_hopeless(active.request, now)
+        is_hopeless |= not self.has_server_of_version(active)
         is_exhausted = too_many or is_hopeless or not active.may_run_again
         if is_unsafe or is_exhausted or (arrived and not self.spend_retry(active)):
             self.end_request(active, now)
@@ -399,6 +451,7 @@
                 active is except_for
                 or not active.may_move
                 or not active.request.resumable
+                or not self.may_go_on_elsewhere(active)
             ):
                 continue
             if not self.spend_retry(active):
@@ -622,6 +675,8 @@
         for notice in self.removal_notices.values():
             running = self.active_requests.on_server(notice.backend_id)
             for active in notice.select_to_move(running, now):
+                if not self.may_go_on_elsewhere(active):
+                    continue
                 actions.append(self.move_attempt(active, CancelReason.EVICTED, now))
         for request_id in self.retries.pop_due(now):
             actions += self.requeue(request_id, now)
@@ -650,7 +705,7 @@
             return []
         slow = self.backends.record_timeout(backend_id, now)
         actions: list[Action] = []
-        if self.spend_retry(active):
+        if self.may_go_on_elsewhere(active) and self.spend_retry(active):
             actions.append(self.move_attempt(active, CancelReason.SLOW, now))
         else:
             self.check_queue.add(active, now + limit_s)
@@ -668,6 +723,10 @@
             self.end_request(active, now)
             code = RefusalCode.DEADLINE
             return [refuse(active.request, code, None, active.may_have_run)]
+        if not self.has_server_of_version(active):
+            code = RefusalCode.BACKEND_FAILED
+            self.end_request(active, now)
+            return [refuse(active.request, code, RETRY_AFTER_S, active.may_have_run)]
         if self.is_suspect(active) and not self.may_queue_suspect(active):
             self.retries.add(request_id, now + SUSPECT_RETRY_S)
             return []
@@ -775,6 +834,9 @@
             self.delay(active, now + SUSPECT_RETRY_S)
             return []
         attempt_id = self.active_requests.start_attempt(active, backend_id, now)
+        active.started_at_incarnation = self.backends.states[
+            backend_id
+        ].spec.incarnation
         self.backends.add_request(backend_id, now)
         source = None
         model = self.document.models.get(request.pool)
@@ -804,6 +866,7 @@
             and state.may_send(now)
             and not state.spec.closed
             and server_id not in active.avoid
+            and active.version in (None, state.spec.version)
             and not self.is_suspect(active)
         )
 
@@ -821,11 +884,13 @@
             and active.request_class.tier > highest
             and not active.avoid
         )
-        backend_id = self.backends.choose(request, active.avoid, now, may_probe)
+        others = self.backends.of_other_versions(request.pool, active.version)
+        avoid = active.avoid | others if others else active.avoid
+        backend_id = self.backends.choose(request, avoid, now, may_probe)
         if backend_id is None and active.avoid:
             # It failed on each server that has room, so that only those can be tried.
             active.avoid.clear()
-            backend_id = self.backends.choose(request, active.avoid, now, may_probe)
+            backend_id = self.backends.choose(request, others, now, may_probe)
         return backend_id
 
     def is_suspect(self, active: ActiveRequest) -> bool:
@@ -839,15 +904,22 @@
             return None
         reserved = self.guard.reservation_of(fingerprint, now)
         if reserved is None:
-            chosen = self.backends.choose_for_suspect(
-                active.request, set(self.guard.probations)
-            )
+            request = active.request
+            others = self.backends.of_other_versions(request.pool, active.version)
+            avoid = set(self.guard.probations) | others
+            chosen = self.backends.choose_for_suspect(request, avoid)
             if chosen is not None:
                 self.guard.reserve(fingerprint, chosen, now)
             return None
         backend_id, ready = reserved
         state = self.backends.states.get(backend_id)
-        if state is None or state.spec.closed or not state.health.is_in_rotation():
+        fits = state is not None and active.version in (None, state.spec.version)
+        if (
+            state is None
+            or not fits
+            or state.spec.closed
+            or not state.health.is_in_rotation()
+        ):
             self.guard.cancel_reservation(fingerprint)
             return None
         return backend_id if ready and state.may_send(now) else None
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -203,6 +203,7 @@
                 item.zone in closed,
                 item.cold_s,
                 item.incarnation,
+                item.version,
             )
             for name, item in self.backends.items()
         ]
@@ -294,6 +295,11 @@
             self.policy.record_tokens(request_id, attempt_id, count, now)
         )
 
+    def set_stream_version(self, request_id: RequestId, version: str) -> None:
+        """Bind a stream to the version of a server that began it under another VM."""
+        if self.router is not None:
+            self.router.set_version(request_id, version)
+
     def record_completion(self, request_id: RequestId, attempt_id: AttemptId) -> None:
         now = self.clock.now()
         self.deliver_actions(self.policy.record_completion(request_id, attempt_id, now))
--- a/src/godwitmast/platform/catalog.py
+++ b/src/godwitmast/platform/catalog.py
@@ -290,4 +290,5 @@
         places=wire.batch_slots,
         cold_s=max(0.0, wire.cold_left_ms / 1000),
         incarnation=wire.born,
+        version=wire.version,
     )
--- a/src/godwitmast/platform/wire.py
+++ b/src/godwitmast/platform/wire.py
@@ -18,6 +18,9 @@
 NOT_EXECUTED = "not-executed"
 PROMPT_PREFIX = "prompt-prefix"
 REQUEST_PRIORITY = "request-priority"
+RESUMES = "resumes"
+"""The caller's id of the attempt that brought the first event of a stream that it takes up
+again."""
 SERVER_BRITTLE = "server-brittle"
 """Rejections a second that a server bears; with more it falls over. In each of its
 answers while that is so."""
@@ -188,3 +191,5 @@
     cold_left_ms: float = 0.0
     born: int = 0
     """When the server started; its id may stay the same across a restart."""
+    version: str = ""
+    """Version of its software, not of the weights of its models."""
--- a/src/godwitmast/standins/replica.py
+++ b/src/godwitmast/standins/replica.py
@@ -79,8 +79,6 @@
     service: str
     streams: bool = False
     zone: str = "z1"
-    version: str | None = "v1"
-    """Version of its software, in its row."""
     events: int = 5
     event_s: float = 0.01
     places: int = 8
@@ -91,6 +89,8 @@
     shed: int = 0
     disconnects: int = 0
     """Number of callers that closed their connection before the end of the answer."""
+    version: str = "v1"
+    """Version of its software, in its row."""
 
     def __post_init__(self) -> None:
         self.server = HttpServer(self, Listen(), grace_s=0.1)
