--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -25,11 +25,12 @@
     send_response,
 )
 from godwitmast.entry.request_parsing import CallerGone, read_body
+from godwitmast.entry.stream_versions import StreamVersions
 from godwitmast.forwarding.terms import ForwardTerms
 from godwitmast.http_server import Receive, Scope, Send
 from godwitmast.keys.authorizer import Caller, Denial, still_granted
 from godwitmast.logs import log_event
-from godwitmast.types import RequestId
+from godwitmast.types import BackendId, RequestId
 from godwitmast.usage.meter import Meter, UsageKey
 
 FORWARD_TERMS = "godwitmast.forward_terms"
@@ -67,6 +68,7 @@
         self.ready_checks: list[Callable[[], bool]] = []
         self.seconds_since_contact: Callable[[], float] = lambda: 0.0
         self.forwarder: Forwarder | None = None
+        self.stream_versions: StreamVersions | None = None
         """Forwards requests to other VMs while this one reaches no server."""
         self.ends_withdrawn_streams = True
         """Whether an open stream is ended when its key is withdrawn."""
@@ -215,6 +217,8 @@
             claimed=prepared.claimed,
         )
         exchange.forwarder = self.forwarder
+        exchange.stream = prepared.stream
+        exchange.stream_versions = self.stream_versions
         exchange.on_backend_start = partial(
             self.meter.count_request, usage_key(prepared.spec)
         )
@@ -241,6 +245,11 @@
             if not exchange.reached_backend
         )
 
+    def version_of(self, backend_id: BackendId | None) -> str | None:
+        """Return the software version of a backend server, if it states one."""
+        backend = self.driver.backends.get(backend_id) if backend_id else None
+        return backend.version or None if backend is not None else None
+
     def record_outcome(self, exchange: Exchange) -> None:
         """Meter a request that reached a backend server; count and log its outcome."""
         spec = exchange.spec
@@ -256,6 +265,8 @@
             outcome=exchange.error_code or "answered",
             status=exchange.status,
             backend=exchange.last_backend,
+            version=self.version_of(exchange.last_backend),
+            resumes=exchange.stream.resumes if exchange.stream else None,
             forwarded_to=exchange.forwarded_to,
             forwarded=exchange.is_forwarded,
             attempts=exchange.attempts,
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -61,6 +61,7 @@
     ErrorAnswer,
     send_response,
 )
+from godwitmast.entry.stream_versions import StreamIdentity, StreamVersions
 from godwitmast.forwarding.peers import Peer
 from godwitmast.forwarding.terms import SERVED_BY_HEADER, ForwardTerms
 from godwitmast.http_server import Receive, Send
@@ -71,6 +72,14 @@
 REPLAYED = (b"godwit-replayed", b"true")
 """Marks the stored answer of an earlier call with the same idempotency key."""
 
+STREAM_UNKNOWN = ErrorAnswer(
+    503,
+    "stream_unknown",
+    "It is not known here which version of the software began the stream.",
+    NotRun.TRUE,
+    retry_after_s=1.0,
+)
+
 KEY_WITHDRAWN = ErrorAnswer(
     401, "invalid_key", "The key was withdrawn.", NotRun.UNKNOWN
 )
@@ -199,6 +208,8 @@
     """Tokens that another VM delivered, which that one meters."""
     is_forwarded: bool = False
     """Another VM forwarded the request to this one."""
+    stream: StreamIdentity | None = None
+    stream_versions: StreamVersions | None = None
 
     def __post_init__(self) -> None:
         self.scope = anyio.CancelScope()
@@ -235,6 +246,8 @@
 
     async def serve(self) -> None:
         """Have another VM serve the request, or carry out the router's actions."""
+        if not await self.bind_to_version():
+            return
         forwarder = self.forwarder
         forwards = forwarder is not None and forwarder.may_forward(self.spec)
         if forwards and await self.forward_to_peer(self.spec.attempts):
@@ -243,6 +256,43 @@
         while not await self.execute(await next_action(mailbox)):
             pass
 
+    async def bind_to_version(self) -> bool:
+        """Bind a stream that the caller takes up to the version that began it.
+
+        Return False if the caller was refused, as the version cannot be learned.
+        """
+        versions, stream = self.stream_versions, self.stream
+        if versions is None or stream is None or stream.resumes is None:
+            return True
+        pool = self.spec.pool
+        if not versions.must_look_up(pool):
+            return True
+        version = await versions.find(self.spec.team, stream.resumes)
+        if version is not None:
+            self.spec = self.spec._replace(version=version)
+            versions.record_resumed(self.spec.team, stream.attempt_id, pool, version)
+            return True
+        if not versions.is_mixed(pool):
+            return True
+        await self.send_error_answer(STREAM_UNKNOWN)
+        return False
+
+    def record_stream_begin(self, start: Start | None, answer: httpx.Response) -> None:
+        """Record which server is about to send the first event of a stream."""
+        versions, stream = self.stream_versions, self.stream
+        if versions is None or stream is None or self.spec.version is not None:
+            return
+        served_by = answer.headers.get(SERVED_BY_HEADER.decode())
+        backend_id = start.backend_id if start is not None else served_by
+        if backend_id is None:
+            return
+        server = versions.servers.get(BackendId(backend_id))
+        if start is None and server is not None:
+            self.driver.set_stream_version(self.spec.request_id, server.version)
+        versions.record_begin(
+            self.spec.team, stream.attempt_id, self.spec.pool, BackendId(backend_id)
+        )
+
     async def serve_released(self, attempts: int | None) -> bool:
         """Have another VM serve a request that the router released.
 
@@ -630,6 +680,8 @@
             return
         if start is not None:
             self.record_backend_start()
+        if not self.head_sent:
+            self.record_stream_begin(start, answer)
         await self.send_head(answer)
         if self.claimed is not None:
             self.streamed_events.append(events)
--- a/src/godwitmast/entry/frontend.py
+++ b/src/godwitmast/entry/frontend.py
@@ -12,6 +12,7 @@
 from godwitmast.entry.outbound import Outbound
 from godwitmast.entry.refusals import ErrorAnswer
 from godwitmast.entry.request_parsing import Limits, RequestHead
+from godwitmast.entry.stream_versions import StreamIdentity
 from godwitmast.http_server import Scope, Send
 from godwitmast.keys.authorizer import Caller
 
@@ -32,6 +33,8 @@
     outbound: Outbound
     claimed: ClaimedCall | None = None
     answer_deadline: float | None = None
+    stream: StreamIdentity | None = None
+    """Set if the answer is a stream that may be taken up again."""
 
 
 class Reply(NamedTuple):
--- /dev/null
+++ b/src/godwitmast/entry/stream_versions.py
@@ -0,0 +1,240 @@
+"""The software version of the server that began each stream, for callers that take their
+streams up again, at this VM or at another one.
+
+Servers of several versions may serve side by side, and a stream can only go on at the
+version that began it. A caller names the attempt that brought the first event. While a
+pool has several versions, the VM that began a stream writes its version to the platform's
+table, where any VM finds it though that one has ended. A VM that cannot learn the version
+refuses the request as not run.
+"""
+
+from typing import NamedTuple
+
+import anyio
+import xxhash
+from anyio.abc import TaskGroup
+from prometheus_client import CollectorRegistry, Counter
+
+from godwitmast.background import BackgroundTasks
+from godwitmast.clock import Clock
+from godwitmast.errors import PlatformError
+from godwitmast.logs import log_event
+from godwitmast.platform_api.port import Table
+from godwitmast.types import BackendId, Json, PoolName
+
+STREAM_PREFIX = "stream/"
+"""Start of the keys of all rows."""
+
+MIXED_S = 120.0
+"""How long a pool counts as one of several versions after the last other one was listed:
+longer than any stream lasts."""
+
+KEEP_S = 60.0
+"""How long a stream's version is kept after it began."""
+
+WRITE_INTERVAL_S = 0.2
+"""Streams that began within this time are written together. Those of a VM that ends
+before are lost."""
+
+MAX_ROWS = 45
+"""Rows that one write adds, and as many that it removes, of the hundred entries of a
+transaction."""
+
+MAX_KNOWN = 20_000
+
+ROW_LAG_S = 5.0
+"""How long after its start the row of a server may still be that of the start before."""
+
+FIND_ATTEMPTS = 2
+FIND_INTERVAL_S = 0.3
+"""A stream that has just begun at another VM is written by then."""
+
+
+class StreamIdentity(NamedTuple):
+    """A caller's attempt at a stream, and the attempt that began it, if it takes one up."""
+
+    attempt_id: str
+    resumes: str | None = None
+
+
+class KnownStream(NamedTuple):
+    """The version of a stream, and the server and the time at which it began."""
+
+    version: str
+    backend_id: BackendId
+    incarnation: int
+    began_at: float
+
+
+class ListedServer(NamedTuple):
+    """What versions depend on of a server in the list."""
+
+    pools: frozenset[str]
+    version: str
+    incarnation: int
+
+
+class StreamVersions:
+    """Records the versions of streams that begin here, and finds those of others."""
+
+    def __init__(
+        self, clock: Clock, table: Table, reader: Table, registry: CollectorRegistry
+    ) -> None:
+        self.clock = clock
+        self.table = table
+        self.reader = reader
+        self.servers: dict[BackendId, ListedServer] = {}
+        self.listed_until: dict[PoolName, dict[str, float]] = {}
+        self.known: dict[str, KnownStream] = {}
+        self.pending: dict[str, str] = {}
+        self.written: dict[str, float] = {}
+        self.started_at = clock.now()
+        self.changed = anyio.Event()
+        self.background = BackgroundTasks(self.run)
+        self.lookups = Counter(
+            "godwit_stream_version_lookups_total",
+            "Streams that callers take up, by where their version was found.",
+            ["source"],
+            registry=registry,
+        )
+
+    async def start(self, tasks: TaskGroup) -> None:
+        await self.background.start(tasks)
+
+    async def close(self) -> None:
+        await self.background.close()
+
+    def update_servers(self, servers: dict[BackendId, ListedServer]) -> None:
+        """Record the listed servers; streams of one that started again are in doubt."""
+        now = self.clock.now()
+        for backend_id, server in servers.items():
+            last = self.servers.get(backend_id)
+            if last is not None and last.incarnation != server.incarnation:
+                self.forget_recent(backend_id, now)
+        self.servers = servers
+        self.record_listed(now)
+
+    def record_listed(self, now: float) -> None:
+        """Extend the time for which the versions of listed servers count."""
+        for server in self.servers.values():
+            for pool in server.pools:
+                versions = self.listed_until.setdefault(PoolName(pool), {})
+                versions[server.version] = now + MIXED_S
+
+    def forget_recent(self, backend_id: BackendId, now: float) -> None:
+        """Drop streams that either of two starts of a server may have begun."""
+        doubtful = [
+            key
+            for key, stream in self.known.items()
+            if stream.backend_id == backend_id and now < stream.began_at + ROW_LAG_S
+        ]
+        for key in doubtful:
+            del self.known[key]
+            self.pending.pop(key, None)
+
+    def is_mixed(self, pool: PoolName) -> bool:
+        """Return whether several versions serve a pool, or did a while ago."""
+        now = self.clock.now()
+        self.record_listed(now)
+        versions = self.listed_until.get(pool, {})
+        return sum(until > now for until in versions.values()) > 1
+
+    def must_look_up(self, pool: PoolName) -> bool:
+        """Return whether a stream of the pool may be of a version of the past.
+
+        A VM that started a while ago has listed all servers that may have begun it.
+        """
+        return self.is_mixed(pool) or self.clock.now() < self.started_at + MIXED_S
+
+    def record_begin(
+        self, team: str, attempt_id: str, pool: PoolName, backend_id: BackendId
+    ) -> None:
+        """Record that a server began a stream for an attempt of a caller."""
+        server = self.servers.get(backend_id)
+        if server is None:
+            log_event("stream_begun_unlisted", backend=backend_id, attempt=attempt_id)
+            return
+        now = self.clock.now()
+        key = stream_key(team, attempt_id)
+        stream = KnownStream(server.version, backend_id, server.incarnation, now)
+        self.record(key, stream, pool)
+
+    def record_resumed(
+        self, team: str, attempt_id: str, pool: PoolName, version: str
+    ) -> None:
+        """Record the version of a stream that a caller took up."""
+        key = stream_key(team, attempt_id)
+        stream = KnownStream(version, BackendId(""), 0, self.clock.now())
+        self.record(key, stream, pool)
+
+    def record(self, key: str, stream: KnownStream, pool: PoolName) -> None:
+        self.known.pop(key, None)
+        self.known[key] = stream
+        while len(self.known) > MAX_KNOWN:
+            del self.known[next(iter(self.known))]
+        if self.is_mixed(pool):
+            self.pending[key] = stream.version
+            self.changed.set()
+
+    async def find(self, team: str, attempt_id: str) -> str | None:
+        """Return the version of the stream that an attempt began, None if unknown."""
+        key = stream_key(team, attempt_id)
+        for attempt in range(FIND_ATTEMPTS):
+            if attempt:
+                await anyio.sleep(FIND_INTERVAL_S)
+            if key in self.known:
+                self.lookups.labels("own").inc()
+                return self.known[key].version
+            version = await self.read(key)
+            if version is not None:
+                self.lookups.labels("table").inc()
+                return version
+        self.lookups.labels("unknown").inc()
+        log_event("stream_version_unknown", attempt=attempt_id, team=team)
+        return None
+
+    async def read(self, key: str) -> str | None:
+        """Return the version in a stream's row, None without one."""
+        try:
+            rows = await self.reader.read([key])
+        except PlatformError as error:
+            log_event("stream_version_not_read", level="WARNING", error=str(error))
+            return None
+        match rows.get(key):
+            case row if row is not None and isinstance(row.value, str):
+                return row.value
+        return None
+
+    async def run(self) -> None:
+        """Write the streams that began, and remove old ones."""
+        while True:
+            await self.changed.wait()
+            self.changed = anyio.Event()
+            while self.pending:
+                await anyio.sleep(WRITE_INTERVAL_S)
+                await self.write()
+
+    async def write(self) -> None:
+        """Write the oldest pending streams; after a failure they stay pending."""
+        now = self.clock.now()
+        added = dict(list(self.pending.items())[:MAX_ROWS])
+        outdated = [key for key, at in self.written.items() if at < now - KEEP_S]
+        removed = outdated[:MAX_ROWS]
+        writes: dict[str, Json] = dict.fromkeys(removed)
+        writes.update(added)
+        try:
+            await self.table.transact({}, writes)
+        except PlatformError as error:
+            log_event("stream_versions_not_written", error=str(error))
+            return
+        for key in added:
+            self.pending.pop(key, None)
+            self.written[key] = now
+        for key in removed:
+            self.written.pop(key, None)
+
+
+def stream_key(team: str, attempt_id: str) -> str:
+    """Return the key of a stream's row; a caller's id may be long."""
+    digest = xxhash.xxh3_128_hexdigest(f"{team}\0{attempt_id}".encode())
+    return STREAM_PREFIX + digest
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -29,6 +29,7 @@
 from godwitmast.entry.probes import ConnectionProbes
 from godwitmast.entry.refusals import send_json, send_response
 from godwitmast.entry.request_parsing import CallerGone
+from godwitmast.entry.stream_versions import ListedServer, StreamVersions
 from godwitmast.errors import ConfigInvalid, SettingsError
 from godwitmast.forwarding.peers import PeerChoice
 from godwitmast.http_server import HttpServer, Receive, Scope, Send
@@ -59,7 +60,7 @@
 from godwitmast.settings import Listen, load_settings
 from godwitmast.sockets import DEAD_PEER_OPTIONS
 from godwitmast.tls import tls_without_authorities
-from godwitmast.types import PoolName
+from godwitmast.types import BackendId, PoolName
 from godwitmast.usage.duty import UsageDuty
 from godwitmast.usage.journal import Journal
 from godwitmast.usage.meter import Meter
@@ -254,6 +255,10 @@
             self.app.metrics.registry,
         )
         self.app.forwarder = self.forwarder
+        self.stream_versions = StreamVersions(
+            self.clock, self.relay.table, self.store, self.app.metrics.registry
+        )
+        self.app.stream_versions = self.stream_versions
         journal = Journal(settings.node, settings.zone, timing.window_s)
         self.writer = NodeWriter(
             self.relay.table,
@@ -410,6 +415,7 @@
         for follower in self.followers:
             await follower.start(tasks)
         await self.crash_reports.start(tasks)
+        await self.stream_versions.start(tasks)
         tasks.start_soon(self.start_duties, tasks)
         for server in (self.caller_server, self.readiness_server, self.metrics_server):
             await server.start(tasks)
@@ -449,6 +455,7 @@
         await self.relay.close()
         await self.writer.close()
         await self.crash_reports.close()
+        await self.stream_versions.close()
         for follower in self.followers:
             await follower.close()
         for server in (self.readiness_server, self.metrics_server):
@@ -503,6 +510,14 @@
                     state = "leaving"
                 cold_s = server.cold_s if server is not None else None
                 log_event("server_listed", server=name, state=state, cold_s=cold_s)
+        self.stream_versions.update_servers(
+            {
+                BackendId(name): ListedServer(
+                    item.pools, item.version, item.incarnation
+                )
+                for name, item in servers.items()
+            }
+        )
         self.servers_known = True
         self.driver.update_listed_backends(servers)
 
--- a/src/godwitmast/platform/frontend.py
+++ b/src/godwitmast/platform/frontend.py
@@ -41,6 +41,7 @@
     carries_key,
     fingerprint,
 )
+from godwitmast.entry.stream_versions import StreamIdentity
 from godwitmast.http_server import Scope, Send
 from godwitmast.keys.authorizer import Caller, Denial, authenticate
 from godwitmast.platform.catalog import Catalog, engine_priority, with_rank
@@ -53,6 +54,7 @@
     NOT_EXECUTED,
     PROMPT_PREFIX,
     REQUEST_PRIORITY,
+    RESUMES,
     SERVER_BRITTLE,
     SERVER_LEAVING,
     SERVER_LIMIT,
@@ -287,7 +289,8 @@
             ErrorPolicy.RETRY_OR_ANSWER if retries else ErrorPolicy.ANSWER,
             key=head.key,
         )
-        return Prepared(spec, outbound, answer_deadline=answer_deadline)
+        stream = read_stream(head) if route.resumable else None
+        return Prepared(spec, outbound, answer_deadline=answer_deadline, stream=stream)
 
     def make_spec(
         self,
@@ -354,6 +357,18 @@
         await send_response(send, answer.status, headers, msgspec.json.encode(body))
 
 
+def read_stream(head: RequestHead) -> StreamIdentity:
+    """Return the caller's attempt at a stream, and which attempt began it.
+
+    Another VM that forwards a stream that has begun names no attempt but this one.
+    """
+    by_name = dict(head.headers)
+    attempt_id = head.request_id or ""
+    if LAST_EVENT_ID not in by_name:
+        return StreamIdentity(attempt_id)
+    return StreamIdentity(attempt_id, by_name.get(RESUMES) or attempt_id)
+
+
 def read_load(text: str) -> LoadReport | None:
     """Return running and waiting requests; the third number is the batch size."""
     parts = text.split(",")
