--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -16,6 +16,10 @@
     ZoneName,
 )
 
+UNKNOWN_VERSION = "?"
+"""Software version of a stream that began while its server may have been started again.
+No server states it."""
+
 
 class RequestSpec(NamedTuple):
     """The properties of a request that routing decisions depend on.
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -16,6 +16,7 @@
 from godwitmast.dispatch.backends import BackendTable
 from godwitmast.dispatch.evictions import RemovalNotice
 from godwitmast.dispatch.messages import (
+    UNKNOWN_VERSION,
     Action,
     BackendSpec,
     Cancel,
@@ -75,10 +76,6 @@
 
 EXPIRE_EVERY_S = 1.0
 
-UNKNOWN_VERSION = "?"
-"""Version of a stream that began while its server may have been started again. No server
-states it."""
-
 DEFAULT_CHECK_S = 1.0
 """Interval between checks of an attempt while nothing has been measured in its pool."""
 
--- a/src/godwitmast/entry/stream_versions.py
+++ b/src/godwitmast/entry/stream_versions.py
@@ -17,6 +17,7 @@
 
 from godwitmast.background import BackgroundTasks
 from godwitmast.clock import Clock
+from godwitmast.dispatch.messages import UNKNOWN_VERSION
 from godwitmast.errors import PlatformError
 from godwitmast.logs import log_event
 from godwitmast.platform_api.port import Table
@@ -110,7 +111,7 @@
         for backend_id, server in servers.items():
             last = self.servers.get(backend_id)
             if last is not None and last.incarnation != server.incarnation:
-                self.forget_recent(backend_id, now)
+                self.doubt_recent(backend_id, now)
         self.servers = servers
         self.record_listed(now)
 
@@ -121,16 +122,14 @@
                 versions = self.listed_until.setdefault(PoolName(pool), {})
                 versions[server.version] = now + MIXED_S
 
-    def forget_recent(self, backend_id: BackendId, now: float) -> None:
-        """Drop streams that either of two starts of a server may have begun."""
-        doubtful = [
-            key
-            for key, stream in self.known.items()
-            if stream.backend_id == backend_id and now < stream.began_at + ROW_LAG_S
-        ]
-        for key in doubtful:
-            del self.known[key]
-            self.pending.pop(key, None)
+    def doubt_recent(self, backend_id: BackendId, now: float) -> None:
+        """Make streams unknown that either of two starts of a server may have begun."""
+        for key, stream in self.known.items():
+            is_recent = now < stream.began_at + ROW_LAG_S
+            if stream.backend_id == backend_id and is_recent:
+                self.known[key] = stream._replace(version=UNKNOWN_VERSION)
+                self.pending[key] = UNKNOWN_VERSION
+                self.changed.set()
 
     def is_mixed(self, pool: PoolName) -> bool:
         """Return whether several versions serve a pool, or did a while ago."""
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -182,3 +182,49 @@
         answer = await fleet.resume(http, node, last_id)
         assert answer.status_code == 200
         assert {engine.version for engine in fleet.streams()} == {version}
+
+
+async def test_client_is_refused_while_the_version_cannot_be_read(
+    fleet: MixedFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against guesses of a VM that is cut off from the platform's table."""
+    _, last_id = await fleet.break_stream(http)
+    fleet.store.faults.refusal_status = 503
+    answer = await fleet.resume(http, fleet.nodes[1], last_id)
+    assert answer.status_code == 503
+    assert answer.headers["retry-after"]
+    assert not fleet.streams()
+
+
+async def test_server_that_started_again_under_its_id_makes_its_last_streams_unknown(
+    fleet: MixedFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against a stream that began under the successor, before its row was read."""
+    _, last_id = await fleet.break_stream(http)
+    [begun] = fleet.streams()
+    begun.version = "v3"
+    begun.publish_row(READY, born=7)
+    await fleet.wait_until(
+        lambda: fleet.node.driver.listed_backends[begun.server_id].version == "v3"
+    )
+    answer = await fleet.resume(http, fleet.node, last_id)
+    assert answer.status_code == 503
+
+
+async def test_nothing_is_written_or_refused_while_all_servers_have_one_version(
+    http: httpx.AsyncClient,
+) -> None:
+    """Guards against costs and refusals where there is only one version."""
+    async with running(Fleet()) as fleet:
+        other = await fleet.add_vm("front-2")
+        for engine in fleet.engines:
+            engine.event_s = 0.05
+        async with http.stream(
+            "GET", fleet.url + "/chat/1", headers=request_headers("a1")
+        ) as answer:
+            await anext(answer.aiter_raw())
+        headers = request_headers("a2", **{"Last-Event-Id": "1"})
+        answer = await http.get(other.caller_server.url + "/chat/1", headers=headers)
+        assert answer.status_code == 200
+        await fleet.wait_until(lambda: not fleet.node.stream_versions.pending)
+        assert not any(key.startswith("stream/") for _, key in fleet.store.rows)
