--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -189,12 +189,11 @@
         cells = self.cells.values()
         return {name: state for cell in cells for name, state in cell.members.items()}
 
-    def expected_requests(self, now: float) -> float:
-        """Return the expected number of requests on all servers in rotation."""
+    def expected_requests(self, states: list[BackendState], now: float) -> float:
+        """Return the expected number of requests on some of the pool's servers."""
         mean = self.mean_other_load.value
         return sum(
-            state.in_flight + state.other_load.expect(mean, now)
-            for state in self.members()
+            state.in_flight + state.other_load.expect(mean, now) for state in states
         )
 
     def strictest_gap_s(self, now: float) -> float | None:
@@ -434,7 +433,7 @@
         states = view.members()
         members = [state.backend_id for state in states]
         pool_load = PoolLoad(
-            view.expected_requests(now),
+            view.expected_requests(states, now),
             sum(state.limit.value for state in states) / max(1, len(states)),
         )
         open_engines = [
