--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -267,7 +267,7 @@
         pool = self.spec.pool
         if not versions.must_look_up(pool):
             return True
-        version = await versions.find(self.spec.team, stream.resumes)
+        version = await versions.find(self.spec.team, stream.resumes, pool)
         if version is not None:
             self.spec = self.spec._replace(version=version)
             versions.record_resumed(self.spec.team, stream.attempt_id, pool, version)
--- a/src/godwitmast/entry/stream_versions.py
+++ b/src/godwitmast/entry/stream_versions.py
@@ -46,9 +46,13 @@
 ROW_LAG_S = 5.0
 """How long after its start the row of a server may still be that of the start before."""
 
-FIND_ATTEMPTS = 2
+FIND_S = 0.8
 FIND_INTERVAL_S = 0.3
-"""A stream that has just begun at another VM is written by then."""
+"""For how long, and how often, a stream's row is looked for. One that has just begun at
+another VM is written by then."""
+
+SINGLE_VERSION_FIND_S = 0.2
+"""The same while one version is listed, when hardly any stream has a row."""
 
 
 class StreamIdentity(NamedTuple):
@@ -175,23 +179,32 @@
             self.pending[key] = stream.version
             self.changed.set()
 
-    async def find(self, team: str, attempt_id: str) -> str | None:
+    async def find(self, team: str, attempt_id: str, pool: PoolName) -> str | None:
         """Return the version of the stream that an attempt began, None if unknown."""
         key = stream_key(team, attempt_id)
-        for attempt in range(FIND_ATTEMPTS):
-            if attempt:
+        is_mixed = self.is_mixed(pool)
+        with anyio.move_on_after(FIND_S if is_mixed else SINGLE_VERSION_FIND_S):
+            version = await self.look_up(key)
+            while version is None and is_mixed:
                 await anyio.sleep(FIND_INTERVAL_S)
-            if key in self.known:
-                self.lookups.labels("own").inc()
-                return self.known[key].version
-            version = await self.read(key)
+                version = await self.look_up(key)
             if version is not None:
-                self.lookups.labels("table").inc()
                 return version
         self.lookups.labels("unknown").inc()
-        log_event("stream_version_unknown", attempt=attempt_id, team=team)
+        if is_mixed:
+            log_event("stream_version_unknown", attempt=attempt_id, team=team)
         return None
 
+    async def look_up(self, key: str) -> str | None:
+        """Return the version of a stream that is known here, or to the table."""
+        if key in self.known:
+            self.lookups.labels("own").inc()
+            return self.known[key].version
+        version = await self.read(key)
+        if version is not None:
+            self.lookups.labels("table").inc()
+        return version
+
     async def read(self, key: str) -> str | None:
         """Return the version in a stream's row, None without one."""
         try:
--- a/tests/shared_engines.py
+++ b/tests/shared_engines.py
@@ -2,14 +2,12 @@
 time. A router hears of an engine's load only with the first events of its own requests.
 """
 
-import heapq
-import itertools
-import random
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
+from event_heap import EventHeap
 from godwitmast.config.document import Document
 from godwitmast.config.parsing import parse_document
 from godwitmast.dispatch.messages import (
@@ -102,14 +100,11 @@
     is_stepping: bool = False
 
 
-class SharedEngines:
+class SharedEngines(EventHeap):
     """Routers, engines and callers on a heap of events."""
 
     def __init__(self, routers: int, engines: int, seed: int, cheap: int = 0) -> None:
-        self.now = 0.0
-        self.random = random.Random(seed)
-        self.events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.numbers = itertools.count(1)
+        super().__init__(seed)
         self.engines: dict[BackendId, Engine] = {}
         for number in range(engines):
             backend_id = BackendId(f"e{self.random.randrange(1 << 40):x}")
@@ -129,16 +124,6 @@
         self.open: dict[RequestId, Call] = {}
         self.list_engines()
 
-    def schedule(self, after: float, event: Callable[..., None], *args: Any) -> None:
-        entry = (self.now + after, next(self.numbers), event, args)
-        heapq.heappush(self.events, entry)
-
-    def run(self, until: float) -> None:
-        while self.events and self.events[0][0] <= until:
-            self.now, _, event, args = heapq.heappop(self.events)
-            event(*args)
-        self.now = until
-
     def list_engines(self) -> None:
         specs = [engine.spec for engine in self.engines.values()]
         for number, router in enumerate(self.routers):
--- a/tests/small_pool.py
+++ b/tests/small_pool.py
@@ -4,14 +4,11 @@
 they observe of crashes through a table, as `entry.crash_reports` does.
 """
 
-import heapq
-import itertools
-import random
 from collections import Counter, defaultdict
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
+from event_heap import EventHeap
 from godwitmast.config.document import Document
 from godwitmast.config.parsing import parse_document
 from godwitmast.dispatch.connectivity import Connectivity, ProbeOutcome
@@ -90,14 +87,11 @@
     collects_at: float | None = None
 
 
-class SmallPool:
+class SmallPool(EventHeap):
     """The servers, the VMs and the callers, on a heap of events."""
 
     def __init__(self, vms: int, seed: int) -> None:
-        self.now = 0.0
-        self.random = random.Random(seed)
-        self.events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.numbers = itertools.count(1)
+        super().__init__(seed)
         self.rows: list[tuple[float, list[PoisonUpdate]]] = []
         self.servers = [Server(f"z{n + 1}") for n in range(SERVERS)]
         self.vms: list[Vm] = []
@@ -122,16 +116,6 @@
         self.schedule(self.random.random() * TICK_S, self.tick, vm)
         return vm
 
-    def schedule(self, after: float, event: Callable[..., None], *args: Any) -> None:
-        entry = (self.now + after, next(self.numbers), event, args)
-        heapq.heappush(self.events, entry)
-
-    def run(self, until: float) -> None:
-        while self.events and self.events[0][0] <= until:
-            self.now, _, event, args = heapq.heappop(self.events)
-            event(*args)
-        self.now = until
-
     def list_server(self, vm: Vm, backend_id: BackendId, zone: str) -> None:
         vm.listed[backend_id] = BackendSpec(
             backend_id, ZoneName(zone), frozenset([POOL]), places=6
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -264,13 +264,8 @@
     )
 
 
-def test_short_prompts_with_long_answers_get_engines_by_their_place_seconds() -> None:
-    """Questions are a tenth of the tokens, and half of the place-seconds.
-
-    Sized by tokens alone, their one engine of 32 places had no room for forty of them,
-    and the rest paused beside long prompts. In a burst to twice as many the group grows
-    at once.
-    """
+def equal_shares_of_places() -> PromptPlacement:
+    """Return a placement that has seen questions and summaries hold places as long."""
     placement = PromptPlacement()
     for number in range(200):
         now = number / 20
@@ -278,6 +273,17 @@
         placement.record_arrival(summary(number, number), now, 0.6)
         placement.record_end(question(number), 2.0, now)
         placement.record_end(summary(number, number), 2.0, now)
+    return placement
+
+
+def test_short_prompts_with_long_answers_get_engines_by_their_place_seconds() -> None:
+    """Questions are a tenth of the tokens, and half of the place-seconds.
+
+    Sized by tokens alone, their one engine of 32 places had no room for forty of them,
+    and the rest paused beside long prompts. In a burst to twice as many the group grows
+    at once.
+    """
+    placement = equal_shares_of_places()
     names = [BackendId(f"e{number}") for number in range(12)]
     calm = placement.group_for(question(1), names, PoolLoad(80.0, 32.0))
     burst = placement.group_for(question(1), names, PoolLoad(160.0, 32.0))
@@ -288,13 +294,7 @@
 
 def test_long_prompts_keep_their_share_of_the_engines_in_a_full_pool() -> None:
     """Guards against questions that take the engines of long prompts under high load."""
-    placement = PromptPlacement()
-    for number in range(200):
-        now = number / 20
-        placement.record_arrival(question(number), now, 0.15)
-        placement.record_arrival(summary(number, number), now, 0.6)
-        placement.record_end(question(number), 2.0, now)
-        placement.record_end(summary(number, number), 2.0, now)
+    placement = equal_shares_of_places()
     names = [BackendId(f"e{number}") for number in range(12)]
     full = placement.group_for(question(1), names, PoolLoad(12 * 32.0, 32.0))
     assert len(full) == 6
