--- a/src/godwitmast/dispatch/poison.py
+++ b/src/godwitmast/dispatch/poison.py
@@ -324,12 +324,20 @@
         """Record a crash whose cause may be an outage; return the fingerprints that are
         quarantined by it."""
         backend_id, at = crash.backend_id, crash.at
-        for fingerprint in crash.fingerprints:
+        open_suspects = {
+            name for name in crash.fingerprints if self.last_cleared_at(name) <= at
+        }
+        for fingerprint in open_suspects:
             suspect = self.suspects.setdefault(fingerprint, Suspect())
             suspect.observed_here = True
             add_crash(suspect, SeenCrash(backend_id, at, sole=False, doubtful=True))
-        self.report_review(backend_id, ReviewReason.SERVERS_LOST, crash.fingerprints)
-        return self.update_suspects(set(crash.fingerprints), now)
+        self.report_review(backend_id, ReviewReason.SERVERS_LOST, open_suspects)
+        return self.update_suspects(open_suspects, now)
+
+    def last_cleared_at(self, fingerprint: str) -> float:
+        """Return when the request last completed, here or at a peer."""
+        cleared_at = self.cleared_at.get(fingerprint, -math.inf)
+        return max(cleared_at, self.completed_at.get(fingerprint, -math.inf))
 
     def find_blamed(
         self, backend_id: BackendId, fingerprints: set[str], now: float
@@ -602,7 +610,7 @@
         quarantines it."""
         if self.quarantine_left_s(item.fingerprint, now) is not None:
             return []
-        cleared_at = self.cleared_at.get(item.fingerprint, float("-inf"))
+        cleared_at = self.last_cleared_at(item.fingerprint)
         crashes = [
             SeenCrash(crash.backend_id, now - crash.age_s, crash.sole, crash.doubtful)
             for crash in item.crashes
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -222,7 +222,7 @@
         if active.version is None:
             return True
         servers = self.backends.of_version(active.request.pool, active.version)
-        return bool(servers - {active.backend_id})
+        return len(servers) > (active.backend_id in servers)
 
     def record_latency(self, active: ActiveRequest, count: int, now: float) -> bool:
         """Record the timing of a stream's tokens; return whether its server is a
--- a/tests/test_dispatch_poison.py
+++ b/tests/test_dispatch_poison.py
@@ -16,6 +16,7 @@
     QUARANTINE_S,
     SUSPICION_S,
     CrashNotice,
+    CrashRecord,
     InFlight,
     PoisonGuard,
     QuarantineNotice,
@@ -211,6 +212,16 @@
     assert set(guard.quarantined) == {"deadly"}
 
 
+def test_request_that_completed_after_a_crash_is_no_suspect_by_a_late_report() -> None:
+    """Guards against an innocent request that is isolated though it has completed."""
+    guard = PoisonGuard()
+    guard.record_completion("lookup", 11.0)
+    guard.record_doubtful_crash(CrashRecord(10.0, ONE, frozenset(["lookup"])), 12.0)
+    crash = Crash(TWO, 1.5)
+    guard.apply_updates([Suspicion("lookup", (crash,))], 12.0)
+    assert not guard.suspects
+
+
 def test_peer_refuses_a_resent_request_that_another_entry_suspects() -> None:
     here, there = PoisonGuard(), PoisonGuard()
     here.record_crash(ONE, in_flight("bad", "a"), 10.0)
