--- a/src/godwitmast/dispatch/poison.py
+++ b/src/godwitmast/dispatch/poison.py
@@ -320,19 +320,31 @@
         )
         return self.update_suspects(set(blamed) | self.doubt_outage_crashes(now), now)
 
-    def record_doubtful_crash(self, crash: CrashRecord, now: float) -> list[str]:
-        """Record a crash whose cause may be an outage; return the fingerprints that are
-        quarantined by it."""
-        backend_id, at = crash.backend_id, crash.at
-        open_suspects = {
-            name for name in crash.fingerprints if self.last_cleared_at(name) <= at
-        }
-        for fingerprint in open_suspects:
-            suspect = self.suspects.setdefault(fingerprint, Suspect())
-            suspect.observed_here = True
-            add_crash(suspect, SeenCrash(backend_id, at, sole=False, doubtful=True))
-        self.report_review(backend_id, ReviewReason.SERVERS_LOST, open_suspects)
-        return self.update_suspects(open_suspects, now)
+    def record_lost_servers(self, crashes: list[CrashRecord], now: float) -> list[str]:
+        """Record crashes whose cause may be an outage of a pool; return the fingerprints
+        that are quarantined by them.
+
+        They are doubtful, except for requests seen in several of them.
+        """
+        seen = Counter(name for crash in crashes for name in crash.fingerprints)
+        suspects: set[str] = set()
+        for crash in crashes:
+            names = {
+                name
+                for name in crash.fingerprints
+                if self.last_cleared_at(name) <= crash.at
+            }
+            for name in names:
+                suspect = self.suspects.setdefault(name, Suspect())
+                suspect.observed_here = True
+                certain = seen[name] > 1
+                add_crash(
+                    suspect,
+                    SeenCrash(crash.backend_id, crash.at, certain, not certain),
+                )
+            self.report_review(crash.backend_id, ReviewReason.SERVERS_LOST, names)
+            suspects |= names
+        return self.update_suspects(suspects, now)
 
     def last_cleared_at(self, fingerprint: str) -> float:
         """Return when the request last completed, here or at a peer."""
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -557,8 +557,8 @@
         quarantined: list[str] = []
         for pool, crashes in self.unexplained_crashes.items():
             if now >= self.unreachable_since[pool] + SERVERS_LOST_S:
-                while crashes:
-                    quarantined += self.guard.record_doubtful_crash(crashes.pop(), now)
+                quarantined += self.guard.record_lost_servers(crashes, now)
+                crashes.clear()
         return self.refuse_quarantined(quarantined, now)
 
     def cancel_request(
--- a/tests/test_dispatch_poison.py
+++ b/tests/test_dispatch_poison.py
@@ -216,7 +216,7 @@
     """Guards against an innocent request that is isolated though it has completed."""
     guard = PoisonGuard()
     guard.record_completion("lookup", 11.0)
-    guard.record_doubtful_crash(CrashRecord(10.0, ONE, frozenset(["lookup"])), 12.0)
+    guard.record_lost_servers([CrashRecord(10.0, ONE, frozenset(["lookup"]))], 12.0)
     crash = Crash(TWO, 1.5)
     guard.apply_updates([Suspicion("lookup", (crash,))], 12.0)
     assert not guard.suspects
