--- a/src/godwitmast/dispatch/poison.py
+++ b/src/godwitmast/dispatch/poison.py
@@ -88,7 +88,7 @@
 """A request that has completed within this time is a common one, whose copies are on
 several servers at any moment."""
 
-LEARNING_S = 5.0
+LEARNING_S = 3.0
 """Time from the first completion until most common requests have completed here."""
 
 MAX_FAMILIAR = 10_000
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -69,10 +69,9 @@
 LINK_LOSS_S = 2.0
 """How long broken connections may precede the finding that no server can be reached."""
 
-SERVERS_LOST_S = 1.0
-"""How long no server can be reached, and no other entry is known to reach one, until the
-servers are taken to have crashed. Entries that still reach them are found sooner, and no
-server restarts that soon."""
+SERVERS_LOST_S = 2.5
+"""How long no server can be reached until the servers are taken to have crashed, if no
+other entry can be asked whether it reaches one. No server restarts that soon."""
 
 EXPIRE_EVERY_S = 1.0
 
@@ -528,7 +527,7 @@
     def record_unreachable_pool(self, pool: PoolName, now: float) -> None:
         """Withdraw the crashes of a pool of which no server can be reached any more.
 
-        Either this entry lost its links, or all servers crashed: see `tick`.
+        Either this entry lost its links, or all servers crashed: other entries tell.
         """
         self.unreachable_since[pool] = now
         view = self.backends.pools.get(pool)
@@ -552,15 +551,23 @@
         self.unexplained_crashes.pop(pool, None)
         self.backends.readmit_unreachable(pool, now)
 
-    def record_lost_servers(self, now: float) -> list[Action]:
-        """Count the crashes of pools that nobody is known to reach."""
-        quarantined: list[str] = []
-        for pool, crashes in self.unexplained_crashes.items():
-            if now >= self.unreachable_since[pool] + SERVERS_LOST_S:
-                quarantined += self.guard.record_lost_servers(crashes, now)
-                crashes.clear()
+    def record_lost_servers(self, pool: PoolName, now: float) -> list[Action]:
+        """Count the crashes of a pool of which other entries reach no server either."""
+        crashes = self.unexplained_crashes.get(pool)
+        if not crashes:
+            return []
+        quarantined = self.guard.record_lost_servers(crashes, now)
+        crashes.clear()
         return self.refuse_quarantined(quarantined, now)
 
+    def count_unexplained_crashes(self, now: float) -> list[Action]:
+        """Count the crashes of pools of which nobody could be asked for long."""
+        actions: list[Action] = []
+        for pool, since in self.unreachable_since.items():
+            if now >= since + SERVERS_LOST_S:
+                actions += self.record_lost_servers(pool, now)
+        return actions
+
     def cancel_request(
         self, request_id: RequestId, reason: CancelReason, now: float
     ) -> list[Action]:
@@ -658,14 +665,13 @@
         started."""
         self.backends.tick(now)
         self.confirm_crashes(now)
-        actions: list[Action] = []
+        quarantined = self.guard.review_suspects(now)
+        actions = self.refuse_quarantined(quarantined, now)
         if now >= self.next_expiry_at:
             self.next_expiry_at = now + EXPIRE_EVERY_S
             self.guard.expire(now)
             self.expire_crashes(now)
-            quarantined = self.guard.review_suspects(now)
-            actions += self.refuse_quarantined(quarantined, now)
-        actions += self.record_lost_servers(now)
+        actions += self.count_unexplained_crashes(now)
         actions += self.end_refused(self.admission.refuse_expired(now), now)
         for active in self.check_queue.pop_due(now):
             actions += self.check_attempt(active, now)
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -344,6 +344,13 @@
         if self.router is not None:
             self.router.record_lost_links(pool)
 
+    def record_lost_servers(self, pool: PoolName) -> None:
+        """Record that another entry reaches no server of a pool either."""
+        if self.router is not None:
+            now = self.clock.now()
+            self.deliver_actions(self.router.record_lost_servers(pool, now))
+            self.report_crashes()
+
     def record_heard(self, backend_id: BackendId) -> None:
         """Record that bytes of an answer arrived from a backend server."""
         self.connectivity.record_heard(backend_id, self.clock.now())
--- a/src/godwitmast/entry/forwarding.py
+++ b/src/godwitmast/entry/forwarding.py
@@ -134,16 +134,23 @@
         return True
 
     async def ask_peers(self, pool: PoolName) -> None:
-        """Ask peers whether they reach a pool's servers, until one does."""
+        """Ask peers whether they reach a pool's servers, until one does.
+
+        If none does and one says so, the servers are lost rather than the links.
+        """
         tried: set[str] = set()
+        refused = False
         while not self.choice.is_available(pool, self.driver.clock.now()):
             peer = self.choose(pool, tried)
             if peer is None:
+                if refused and self.connectivity.is_unreachable(pool):
+                    self.driver.record_lost_servers(pool)
                 return
             tried.add(peer.address)
             try:
                 await self.ask(peer, pool)
             except AttemptFailed as failure:
+                refused |= failure.kind is FailureKind.REFUSED
                 self.record_failure(peer, pool, failure.kind)
 
     async def ask(self, peer: Peer, pool: PoolName) -> None:
