--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -169,7 +169,7 @@
             return []
         active.tokens += count
         self.bind_to_version(active)
-        may_move = active.may_move and self.may_go_on_elsewhere(active)
+        may_move = active.may_move and self.has_server_of_version(active)
         self.admission.record_tokens(active.request, count, now, may_move)
         if not active.request.streams:
             return []
@@ -217,10 +217,13 @@
         return bool(self.backends.of_version(active.request.pool, active.version))
 
     def may_go_on_elsewhere(self, active: ActiveRequest) -> bool:
-        """Return whether another server than the present one can go on with a stream."""
-        if active.version is None:
+        """Return whether a stream may be moved off its server: only where versions differ
+        it may be bound to the present one."""
+        pool = active.request.pool
+        if not self.backends.of_other_versions(pool, active.version):
             return True
-        servers = self.backends.of_version(active.request.pool, active.version)
+        assert active.version is not None, "only bound streams exclude servers"
+        servers = self.backends.of_version(pool, active.version)
         return len(servers) > (active.backend_id in servers)
 
     def record_latency(self, active: ActiveRequest, count: int, now: float) -> bool:
--- a/src/godwitmast/entry/stream_versions.py
+++ b/src/godwitmast/entry/stream_versions.py
@@ -8,6 +8,7 @@
 refuses the request as not run.
 """
 
+import math
 from typing import NamedTuple
 
 import anyio
@@ -67,7 +68,6 @@
 
     version: str
     backend_id: BackendId
-    incarnation: int
     began_at: float
 
 
@@ -159,7 +159,7 @@
             return
         now = self.clock.now()
         key = stream_key(team, attempt_id)
-        stream = KnownStream(server.version, backend_id, server.incarnation, now)
+        stream = KnownStream(server.version, backend_id, now)
         self.record(key, stream, pool)
 
     def record_resumed(
@@ -167,7 +167,7 @@
     ) -> None:
         """Record the version of a stream that a caller took up."""
         key = stream_key(team, attempt_id)
-        stream = KnownStream(version, BackendId(""), 0, self.clock.now())
+        stream = KnownStream(version, BackendId(""), self.clock.now())
         self.record(key, stream, pool)
 
     def record(self, key: str, stream: KnownStream, pool: PoolName) -> None:
@@ -220,18 +220,34 @@
     async def run(self) -> None:
         """Write the streams that began, and remove old ones."""
         while True:
-            await self.changed.wait()
+            with anyio.move_on_after(KEEP_S if self.written else math.inf):
+                await self.changed.wait()
             self.changed = anyio.Event()
-            while self.pending:
-                await anyio.sleep(WRITE_INTERVAL_S)
+            await anyio.sleep(WRITE_INTERVAL_S)
+            while self.pending or self.outdated():
                 await self.write()
+                await anyio.sleep(WRITE_INTERVAL_S)
+
+    def outdated(self) -> list[str]:
+        """Return written streams that began too long ago to be taken up."""
+        oldest = self.clock.now() - KEEP_S
+        return [key for key, at in self.written.items() if at < oldest]
+
+    def drop_outdated(self) -> None:
+        """Drop pending streams that the table did not take in time."""
+        oldest = self.clock.now() - KEEP_S
+        self.pending = {
+            key: version
+            for key, version in self.pending.items()
+            if key in self.known and self.known[key].began_at > oldest
+        }
 
     async def write(self) -> None:
         """Write the oldest pending streams; after a failure they stay pending."""
+        self.drop_outdated()
         now = self.clock.now()
         added = dict(list(self.pending.items())[:MAX_ROWS])
-        outdated = [key for key, at in self.written.items() if at < now - KEEP_S]
-        removed = outdated[:MAX_ROWS]
+        removed = self.outdated()[:MAX_ROWS]
         writes: dict[str, Json] = dict.fromkeys(removed)
         writes.update(added)
         try:
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -92,6 +92,10 @@
         )
 
 
+def stream_rows(fleet: Fleet) -> list[str]:
+    return [key for _, key in fleet.store.rows if key.startswith("stream/")]
+
+
 @pytest.fixture
 async def fleet() -> AsyncIterator[MixedFleet]:
     async with running(MixedFleet()) as started:
@@ -211,6 +215,16 @@
     assert answer.status_code == 503
 
 
+async def test_rows_of_streams_are_removed_once_they_cannot_be_taken_up(
+    fleet: MixedFleet, http: httpx.AsyncClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a table that grows with every stream."""
+    monkeypatch.setattr("godwitmast.entry.stream_versions.KEEP_S", 0.5)
+    await fleet.break_stream(http)
+    await fleet.wait_until(lambda: stream_rows(fleet))
+    await fleet.wait_until(lambda: not stream_rows(fleet))
+
+
 async def test_nothing_is_written_or_refused_while_all_servers_have_one_version(
     http: httpx.AsyncClient,
 ) -> None:
@@ -227,4 +241,4 @@
         answer = await http.get(other.caller_server.url + "/chat/1", headers=headers)
         assert answer.status_code == 200
         await fleet.wait_until(lambda: not fleet.node.stream_versions.pending)
-        assert not any(key.startswith("stream/") for _, key in fleet.store.rows)
+        assert not stream_rows(fleet)
