--- a/tests/test_crowded_engines.py
+++ b/tests/test_crowded_engines.py
@@ -9,7 +9,7 @@
 FIRST_LOSS_S, SECOND_LOSS_S, END_S = 6.0, 10.0, 15.0
 
 
-@pytest.fixture(params=[6, 60, 195])
+@pytest.fixture(scope="module", params=[6, 60, 195])
 def pool(request: pytest.FixtureRequest) -> SharedEngines:
     """A pool that loses half of its engines, those that are cheap, in two steps."""
     pool = SharedEngines(request.param, ENGINES, seed=2, cheap=CHEAP)
