--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -211,10 +211,13 @@
         return active.version if active is not None else None
 
     def has_server_of_version(self, active: ActiveRequest) -> bool:
-        """Return whether a listed server can run the request, or go on with it."""
-        if active.version is None:
+        """Return whether a request may wait for a server: not if all that are listed are
+        of other versions."""
+        pool = active.request.pool
+        if not self.backends.of_other_versions(pool, active.version):
             return True
-        return bool(self.backends.of_version(active.request.pool, active.version))
+        assert active.version is not None, "only bound streams exclude servers"
+        return bool(self.backends.of_version(pool, active.version))
 
     def may_go_on_elsewhere(self, active: ActiveRequest) -> bool:
         """Return whether a stream may be moved off its server: only where versions differ
--- a/tests/test_version_binding.py
+++ b/tests/test_version_binding.py
@@ -189,3 +189,24 @@
     assert isinstance(refusal, Refuse)
     assert refusal.not_run.value == "true"
     assert refusal.retry_after_s
+
+
+@pytest.mark.parametrize("stated", ["", "v1"])
+def test_cut_stream_waits_while_no_server_of_its_pool_is_listed(
+    document: Document, stated: str
+) -> None:
+    """Guards against streams that are given up as a list is empty for a moment."""
+    router = Router(document, ZoneName("a"), seed=5)
+    specs = [server(name, version=stated) for name in VERSIONS]
+    router.update_backends(specs, 0.0)
+    [start] = router.submit(request(1), 0.0)
+    assert isinstance(start, Start)
+    router.record_tokens(start.request_id, start.attempt_id, 1, 0.1)
+    router.update_backends([], 0.2)
+    cut = FailureKind.CUT
+    assert router.record_failure(start.request_id, start.attempt_id, cut, 0.3) == []
+    for step in range(20):
+        assert router.tick(0.35 + step * 0.05) == []
+    actions = router.update_backends(specs, 1.5)
+    again = next((a for a in actions if isinstance(a, Start)), None)
+    assert again or isinstance(next_action(router, start.request_id, 1.5), Start)
