--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -388,6 +388,34 @@
         suspects.set_function(self.driver.count_suspects)
         for table in (OPERATOR_TABLE, SERVERS_TABLE):
             age.labels(table).set_function(partial(self.feed.age_s, table))
+        self.add_table_metrics(registry)
+
+    def add_table_metrics(self, registry: CollectorRegistry) -> None:
+        """Register what this VM holds of each table that it follows, and what it uses."""
+        version = Gauge(
+            "godwit_table_version",
+            "Version of a table that this VM holds.",
+            ["table"],
+            registry=registry,
+        )
+        behind = Gauge(
+            "godwit_table_rows_behind",
+            "Rows of a table that this VM holds otherwise than it uses them.",
+            ["table"],
+            registry=registry,
+        )
+        for follower in self.followers:
+            copy = self.feed.copy_of(follower.table)
+            version.labels(follower.table).set_function(
+                partial(getattr, copy, "version")
+            )
+            behind.labels(follower.table).set_function(
+                partial(self.count_rows_behind, follower)
+            )
+
+    def count_rows_behind(self, follower: FeedFollower) -> int:
+        """Return the rows that arrived here and are not in use; a few while changes gather."""
+        return follower.view.count_differences(self.feed.copy_of(follower.table).rows)
 
     def order_limits(self) -> dict[PoolName, ZonalLimits]:
         """Return the order limits by pool, once configuration and servers are known."""
--- a/src/godwitmast/platform_api/feed.py
+++ b/src/godwitmast/platform_api/feed.py
@@ -1,7 +1,7 @@
 """The follower of an external table that has a change feed."""
 
 import random
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 import anyio
@@ -103,6 +103,11 @@
             self.rows.pop(key, None)
             self.lapsed_keys.discard(key)
 
+    def count_differences(self, rows: Mapping[str, bytes]) -> int:
+        """Return in how many rows this view differs from `rows`, but for lapsed ones."""
+        differing = {key for key, _ in self.rows.items() ^ rows.items()}
+        return len(differing - self.lapsed_keys)
+
     def remove_expired(self, now: float) -> bool:
         """Remove rows that were missing after an outage and not written again since.
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -569,6 +569,11 @@
         assert "godwit_config_version 1.0" in metrics
         assert 'godwit_platform_calls_total{call="follow"}' in metrics
         assert 'godwit_relay_table_age_seconds{table="servers"} 0.' in metrics
+        assert 'godwit_table_rows_behind{table="op"} 0.0' in metrics
+        assert (
+            f'godwit_table_version{{table="op"}} {fleet.node.feed.copies["op"].version}.0'
+            in metrics
+        )
 
 
 async def test_stop_gives_requests_five_sixths_of_the_grace_period() -> None:
