Pass on each change of a relayed table with the version that it leads to

Callers got 404 for routes of a configuration that was acknowledged seconds before, at one VM of 65, for as long as its link to the relay lasted.

Cause: a follower's wait for a relay's change may end by its own time in the turn of the event loop in which the frame comes, as when the process stood still meanwhile. SharedFeed.changes then returned an answer made by hand: no rows, at the copy's new version. The follower took the version as reached, and asked for what came after it; the row was missing until it changed again. Each followed table could lose rows so: configuration, evacuations, servers, crash reports.

Change: what a relay's copy says is made in one place, from the changes that the copy keeps, so that a version comes with its rows or with HistoryLost; the rows and the version of Changes have no defaults any more.

--- a/src/godwitmast/platform_api/port.py
+++ b/src/godwitmast/platform_api/port.py
@@ -1,7 +1,7 @@
 """The interfaces that a platform has to provide."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
 from godwitmast.platform_api.messages import Row, TransactOutcome
@@ -56,8 +56,8 @@
     `shared` says that they were received without a call by this process.
     """
 
-    rows: Sequence[FeedRow] = field(default_factory=tuple)
-    version: int = 0
+    rows: Sequence[FeedRow]
+    version: int
     shared: bool = False
 
 
--- a/src/godwitmast/relay/feed.py
+++ b/src/godwitmast/relay/feed.py
@@ -71,16 +71,15 @@
         self, table: str, after: int, wait_s: float
     ) -> Changes | HistoryLost:
         """Return the changes after a version, from the relay's copy if it is fresh."""
+        if self.serves_followers:
+            return await self.poll_platform(table, after, wait_s)
         copy = self.copy_of(table)
-        if not self.serves_followers:
-            with anyio.move_on_after(wait_s):
-                answer = await self.wait_for_relayed_change(copy, after)
-                if answer is not None:
-                    return answer
-            if self.fresh_left_s(copy) > 0 and copy.version >= after:
-                return Changes((), copy.version, shared=True)
-            return await self.ask_or_await_relay(table, after, wait_s)
-        return await self.poll_platform(table, after, wait_s)
+        with anyio.move_on_after(wait_s):
+            await self.wait_for_relayed_change(copy, after)
+        # A change may also arrive in the turn of the event loop that ends the wait.
+        if self.fresh_left_s(copy) > 0 and copy.version >= after:
+            return relayed_changes(copy, after)
+        return await self.ask_or_await_relay(table, after, wait_s)
 
     async def ask_or_await_relay(
         self, table: str, after: int, wait_s: float
@@ -111,9 +110,7 @@
             tasks.cancel_scope.cancel()
         if isinstance(answer, PlatformError):
             raise answer
-        if answer is None:
-            return copy.changes_since(after) or HistoryLost()
-        return answer
+        return relayed_changes(copy, after) if answer is None else answer
 
     def is_relay_recent(self, copy: TableCopy) -> bool:
         if math.isinf(copy.relay_confirmed_at):
@@ -125,21 +122,14 @@
         while self.fresh_left_s(copy) <= 0 or copy.version < after:
             await self.changed.wait()
 
-    async def wait_for_relayed_change(
-        self, copy: TableCopy, after: int
-    ) -> Changes | HistoryLost | None:
-        """Wait for a change of the copy; return None once it is no longer fresh."""
+    async def wait_for_relayed_change(self, copy: TableCopy, after: int) -> None:
+        """Wait until rows of the copy change, or until it is no longer fresh."""
         while (left_s := self.fresh_left_s(copy)) > 0:
-            if copy.version > after:
-                changes = copy.changes_since(after)
-                if changes is None:
-                    return HistoryLost()
-                if changes.rows:
-                    return changes
+            if copy.has_changes_since(after):
+                return
             changed = self.changed
             with anyio.move_on_after(left_s):
                 await changed.wait()
-        return None
 
     async def poll_platform(
         self, table: str, after: int, wait_s: float
@@ -219,3 +209,13 @@
         if applied:
             copy.relay_confirmed_at = max(copy.relay_confirmed_at, frame.confirmed_at)
         self.notify_waiters()
+
+
+def relayed_changes(copy: TableCopy, after: int) -> Changes | HistoryLost:
+    """Return all rows that changed in a copy since a version, with its own version.
+
+    What a follower is not given here it does not get later, as it asks for the changes
+    after that version.
+    """
+    changes = copy.changes_since(after)
+    return HistoryLost() if changes is None else changes
--- a/src/godwitmast/relay/table_copy.py
+++ b/src/godwitmast/relay/table_copy.py
@@ -89,6 +89,11 @@
         while len(self.changes) > KEPT_CHANGES:
             self.oldest_base = self.changes.popleft().version
 
+    def has_changes_since(self, after: int) -> bool:
+        """Return whether rows changed after version `after`, or may have."""
+        changes = self.changes_since(after)
+        return changes is None or bool(changes.rows)
+
     def changes_since(self, after: int) -> Changes | None:
         """Return the changes after version `after`, or None if they are not kept."""
         if after < self.oldest_base:
