Replace a call for changes that gets no answer within the time to recover

Requests went to a server that had said that it leaves, at a VM that learned of it seconds later than the others; configurations were late the same way.

Cause: a store that is silent for some tenths of a second never answers a call that waits for changes, and the connection stays open. Only the time-out of the call (11 s), or the failure of another call, showed that. With silences under 1.5 s often no other call fails.

Change: a call waits for changes no longer than the platform's time to recover (contactMs) less a second for the answer and half a second for the next call. That is 1.5 s instead of 10 s where contactMs is 3,000.

The check of test_silent_store that finds a follower which only waits plays waits of 10 s, as before; test_feed also wants the time-out within each time to recover.

--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -51,7 +51,7 @@
     READY_PATH,
     SERVERS_TABLE,
 )
-from godwitmast.platform_api.feed import WAIT_S, FeedFollower
+from godwitmast.platform_api.feed import FeedFollower, long_poll_s
 from godwitmast.platform_api.runner import run_steps
 from godwitmast.platform_api.time_agreement import AgreedClock, agree_on_time
 from godwitmast.relay.driver import RelayDriver
@@ -139,7 +139,8 @@
 def feed_sharing(bounds: BoundsTable) -> Sharing:
     """Return how fresh data from a relay must be, by the shorter of two bounds."""
     bound_s = min(bounds.drain_ms, bounds.config_deadline_ms) / 1000
-    return Sharing(bound_s * CONFIRM_SHARE, bound_s * FRESH_SHARE, WAIT_S)
+    wait_s = long_poll_s(bounds.contact_ms / 1000)
+    return Sharing(bound_s * CONFIRM_SHARE, bound_s * FRESH_SHARE, wait_s)
 
 
 def cold_bounds(bounds: BoundsTable) -> ColdBounds:
@@ -206,16 +207,22 @@
             self.driver, self.store, self.agreed_clock, settings.node
         )
         gather_s = bounds.drain_ms / 1000 * GATHER_SHARE
-        self.feed = SharedFeed(self.store, self.agreed_clock, feed_sharing(bounds))
+        sharing = feed_sharing(bounds)
+        self.feed = SharedFeed(self.store, self.agreed_clock, sharing)
         self.followers = [
             FeedFollower(
-                self.feed, self.clock, OPERATOR_TABLE, self.apply_operator_rows
+                self.feed,
+                self.clock,
+                OPERATOR_TABLE,
+                self.apply_operator_rows,
+                sharing.wait_s,
             ),
             FeedFollower(
                 self.feed,
                 self.clock,
                 SERVERS_TABLE,
                 self.apply_server_rows,
+                sharing.wait_s,
                 lambda: self.feed.gather_s(gather_s),
             ),
             FeedFollower(
@@ -223,6 +230,7 @@
                 self.clock,
                 CRASHES_TABLE,
                 self.crash_reports.apply_rows,
+                sharing.wait_s,
                 lambda: CRASH_GATHER_S,
             ),
         ]
--- a/src/godwitmast/platform/settings.py
+++ b/src/godwitmast/platform/settings.py
@@ -46,6 +46,8 @@
     drain_ms: Positive
     grace_s: Positive
     config_deadline_ms: Positive
+    contact_ms: Positive = 3_000
+    """After a fault of a VM or the platform, all bounds hold again from then on."""
     strict_revoke: bool = False
     lease_ms: Positive = 3_000
     window_s: Annotated[int, Meta(gt=0)] = 5
--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -26,6 +26,7 @@
     RowsAnswer,
     StoredRow,
 )
+from godwitmast.platform_api.feed import ANSWER_MARGIN_S
 from godwitmast.platform_api.http import PlatformHttp
 from godwitmast.platform_api.limits import CircuitBreaker, RateBudget
 from godwitmast.platform_api.messages import Conflict, Row, TransactOutcome, Written
@@ -50,10 +51,6 @@
 """A call takes 4 to 25 ms, and still ends in time if it takes sixty times that, which is
 the store's specified worst case; a later answer counts as lost."""
 
-FOLLOW_MARGIN_S = 1.0
-"""How much longer than its wait a call that waits for changes may take. Reading a table
-takes 4 ms."""
-
 BREAKER_OPEN_MAX_S = 1.0
 """Longest time for which the circuit breaker stays open: half of the time in which a
 configuration has to be in force."""
@@ -226,7 +223,7 @@
             (200, 410),
             bypass_breaker=True,
             params=params,
-            timeout=wait_s + FOLLOW_MARGIN_S,
+            timeout=wait_s + ANSWER_MARGIN_S,
         )
         if response.status_code == 410:
             return HistoryLost()
--- a/src/godwitmast/platform_api/feed.py
+++ b/src/godwitmast/platform_api/feed.py
@@ -13,11 +13,17 @@
 from godwitmast.logs import log_event
 from godwitmast.platform_api.port import Changes, Feed, FeedRow, HistoryLost, Snapshot
 
-WAIT_S = 10.0
-"""How long one long-polling call waits for a change. TCP keepalive detects a dead
-connection. A call that the platform has dropped without closing the connection is
-detected when another call fails, or else only by its time-out; until then no change
-arrives."""
+MAX_WAIT_S = 10.0
+"""Longest time for which one long-polling call waits for a change."""
+
+MIN_WAIT_S = 0.5
+
+ANSWER_MARGIN_S = 1.0
+"""How much longer than its wait a call that waits for changes may take. Reading a table
+takes 4 ms, and with a slow store a quarter of a second."""
+
+REISSUE_S = 0.5
+"""Time for the first backoff after a call that was not answered, and for the next call."""
 
 BACKOFF_S = (0.2, 0.6)
 """First and longest backoff after a failed call, each with 50 % jitter. A
@@ -33,6 +39,17 @@
 If fewer are removed wrongly, the other servers can carry the load for two seconds."""
 
 
+def long_poll_s(recovery_s: float) -> float:
+    """Return how long a call may wait for changes, so that one that gets no answer is
+    replaced within `recovery_s`.
+
+    The platform may drop a call and leave its connection open. Only the time-out of the
+    call shows that, and until then no change arrives.
+    """
+    wait_s = recovery_s - ANSWER_MARGIN_S - REISSUE_S
+    return min(MAX_WAIT_S, max(MIN_WAIT_S, wait_s))
+
+
 @dataclass
 class FeedView:
     """The last known rows of a table, without I/O.
@@ -130,12 +147,14 @@
         clock: Clock,
         table: str,
         listener: Callable[[dict[str, bytes]], None],
+        wait_s: float = MAX_WAIT_S,
         gather_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.feed = feed
         self.clock = clock
         self.table = table
         self.listener = listener
+        self.wait_s = wait_s
         self.gather_s = gather_s
         self.view = FeedView()
         self.pause_s = BACKOFF_S[0]
@@ -178,7 +197,7 @@
         # After an outage the first call must not wait for changes: its answer marks
         # the end of the outage, and so separates rows that were removed during it from
         # those that are removed later.
-        wait_s = WAIT_S if self.view.unreachable_since is None else 0.0
+        wait_s = self.wait_s if self.view.unreachable_since is None else 0.0
         match await self.wait_for_changes(self.view.version, wait_s):
             case Changes() as changes:
                 self.own_call = not changes.shared
--- a/tests/table_fleet.py
+++ b/tests/table_fleet.py
@@ -11,8 +11,7 @@
 from godwitmast.errors import PlatformOutcomeUnknown
 from godwitmast.platform.daemon import feed_sharing
 from godwitmast.platform.settings import BoundsTable
-from godwitmast.platform.store import FOLLOW_MARGIN_S
-from godwitmast.platform_api.feed import FeedFollower
+from godwitmast.platform_api.feed import ANSWER_MARGIN_S, FeedFollower
 from godwitmast.platform_api.port import Changes, FeedRow, Snapshot
 from godwitmast.platform_api.time_agreement import AgreedClock
 from godwitmast.relay.feed import SharedFeed
@@ -94,7 +93,9 @@
         self.feed = SharedFeed(self, self.clock, sharing)
         self.feed.followers = lambda: len(self.links)
         self.follower = self.process.create(
-            lambda: FeedFollower(self.feed, LoopClock(), TABLE, self.take_rows)
+            lambda: FeedFollower(
+                self.feed, LoopClock(), TABLE, self.take_rows, sharing.wait_s
+            )
         )
         self.links: list[Vm] = []
         self.relay: Vm | None = None
@@ -150,7 +151,7 @@
         if not self.loses:
             wait = partial(self.store.wait, after, wait_s, answer)
             self.world.at(self.world.now + STORE_S, wait)
-        with anyio.move_on_after(wait_s + FOLLOW_MARGIN_S):
+        with anyio.move_on_after(wait_s + ANSWER_MARGIN_S):
             version, store_s = await answered
             self.clock.update_store_time(store_s)
             return version
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -16,7 +16,7 @@
 
 @pytest.fixture(autouse=True)
 def short_waits(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(feed, "WAIT_S", 0.3)
+    monkeypatch.setattr(feed, "MAX_WAIT_S", 0.3)
 
 
 class ZonedFleet(Fleet):
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -2,8 +2,14 @@
 
 import pytest
 
-from godwitmast.platform.store import FOLLOW_MARGIN_S
-from godwitmast.platform_api.feed import RETURN_GRACE_S, WAIT_S, FeedView
+from godwitmast.platform_api.feed import (
+    ANSWER_MARGIN_S,
+    MAX_WAIT_S,
+    REISSUE_S,
+    RETURN_GRACE_S,
+    FeedView,
+    long_poll_s,
+)
 from godwitmast.platform_api.port import Changes, FeedRow, Snapshot
 
 IN_FORCE_S = 12.0
@@ -109,4 +115,11 @@
     The connection stays open, so only the call's own time-out detects it. With a longer
     one, configurations of the next half minute would not be in force on one VM.
     """
-    assert WAIT_S + FOLLOW_MARGIN_S <= IN_FORCE_S
+    assert MAX_WAIT_S + ANSWER_MARGIN_S <= IN_FORCE_S
+
+
+@pytest.mark.parametrize("recovery_s", [2.0, 3.0, 5.0, 60.0])
+def test_unanswered_call_is_replaced_within_the_time_to_recover(
+    recovery_s: float,
+) -> None:
+    assert long_poll_s(recovery_s) + ANSWER_MARGIN_S + REISSUE_S <= recovery_s
--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -37,7 +37,7 @@
 ) -> None:
     """The task that removes rows after a grace sleeps until an outage makes some missing."""
     monkeypatch.setattr("godwitmast.platform_api.feed.RETURN_GRACE_S", 0.2)
-    monkeypatch.setattr("godwitmast.platform_api.feed.WAIT_S", 0.3)
+    monkeypatch.setattr("godwitmast.platform_api.feed.MAX_WAIT_S", 0.3)
     async with running(Fleet()) as fleet:
         servers: FeedFollower = fleet.node.followers[1]
         fleet.store.faults.refusal_status = 503
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -24,7 +24,7 @@
 @pytest.fixture(autouse=True)
 def short_waits(monkeypatch: pytest.MonkeyPatch) -> None:
     """Shorten the calls that wait for changes, so that an outage is detected soon."""
-    monkeypatch.setattr(feed, "WAIT_S", 0.3)
+    monkeypatch.setattr(feed, "MAX_WAIT_S", 0.3)
 
 
 @pytest.fixture
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -9,8 +9,13 @@
 
 from godwitmast.errors import PlatformOutcomeUnknown
 from godwitmast.platform.daemon import CONFIRM_SHARE, FRESH_SHARE
-from godwitmast.platform.store import CALL_TIMEOUT_S, FOLLOW_MARGIN_S
-from godwitmast.platform_api.feed import WAIT_S, FeedFollower
+from godwitmast.platform.store import CALL_TIMEOUT_S
+from godwitmast.platform_api.feed import (
+    ANSWER_MARGIN_S,
+    MAX_WAIT_S,
+    FeedFollower,
+    long_poll_s,
+)
 from godwitmast.platform_api.port import Changes, FeedRow, Snapshot
 from godwitmast.relay.feed import SharedFeed
 from godwitmast.relay.table_copy import Sharing
@@ -23,6 +28,7 @@
 IN_TOUCH_S = 3.0
 """This long after an outage ends, changes must be in force within the bound again."""
 
+WAIT_S = long_poll_s(IN_TOUCH_S)
 SHARING = Sharing(BOUND_S * CONFIRM_SHARE, BOUND_S * FRESH_SHARE, WAIT_S)
 ANSWER_S = 0.008
 LINK_S = 0.002
@@ -78,7 +84,7 @@
                 await self.changed.wait()
         await anyio.sleep(ANSWER_S)
         if self.is_silent(since):
-            margin_s = FOLLOW_MARGIN_S if wait_s else CALL_TIMEOUT_S
+            margin_s = ANSWER_MARGIN_S if wait_s else CALL_TIMEOUT_S
             await anyio.sleep(max(0.0, deadline + margin_s - self.now()))
             raise PlatformOutcomeUnknown("no answer")
 
@@ -110,12 +116,15 @@
     store: SilentStore
     followers: int = 0
     doubts: bool = True
+    wait_s: float = WAIT_S
 
     def __post_init__(self) -> None:
         self.feed = SharedFeed(self.store, LoopClock(), SHARING)
         self.feed.followers = lambda: self.followers
         self.seen: dict[str, float] = {}
-        self.follower = FeedFollower(self.feed, LoopClock(), TABLE, self.take)
+        self.follower = FeedFollower(
+            self.feed, LoopClock(), TABLE, self.take, self.wait_s
+        )
 
     def take(self, rows: dict[str, bytes]) -> None:
         for key in rows:
@@ -144,7 +153,9 @@
             await changed.wait()
 
 
-def play(seed: int, through_relay: bool, doubts: bool = True) -> float:
+def play(
+    seed: int, through_relay: bool, doubts: bool = True, wait_s: float = WAIT_S
+) -> float:
     """Return by how many seconds a change after an outage was late."""
     draw = random.Random(seed)
     begin = draw.uniform(8.0, 20.0)
@@ -156,7 +167,7 @@
         nonlocal late_s
         store = SilentStore(begin, end)
         store.put("before")
-        watched = Vm(store, doubts=doubts)
+        watched = Vm(store, doubts=doubts, wait_s=wait_s)
         async with anyio.create_task_group() as tasks:
             await watched.follower.start(tasks)
             if through_relay:
@@ -191,4 +202,5 @@
 
 
 def test_check_finds_a_follower_that_only_waits() -> None:
-    assert any(play(seed, through_relay=False, doubts=False) > 0 for seed in range(60))
+    late = (play(seed, False, doubts=False, wait_s=MAX_WAIT_S) for seed in range(60))
+    assert any(late_s > 0 for late_s in late)
--- a/tests/test_table_followers.py
+++ b/tests/test_table_followers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from godwitmast.platform.settings import BoundsTable
-from godwitmast.platform_api.feed import WAIT_S
+from godwitmast.platform_api.feed import long_poll_s
 from lockstep import lockstep
 from table_fleet import Fleet, Vm
 
@@ -17,7 +17,10 @@
 """This long after a VM's last fault the bound holds for it again."""
 
 BOUNDS = BoundsTable(
-    drain_ms=BOUND_S * 1000, grace_s=8, config_deadline_ms=BOUND_S * 1000
+    drain_ms=BOUND_S * 1000,
+    grace_s=8,
+    config_deadline_ms=BOUND_S * 1000,
+    contact_ms=CONTACT_S * 1000,
 )
 LENGTH_S = 60.0
 CHECK_S = 0.05
@@ -29,6 +32,10 @@
     NOTHING = "nothing"
     SUSPENDED = "suspended"
     """VMs stand still."""
+    CALLS_LOST = "calls_lost"
+    """VMs' calls of the store, and its answers, are lost on their way."""
+    STORE_SILENT = "store_silent"
+    """The store answers no call that is open at any moment of its outage."""
     RELAYS_REPLACED = "relays_replaced"
     """Another VM becomes its zone's relay."""
     ALL = "all"
@@ -68,10 +75,21 @@
                 for vm in vms:
                     self.mark_faulty(vm, for_s)
                     vm.process.suspend(for_s)
+            case Fault.CALLS_LOST:
+                for vm in vms:
+                    self.lose_calls(vm, for_s)
+            case Fault.STORE_SILENT:
+                self.fleet.store.drop_calls()
+                for vm in self.fleet.vms:
+                    self.lose_calls(vm, for_s)
             case Fault.RELAYS_REPLACED:
                 self.fleet.replace_relay(self.random)
         self.fail_later()
 
+    def lose_calls(self, vm: Vm, for_s: float) -> None:
+        self.mark_faulty(vm, for_s)
+        vm.loses_until = max(vm.loses_until, self.world.now + for_s)
+
     def mark_faulty(self, vm: Vm, for_s: float) -> None:
         self.faulty_until[vm] = max(self.faulty_until[vm], self.world.now + for_s)
 
@@ -104,7 +122,7 @@
         fleet = Fleet(world, Fleet.ZONE_VMS, BOUNDS)
         followers = fleet.vms[1:]
         world.at(5.0, fleet.store.change)
-        world.run(5.0 + WAIT_S - suspended_s / 2)
+        world.run(5.0 + long_poll_s(CONTACT_S) - suspended_s / 2)
         for vm in followers:
             vm.process.suspend(suspended_s)
         world.at(world.now + 0.1, fleet.store.change)
