Limit open platform calls outside of the connection pool

A VM could not reach the store any more, although that answered: each call failed with PoolTimeout until the process ended.

Cause: the HTTP library's pool gives a place that becomes free to a call that waits for one; if that call is cancelled in the same turn, the new connection is never opened and keeps the place. Calls wait for a place while others hang, as in an outage of the store, and that is when calls for changes are cancelled and made anew. Calls for changes also queued behind calls that hang.

Evidence: 40 calls without an answer, cancelled together, leave seven of seven places as connecting for ever; the next call times out.

Change: pools have no limit, so that no call waits inside; four calls at a time are open besides those that wait for changes, which never queue.

--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -55,10 +55,6 @@
 """Longest time for which the circuit breaker stays open: half of the time in which a
 configuration has to be in force."""
 
-MAX_CONNECTIONS = 7
-"""Three calls that wait for changes, and four others."""
-
-
 CALL_NAMES = {
     TRANSACT: "transact",
     READ_ROWS: "read",
@@ -81,7 +77,7 @@
 
 
 def make_http(address: Listen, timeout_s: float) -> httpx.AsyncClient:
-    limits = httpx.Limits(max_connections=MAX_CONNECTIONS, keepalive_expiry=60)
+    limits = httpx.Limits(max_connections=None, keepalive_expiry=60)
     transport = httpx.AsyncHTTPTransport(
         verify=tls_without_authorities(),
         limits=limits,
--- a/src/godwitmast/platform_api/client.py
+++ b/src/godwitmast/platform_api/client.py
@@ -20,7 +20,6 @@
 from godwitmast.settings import PlatformSettings
 from godwitmast.types import Json
 
-CONNECTIONS = 8
 WRITE_PATHS = frozenset(["/table/transact", "/orders", "/usage"])
 
 
@@ -32,7 +31,7 @@
             base_url=settings.url,
             timeout=settings.timeout_s,
             headers={"Godwit-Node": node},
-            limits=httpx.Limits(max_connections=CONNECTIONS),
+            limits=httpx.Limits(max_connections=None),
             trust_env=False,
         )
         super().__init__(settings, http)
--- a/src/godwitmast/platform_api/http.py
+++ b/src/godwitmast/platform_api/http.py
@@ -18,6 +18,10 @@
 from godwitmast.platform_api.limits import CircuitBreaker, Priority, RateBudget
 from godwitmast.settings import PlatformSettings
 
+MAX_OPEN_CALLS = 4
+"""Calls of one process that may be open at a time, so that an outage does not fill it with
+calls that wait for their time-outs."""
+
 
 class PlatformHttp:
     """Calls that either return an answer or raise a PlatformError.
@@ -36,6 +40,7 @@
         self.writes = RateBudget(settings.writes_per_s)
         self.breaker = CircuitBreaker()
         self.calls = CallCounter()
+        self.open_calls = anyio.CapacityLimiter(MAX_OPEN_CALLS)
         self.failure_listeners: list[Callable[[], None]] = []
 
     async def close(self) -> None:
@@ -60,8 +65,9 @@
     ) -> httpx.Response:
         """Return an answer with a status in `good`, or raise a PlatformError.
 
-        A call with `bypass_breaker` is sent although the circuit breaker is open, so that
-        it succeeds as soon as the platform answers again; its caller has to pace it.
+        A call with `bypass_breaker` is sent although the circuit breaker is open, or many
+        calls are, so that it succeeds as soon as the platform answers again; its caller
+        has to pace it.
         """
         if self.http.is_closed:
             raise PlatformUnavailable(f"{path}: closed")
@@ -70,7 +76,10 @@
         budget = self.budget_for(method, path)
         try:
             await self.wait_for_budget(budget, path, rows)
-            answer = await self.request(method, path, **content)
+            if bypass_breaker:
+                answer = await self.request(method, path, **content)
+            else:
+                answer = await self.request_in_turn(method, path, **content)
             return self.check_status(path, answer, good, budget)
         except PlatformThrottled:
             raise
@@ -92,6 +101,25 @@
                 raise PlatformThrottled(f"{path}: over this process's rate budget")
             await anyio.sleep(delay * random.uniform(1.0, 1.2))
 
+    async def request_in_turn(
+        self, method: str, path: str, **content: Any
+    ) -> httpx.Response:
+        """Make a call once fewer than `MAX_OPEN_CALLS` are open.
+
+        The connection pool has no such limit: it loses a place for each call that is
+        cancelled while it waits for one.
+        """
+        acquired = False
+        with anyio.move_on_after(self.timeout_s):
+            await self.open_calls.acquire()
+            acquired = True
+        if not acquired:
+            raise PlatformUnavailable(f"{path}: not sent, as other calls are open")
+        try:
+            return await self.request(method, path, **content)
+        finally:
+            self.open_calls.release()
+
     async def request(self, method: str, path: str, **content: Any) -> httpx.Response:
         self.calls.add(self.call_name(path))
         try:
