--- a/tests/small_pool.py
+++ b/tests/small_pool.py
@@ -25,6 +25,7 @@
     RequestSpec,
     Start,
 )
+from godwitmast.dispatch.placement import PromptPart
 from godwitmast.dispatch.poison import advance_ages
 from godwitmast.dispatch.router import Router
 from godwitmast.entry.crash_reports import GATHER_S, MAX_PROBES_S
@@ -53,6 +54,9 @@
     )
 
 
+Parts = tuple[PromptPart, ...]
+
+
 @dataclass
 class Call:
     """A caller's request; `crash_s` after its start it ends its server, if at all."""
@@ -60,6 +64,7 @@
     fingerprint: str
     crash_s: float | None
     vm: "Vm"
+    parts: Parts = ()
     outcome: str = ""
 
 
@@ -91,10 +96,12 @@
 class SmallPool(EventHeap):
     """The servers, the VMs and the callers, on a heap of events."""
 
-    def __init__(self, vms: int, seed: int) -> None:
+    document = staticmethod(make_document)
+
+    def __init__(self, vms: int, seed: int, servers: int = SERVERS) -> None:
         super().__init__(seed)
         self.rows: list[tuple[float, list[PoisonUpdate]]] = []
-        self.servers = [Server(f"z{n + 1}") for n in range(SERVERS)]
+        self.servers = [Server(f"z{n + 1}") for n in range(servers)]
         self.vms: list[Vm] = []
         for _ in range(vms):
             self.add_vm()
@@ -106,7 +113,7 @@
     def add_vm(self) -> Vm:
         """Start a VM, which reads all rows of the table."""
         zone = ZoneName(f"z{len(self.vms) % SERVERS + 1}")
-        vm = Vm(Router(make_document(), zone, self.random.randrange(1 << 30)))
+        vm = Vm(Router(self.document(), zone, self.random.randrange(1 << 30)))
         vm.connectivity = Connectivity(self.random.randrange(1 << 30))
         self.vms.append(vm)
         for server in self.servers:
@@ -133,33 +140,42 @@
 
     def configure(self, version: int) -> None:
         for vm in self.vms:
-            document = make_document(version)
+            document = self.document(version)
             self.execute(vm, vm.router.update_config(document, self.now))
 
     # Callers
 
     def send(
-        self, fingerprint: str, crash_s: float | None = None, vm: Vm | None = None
-    ) -> None:
+        self,
+        fingerprint: str,
+        crash_s: float | None = None,
+        vm: Vm | None = None,
+        parts: Parts = (),
+    ) -> Call:
         """Send a copy of a request to a VM."""
         vm = vm or self.random.choice(self.vms)
         request_id = RequestId(f"r{next(self.numbers)}")
-        call = vm.calls[request_id] = Call(fingerprint, crash_s, vm)
-        spec = RequestSpec(
+        call = vm.calls[request_id] = Call(fingerprint, crash_s, vm, parts)
+        spec = self.specify(request_id, call)
+        self.schedule(PATIENCE_S, self.give_up, vm, request_id)
+        self.execute(vm, vm.router.submit(spec, self.now))
+        call.outcome = call.outcome or "open"
+        return call
+
+    def specify(self, request_id: RequestId, call: Call) -> RequestSpec:
+        """Return the properties of a call for a router."""
+        return RequestSpec(
             request_id,
             "arima",  # type: ignore[arg-type]
             "lookup",  # type: ignore[arg-type]
             POOL,  # type: ignore[arg-type]
             self.now,
             deadline=self.now + PATIENCE_S,
-            fingerprint=fingerprint,
+            fingerprint=call.fingerprint,
             streams=False,
             resumable=False,
             attempts=2,
         )
-        self.schedule(PATIENCE_S, self.give_up, vm, request_id)
-        self.execute(vm, vm.router.submit(spec, self.now))
-        call.outcome = call.outcome or "open"
 
     def send_regularly(
         self, fingerprint: str, every_s: float, until: float, crash_s: float | None
