Quarantine parts of prompts on which engines crash

Requests that had one part of their prompts in common, and nothing else, crashed an engine each: 19 and 23 engines in the users' record, callers of all kinds got 502.

Cause: crashes counted against whole requests alone, by a fingerprint of team, path and body. No two of these requests have the same, so that none was quarantined.

Change: dispatch.part_crashes. The parts of the requests on a crashed engine which have not been writing for half a second are suspects, except for last parts; each VM's crashes go to the others in the rows of crash reports. A part in three events, or in six if it was served within five minutes, is quarantined 1.5 s after the third or sixth, unless a request with it wrote on meanwhile at any VM; parts in the very same crashes only together, so that those who share the sound ones tell them apart. Outages (three servers within 0.1 s) count against no part. After 600 s a part is tried again, and its first crash ends that.

--- a/src/godwitmast/dispatch/active_requests.py
+++ b/src/godwitmast/dispatch/active_requests.py
@@ -30,6 +30,8 @@
     started_at: float = 0.0
     first_token_at: float | None = None
     last_token_at: float = 0.0
+    has_survived: bool = False
+    """It has been writing for longer than what crashes an engine does."""
     pending_tokens: float = 0.0
     """Tokens of the prompt that the present server has still to prefill."""
     version: str | None = None
@@ -97,6 +99,7 @@
         active.backend_id = backend_id
         active.started_at = active.last_token_at = now
         active.first_token_at = None
+        active.has_survived = False
         active.run_count += 1
         self.by_server.setdefault(backend_id, {})[active.request.request_id] = active
         return active.attempt_id
--- a/src/godwitmast/dispatch/poison.py
+++ b/src/godwitmast/dispatch/poison.py
@@ -146,11 +146,16 @@
 
 
 class CrashRecord(NamedTuple):
-    """A crash, and fingerprints that were on the server."""
+    """A crash, and fingerprints that were on the server.
+
+    `prompts` has the ids of the parts of prompts on which it had not been writing for a
+    while.
+    """
 
     at: float
     backend_id: BackendId
     fingerprints: frozenset[str]
+    prompts: tuple[frozenset[str], ...] = ()
 
 
 class SeenCrash(NamedTuple):
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -6,7 +6,7 @@
 
 import random
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import replace
 
 from godwitmast.admission.controller import Admission
@@ -31,6 +31,13 @@
     RequestSpec,
     Start,
 )
+from godwitmast.dispatch.part_crashes import (
+    SURVIVAL_S,
+    PartGroup,
+    PartGuard,
+    is_part_update,
+    shared_ids,
+)
 from godwitmast.dispatch.poison import (
     CRASH_DEDUP_S,
     CrashRecord,
@@ -101,6 +108,7 @@
         self.backends.warmup_limits = warmup_limits(document)
         self.active_requests = ActiveRequests()
         self.guard = PoisonGuard()
+        self.part_guard = PartGuard()
         self.budgets = budgets or RetryBudgets()
         self.retries = RetryQueue()
         self.check_queue = CheckQueue()
@@ -136,7 +144,7 @@
 
     def submit(self, request: RequestSpec, now: float) -> list[Action]:
         """Admit the request, or refuse it."""
-        left_s = self.guard.quarantine_left_s(request.fingerprint, now)
+        left_s = self.quarantine_left_s(request, now)
         if left_s is not None:
             return [refuse(request, RefusalCode.QUARANTINED, left_s)]
         if not self.backends.serves(request.pool):
@@ -160,6 +168,13 @@
         refusals = self.end_refused(self.admission.offer(request, now), now)
         return [*refusals, *self.start_waiting(now)]
 
+    def quarantine_left_s(self, request: RequestSpec, now: float) -> float | None:
+        """Return for how long a request is refused as it crashes servers, or None."""
+        left_s = self.guard.quarantine_left_s(request.fingerprint, now)
+        if left_s is not None:
+            return left_s
+        return self.part_guard.quarantine_left_s(request.pool, request.parts, now)
+
     def record_tokens(
         self, request_id: RequestId, attempt_id: AttemptId, count: int, now: float
     ) -> list[Action]:
@@ -174,6 +189,7 @@
         if not active.request.streams:
             return []
         slow = self.record_latency(active, count, now)
+        self.record_survival(active, now)
         active.last_token_at = now
         ran_s = now - active.started_at
         freed = self.guard.record_progress(active.request.fingerprint, ran_s, now)
@@ -245,6 +261,15 @@
         self.backends.record_first_token(active.backend_id, pool, waited_s, late, now)
         return False
 
+    def record_survival(self, active: ActiveRequest, now: float) -> None:
+        """Record once that an attempt has been writing for a while."""
+        if active.has_survived or active.first_token_at is None:
+            return
+        if now >= active.first_token_at + SURVIVAL_S:
+            active.has_survived = True
+            request = active.request
+            self.part_guard.record_survival(request.pool, request.parts, now)
+
     def record_completion(
         self, request_id: RequestId, attempt_id: AttemptId, now: float
     ) -> list[Action]:
@@ -258,6 +283,7 @@
         self.backends.record_success(active.backend_id, latency_s, now)
         self.budgets.for_pool(active.request.pool).record_success()
         self.guard.record_completion(active.request.fingerprint, now)
+        self.part_guard.record_survival(active.request.pool, active.request.parts, now)
         self.end_attempt(active, now)
         self.end_request(active, now, whole=True)
         return self.start_waiting(now)
@@ -324,17 +350,25 @@
         leaving = self.backends.is_leaving(backend_id)
         if leaving or (last is not None and is_same_crash(last, active, now)):
             return []
+        on_server = self.active_requests.on_server(backend_id)
         in_flight = [
             InFlight(other.request.fingerprint, now - other.started_at)
-            for other in self.active_requests.on_server(backend_id)
+            for other in on_server
         ]
         names = frozenset(item.fingerprint for item in in_flight if item.fingerprint)
-        crash = self.crashes[backend_id] = CrashRecord(now, backend_id, names)
+        prompts = tuple(
+            shared_ids(other.request.parts)
+            for other in on_server
+            if not other.has_survived
+        )
+        crash = CrashRecord(now, backend_id, names, prompts)
+        self.crashes[backend_id] = crash
         pool = active.request.pool
         if pool in self.unreachable_since:
             self.unexplained_crashes.setdefault(pool, []).append(crash)
             return []
         self.unconfirmed_crashes.append((backend_id, now))
+        self.part_guard.record_crash(pool, backend_id, prompts, now)
         quarantined = self.guard.record_crash(backend_id, in_flight, now)
         return self.refuse_quarantined(quarantined, now)
 
@@ -352,6 +386,7 @@
                 if active.started_at <= at:
                     fingerprint = active.request.fingerprint
                     self.guard.drop_crash(fingerprint, backend_id, at)
+                    self.part_guard.withdraw_crash(backend_id, at)
 
     def refuse_quarantined(
         self, fingerprints: Iterable[str], now: float
@@ -370,6 +405,20 @@
                 )
         return actions
 
+    def refuse_parts(self, groups: Collection[PartGroup], now: float) -> list[Action]:
+        """Refuse admitted requests whose prompts have a quarantined group of parts."""
+        if not groups:
+            return []
+        actions: list[Action] = []
+        for active in list(self.active_requests.by_id.values()):
+            request = active.request
+            left_s = self.part_guard.quarantine_left_s(request.pool, request.parts, now)
+            if left_s is not None and not active.has_survived:
+                actions += self.end_with_refusal(
+                    active, RefusalCode.QUARANTINED, left_s, now
+                )
+        return actions
+
     def end_with_refusal(
         self,
         active: ActiveRequest,
@@ -545,6 +594,7 @@
         ]
         for crash in recent:
             self.guard.withdraw_crash(crash.backend_id, crash.at)
+            self.part_guard.withdraw_crash(crash.backend_id, crash.at)
         self.unexplained_crashes[pool] = recent
 
     def record_lost_links(self, pool: PoolName) -> None:
@@ -562,6 +612,10 @@
         crashes = self.unexplained_crashes.get(pool)
         if not crashes:
             return []
+        for crash in crashes:
+            self.part_guard.record_crash(
+                pool, crash.backend_id, crash.prompts, crash.at
+            )
         quarantined = self.guard.record_lost_servers(crashes, now)
         crashes.clear()
         return self.refuse_quarantined(quarantined, now)
@@ -652,19 +706,39 @@
     def pop_poison_updates(self) -> list[PoisonUpdate]:
         """Return and clear the updates on suspects that other entries are to be sent at
         once."""
-        return self.guard.pop_updates()
+        return [*self.guard.pop_updates(), *self.part_guard.pop_updates()]
+
+    @property
+    def has_poison_updates(self) -> bool:
+        return bool(self.guard.updates or self.part_guard.updates)
+
+    def refresh_poison_update(
+        self, update: PoisonUpdate, now: float
+    ) -> PoisonUpdate | None:
+        """Return an update that is sent only now, or None if it was withdrawn since."""
+        if is_part_update(update):
+            return self.part_guard.refresh_update(update, now)
+        return self.guard.refresh_update(update, now)
 
     def export_poison_updates(self, now: float) -> list[PoisonUpdate]:
         """Return everything known about suspects, for an entry that has just joined."""
-        return self.guard.export_updates(now)
+        return [*self.guard.export_updates(now), *self.part_guard.export_updates(now)]
 
     def apply_poison_updates(
         self, updates: Iterable[PoisonUpdate], now: float
     ) -> list[Action]:
         """Apply another entry's updates; applying the same ones again changes
         nothing."""
-        quarantined = self.guard.apply_updates(updates, now)
-        return [*self.refuse_quarantined(quarantined, now), *self.start_waiting(now)]
+        received = list(updates)
+        on_parts = [update for update in received if is_part_update(update)]
+        on_requests = [update for update in received if not is_part_update(update)]
+        quarantined = self.guard.apply_updates(on_requests, now)
+        groups = self.part_guard.apply_updates(on_parts, now)
+        return [
+            *self.refuse_quarantined(quarantined, now),
+            *self.refuse_parts(groups, now),
+            *self.start_waiting(now),
+        ]
 
     def tick(self, now: float) -> list[Action]:
         """Refuse what waited too long, check attempts, and start what can be
@@ -673,9 +747,11 @@
         self.confirm_crashes(now)
         quarantined = self.guard.review_suspects(now)
         actions = self.refuse_quarantined(quarantined, now)
+        actions += self.refuse_parts(self.part_guard.find_causes(now), now)
         if now >= self.next_expiry_at:
             self.next_expiry_at = now + EXPIRE_EVERY_S
             self.guard.expire(now)
+            self.part_guard.expire(now)
             self.expire_crashes(now)
         actions += self.count_unexplained_crashes(now)
         actions += self.end_refused(self.admission.refuse_expired(now), now)
--- a/src/godwitmast/entry/crash_reports.py
+++ b/src/godwitmast/entry/crash_reports.py
@@ -126,7 +126,7 @@
             return
         now, router_now = self.clock.store_now(), self.driver.clock.now()
         for popped in self.driver.pop_poison_updates():
-            update = router.guard.refresh_update(popped, router_now)
+            update = router.refresh_poison_update(popped, router_now)
             if update is None or isinstance(update, Placement):
                 continue
             kind = type(update).__name__.lower()
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -175,6 +175,10 @@
         """Return the number of fingerprints whose requests are refused."""
         return len(self.router.guard.quarantined) if self.router else 0
 
+    def count_quarantined_parts(self) -> int:
+        """Return the number of groups of prompt parts that are refused."""
+        return len(self.router.part_guard.quarantined) if self.router else 0
+
     def count_suspects(self) -> int:
         """Return the number of fingerprints that were on a server that crashed."""
         return len(self.router.guard.suspects) if self.router else 0
@@ -387,7 +391,16 @@
             return
         for notice in self.router.guard.pop_notices():
             log_notice(notice)
-        if self.router.guard.updates:
+        for group, crashed, left_s in self.router.part_guard.pop_notices():
+            log_event(
+                "prompt_parts_quarantined" if left_s else "prompt_parts_released",
+                level="WARNING",
+                pool=group.pool,
+                parts=",".join(sorted(group.ids)),
+                crashed=",".join(crashed) or None,
+                left_s=left_s,
+            )
+        if self.router.has_poison_updates:
             self.poison_updated.set()
 
     def report_group_sizes(self) -> None:
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -388,6 +388,12 @@
             registry=registry,
         )
         quarantined.set_function(self.driver.count_quarantined)
+        parts = Gauge(
+            "godwit_quarantined_prompt_parts",
+            "Groups of prompt parts that this VM refuses as engines crash on them.",
+            registry=registry,
+        )
+        parts.set_function(self.driver.count_quarantined_parts)
         suspects = Gauge(
             "godwit_crash_suspects",
             "Requests, by fingerprint, that were on a server when it crashed.",
--- a/tests/engine_pool.py
+++ b/tests/engine_pool.py
@@ -129,6 +129,10 @@
         late = [call for at, call in self.sound_calls if at > limit]
         return sum(call.outcome == "answered" for call in late) / len(late)
 
+    def quarantined_parts(self) -> set[frozenset[str]]:
+        guards = (vm.router.part_guard for vm in self.vms)
+        return {group.ids for guard in guards for group in guard.quarantined}
+
     def crash_if_up(self, server: Server) -> None:
         if server.is_up:
             self.crash(server)
--- a/tests/small_pool.py
+++ b/tests/small_pool.py
@@ -259,7 +259,7 @@
     def share(self, vm: Vm) -> None:
         """Write what the router observed to the table, as `CrashReports.run` does."""
         if vm.collects_at is None:
-            if vm.router.guard.updates:
+            if vm.router.has_poison_updates:
                 vm.collects_at = self.now + GATHER_S
             return
         undecided = vm.connectivity.is_suspected or vm.connectivity.in_flight
@@ -269,7 +269,7 @@
             return
         vm.collects_at = None
         popped = vm.router.pop_poison_updates()
-        fresh = [vm.router.guard.refresh_update(item, self.now) for item in popped]
+        fresh = [vm.router.refresh_poison_update(item, self.now) for item in popped]
         updates = [item for item in fresh if item and not isinstance(item, Placement)]
         if updates:
             self.rows.append((self.now, updates))
