--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -419,14 +419,16 @@
             registry=registry,
         )
         for follower in self.followers:
-            copy = self.feed.copy_of(follower.table)
             version.labels(follower.table).set_function(
-                partial(getattr, copy, "version")
+                partial(self.held_version, follower.table)
             )
             behind.labels(follower.table).set_function(
                 partial(self.count_rows_behind, follower)
             )
 
+    def held_version(self, table: str) -> int:
+        return self.feed.copy_of(table).version
+
     def count_rows_behind(self, follower: FeedFollower) -> int:
         """Return the rows that arrived here and are not in use; a few while changes gather."""
         return follower.view.count_differences(self.feed.copy_of(follower.table).rows)
--- a/src/godwitmast/platform_api/http.py
+++ b/src/godwitmast/platform_api/http.py
@@ -18,7 +18,7 @@
 from godwitmast.platform_api.limits import CircuitBreaker, Priority, RateBudget
 from godwitmast.settings import PlatformSettings
 
-MAX_OPEN_CALLS = 4
+MAX_OPEN_CALLS = 8
 """Calls of one process that may be open at a time, so that an outage does not fill it with
 calls that wait for their time-outs."""
 
