Refuse prompt parts that were served lately for half a minute only

Found by reading the quarantine of parts of prompts: after a release on which every engine crashes whatever it runs, a part that all requests share would be refused for 600 s, long after the engines are sound again.

Change: a group of parts that were all served within five minutes is refused for 30 s; its first crash after that refuses it again. When a group was quarantined is kept beside until when.

--- a/src/godwitmast/dispatch/part_crashes.py
+++ b/src/godwitmast/dispatch/part_crashes.py
@@ -50,6 +50,10 @@
 
 FAMILIAR_S = 300.0
 
+FAMILIAR_QUARANTINE_S = 30.0
+"""Quarantine of such a part. If all engines crash whatever they run, as after a faulty
+release, it must not be refused for long once they are sound."""
+
 SETTLE_S = 1.5
 """Time from a crash until what other entries had on the engine, and the survivals that
 they saw before, have arrived here."""
@@ -121,7 +125,6 @@
     crashes: list[SeenCrash] = field(default_factory=list)
     cleared_at: float = -math.inf
     """When a request with it last survived, as far as all entries know."""
-
     observed_here: bool = False
     """Whether this entry saw one of the crashes."""
 
@@ -147,6 +150,7 @@
         """All crashes that are known, whatever was on the engine."""
         self.survived_at: dict[PartGroup, float] = {}
         self.quarantined: dict[PartGroup, float] = {}
+        self.quarantined_since: dict[PartGroup, float] = {}
         self.evidence: dict[PartGroup, list[SeenCrash]] = {}
         """The crashes by which a group was quarantined here."""
         self.paroled: dict[PartGroup, float] = {}
@@ -204,7 +208,7 @@
         }
         for group in causes:
             if group not in self.quarantined:
-                self.quarantine(group, now + QUARANTINE_S)
+                self.quarantine(group, now, QUARANTINE_S)
                 self.updates.append(Quarantine(encode_group(group), QUARANTINE_S))
             self.explain(group, [crash])
             # Others may have had other requests on the engine.
@@ -276,10 +280,11 @@
         """Quarantine the groups of parts with enough crashes; return them."""
         found = []
         while (group := self.find_cause(now)) is not None:
+            left_s = self.quarantine_s(group, now)
             # All entries that received the same updates conclude this, hundreds of them.
             if self.is_observed_here(group):
-                self.updates.append(Quarantine(encode_group(group), QUARANTINE_S))
-            self.condemn(group, now + QUARANTINE_S)
+                self.updates.append(Quarantine(encode_group(group), left_s))
+            self.condemn(group, now, left_s)
             found.append(group)
         return found
 
@@ -290,12 +295,21 @@
             if known.pool == group.pool and known.ids <= group.ids
         )
 
-    def condemn(self, group: PartGroup, until: float) -> None:
+    def quarantine_s(self, group: PartGroup, now: float) -> float:
+        """Return for how long a group is refused: not long if all of it is familiar."""
+        parts = [PartGroup(group.pool, frozenset([item])) for item in group.ids]
+        is_familiar = all(self.is_familiar(part, now) for part in parts)
+        return FAMILIAR_QUARANTINE_S if is_familiar else QUARANTINE_S
+
+    def is_familiar(self, part: PartGroup, now: float) -> bool:
+        return self.survival_of(part) > now - FAMILIAR_S
+
+    def condemn(self, group: PartGroup, now: float, left_s: float) -> None:
         """Quarantine a group as the cause of its crashes."""
         crashes = self.open_crashes(group)
         if crashes:
             self.evidence[group] = []
-        self.quarantine(group, until)
+        self.quarantine(group, now, left_s)
         if crashes:
             self.explain(group, crashes)
 
@@ -324,8 +338,8 @@
     def is_enough(self, group: PartGroup, crashes: list[SeenCrash], now: float) -> bool:
         """Return whether a part is taken for the cause of these crashes."""
         own = [crash for crash in crashes if not self.is_of_outage(group.pool, crash)]
-        is_familiar = self.survival_of(group) > now - FAMILIAR_S
-        needed = CRASHES_OF_FAMILIAR if is_familiar else CRASHES_TO_QUARANTINE
+        familiar = self.is_familiar(group, now)
+        needed = CRASHES_OF_FAMILIAR if familiar else CRASHES_TO_QUARANTINE
         return len(one_crash_per_event(own)) >= needed
 
     def settled_crashes(self, group: PartGroup, now: float) -> list[SeenCrash]:
@@ -361,18 +375,20 @@
         ]
         return len(together) >= OUTAGE_SERVERS
 
-    def quarantine(self, group: PartGroup, until: float) -> None:
+    def quarantine(self, group: PartGroup, now: float, left_s: float) -> None:
         is_new = group not in self.quarantined
-        self.quarantined[group] = max(until, self.quarantined.get(group, 0.0))
+        self.quarantined[group] = max(now + left_s, self.quarantined.get(group, 0.0))
+        self.quarantined_since.setdefault(group, now)
         self.paroled.pop(group, None)
         if is_new:
             crashed = tuple(c.backend_id for c in self.evidence.get(group, []))
-            self.notices.append(PartNotice(group, crashed, QUARANTINE_S))
+            self.notices.append(PartNotice(group, crashed, left_s))
 
     def release(self, group: PartGroup) -> None:
         if self.quarantined.pop(group, None) is not None:
             self.notices.append(PartNotice(group, (), 0.0))
         self.evidence.pop(group, None)
+        self.quarantined_since.pop(group, None)
 
     def apply_survival(self, group: PartGroup, at: float) -> bool:
         """Narrow the quarantined groups of a part that survived; return whether one was.
@@ -384,7 +400,7 @@
             if known.pool != group.pool or not group.ids <= known.ids:
                 continue
             until, crashes = self.quarantined[known], self.evidence.get(known, [])
-            began_at = crashes[0].at if crashes else until - QUARANTINE_S
+            began_at = crashes[0].at if crashes else self.quarantined_since[known]
             if at <= began_at:
                 continue
             narrowed = True
@@ -392,7 +408,7 @@
             rest = PartGroup(known.pool, known.ids - group.ids)
             if rest.ids:
                 self.evidence[rest] = crashes
-                self.quarantine(rest, until)
+                self.quarantine(rest, at, until - at)
         return narrowed
 
     def expire(self, now: float) -> None:
@@ -458,7 +474,7 @@
             match update:
                 case Quarantine(_, left_s):
                     if left_s > 0 and group not in self.quarantined:
-                        self.condemn(group, now + min(left_s, QUARANTINE_S))
+                        self.condemn(group, now, min(left_s, QUARANTINE_S))
                         self.narrow_by_survivals(group, now)
                         quarantined.append(group)
                 case Suspicion(_, crashes):
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -7,6 +7,7 @@
 from godwitmast.dispatch.part_crashes import (
     CRASHES_OF_FAMILIAR,
     CRASHES_TO_QUARANTINE,
+    FAMILIAR_QUARANTINE_S,
     MAX_ID_LENGTH,
     SETTLE_S,
     PartGroup,
@@ -131,7 +132,9 @@
     guard.record_survival(LM, SOUND, 0.0)
     now = crash_often(guard, CRASHES_OF_FAMILIAR - 1, 1.0, "shared")
     assert guard.find_causes(now) == []
-    assert guard.find_causes(crash_often(guard, CRASHES_OF_FAMILIAR, 10.0, "shared"))
+    now = crash_often(guard, CRASHES_OF_FAMILIAR, 10.0, "shared")
+    assert guard.find_causes(now) == [group_of("shared")]
+    assert guard.quarantine_left_s(LM, SOUND, now) == FAMILIAR_QUARANTINE_S
 
 
 def test_survival_between_crashes_clears_a_part() -> None:
