--- a/src/godwitmast/dispatch/part_crashes.py
+++ b/src/godwitmast/dispatch/part_crashes.py
@@ -15,6 +15,7 @@
 """
 
 import math
+from collections import deque
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -30,6 +31,7 @@
 )
 from godwitmast.dispatch.placement import PromptPart
 from godwitmast.dispatch.poison import (
+    MAX_NOTICES,
     OUTAGE_SERVERS,
     QUARANTINE_S,
     SUSPICION_S,
@@ -155,7 +157,7 @@
         """The crashes by which a group was quarantined here."""
         self.paroled: dict[PartGroup, float] = {}
         self.updates: list[PoisonUpdate] = []
-        self.notices: list[PartNotice] = []
+        self.notices: deque[PartNotice] = deque(maxlen=MAX_NOTICES)
 
     def quarantine_left_s(
         self, pool: PoolName, parts: Collection[PromptPart], now: float
@@ -436,7 +438,8 @@
 
     def pop_notices(self) -> list[PartNotice]:
         """Return and clear what is to be logged."""
-        notices, self.notices = self.notices, []
+        notices = list(self.notices)
+        self.notices.clear()
         return notices
 
     def refresh_update(self, update: PoisonUpdate, now: float) -> PoisonUpdate | None:
