--- a/tests/lockstep.py
+++ b/tests/lockstep.py
@@ -41,7 +41,10 @@
         self.suspended_until = self.world.now + for_s
 
     def next_at(self) -> float:
-        """Return when the process has something to do."""
+        """Return when the process has something to do.
+
+        The event loop tells only by private attributes.
+        """
         if self.arrived or self.loop._ready:
             due = self.world.now
         else:
