Bound the remembered survivals of prompt parts when prompts have several new ones

Found by reading the change: one survival was forgotten for each request, however many new parts it had, so that a caller who always sends new parts made a VM's memory grow.

--- a/src/godwitmast/dispatch/part_crashes.py
+++ b/src/godwitmast/dispatch/part_crashes.py
@@ -237,7 +237,7 @@
                 self.updates.append(Clearance(encode_group(group), 0.0))
             if group in self.suspects:
                 self.share_survival(group, now)
-        if len(self.survived_at) > MAX_SURVIVALS:
+        while len(self.survived_at) > MAX_SURVIVALS:
             del self.survived_at[next(iter(self.survived_at))]
 
     def share_survival(self, group: PartGroup, now: float) -> None:
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -178,6 +178,18 @@
     assert Clearance(encode_group(group_of("shared")), 0.0) in guard.pop_updates()
 
 
+def test_new_parts_of_callers_do_not_fill_the_memory(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against prompts of several new parts, of which one is forgotten each time."""
+    monkeypatch.setattr("godwitmast.dispatch.part_crashes.MAX_SURVIVALS", 10)
+    guard = PartGuard()
+    for number in range(20):
+        ids = [f"{number}-{part}" for part in range(3)]
+        guard.record_survival(LM, [PromptPart(name, 1) for name in ids], float(number))
+    assert len(guard.survived_at) == 10
+
+
 def test_parts_with_long_ids_are_not_tracked() -> None:
     guard = PartGuard()
     prompt = (PromptPart("x" * (MAX_ID_LENGTH + 1), 1), PromptPart("own", 1))
