Epoch of the platform's table in metrics and logs, and what a usage report held

The stand-in of the store can be restored from a backup, tells its epoch, and answers 410 to a version that it has not reached.

--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -182,7 +182,9 @@
         bounds = settings.bounds
         self.clock = SystemClock()
         self.agreed_clock = AgreedClock(self.clock)
-        self.store = StoreClient(settings, self.agreed_clock.update_store_time)
+        self.store = StoreClient(
+            settings, self.agreed_clock.update_store_time, self.clock
+        )
         self.client = BackendClient(
             header_parser=ReplicaHeaderParser(),
             socket_options=DEAD_PEER_OPTIONS,
@@ -406,6 +408,13 @@
 
     def add_table_metrics(self, registry: CollectorRegistry) -> None:
         """Register what this VM holds of each table that it follows, and what it uses."""
+        epoch = Gauge(
+            "godwit_table_epoch",
+            "Epoch of the platform's tables that this VM knows of; rises when the store "
+            "is restored from a copy.",
+            registry=registry,
+        )
+        epoch.set_function(lambda: self.store.epoch.current)
         version = Gauge(
             "godwit_table_version",
             "Version of a table that this VM holds.",
--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 from collections import Counter
 from collections.abc import Callable
+from typing import Any
 from urllib.parse import quote
 
 import httpx
@@ -10,6 +11,7 @@
 
 from godwitmast.capacity.messages import OrderOutcome
 from godwitmast.capacity.zonal import DesiredServers
+from godwitmast.clock import Clock, SystemClock
 from godwitmast.entry.crash_reports import CRASH_PREFIX
 from godwitmast.errors import PlatformOutcomeUnknown
 from godwitmast.platform.settings import PlatformFile
@@ -22,10 +24,12 @@
     PUT_OBJECT,
     READ_ROWS,
     REPORT_USAGE,
+    STORE_ERA,
     TRANSACT,
     RowsAnswer,
     StoredRow,
 )
+from godwitmast.platform_api.epoch import TableEpoch
 from godwitmast.platform_api.feed import ANSWER_MARGIN_S
 from godwitmast.platform_api.http import PlatformHttp
 from godwitmast.platform_api.limits import CircuitBreaker, RateBudget
@@ -99,8 +103,10 @@
         self,
         settings: PlatformFile,
         on_store_time: Callable[[float], None] | None = None,
+        clock: Clock | None = None,
     ) -> None:
         self.on_store_time = on_store_time
+        self.epoch = TableEpoch(clock or SystemClock())
         address = settings.platform.address
         limits = PlatformSettings(url_of(address), CALL_TIMEOUT_S)
         super().__init__(limits, make_http(address, CALL_TIMEOUT_S))
@@ -111,6 +117,11 @@
     def call_name(self, path: str) -> str:
         return call_label(path)
 
+    async def request(self, method: str, path: str, **content: Any) -> httpx.Response:
+        response = await super().request(method, path, **content)
+        self.epoch.observe(read_epoch(response))
+        return response
+
     def budget_for(self, method: str, path: str) -> RateBudget:
         return self.reads if method == "GET" else self.writes
 
@@ -295,6 +306,12 @@
     return {team: count for team, count in counts.items() if team and count > 0}
 
 
+def read_epoch(response: httpx.Response) -> int:
+    """Return the epoch in an answer's header, 0 if it is missing or invalid."""
+    text = response.headers.get(STORE_ERA, "")
+    return int(text) if text.isascii() and text.isdecimal() else 0
+
+
 def row_address(key: str) -> dict[str, str]:
     table = CRASHES_TABLE if key.startswith(CRASH_PREFIX) else OWN_TABLE
     return {"table": table, "part": "", "key": key}
--- a/src/godwitmast/standins/store.py
+++ b/src/godwitmast/standins/store.py
@@ -10,7 +10,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from godwitmast.entry.refusals import send_json, send_response
+from godwitmast.entry.refusals import send_response
 from godwitmast.http_server import HttpServer, Receive, Scope, Send
 from godwitmast.platform.wire import (
     CONFIG_KEY,
@@ -24,6 +24,7 @@
     READ_ROWS,
     REPORT_USAGE,
     SERVERS_TABLE,
+    STORE_ERA,
     TRANSACT,
     StoredRow,
 )
@@ -54,6 +55,15 @@
     number: int
 
 
+class StoreBackup(NamedTuple):
+    """The content of the store as of one moment."""
+
+    rows: dict[tuple[str, str], StoredRow]
+    history: list[StoredRow]
+    objects: dict[str, bytes]
+    version: int
+
+
 @dataclass
 class StoreFaults:
     """Faults that are switched on at the moment."""
@@ -84,6 +94,8 @@
     calls: list[str] = field(default_factory=list)
     faults: StoreFaults = field(default_factory=StoreFaults)
     version: int = 0
+    epoch: int | None = None
+    """Sent with each answer; none if the store tells no epoch."""
     compacted_version: int = 0
     """Changes up to this version are no longer in the history."""
 
@@ -132,6 +144,25 @@
         value = base64.b64encode(content).decode()
         self.write([StoredRow(key, table, value=value)])
 
+    def backup(self) -> StoreBackup:
+        """Return a copy of the store's present content."""
+        return StoreBackup(
+            dict(self.rows), list(self.history), dict(self.objects), self.version
+        )
+
+    def restore(self, backup: StoreBackup) -> None:
+        """Go back to a copy, and break off the calls that wait for changes.
+
+        The operators and the servers then write their rows again; a test does that.
+        """
+        self.rows = dict(backup.rows)
+        self.history = list(backup.history)
+        self.objects = dict(backup.objects)
+        self.version = backup.version
+        self.epoch = (self.epoch or 0) + 1
+        self.changed.set()
+        self.changed = anyio.Event()
+
     def compact_history(self) -> None:
         """Drop the history of all changes so far, as the store may at any time."""
         self.compacted_version = self.version
@@ -146,7 +177,7 @@
         if self.faults.silent:
             await anyio.sleep(NO_ANSWER_S)
         if self.faults.refusal_status is not None:
-            await send_json(send, self.faults.refusal_status, {})
+            await self.respond(send, self.faults.refusal_status, b"{}")
             return
         if path == TRANSACT and self.faults.late_s and self.tasks:
             self.tasks.start_soon(self.transact_later, body, self.faults.late_s)
@@ -183,9 +214,13 @@
             status = 404
         if self.faults.answers_lost:
             await anyio.sleep(NO_ANSWER_S)
-        await send_response(
-            send, status, [(b"content-type", b"application/json")], content
-        )
+        await self.respond(send, status, content)
+
+    async def respond(self, send: Send, status: int, content: bytes) -> None:
+        headers = [(b"content-type", b"application/json")]
+        if self.epoch is not None:
+            headers.append((STORE_ERA.encode(), str(self.epoch).encode()))
+        await send_response(send, status, headers, content)
 
     def transact(self, transaction: Json) -> tuple[int, bytes]:
         """Execute a transaction if all expected versions match; return status and body."""
@@ -220,18 +255,26 @@
         """Return status and body of a call that waits for changes after a version.
 
         It returns as soon as there are any, or none at the end of the wait. The status
-        is 410 if the history does not reach back to that version.
+        is 410 if the history does not reach back to that version, or the store has not
+        reached it, and 503 if the store is restored meanwhile.
         """
         after = int(query["afterRevision"])
+        epoch = self.epoch
         with anyio.move_on_after(int(query["waitMs"]) / 1000):
-            while after >= self.compacted_version and not self.changes_after(
+            while self.has_history(after) and not self.changes_after(
                 after, query["table"]
             ):
                 await self.changed.wait()
-        if after < self.compacted_version:
+                if self.epoch != epoch:
+                    return 503, b"{}"
+        if not self.has_history(after):
             return 410, b"{}"
         return 200, self.encode_rows(self.changes_after(after, query["table"]))
 
+    def has_history(self, version: int) -> bool:
+        """Return whether the changes after a version are known."""
+        return self.compacted_version <= version <= self.version
+
     def changes_after(self, version: int, table: str) -> list[StoredRow]:
         return [row for row in self.history if row.ver > version and row.table == table]
 
--- a/src/godwitmast/usage/duty.py
+++ b/src/godwitmast/usage/duty.py
@@ -216,7 +216,13 @@
         except (PlatformError, TimeoutError) as error:
             log_event("usage_report_failed", level="WARNING", error=repr(error))
             return False
-        log_event("usage_reported", window=due.window.start, digest=due.digest[:12])
+        log_event(
+            "usage_reported",
+            window=due.window.start,
+            digest=due.digest[:12],
+            fence=fence,
+            requests=sum(requests for _, _, _, requests, *_ in due.window.figures),
+        )
         return True
 
     async def watch_rows(self, guard: Guard) -> None:
