Failing tests: a store that comes back from a copy

Windows are reported again with other counts, a fencing token is given to two holders, a configuration isn't in force, a leaving server gets requests by its older row.

--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,188 @@
+"""VMs on a store that comes back from a copy, without its latest transactions."""
+
+from collections import Counter, defaultdict
+from collections.abc import AsyncIterator
+from typing import Any
+
+import anyio
+import httpx
+import pytest
+
+from fleet import Fleet, config_of
+from godwitmast.platform.daemon import Node
+from godwitmast.platform.wire import DRAINING, OPERATOR_TABLE, SERVERS_TABLE
+from godwitmast.standins.store import StoreBackup
+from running import running
+
+pytestmark = pytest.mark.anyio
+
+AWAY_S = 0.5
+SETTLE_S = 6.0
+"""By then all windows of a test are reported."""
+
+Loss = Counter[int]
+
+
+class RestoredFleet(Fleet):
+    """VMs whose store tells its epoch and can be restored."""
+
+    async def start(self, tasks: Any) -> None:
+        await super().start(tasks)
+        self.store.epoch = 1
+
+    async def lose_seconds(self, lost_s: float, away_s: float = AWAY_S) -> None:
+        """Lose what is written from now on, as the store then comes back from a copy."""
+        backup = self.store.backup()
+        await anyio.sleep(lost_s)
+        self.store.faults.refusal_status = 503
+        await anyio.sleep(away_s)
+        self.come_back(backup)
+
+    def write_rows(self, count: int) -> None:
+        """Write rows in a table that no VM follows."""
+        for number in range(count):
+            self.store.put("other", str(number), b"")
+
+    def come_back(self, backup: StoreBackup) -> None:
+        """Restore a copy; operators and servers write their latest rows again."""
+        latest = dict(self.store.rows)
+        self.store.restore(backup)
+        for table in (OPERATOR_TABLE, SERVERS_TABLE):
+            rows = {key: row for key, row in latest.items() if key[0] == table}
+            if rows:
+                self.store.write([*rows.values()])
+        self.store.faults.refusal_status = None
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[RestoredFleet]:
+    async with running(RestoredFleet()) as started:
+        yield started
+
+
+def counts_by_window(fleet: Fleet) -> dict[int, set[int]]:
+    """Return the numbers of requests that were reported for each window."""
+    counts = defaultdict(set)
+    for report in fleet.store.reports:
+        counts[report.window].add(sum(report.counts.values()))
+    return counts
+
+
+def reported_twice(fleet: Fleet) -> dict[int, set[int]]:
+    windows = counts_by_window(fleet)
+    return {window: counts for window, counts in windows.items() if len(counts) > 1}
+
+
+def reported_requests(fleet: Fleet) -> int:
+    return sum(max(counts) for counts in counts_by_window(fleet).values())
+
+
+def shared_fences(fleet: Fleet) -> set[int]:
+    """Return the fencing tokens under which more than one VM reported."""
+    holders = defaultdict(set)
+    for report in fleet.store.reports:
+        holders[report.fence].add(report.holder)
+    return {fence for fence, names in holders.items() if len(names) > 1}
+
+
+async def send_requests(
+    fleet: Fleet, http: httpx.AsyncClient, counted: Loss, stop: anyio.Event
+) -> None:
+    """Send requests to all VMs in turn until stopped."""
+    while not stop.is_set():
+        node: Node = fleet.nodes[counted.total() % len(fleet.nodes)]
+        answer = await fleet.request(http, "/peek/1", node=node)
+        assert answer.status_code == 200
+        counted[0] += 1
+        await anyio.sleep(0.02)
+
+
+@pytest.mark.parametrize(("vms", "restores"), [(1, 1), (1, 2), (3, 1)])
+async def test_each_window_is_reported_once_though_the_store_is_restored(
+    fleet: RestoredFleet, http: httpx.AsyncClient, vms: int, restores: int
+) -> None:
+    """Guards against windows that are frozen again once the store forgot that they were."""
+    for number in range(1, vms):
+        await fleet.add_vm(f"front-{number + 1}")
+    sent: Loss = Counter()
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(send_requests, fleet, http, sent, stop)
+        await anyio.sleep(5.0)
+        for _ in range(restores):
+            await fleet.lose_seconds(4.0)
+            await anyio.sleep(1.0)
+        await anyio.sleep(2.0)
+        stop.set()
+    await anyio.sleep(SETTLE_S)
+    assert reported_twice(fleet) == {}
+    assert reported_requests(fleet) == sent.total()
+
+
+async def test_fencing_token_is_not_given_out_again_after_a_restore(
+    fleet: RestoredFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against two holders with one fencing token, as its row went back."""
+    other = await fleet.add_vm("front-2")
+    await fleet.wait_until(lambda: len(fleet.store.reports) > 0)
+    holder = next(node for node in fleet.nodes if node.lease.held)
+    backup = fleet.store.backup()
+    await holder.lease.close()
+    successor = other if holder is fleet.node else fleet.node
+    reports = len(fleet.store.reports)
+    await fleet.wait_until(lambda: len(fleet.store.reports) > reports)
+    third = await fleet.add_vm("front-3")
+    fleet.store.faults.refusal_status = 503
+    await successor.lease.close()
+    await anyio.sleep(AWAY_S)
+    fleet.come_back(backup)
+    await fleet.wait_until(lambda: third.lease.held)
+    reports = len(fleet.store.reports)
+    await fleet.wait_until(lambda: len(fleet.store.reports) > reports)
+    assert shared_fences(fleet) == set()
+    assert reported_twice(fleet) == {}
+    fences = [report.fence for report in fleet.store.reports]
+    assert fences == sorted(fences)
+
+
+async def test_configuration_after_a_restore_is_in_force(fleet: RestoredFleet) -> None:
+    """Guards against a follower that asks for what comes after a version of lost rows."""
+    await fleet.configure(2)
+    backup = fleet.store.backup()
+    fleet.write_rows(100)
+    await fleet.configure(3)
+    fleet.store.faults.refusal_status = 503
+    await anyio.sleep(AWAY_S)
+    fleet.store.restore(backup)
+    fleet.store.put_config(config_of(4))
+    # Others bring the store's counter past what the VM had read.
+    fleet.write_rows(200)
+    fleet.store.faults.refusal_status = None
+    with anyio.fail_after(2.0):
+        while fleet.node.config_version() != 4:
+            await anyio.sleep(0.01)
+
+
+async def test_leaving_server_gets_no_requests_while_its_row_is_an_older_one(
+    fleet: RestoredFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against a server that is ready again by the row of a restored store."""
+    leaving, staying = fleet.plain
+    for server in fleet.plain:
+        server.publish_row("ready", sequence=1, born=1)
+    await fleet.wait_until(lambda: len(fleet.node.driver.listed_backends) == 4)
+    backup = fleet.store.backup()
+    leaving.publish_row(DRAINING, sequence=2, born=1)
+    await fleet.wait_until(
+        lambda: fleet.node.driver.listed_backends[leaving.server_id].leaving
+    )
+    fleet.store.faults.refusal_status = 503
+    await anyio.sleep(AWAY_S)
+    fleet.store.restore(backup)
+    fleet.store.put_config(config_of(1))
+    fleet.store.faults.refusal_status = None
+    received = len(leaving.served)
+    for _ in range(60):
+        await fleet.request(http, "/peek/1")
+        await anyio.sleep(0.02)
+    assert len(leaving.served) == received
