Order the table's versions over restores, and refuse transactions of before one

Cause: a version was compared with one of before the restore. A follower asked for the changes after a version that the store reached a second time, and got no 410. Class: an order that its source gives out anew. Change: the client of the store puts the epoch (Store-Era) into the high bits of each version, so one integer orders all. Versions of an earlier epoch are in conflict without a call, have no history, and answers of an earlier epoch are refused. The first write after a restore leaves a row that each transaction prepared before expects not to exist, so that none succeeds late; one more entry in a transaction, one call a writing process and restore, no call otherwise. Relays tell the epoch in their heartbeats; rows that they read for others don't outlive it.

--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -51,6 +51,7 @@
     READY_PATH,
     SERVERS_TABLE,
 )
+from godwitmast.platform_api.epoch import number_of
 from godwitmast.platform_api.feed import FeedFollower, long_poll_s
 from godwitmast.platform_api.runner import run_steps
 from godwitmast.platform_api.time_agreement import AgreedClock, agree_on_time
@@ -237,6 +238,7 @@
             ),
         ]
         self.store.failure_listeners.append(self.reissue_waits)
+        self.store.epoch.listeners.append(self.reissue_waits)
         timing = usage_timing(bounds)
         self.relay = RelayDriver(
             self.store,
@@ -248,6 +250,7 @@
             self.feed,
             self.count_vms,
             self.app.metrics.registry,
+            self.store.epoch,
         )
         self.relay.table.on_failure = self.reissue_waits
         self.peer_client = BackendClient(
@@ -436,7 +439,7 @@
             )
 
     def held_version(self, table: str) -> int:
-        return self.feed.copy_of(table).version
+        return number_of(self.feed.copy_of(table).version)
 
     def count_rows_behind(self, follower: FeedFollower) -> int:
         """Return the rows that arrived here and are not in use; a few while changes gather."""
--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -2,10 +2,11 @@
 
 import base64
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import quote
 
+import anyio
 import httpx
 import msgspec
 
@@ -14,6 +15,7 @@
 from godwitmast.clock import Clock, SystemClock
 from godwitmast.entry.crash_reports import CRASH_PREFIX
 from godwitmast.errors import PlatformOutcomeUnknown
+from godwitmast.logs import log_event
 from godwitmast.platform.settings import PlatformFile
 from godwitmast.platform.wire import (
     DUTY_HOLDER,
@@ -29,7 +31,13 @@
     RowsAnswer,
     StoredRow,
 )
-from godwitmast.platform_api.epoch import TableEpoch
+from godwitmast.platform_api.epoch import (
+    MAX_EPOCH,
+    TableEpoch,
+    epoch_of,
+    make_version,
+    number_of,
+)
 from godwitmast.platform_api.feed import ANSWER_MARGIN_S
 from godwitmast.platform_api.http import PlatformHttp
 from godwitmast.platform_api.limits import CircuitBreaker, RateBudget
@@ -48,6 +56,12 @@
 """The table of crash reports. VMs follow it, and writes of other rows must not wake
 them."""
 
+RESTORE_PREFIX = "restored/"
+"""One row for each epoch that began with a restore. The first write in an epoch adds it."""
+
+LATE_EPOCHS = 3
+"""Epochs whose transactions may still arrive late; as many rows are written at a restore."""
+
 PAGE_ROWS = 500
 """Largest number of rows that the store returns in one answer."""
 
@@ -107,6 +121,10 @@
     ) -> None:
         self.on_store_time = on_store_time
         self.epoch = TableEpoch(clock or SystemClock())
+        self.recorded_epoch = 0
+        self.record_lock = anyio.Lock()
+        self.on_recorded: Callable[[], Awaitable[None]] | None = None
+        """Called once an epoch by the process that recorded it."""
         address = settings.platform.address
         limits = PlatformSettings(url_of(address), CALL_TIMEOUT_S)
         super().__init__(limits, make_http(address, CALL_TIMEOUT_S))
@@ -119,7 +137,11 @@
 
     async def request(self, method: str, path: str, **content: Any) -> httpx.Response:
         response = await super().request(method, path, **content)
-        self.epoch.observe(read_epoch(response))
+        epoch = read_epoch(response)
+        if epoch is not None:
+            if epoch < self.epoch.current:
+                raise PlatformOutcomeUnknown(f"{path}: answered before a restore")
+            self.epoch.observe(epoch)
         return response
 
     def budget_for(self, method: str, path: str) -> RateBudget:
@@ -145,8 +167,10 @@
 
     async def read_range(self, start: str, end: str) -> dict[str, Row]:
         rows: dict[str, Row] = {}
+        epoch: int | None = None
         while True:
             answer = await self.get_rows(OWN_TABLE, start, end)
+            epoch = same_epoch(epoch, answer)
             for row in answer.rows:
                 rows[row.key] = Row(msgspec.json.decode(decode_value(row)), row.ver)
             if not answer.truncated:
@@ -169,10 +193,29 @@
     async def transact(
         self, checks: dict[str, int], writes: dict[str, Json]
     ) -> TransactOutcome:
-        """Write `writes` if every row of `checks` still has its version."""
+        """Write `writes` if every row of `checks` still has its version.
+
+        A version of an earlier epoch is in conflict, whatever the table holds. Each
+        transaction checks that no restore was recorded after it was prepared: rows of a
+        restored table may get the versions that it expects.
+        """
+        # Another VM, whose transaction this is, may know of a restore first.
+        latest = max(map(epoch_of, checks.values()), default=0)
+        if latest > 0:
+            self.epoch.observe(latest)
+        await self.record_restore()
+        known, epoch = self.epoch.known, self.epoch.current
+        outdated = [
+            key for key, ver in checks.items() if ver and not self.epoch.is_current(ver)
+        ]
+        if outdated:
+            return Conflict(dict.fromkeys(outdated, 0))
+        expected = {key: number_of(ver) for key, ver in checks.items()}
+        if known:
+            expected[restore_key(epoch + 1)] = 0
         body = {
             "expected": [
-                {**row_address(key), "ver": ver} for key, ver in checks.items()
+                {**row_address(key), "ver": ver} for key, ver in expected.items()
             ],
             "puts": [
                 {**row_address(key), "value": encode_value(value)}
@@ -186,6 +229,8 @@
         response = await self.send("POST", TRANSACT, (200, 412), json=body)
         answer = self.parse(response)
         if response.status_code == 200:
+            if known and self.epoch.current != epoch:
+                raise PlatformOutcomeUnknown(f"{TRANSACT}: restored meanwhile")
             # All rows of one transaction get the same version.
             return Written(dict.fromkeys(writes, answer.ver))
         # The answer holds every checked row, also those without a conflict.
@@ -193,6 +238,35 @@
         found = {key: current.get(key, 0) for key in checks}
         return Conflict({key: ver for key, ver in found.items() if ver != checks[key]})
 
+    async def record_restore(self) -> None:
+        """Record the present epoch if it began with a restore that this process saw.
+
+        Transactions that were prepared before, and arrive later, then fail. Those of
+        the epochs before too, whose row may be lost.
+        """
+        while self.epoch.restored and self.recorded_epoch != self.epoch.current:
+            async with self.record_lock:
+                if self.recorded_epoch != self.epoch.current:
+                    await self.write_restore_rows(self.epoch.current)
+
+    async def write_restore_rows(self, epoch: int) -> None:
+        """Write the row of an epoch and of those just before, unless they exist."""
+        keys = [restore_key(max(0, epoch - back)) for back in range(LATE_EPOCHS)]
+        puts = [{**row_address(key), "value": encode_value({})} for key in keys]
+        expected = [
+            {**row_address(restore_key(number)), "ver": 0}
+            for number in (epoch, epoch + 1)
+        ]
+        body = {"expected": expected, "puts": puts, "remove": []}
+        response = await self.send("POST", TRANSACT, (200, 412), json=body)
+        if self.epoch.current != epoch:
+            return
+        self.recorded_epoch = epoch
+        if response.status_code == 200:
+            log_event("restore_recorded", epoch=epoch)
+            if self.on_recorded is not None:
+                await self.on_recorded()
+
     async def get_object(self, name: str) -> bytes | None:
         response = await self.send("GET", GET_OBJECT + quote(name, safe=""), (200, 404))
         return response.content if response.status_code == 200 else None
@@ -212,16 +286,22 @@
             answer = await self.get_rows(
                 table, rows[-1].key + "\0", bypass_breaker=True
             )
+            same_epoch(epoch_of(version), answer)
             rows += answer.rows
         return Snapshot([feed_row(row) for row in rows], version)
 
     async def changes(
         self, table: str, after: int, wait_s: float
     ) -> Changes | HistoryLost:
-        """Return the changes after a version; wait up to `wait_s` if there are none."""
+        """Return the changes after a version; wait up to `wait_s` if there are none.
+
+        There is no history across a restore.
+        """
+        if not self.epoch.is_current(after):
+            return HistoryLost()
         params = {
             "table": table,
-            "afterRevision": str(after),
+            "afterRevision": str(number_of(after)),
             "waitMs": str(int(wait_s * 1000)),
         }
         response = await self.send(
@@ -235,6 +315,8 @@
         if response.status_code == 410:
             return HistoryLost()
         answer = self.parse(response)
+        if not self.epoch.is_current(after):
+            return HistoryLost()
         return Changes([feed_row(row) for row in answer.rows], answer.ver)
 
     def parse(self, response: httpx.Response) -> RowsAnswer:
@@ -245,6 +327,12 @@
             raise PlatformOutcomeUnknown(f"{response.url.path}: {error}") from None
         if self.on_store_time is not None and answer.now_ms is not None:
             self.on_store_time(answer.now_ms / 1000)
+        epoch = read_epoch(response)
+        if epoch is None:
+            epoch = self.epoch.current
+        answer.ver = make_version(epoch, answer.ver)
+        for row in answer.rows:
+            row.ver = make_version(epoch, row.ver)
         return answer
 
     async def report_usage(self, report: Json) -> None:
@@ -306,10 +394,25 @@
     return {team: count for team, count in counts.items() if team and count > 0}
 
 
-def read_epoch(response: httpx.Response) -> int:
-    """Return the epoch in an answer's header, 0 if it is missing or invalid."""
+def read_epoch(response: httpx.Response) -> int | None:
+    """Return the epoch in an answer's header, None if it is missing or invalid."""
     text = response.headers.get(STORE_ERA, "")
-    return int(text) if text.isascii() and text.isdecimal() else 0
+    if not (text.isascii() and text.isdecimal() and len(text) <= len(str(MAX_EPOCH))):
+        return None
+    epoch = int(text)
+    return epoch if epoch <= MAX_EPOCH else None
+
+
+def same_epoch(epoch: int | None, answer: RowsAnswer) -> int:
+    """Return the epoch of a page; raise PlatformOutcomeUnknown if not the first one's."""
+    found = epoch_of(answer.ver)
+    if epoch is not None and found != epoch:
+        raise PlatformOutcomeUnknown(f"{READ_ROWS}: restored between two pages")
+    return found
+
+
+def restore_key(epoch: int) -> str:
+    return f"{RESTORE_PREFIX}{epoch}"
 
 
 def row_address(key: str) -> dict[str, str]:
--- a/src/godwitmast/platform_api/epoch.py
+++ b/src/godwitmast/platform_api/epoch.py
@@ -1,4 +1,9 @@
-"""The epoch of the platform's table, which rises each time the table is restored."""
+"""The epoch of the platform's table, which rises each time the table is restored.
+
+A restored table lacks the latest transactions, and gives their versions to others. A
+version here therefore includes the epoch in its high bits, so that one integer orders
+all versions, and those of two epochs are never equal.
+"""
 
 import math
 from collections.abc import Callable
@@ -6,12 +11,27 @@
 from godwitmast.clock import Clock
 from godwitmast.logs import log_event
 
+NUMBER_BITS = 40
+"""Bits of a version for the platform's own number: a billion writes a day for three years."""
 
-class TableEpoch:
-    """The latest epoch that this process knows of; 0 if the platform tells none.
+MAX_EPOCH = 2**23 - 1
+"""So that a version fits 63 bits."""
+
+
+def make_version(epoch: int, number: int) -> int:
+    return (epoch << NUMBER_BITS) | number
+
+
+def epoch_of(version: int) -> int:
+    return version >> NUMBER_BITS
 
-    A restored table lacks the latest transactions, and gives their versions to others.
-    """
+
+def number_of(version: int) -> int:
+    return version & ((1 << NUMBER_BITS) - 1)
+
+
+class TableEpoch:
+    """The latest epoch that this process knows of; 0 if the platform tells none."""
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
@@ -21,14 +41,22 @@
         """Whether this process saw the epoch rise."""
         self.listeners: list[Callable[[], None]] = []
 
+    @property
+    def known(self) -> bool:
+        return math.isfinite(self.known_since)
+
     def observe(self, epoch: int) -> None:
         """Record the epoch of an answer; an earlier one than the current is ignored."""
-        if epoch <= self.current:
+        if self.known and epoch <= self.current:
             return
         previous, self.current = self.current, epoch
-        self.restored = math.isfinite(self.known_since)
+        self.restored = self.known
         self.known_since = self.clock.now()
         if self.restored:
             log_event("table_restored", level="WARNING", epoch=epoch, previous=previous)
             for listener in self.listeners:
                 listener()
+
+    def is_current(self, version: int) -> bool:
+        """Return whether a version is of the current epoch."""
+        return epoch_of(version) == self.current
--- a/src/godwitmast/platform_api/group_commit.py
+++ b/src/godwitmast/platform_api/group_commit.py
@@ -48,7 +48,10 @@
     others. There is no such wait after a failure, since a retried write is already late.
     """
 
-    def __init__(self, send: Send, gather_s: float = 0.0) -> None:
+    def __init__(
+        self, send: Send, gather_s: float = 0.0, max_entries: int = MAX_ENTRIES
+    ) -> None:
+        self.max_entries = max_entries
         self.send = send
         self.gather_s = gather_s
         self.queue: deque[PendingTransaction] = deque()
@@ -93,7 +96,7 @@
         entries = 0
         deferred: list[PendingTransaction] = []
         while self.queue:
-            if batch and entries + self.queue[0].entries > MAX_ENTRIES:
+            if batch and entries + self.queue[0].entries > self.max_entries:
                 break
             pending = self.queue.popleft()
             if keys & pending.keys:
--- a/src/godwitmast/relay/driver.py
+++ b/src/godwitmast/relay/driver.py
@@ -13,6 +13,8 @@
 from godwitmast.errors import PeerError, PlatformError, PlatformUnavailable
 from godwitmast.http_server import bind
 from godwitmast.logs import log_event
+from godwitmast.platform_api.epoch import TableEpoch
+from godwitmast.platform_api.group_commit import MAX_ENTRIES as PLATFORM_ENTRIES
 from godwitmast.platform_api.group_commit import GroupCommit
 from godwitmast.platform_api.messages import Written
 from godwitmast.platform_api.port import Table
@@ -44,6 +46,9 @@
 MAX_READ_AGE_GATHERS = 5
 """Greatest age of rows that a relay reads for its followers, in gathering times."""
 
+MAX_ENTRIES = PLATFORM_ENTRIES - 1
+"""The platform's client adds a check to each transaction."""
+
 LARGE_FRAME_BYTES = 16 * 1024
 LARGE_WAIT_S = 0.5
 """How long the others wait for a follower that does not read; a link of 10 Mbit/s
@@ -67,7 +72,9 @@
         feed: SharedFeed,
         vms: Callable[[], int],
         registry: CollectorRegistry | None = None,
+        epoch: TableEpoch | None = None,
     ) -> None:
+        self.epoch = epoch or TableEpoch(clock)
         self.store = store
         self.clock = clock
         self.zone = zone
@@ -78,8 +85,10 @@
         self.feed = feed
         self.feed.followers = lambda: len(self.links)
         self.link = RelayLink(self.apply_heartbeat, feed.apply_frame)
-        self.group = GroupCommit(store.transact, gather_s)
-        self.shared = SharedReads(store, clock, MAX_READ_AGE_GATHERS * gather_s)
+        self.group = GroupCommit(store.transact, gather_s, MAX_ENTRIES)
+        self.shared = SharedReads(
+            store, clock, MAX_READ_AGE_GATHERS * gather_s, self.epoch
+        )
         self.table = RelayTable(store, clock, self, gather_s)
         self.table.on_answer = self.record_own_answer
         self.server: Server | None = None
@@ -181,6 +190,8 @@
         self.log_stage_change()
 
     def apply_heartbeat(self, beat: Beat) -> None:
+        if beat.epoch:
+            self.epoch.observe(beat.epoch)
         self.machine.record_heartbeat(beat.able, beat.vms, self.clock.now())
 
     def record_own_answer(self) -> None:
@@ -218,7 +229,8 @@
 
     async def send_beats(self, socket: ServerConnection) -> None:
         while True:
-            await self.send_frame(socket, Beat(not self.group.last_failed, self.vms()))
+            beat = Beat(not self.group.last_failed, self.vms(), self.epoch.current)
+            await self.send_frame(socket, beat)
             await anyio.sleep(HEARTBEAT_S)
 
     async def send_tables(self, socket: ServerConnection) -> None:
--- a/src/godwitmast/relay/messages.py
+++ b/src/godwitmast/relay/messages.py
@@ -13,7 +13,7 @@
 MAX_CHECKS = 100
 MAX_VMS = 100_000
 
-Number = Annotated[int, Meta(ge=0, le=2**53)]
+Number = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 Key = Annotated[str, Meta(max_length=200)]
 Versions = Annotated[dict[Key, Number], Meta(max_length=MAX_CHECKS)]
 
@@ -65,6 +65,8 @@
     able: bool
     vms: Annotated[int, Meta(ge=0, le=MAX_VMS)]
     """Number of VMs in all zones; 0 if unknown."""
+    epoch: Number = 0
+    """Epoch of the platform's table that the relay knows of."""
 
 
 class TableTold(Struct, array_like=True, frozen=True, tag=6):
--- a/src/godwitmast/relay/table.py
+++ b/src/godwitmast/relay/table.py
@@ -8,6 +8,7 @@
 
 from godwitmast.clock import Clock
 from godwitmast.errors import PlatformError, PlatformUnavailable
+from godwitmast.platform_api.epoch import TableEpoch
 from godwitmast.platform_api.group_commit import GroupCommit
 from godwitmast.platform_api.messages import Row, TransactOutcome
 from godwitmast.platform_api.port import Table
@@ -29,22 +30,29 @@
 class SharedReads:
     """Cache of rows that many VMs read, by the set of keys."""
 
-    def __init__(self, store: Table, clock: Clock, age_s: float) -> None:
+    def __init__(
+        self, store: Table, clock: Clock, age_s: float, epoch: TableEpoch
+    ) -> None:
         self.store = store
         self.clock = clock
         self.age_s = age_s
+        self.epoch = epoch
+        self.recent_epoch = epoch.current
         self.reading = anyio.Lock()
         self.recent: dict[tuple[str, ...], tuple[float, dict[str, Row]]] = {}
 
     async def read(self, keys: list[str]) -> dict[str, Row]:
-        """Return rows that are at most `age_s` old."""
+        """Return rows that are at most `age_s` old, and not from before a restore."""
         name = tuple(keys)
         async with self.reading:
+            if self.recent_epoch != self.epoch.current:
+                self.recent.clear()
             now = self.clock.now()
             limit = now - self.age_s
             self.recent = {k: v for k, v in self.recent.items() if v[0] > limit}
             if name not in self.recent:
                 self.recent[name] = (now, await self.store.read(keys))
+            self.recent_epoch = self.epoch.current
             return self.recent[name][1]
 
 
