Fencing tokens rise over restores, and nobody takes over a lease by rows that went back

Cause: the lease's rows went back with the table, and were believed: the token was counted from an old row, a row that says 'released' let the next one in at once, and a challenger went on with a wait that had begun before the restore. Class: state believed because the store once acknowledged it. Change: tokens start above those of the epoch before. After a restore all wait ttl and guard from their first look, whatever the rows name. The holder at the restore, by its own clocks, claims its lease again at once: nobody else can have taken it by then. The lease's row says in which epoch it was taken or released. Evidence: the model of the lease with restores, late writes, suspensions and clocks that differ by a fifth keeps one holder and one holder a token; it finds the fault in three leases that lack one rule each. A released lease is taken at once as before where the store only goes away.

--- a/src/godwitmast/lease/driver.py
+++ b/src/godwitmast/lease/driver.py
@@ -11,6 +11,7 @@
 from godwitmast.clock import Clock
 from godwitmast.lease.machine import Guard, LeaseMachine, LeaseTiming
 from godwitmast.logs import log_event
+from godwitmast.platform_api.epoch import TableEpoch
 from godwitmast.platform_api.port import Table
 from godwitmast.platform_api.runner import take_step
 
@@ -64,7 +65,9 @@
         timing: LeaseTiming = LeaseTiming(),
         count_vms: Callable[[], int] = lambda: 0,
         candidates_only: Callable[[], bool] = lambda: False,
+        epoch: TableEpoch | None = None,
     ) -> None:
+        self.epoch = epoch or TableEpoch(clock)
         self.platform = platform
         self.clock = clock
         self.duty = duty
@@ -88,6 +91,7 @@
         """Run each step when it is due; start and cancel the duty with the lease."""
         machine = self.machine
         while not machine.released:
+            self.observe_epoch()
             self.start_or_stop_duty(tasks)
             if self.held:
                 machine.vm_count = self.count_vms() or machine.vm_count
@@ -99,8 +103,15 @@
                 await anyio.sleep(self.poll_wait_s())
                 continue
             result = await take_step(self.platform, step)
+            self.observe_epoch()
             machine.took(result, self.clock.now())
 
+    def observe_epoch(self) -> None:
+        epoch, clock = self.epoch, self.clock
+        self.machine.observe_epoch(
+            epoch.current, epoch.restored, clock.now(), clock.wall()
+        )
+
     def poll_wait_s(self) -> float:
         """Return the seconds until the next poll, few while a lease may expire."""
         if self.held or self.duty_scope is not None:
--- a/src/godwitmast/lease/machine.py
+++ b/src/godwitmast/lease/machine.py
@@ -3,6 +3,11 @@
 A lease has two rows. `lease/NAME` names the holder and the fencing token, and is
 written only when the holder changes, so that the holder's other transactions can check
 its version. `lease/NAME/beat` is the heartbeat that the holder renews.
+
+A restore of the table takes both rows back. Whoever held the lease then, perhaps by rows
+that are lost and unaware of the restore, still counts on its time. So all others wait
+as long as for a holder that they have just seen, also if the rows name none, and
+fencing tokens start above those of the epoch before.
 """
 
 import math
@@ -25,6 +30,14 @@
 matter only when every candidate has failed, which the loss of a zone may cause in a
 small system."""
 
+FENCE_BITS = 20
+"""Bits of a fencing token below its epoch: the changes of holder in one epoch."""
+
+RECLAIM_GUARD_SHARE = 0.25
+"""Share of the guard time within which a holder whose time is over may still claim its
+lease after a restore. No other can have taken it in the lost transactions by then, also
+if clocks differ in rate by a fifth."""
+
 NO_HOLDER = ""
 """Value of `holder` in the row of a lease that was released."""
 
@@ -68,6 +81,7 @@
     beat_version: int
     sent_now: float
     sent_wall: float
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,12 +95,16 @@
 
 
 class ObservedRows(NamedTuple):
-    """The rows as last read; a change of any field restarts the wait for a takeover."""
+    """The rows as last read; a change of any field restarts the wait for a takeover.
+
+    `epoch` is the one in which the lease was last taken or released, None if unknown.
+    """
 
     lease_version: int
     beat_version: int
     fence: int
     holder: str
+    epoch: int | None
 
 
 class LeaseMachine:
@@ -119,6 +137,8 @@
         self.vm_count = 0
         self.hash_fraction = xxh3_64_intdigest(holder.encode()) / 2**64
         self.read_at = -math.inf
+        self.epoch = 0
+        self.restored = False
 
     def fence_if_held(self, now: float, wall: float) -> int | None:
         """Return the fencing token if the lease is held at this moment, else None.
@@ -158,6 +178,37 @@
         self.releasing = True
         self.next_at = 0.0
 
+    def observe_epoch(
+        self, epoch: int, restored: bool, now: float, wall: float
+    ) -> None:
+        """Apply the table's epoch, and whether this process saw it rise.
+
+        Call it before each step and each result. What was read, and any renewal without
+        an outcome, is of no use after a restore. The holder claims its lease again.
+        """
+        if epoch <= self.epoch:
+            return
+        self.epoch, self.restored = epoch, restored
+        self.observed = None
+        self.pending_renewal = None
+        if self.held_lease is not None and not self.may_reclaim(
+            self.held_lease, now, wall
+        ):
+            self.held_lease = None
+        if self.held_lease is not None:
+            self.next_at = now
+
+    def may_reclaim(self, held_lease: HeldLease, now: float, wall: float) -> bool:
+        """Return whether no other can have taken the lease before a restore."""
+        limit_s = self.timing.ttl_s + RECLAIM_GUARD_SHARE * self.timing.guard_s
+        wall_s = wall - held_lease.sent_wall
+        return now < held_lease.sent_now + limit_s and 0 <= wall_s < limit_s
+
+    @property
+    def reclaims(self) -> bool:
+        """Return whether it held the lease before a restore, and claims it again."""
+        return self.held_lease is not None and self.held_lease.epoch != self.epoch
+
     def step(self, now: float, wall: float) -> Step | None:
         """Return the step to take now, if one is due."""
         if self.pending_step is not None or now < self.next_at:
@@ -170,6 +221,10 @@
             return Read([self.lease_key, self.beat_key])
         if self.releasing:
             return self.release()
+        if self.reclaims:
+            if self.observed is None:
+                return Read([self.lease_key, self.beat_key])
+            return self.take_over(self.observed, now, wall)
         if self.held_lease is not None:
             return self.renew(self.held_lease, now, wall)
         if self.observed is not None and self.may_take_over(self.observed, now):
@@ -186,10 +241,14 @@
         first read it, which is later. So the holder's time ends first, whatever the
         two clocks show.
         """
-        if observed.holder == NO_HOLDER:
+        if self.is_vacant(observed):
             return True
         return now >= self.observed_since + self.timing.ttl_s + self.timing.guard_s
 
+    def is_vacant(self, observed: ObservedRows) -> bool:
+        """Return whether nobody holds the lease: released, and not before a restore."""
+        return observed.holder == NO_HOLDER and observed.epoch == self.epoch
+
     def begin_renewal(self, fence: int, now: float, wall: float) -> Json:
         """Return the heartbeat row of a renewal or takeover, and record its send time.
 
@@ -202,7 +261,7 @@
         return {"fence": fence, "beat": self.beat_count, "crowd": self.vm_count}
 
     def take_over(self, observed: ObservedRows, now: float, wall: float) -> Step:
-        fence = observed.fence + 1
+        fence = max(observed.fence, self.epoch << FENCE_BITS) + 1
         beat = self.begin_renewal(fence, now, wall)
         return Transact(
             {
@@ -210,7 +269,7 @@
                 self.beat_key: observed.beat_version,
             },
             {
-                self.lease_key: {"holder": self.holder, "fence": fence},
+                self.lease_key: self.lease_row(self.holder, fence),
                 self.beat_key: beat,
             },
         )
@@ -233,9 +292,12 @@
             return None
         return Transact(
             {self.lease_key: held_lease.lease_version},
-            {self.lease_key: {"holder": NO_HOLDER, "fence": held_lease.fence}},
+            {self.lease_key: self.lease_row(NO_HOLDER, held_lease.fence)},
         )
 
+    def lease_row(self, holder: str, fence: int) -> Json:
+        return {"holder": holder, "fence": fence, "epoch": self.epoch}
+
     @property
     def watch_s(self) -> float:
         """Return the seconds between two reads of a lease that another process holds.
@@ -299,6 +361,7 @@
             beat_version,
             proven.sent_now,
             proven.sent_wall,
+            self.epoch,
         )
         self.observed = None
         self.next_at = max(now, proven.sent_now + self.timing.renew_s)
@@ -315,13 +378,19 @@
         self.pending_renewal = None
         self.next_at = now + self.retry_s
 
+    @property
+    def missing_row(self) -> Json:
+        """Return a row for a lease without one, which a restore may have lost."""
+        epoch = None if self.restored else self.epoch
+        return {"holder": NO_HOLDER, "fence": 0, "epoch": epoch}
+
     def apply_rows(self, rows: Rows, now: float) -> None:
         """Apply the rows that were read.
 
         They confirm the pending renewal, show that an older one still holds, or belong
         to another process, whose lease is then observed.
         """
-        lease = rows.value(self.lease_key) or {"holder": NO_HOLDER, "fence": 0}
+        lease = rows.value(self.lease_key) or self.missing_row
         beat = rows.value(self.beat_key) or {"fence": 0, "beat": 0}
         lease_version = rows.version(self.lease_key)
         beat_version = rows.version(self.beat_key)
@@ -344,19 +413,26 @@
                 self.held_lease = replace(self.held_lease, beat_version=beat_version)
                 self.next_at = now
                 return
+        seen = ObservedRows(
+            lease_version,
+            beat_version,
+            lease["fence"],
+            lease["holder"],
+            lease.get("epoch", 0),
+        )
+        if self.reclaims and seen.epoch != self.epoch:
+            self.observed, self.observed_since, self.next_at = seen, now, now
+            return
         self.held_lease = None
         # A new holder has not counted the VMs yet; the earlier count is a better one.
         self.vm_count = beat.get("crowd", 0) or self.vm_count
-        seen = ObservedRows(
-            lease_version, beat_version, lease["fence"], lease["holder"]
-        )
         next_read_at = now + self.watch_s
         if seen != self.observed:
             self.observed, self.observed_since = seen, now
-            if seen.holder != NO_HOLDER:
+            if not self.is_vacant(seen):
                 self.next_at = next_read_at
                 return
         wait_s = self.timing.ttl_s + self.timing.guard_s
-        free_at = self.observed_since + (0.0 if seen.holder == NO_HOLDER else wait_s)
+        free_at = self.observed_since + (0.0 if self.is_vacant(seen) else wait_s)
         # The takeover needs no further read, since its compare-and-set checks the rows.
         self.next_at = max(now, min(next_read_at, free_at))
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -311,6 +311,7 @@
             lease_timing(bounds),
             lambda: len(duty.loads()),
             candidates_only=lambda: self.relay.machine.relay_available,
+            epoch=self.store.epoch,
         )
         self.add_metrics(self.app.metrics.registry)
         self.caller_server = HttpServer(
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -2,7 +2,11 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
+from sortedcontainers import SortedDict
+
+from godwitmast.platform_api.epoch import epoch_of, make_version, number_of
 from godwitmast.platform_api.messages import Conflict, Row, Written
 from godwitmast.platform_api.steps import (
     Failure,
@@ -87,6 +91,72 @@
             return stop.value
 
 
+class Backup(NamedTuple):
+    """The platform's content as of one moment."""
+
+    table: Table
+    objects: dict[str, bytes]
+
+
+@dataclass
+class RestoredPlatform(FakePlatform):
+    """A platform that can be restored; its versions include the epoch.
+
+    Each step is of the epoch that its process knew when it was sent, as the platform's
+    client sends it.
+    """
+
+    epoch: int = 1
+    recorded: bool = False
+    """Whether a transaction of this epoch was written, after which none of an earlier
+    one can be."""
+    late_epochs: list[int] = field(default_factory=list)
+
+    def backup(self) -> Backup:
+        table = Table(SortedDict(self.table.rows), self.table.writes)
+        return Backup(table, dict(self.objects))
+
+    def restore(self, backup: Backup) -> None:
+        self.table = Table(SortedDict(backup.table.rows), backup.table.writes)
+        self.objects = dict(backup.objects)
+        self.epoch += 1
+        self.recorded = False
+
+    def take_of(self, step: Step, known_epoch: int, fate: Fate) -> Result:
+        """Execute a step that a process of some epoch sent."""
+        if fate is Fate.DELAYED and not self.away:
+            self.late_epochs.append(known_epoch)
+        self.known_epoch = known_epoch
+        return self.take(step, fate)
+
+    def arrive(self, index: int) -> None:
+        self.known_epoch = self.late_epochs.pop(index % len(self.late))
+        super().arrive(index)
+
+    def apply(self, step: Step) -> Result:
+        if not isinstance(step, Transact):
+            result = super().apply(step)
+            if not isinstance(result, Rows):
+                return result
+            return Rows(
+                {
+                    key: Row(row.value, make_version(self.epoch, row.version))
+                    for key, row in result.rows.items()
+                }
+            )
+        if any(v and epoch_of(v) != self.known_epoch for v in step.checks.values()):
+            return Conflict({})
+        if self.known_epoch != self.epoch and self.recorded:
+            return Conflict({})
+        checks = {key: number_of(version) for key, version in step.checks.items()}
+        result = super().apply(Transact(checks, step.writes))
+        if self.known_epoch != self.epoch:
+            return Failure.UNKNOWN
+        self.recorded = True
+        versions = {k: make_version(self.epoch, v) for k, v in result.versions.items()}
+        return type(result)(versions)
+
+
 @dataclass
 class FakeGuard:
     """A lease guard whose fence the test sets; None if the lease is not held."""
--- a/tests/test_lease_model.py
+++ b/tests/test_lease_model.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from fakes import FakePlatform, Fate
-from godwitmast.lease.machine import LeaseMachine, LeaseTiming
+from fakes import FakePlatform, Fate, RestoredPlatform
+from godwitmast.lease.machine import NO_HOLDER, LeaseMachine, LeaseTiming
 from godwitmast.platform_api.steps import Result, Step
 from models import BROKEN_EXAMPLES, EXPLORED, explore
 
@@ -181,6 +181,82 @@
         assert len(holders) <= 1, f"{holders} all believe they are in charge"
 
 
+class RestoredLeaseModel(LeaseModel):
+    """The same, with a table that is restored now and then."""
+
+    @initialize()
+    def begin(self) -> None:
+        super().begin()
+        self.platform = RestoredPlatform()
+        self.backups = [self.platform.backup()]
+        self.known = [1, 1, 1]
+        self.sent_epochs = [1, 1, 1]
+        self.answer_epochs = [1, 1, 1]
+        self.holders_of_fences: dict[int, str] = {}
+
+    @rule(seconds=st.sampled_from([0.5, 1.0, 2.0, 3.0, 12.0, 14.0]))
+    def pass_time(self, seconds: float) -> None:
+        super().pass_time(seconds)
+        self.backups = [*self.backups[-11:], self.platform.backup()]
+
+    @rule(back=st.integers(1, 12))
+    def restore(self, back: int) -> None:
+        self.count()
+        self.platform.restore(self.backups[-min(back, len(self.backups))])
+        self.backups = self.backups[: -min(back, len(self.backups))]
+        self.backups = self.backups or [self.platform.backup()]
+
+    @rule(who=PROCESSES)
+    def send(self, who: int) -> None:
+        contender = self.contenders[who]
+        if contender.sent is None and contender.answer is None:
+            self.observe(who, self.known[who])
+            self.sent_epochs[who] = self.known[who]
+        super().send(who)
+
+    @rule(who=PROCESSES, fate=FATES)
+    def reach_table(self, who: int, fate: Fate) -> None:
+        self.count()
+        contender = self.contenders[who]
+        if contender.sent is None:
+            return
+        sent, contender.sent = contender.sent, None
+        sent_epoch = self.sent_epochs[who]
+        contender.answer = self.platform.take_of(sent, sent_epoch, fate)
+        answered = fate is Fate.ANSWERED and not self.platform.away
+        self.answer_epochs[who] = self.platform.epoch if answered else sent_epoch
+
+    @rule(who=PROCESSES)
+    def learn(self, who: int) -> None:
+        if self.contenders[who].answer is not None:
+            self.observe(who, self.answer_epochs[who])
+        super().learn(who)
+
+    def observe(self, who: int, epoch: int) -> None:
+        """Let a process know an epoch."""
+        contender = self.contenders[who]
+        self.known[who] = max(self.known[who], epoch)
+        restored = self.known[who] > 1
+        clocks = self.clocks(contender)
+        contender.machine.observe_epoch(self.known[who], restored, *clocks)
+
+    @rule(who=PROCESSES)
+    def restart_empty(self, who: int) -> None:
+        if self.contenders[who].sent is not None:
+            self.platform.late_epochs.append(self.sent_epochs[who])
+        super().restart_empty(who)
+
+    @invariant()
+    def fences_have_one_holder(self) -> None:
+        for contender in getattr(self, "contenders", []):
+            fence = contender.machine.fence_if_held(*self.clocks(contender))
+            if fence is not None:
+                holder = self.holders_of_fences.setdefault(
+                    fence, contender.machine.holder
+                )
+                assert holder == contender.machine.holder, f"two holders of {fence}"
+
+
 class LeaseLookedAtSeldom(LeaseMachine):
     """Never is a candidate, as when all candidates have failed."""
 
@@ -209,6 +285,27 @@
         super().took(result, now)
 
 
+class LeaseVacantAfterRestore(LeaseMachine):
+    """Takes a lease that the rows of a restored table show as released."""
+
+    def is_vacant(self, observed) -> bool:
+        return observed.holder == NO_HOLDER
+
+
+class LeaseReclaimedAnyTime(LeaseMachine):
+    """Claims its lease after a restore however long its time has been over."""
+
+    def may_reclaim(self, held_lease, now: float, wall: float) -> bool:
+        return True
+
+
+class LeaseWithoutEpochs(LeaseMachine):
+    """Goes by its rows whatever the epoch."""
+
+    def observe_epoch(self, epoch, restored, now: float, wall: float) -> None:
+        pass
+
+
 class LeaseTakenAtOnce(LeaseMachine):
     """Takes over after half the lease time, without the guard."""
 
@@ -220,6 +317,10 @@
     explore(LeaseModel)
 
 
+def test_lease_has_one_holder_at_a_time_over_restores() -> None:
+    explore(RestoredLeaseModel)
+
+
 def test_lease_has_one_holder_at_a_time_without_candidates() -> None:
     explore(type("SeldomModel", (LeaseModel,), {"machine_type": LeaseLookedAtSeldom}))
 
@@ -231,3 +332,16 @@
     model = type(f"{broken.__name__}Model", (LeaseModel,), {"machine_type": broken})
     with pytest.raises(AssertionError):
         explore(model, examples=BROKEN_EXAMPLES)
+
+
+@pytest.mark.parametrize(
+    "broken", [LeaseVacantAfterRestore, LeaseReclaimedAnyTime, LeaseWithoutEpochs]
+)
+def test_model_finds_the_fault_of_a_lease_over_restores(
+    broken: type[LeaseMachine],
+) -> None:
+    model = type(
+        f"{broken.__name__}Model", (RestoredLeaseModel,), {"machine_type": broken}
+    )
+    with pytest.raises(AssertionError):
+        explore(model, examples=BROKEN_EXAMPLES)
