Keep what is known of servers and configuration while a restored table has older rows

Cause: a follower replaced its rows by those of a restored table. Class: state believed because the store once acknowledged it. Change: where a configuration's number, or a server's start and count of writes, shows that a row of a restored table is older than the one known, the newer one is kept until it is written again, for 10 s at most; a row that was removed stays removed so long; one that the table lacks has two seconds, as after an outage.

--- a/src/godwitmast/platform/catalog.py
+++ b/src/godwitmast/platform/catalog.py
@@ -21,6 +21,7 @@
 from godwitmast.keys.hashing import hash_key
 from godwitmast.logs import log_event
 from godwitmast.platform.wire import (
+    CONFIG_KEY,
     DRAINING,
     EVACUATE_PREFIX,
     IDEMPOTENT,
@@ -30,6 +31,7 @@
     WireEngine,
     WireLimits,
     WireRoute,
+    WireRowAge,
     WireServer,
     WireService,
     WireTenant,
@@ -260,6 +262,25 @@
     )
 
 
+def operator_row_order(key: str, content: bytes) -> tuple[int, ...] | None:
+    """Return what orders the contents of an operator's row: the configuration's number."""
+    age = read_age(content) if key == CONFIG_KEY else None
+    return (age.version,) if age and isinstance(age.version, int) else None
+
+
+def server_row_order(key: str, content: bytes) -> tuple[int, ...] | None:
+    """Return what orders the contents of a server's row: its start, and its writes since."""
+    age = read_age(content)
+    return (age.born, age.sequence) if age and age.sequence is not None else None
+
+
+def read_age(content: bytes) -> WireRowAge | None:
+    try:
+        return msgspec.json.decode(content, type=WireRowAge)
+    except msgspec.DecodeError:
+        return None
+
+
 def read_servers(rows: Mapping[str, bytes]) -> dict[str, Backend]:
     """Return the registered servers by id, without those whose row cannot be read."""
     servers: dict[str, Backend] = {}
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -38,9 +38,11 @@
 from godwitmast.logs import log_event
 from godwitmast.platform.catalog import (
     ColdBounds,
+    operator_row_order,
     read_config,
     read_evacuations,
     read_servers,
+    server_row_order,
 )
 from godwitmast.platform.frontend import ReplicaHeaderParser, RouteFrontend
 from godwitmast.platform.settings import BoundsTable, PlatformFile
@@ -219,6 +221,7 @@
                 OPERATOR_TABLE,
                 self.apply_operator_rows,
                 sharing.wait_s,
+                order=operator_row_order,
             ),
             FeedFollower(
                 self.feed,
@@ -227,6 +230,7 @@
                 self.apply_server_rows,
                 sharing.wait_s,
                 lambda: self.feed.gather_s(gather_s),
+                server_row_order,
             ),
             FeedFollower(
                 self.feed,
--- a/src/godwitmast/platform/wire.py
+++ b/src/godwitmast/platform/wire.py
@@ -182,6 +182,15 @@
     tenants: list[WireTenant] | None = None
 
 
+class WireRowAge(PlatformJson):
+    """What orders the contents of a row: the number of a configuration, or the start of a
+    server and its count of writes since."""
+
+    version: int | str | None = None
+    born: int = 0
+    sequence: int | None = None
+
+
 class WireServer(PlatformJson):
     """Row by which a backend server registers itself; its id is the row's key."""
 
--- a/src/godwitmast/platform_api/feed.py
+++ b/src/godwitmast/platform_api/feed.py
@@ -1,8 +1,9 @@
 """The follower of an external table that has a change feed."""
 
 import random
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
@@ -11,6 +12,7 @@
 from godwitmast.clock import Clock
 from godwitmast.errors import PlatformError
 from godwitmast.logs import log_event
+from godwitmast.platform_api.epoch import epoch_of
 from godwitmast.platform_api.port import Changes, Feed, FeedRow, HistoryLost, Snapshot
 
 MAX_WAIT_S = 10.0
@@ -33,6 +35,13 @@
 """Within two seconds of the platform's recovery, servers that are up have rewritten their
 rows that expired during the outage."""
 
+OLDER_GRACE_S = 10.0
+"""How long a row is kept after a restore although the table has an older one: operators
+and servers write again what was lost, servers with each heartbeat."""
+
+REMOVED_KEPT_S = 60.0
+"""How long a removed row is remembered, in case a restore brings it back."""
+
 LAPSED_FRACTION = 0.5
 """Fraction of the rows. If at least this many were removed during an outage, the cause is
 taken to be an outage of the store, during which rows expire, and not servers that left.
@@ -50,6 +59,17 @@
     return min(MAX_WAIT_S, max(MIN_WAIT_S, wait_s))
 
 
+RowOrder = Callable[[str, bytes], tuple[int, ...] | None]
+"""Returns what orders the contents of a row by their age, None if nothing does."""
+
+
+class RemovedRow(NamedTuple):
+    """A row's last content, and when it was removed."""
+
+    content: bytes
+    at: float
+
+
 @dataclass
 class FeedView:
     """The last known rows of a table, without I/O.
@@ -63,6 +83,10 @@
     later: then the store refused only this process, and those servers have left. Kept
     as long, their rows would attract requests after they had left, while the other
     servers were available.
+
+    A restored table has older rows: a server is ready again that has said that it
+    leaves, or listed again though it has left. Where `order` tells, the newer content is
+    kept until the row is written again, for `OLDER_GRACE_S` at most.
     """
 
     rows: dict[str, bytes] = field(default_factory=dict)
@@ -70,6 +94,12 @@
     unreachable_since: float | None = None
     recovered_at: float = float("-inf")
     lapsed_keys: set[str] = field(default_factory=set)
+    order: RowOrder = lambda key, content: None
+    epoch: int | None = None
+    restored_at: float = float("-inf")
+    older: dict[str, bytes] = field(default_factory=dict)
+    """Content in the table of rows of which this process knows a newer one."""
+    removed: dict[str, RemovedRow] = field(default_factory=dict)
 
     def record_failure(self, now: float) -> None:
         """Record that the platform gave no answer."""
@@ -88,54 +118,127 @@
         """Replace all rows by those of a snapshot."""
         ended_outage = self.record_answer(now)
         self.version = snapshot.version
+        missing = self.rows.keys() - {row.key for row in snapshot.rows}
+        if self.record_epoch(epoch_of(snapshot.version), now):
+            self.put_rows(self.without_older(snapshot.rows, now, from_backup=True))
+            self.lapsed_keys |= missing
+            return
         self.put_rows(snapshot.rows)
-        self.remove_rows(
-            self.rows.keys() - {row.key for row in snapshot.rows}, ended_outage
-        )
+        self.remove_rows(missing, ended_outage, now)
+
+    def record_epoch(self, epoch: int, now: float) -> bool:
+        """Record the epoch of a snapshot; return whether the table was restored."""
+        restored = self.epoch is not None and epoch > self.epoch
+        self.epoch = epoch
+        if restored:
+            self.restored_at = self.recovered_at = now
+            self.older.clear()
+        return restored
+
+    def without_older(
+        self, rows: Sequence[FeedRow], now: float, from_backup: bool
+    ) -> list[FeedRow]:
+        """Return the rows that are not older than what is known of them.
+
+        A removed row that comes back as it was has been written again, unless it is
+        `from_backup`.
+        """
+        accepted = []
+        for row in rows:
+            if row.content is not None and self.is_older(row, now, from_backup):
+                self.older[row.key] = row.content
+            else:
+                self.older.pop(row.key, None)
+                accepted.append(row)
+        return accepted
+
+    def is_older(self, row: FeedRow, now: float, from_backup: bool) -> bool:
+        held = self.rows.get(row.key)
+        gone = self.removed.get(row.key)
+        if held is None and (gone is None or now > gone.at + REMOVED_KEPT_S):
+            return False
+        known = held if held is not None else gone.content if gone else b""
+        content = row.content or b""
+        if content == known:
+            return held is None and from_backup
+        offered_order = self.order(row.key, content)
+        known_order = self.order(row.key, known)
+        if offered_order is None or known_order is None:
+            return False
+        return offered_order < known_order
 
     def apply_changes(self, changes: Changes, now: float) -> bool:
         """Apply changed rows; return whether there were any."""
         ended_outage = self.record_answer(now)
         self.version = changes.version
-        self.put_rows(changes.rows)
-        last = {row.key: row.content for row in changes.rows}
+        rows = changes.rows
+        if now < self.restored_at + OLDER_GRACE_S:
+            rows = self.without_older(rows, now, from_backup=False)
+        self.put_rows(rows)
+        last = {row.key: row.content for row in rows}
         self.remove_rows(
-            {key for key, content in last.items() if content is None}, ended_outage
+            {key for key, content in last.items() if content is None},
+            ended_outage,
+            now,
         )
-        return bool(changes.rows)
+        return bool(rows)
 
     def put_rows(self, rows: Iterable[FeedRow]) -> None:
         for row in rows:
             if row.content is not None:
                 self.rows[row.key] = row.content
                 self.lapsed_keys.discard(row.key)
+                self.older.pop(row.key, None)
 
-    def remove_rows(self, keys: Collection[str], ended_outage: bool) -> None:
+    def remove_rows(
+        self, keys: Collection[str], ended_outage: bool, now: float
+    ) -> None:
         """Remove rows, at once or, after an outage, when the grace is over."""
         known = {key for key in keys if key in self.rows}
         if ended_outage and len(known) >= LAPSED_FRACTION * len(self.rows):
             self.lapsed_keys |= known
             return
         for key in keys:
-            self.rows.pop(key, None)
+            self.remove_row(key, now)
             self.lapsed_keys.discard(key)
+        self.removed = {
+            key: row
+            for key, row in self.removed.items()
+            if now <= row.at + REMOVED_KEPT_S
+        }
+
+    def remove_row(self, key: str, now: float) -> None:
+        content = self.rows.pop(key, None)
+        if content is not None:
+            self.removed[key] = RemovedRow(content, now)
 
     def count_differences(self, rows: Mapping[str, bytes]) -> int:
-        """Return in how many rows this view differs from `rows`, but for lapsed ones."""
+        """Return in how many rows this view differs from `rows` for no known reason."""
         differing = {key for key, _ in self.rows.items() ^ rows.items()}
-        return len(differing - self.lapsed_keys)
+        return len(differing - self.lapsed_keys - self.older.keys())
+
+    @property
+    def awaits_rows(self) -> bool:
+        """Return whether rows are kept until they are written again."""
+        return bool(self.lapsed_keys or self.older)
 
     def remove_expired(self, now: float) -> bool:
-        """Remove rows that were missing after an outage and not written again since.
+        """Give up rows that the table lacks or has older, and that were not written again.
 
-        They have `RETURN_GRACE_S` after the outage. Return whether any were removed.
+        Missing ones have `RETURN_GRACE_S`, older ones `OLDER_GRACE_S`. Return whether
+        any row changed.
         """
-        if not self.lapsed_keys or now < self.recovered_at + RETURN_GRACE_S:
-            return False
-        for key in self.lapsed_keys:
-            self.rows.pop(key, None)
-        self.lapsed_keys.clear()
-        return True
+        changed = False
+        if self.lapsed_keys and now >= self.recovered_at + RETURN_GRACE_S:
+            for key in self.lapsed_keys:
+                self.remove_row(key, now)
+            self.lapsed_keys.clear()
+            changed = True
+        if self.older and now >= self.restored_at + OLDER_GRACE_S:
+            self.rows |= self.older
+            self.older.clear()
+            changed = True
+        return changed
 
 
 class FeedFollower:
@@ -149,6 +252,7 @@
         listener: Callable[[dict[str, bytes]], None],
         wait_s: float = MAX_WAIT_S,
         gather_s: Callable[[], float] = lambda: 0.0,
+        order: RowOrder = lambda key, content: None,
     ) -> None:
         self.feed = feed
         self.clock = clock
@@ -156,7 +260,7 @@
         self.listener = listener
         self.wait_s = wait_s
         self.gather_s = gather_s
-        self.view = FeedView()
+        self.view = FeedView(order=order)
         self.pause_s = BACKOFF_S[0]
         self.own_call = True
         self.rows_lapsed = anyio.Event()
@@ -179,7 +283,7 @@
             if self.pause_s > BACKOFF_S[0]:
                 log_event("feed_regained", table=self.table, version=self.view.version)
                 self.pause_s = BACKOFF_S[0]
-            if self.view.lapsed_keys:
+            if self.view.awaits_rows:
                 self.rows_lapsed.set()
             if changed:
                 self.notify_listener()
@@ -241,7 +345,7 @@
         while True:
             await self.rows_lapsed.wait()
             self.rows_lapsed = anyio.Event()
-            while self.view.lapsed_keys:
+            while self.view.awaits_rows:
                 await anyio.sleep(RETURN_GRACE_S / 10)
                 if self.view.remove_expired(self.clock.now()):
                     self.notify_listener()
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -2,9 +2,11 @@
 
 import pytest
 
+from godwitmast.platform_api.epoch import make_version
 from godwitmast.platform_api.feed import (
     ANSWER_MARGIN_S,
     MAX_WAIT_S,
+    OLDER_GRACE_S,
     REISSUE_S,
     RETURN_GRACE_S,
     FeedView,
@@ -123,3 +125,54 @@
     recovery_s: float,
 ) -> None:
     assert long_poll_s(recovery_s) + ANSWER_MARGIN_S + REISSUE_S <= recovery_s
+
+
+EPOCH = make_version(1, 0)
+
+
+def order_of(key: str, content: bytes) -> tuple[int, ...] | None:
+    """Return what orders contents such as b"ready 3"; others have no order."""
+    _, _, number = content.partition(b" ")
+    return (int(number),) if number else None
+
+
+@pytest.fixture
+def restored_view() -> FeedView:
+    """Return a view of a table that is then restored with older rows."""
+    view = FeedView(order=order_of)
+    rows = [FeedRow("a", b"leaving 3"), FeedRow("b", b"ready 5"), FeedRow("c", b"x")]
+    view.apply_snapshot(Snapshot([*rows, FeedRow("d", b"ready 8")], 100), 10.0)
+    view.apply_changes(Changes([FeedRow("b", None)], 101), 11.0)
+    older = [FeedRow("a", b"ready 2"), FeedRow("b", b"ready 5"), FeedRow("c", b"y")]
+    view.apply_snapshot(Snapshot(older, EPOCH + 90), 20.0)
+    return view
+
+
+def test_restored_table_does_not_take_rows_back(restored_view: FeedView) -> None:
+    """Guards against servers that are ready, or listed, again by their older rows."""
+    assert restored_view.rows == {"a": b"leaving 3", "c": b"y", "d": b"ready 8"}
+
+
+def test_rows_that_are_written_again_after_a_restore_are_used(
+    restored_view: FeedView,
+) -> None:
+    """Guards against a process that stays with what it knew before a restore."""
+    view = restored_view
+    rewritten = [FeedRow("a", b"ready 4"), FeedRow("b", b"ready 6")]
+    view.apply_changes(Changes(rewritten, EPOCH + 95), 21.0)
+    assert view.rows["a"] == b"ready 4"
+    assert view.rows["b"] == b"ready 6"
+    view.apply_changes(Changes([FeedRow("a", b"ready 1")], EPOCH + 96), 21.5)
+    assert view.rows["a"] == b"ready 4"
+
+
+def test_rows_that_nobody_writes_again_after_a_restore_are_given_up(
+    restored_view: FeedView,
+) -> None:
+    """Guards against rows that outlive the loss of their last write for ever."""
+    view = restored_view
+    assert view.remove_expired(20.0 + RETURN_GRACE_S)
+    assert "d" not in view.rows
+    assert view.remove_expired(20.0 + OLDER_GRACE_S)
+    assert view.rows == {"a": b"ready 2", "b": b"ready 5", "c": b"y"}
+    assert not view.awaits_rows
