Let a holder claim its lease after a restore for as long as no other can have taken it

The first form allowed the holder's time and a quarter of the guard. A challenger waits ttl and guard; four fifths of that leave room for clocks that differ by a fifth, as in the model.

--- a/src/godwitmast/lease/machine.py
+++ b/src/godwitmast/lease/machine.py
@@ -33,10 +33,10 @@
 FENCE_BITS = 20
 """Bits of a fencing token below its epoch: the changes of holder in one epoch."""
 
-RECLAIM_GUARD_SHARE = 0.25
-"""Share of the guard time within which a holder whose time is over may still claim its
-lease after a restore. No other can have taken it in the lost transactions by then, also
-if clocks differ in rate by a fifth."""
+RECLAIM_SHARE = 0.8
+"""Share of a challenger's wait within which a holder, though its time is over, may claim
+its lease after a restore. No other can have taken it in the lost transactions by then,
+also if clocks differ in rate by a fifth."""
 
 NO_HOLDER = ""
 """Value of `holder` in the row of a lease that was released."""
@@ -211,7 +211,7 @@
 
     def may_reclaim(self, held_lease: HeldLease, now: float, wall: float) -> bool:
         """Return whether no other can have taken the lease before a restore."""
-        limit_s = self.timing.ttl_s + RECLAIM_GUARD_SHARE * self.timing.guard_s
+        limit_s = RECLAIM_SHARE * (self.timing.ttl_s + self.timing.guard_s)
         wall_s = wall - held_lease.sent_wall
         return now < held_lease.sent_now + limit_s and 0 <= wall_s < limit_s
 
