Write crash reports, versions of streams and the clock's row again after a restore

Cause: rows that a VM writes once were believed to last; a restore took them back. VMs that start afterwards didn't know which requests crash servers, which version began a stream, or the agreed time of day. Each row is written again by the VM that wrote it, the clock's by the VM whose write is the first after the restore. The three tests of it failed before; a VM that starts between two restores is tested too (passed before).

--- a/src/godwitmast/entry/crash_reports.py
+++ b/src/godwitmast/entry/crash_reports.py
@@ -51,6 +51,9 @@
 MAX_REMOVED_ROWS = 50
 """Expired rows that one write removes, of the hundred entries of a transaction."""
 
+MAX_RESTORED_ROWS = 50
+"""Latest own rows that are written again after a restore, in one transaction."""
+
 KINDS: dict[str, type[Suspicion] | type[Quarantine] | type[Clearance]] = {
     "suspicion": Suspicion,
     "quarantine": Quarantine,
@@ -90,7 +93,9 @@
         self.rows: Mapping[str, bytes] = {}
         self.applied: set[str] = set()
         self.expiry: dict[str, float] = {}
-        self.background = BackgroundTasks(self.run)
+        self.own_rows: dict[str, Report] = {}
+        self.restored = anyio.Event()
+        self.background = BackgroundTasks(self.run, self.run_restores)
 
     async def start(self, tasks: TaskGroup) -> None:
         await self.background.start(tasks)
@@ -153,12 +158,41 @@
         # The next one, which may hold more, has another key.
         self.written += 1
         await self.table.transact({}, writes)
+        self.own_rows[key] = report
         for name, item in sent.items():
             if self.pending.get(name) == item:
                 del self.pending[name]
         for row in outdated:
             self.expiry.pop(row, None)
 
+    def record_restore(self) -> None:
+        """Write this entry's rows again, as the table was restored without the latest."""
+        self.restored.set()
+
+    async def run_restores(self) -> None:
+        while True:
+            await self.restored.wait()
+            self.restored = anyio.Event()
+            now = self.clock.store_now()
+            self.own_rows = {
+                key: report
+                for key, report in self.own_rows.items()
+                if report.expires_at > now
+            }
+            await self.write_again(list(self.own_rows)[-MAX_RESTORED_ROWS:])
+
+    async def write_again(self, keys: list[str]) -> None:
+        writes = {key: msgspec.to_builtins(self.own_rows[key]) for key in keys}
+        while writes:
+            try:
+                await self.table.transact({}, writes)
+            except PlatformError as error:
+                log_event("crash_report_not_written", error=str(error))
+                await anyio.sleep(random.uniform(0.5, 1.5) * RETRY_S)
+            else:
+                log_event("crash_reports_written_again", rows=len(writes))
+                return
+
     def outdated_rows(self, now: float) -> list[str]:
         outdated = [key for key, expires_at in self.expiry.items() if expires_at < now]
         return outdated[:MAX_REMOVED_ROWS]
@@ -166,7 +200,7 @@
     def apply_rows(self, rows: Mapping[str, bytes]) -> None:
         """Apply the rows of the table that are new here."""
         self.rows = rows
-        self.applied &= rows.keys()
+        self.applied &= rows.keys() | self.own_rows.keys()
         self.expiry = {key: at for key, at in self.expiry.items() if key in rows}
         self.apply_new()
 
--- a/src/godwitmast/entry/stream_versions.py
+++ b/src/godwitmast/entry/stream_versions.py
@@ -228,6 +228,13 @@
                 await self.write()
                 await anyio.sleep(WRITE_INTERVAL_S)
 
+    def record_restore(self) -> None:
+        """Write the latest streams again, as the table was restored without them."""
+        for key in self.written:
+            if key in self.known:
+                self.pending[key] = self.known[key].version
+        self.changed.set()
+
     def outdated(self) -> list[str]:
         """Return written streams that began too long ago to be taken up."""
         oldest = self.clock.now() - KEEP_S
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -56,7 +56,11 @@
 from godwitmast.platform_api.epoch import number_of
 from godwitmast.platform_api.feed import FeedFollower, long_poll_s
 from godwitmast.platform_api.runner import run_steps
-from godwitmast.platform_api.time_agreement import AgreedClock, agree_on_time
+from godwitmast.platform_api.time_agreement import (
+    AgreedClock,
+    agree_on_time,
+    store_difference,
+)
 from godwitmast.relay.driver import RelayDriver
 from godwitmast.relay.feed import SharedFeed
 from godwitmast.relay.table_copy import Sharing
@@ -242,7 +246,11 @@
             ),
         ]
         self.store.failure_listeners.append(self.reissue_waits)
-        self.store.epoch.listeners.append(self.reissue_waits)
+        self.store.epoch.listeners += [
+            self.reissue_waits,
+            self.crash_reports.record_restore,
+        ]
+        self.store.on_recorded = self.restore_clock
         timing = usage_timing(bounds)
         self.relay = RelayDriver(
             self.store,
@@ -276,6 +284,7 @@
             self.clock, self.relay.table, self.store, self.app.metrics.registry
         )
         self.app.stream_versions = self.stream_versions
+        self.store.epoch.listeners.append(self.stream_versions.record_restore)
         epoch = self.store.epoch
         journal = Journal(
             settings.node,
@@ -536,6 +545,12 @@
         await self.store.close()
         log_event("node_stopped", node=self.settings.node)
 
+    async def restore_clock(self) -> None:
+        """Store the clock difference again if a restore has lost it."""
+        difference_s = self.agreed_clock.difference_s
+        if difference_s is not None:
+            await run_steps(self.store, store_difference(difference_s))
+
     def reissue_waits(self) -> None:
         """Reissue all calls that wait for changes."""
         for follower in self.followers:
--- a/src/godwitmast/platform_api/time_agreement.py
+++ b/src/godwitmast/platform_api/time_agreement.py
@@ -11,7 +11,7 @@
 
 from godwitmast.clock import Clock
 from godwitmast.platform_api.messages import Conflict, Written
-from godwitmast.platform_api.steps import Read, Rows, Steps, Transact
+from godwitmast.platform_api.steps import Read, Result, Rows, Steps, Transact
 
 CLOCK_KEY = "clock"
 """The row with the difference, which is written once."""
@@ -50,6 +50,11 @@
         return self.store_now() + self.difference_s
 
 
+def store_difference(difference_s: float) -> Steps[Result]:
+    """Store the clock difference unless there is one, as after a restore that lost it."""
+    return (yield Transact({CLOCK_KEY: 0}, {CLOCK_KEY: {"difference_s": difference_s}}))
+
+
 def agree_on_time(clock: AgreedClock) -> Steps[bool]:
     """Read the stored clock difference, or store it; return whether it is known now."""
     found = yield Read([CLOCK_KEY])
@@ -60,7 +65,7 @@
         clock.difference_s = row["difference_s"]
         return True
     difference_s = clock.local.wall() - clock.store_now()
-    result = yield Transact({CLOCK_KEY: 0}, {CLOCK_KEY: {"difference_s": difference_s}})
+    result = yield from store_difference(difference_s)
     match result:
         case Written():
             clock.difference_s = difference_s
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -9,9 +9,15 @@
 import pytest
 
 from fleet import Fleet, config_of
+from godwitmast.dispatch.messages import Quarantine
+from godwitmast.entry.crash_reports import Observation
+from godwitmast.entry.stream_versions import KnownStream
 from godwitmast.platform.daemon import Node
+from godwitmast.platform.store import CRASHES_TABLE, OWN_TABLE
 from godwitmast.platform.wire import DRAINING, OPERATOR_TABLE, SERVERS_TABLE
+from godwitmast.platform_api.time_agreement import CLOCK_KEY
 from godwitmast.standins.store import StoreBackup
+from godwitmast.types import BackendId
 from godwitmast.usage.rows import NodeRow
 from running import running
 
@@ -251,3 +257,67 @@
     """Return the rows of ended runs that a holder knows of."""
     duty = next(duty for duty in node.lease.duty.duties if duty.name == "usage")
     return duty.ledger.ended_rows
+
+
+async def test_crash_reports_are_written_again(fleet: RestoredFleet) -> None:
+    """Guards against VMs that start without the crashes of the lost seconds."""
+    reports = fleet.node.crash_reports
+    backup = fleet.store.backup()
+    quarantine = Quarantine("deadly", 30.0)
+    now = fleet.node.agreed_clock.store_now()
+    reports.pending["quarantine", "deadly"] = Observation(quarantine, now)
+    await reports.write()
+    key = (CRASHES_TABLE, f"{reports.own_prefix}0")
+    assert key in fleet.store.rows
+    fleet.come_back(backup)
+    assert key not in fleet.store.rows
+    await fleet.wait_until(lambda: key in fleet.store.rows)
+
+
+async def test_versions_of_streams_are_written_again(fleet: RestoredFleet) -> None:
+    """Guards against streams that no other VM can take up, as their version is lost."""
+    versions = fleet.node.stream_versions
+    backup = fleet.store.backup()
+    versions.known["stream/a"] = KnownStream(
+        "v1", BackendId("e1"), versions.clock.now()
+    )
+    versions.pending["stream/a"] = "v1"
+    versions.changed.set()
+    key = (OWN_TABLE, "stream/a")
+    await fleet.wait_until(lambda: key in fleet.store.rows)
+    fleet.come_back(backup)
+    assert key not in fleet.store.rows
+    await fleet.wait_until(lambda: key in fleet.store.rows)
+
+
+async def test_clock_difference_is_stored_again(fleet: RestoredFleet) -> None:
+    """Guards against VMs with another time of day, as the agreed one is lost."""
+    key = (OWN_TABLE, CLOCK_KEY)
+    await fleet.wait_until(lambda: key in fleet.store.rows)
+    agreed = fleet.store.rows[key].value
+    backup = fleet.store.backup()
+    del backup.rows[key]
+    fleet.come_back(backup)
+    await fleet.wait_until(lambda: key in fleet.store.rows)
+    assert fleet.store.rows[key].value == agreed
+
+
+async def test_vm_that_starts_between_two_restores_reports_no_window_twice(
+    fleet: RestoredFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against a VM that knows only the restored table."""
+    sent: Loss = Counter()
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(send_requests, fleet, http, sent, stop)
+        await fleet.wait_until(lambda: len(fleet.store.reports) > 2)
+        await fleet.lose_seconds(3.0)
+        newcomer = await fleet.add_vm("front-2")
+        await fleet.lose_seconds(2.0)
+        reports = len(fleet.store.reports)
+        await lose_power(fleet.node)
+        await fleet.wait_until(lambda: newcomer.lease.held)
+        await fleet.wait_until(lambda: len(fleet.store.reports) > reports + 2)
+        stop.set()
+    assert reported_twice(fleet) == {}
+    assert shared_fences(fleet) == set()
