--- a/src/godwitmast/platform_api/epoch.py
+++ b/src/godwitmast/platform_api/epoch.py
@@ -52,10 +52,12 @@
         previous, self.current = self.current, epoch
         self.restored = self.known
         self.known_since = self.clock.now()
-        if self.restored:
-            log_event("table_restored", level="WARNING", epoch=epoch, previous=previous)
-            for listener in self.listeners:
-                listener()
+        if not self.restored:
+            log_event("table_epoch", epoch=epoch)
+            return
+        log_event("table_restored", level="WARNING", epoch=epoch, previous=previous)
+        for listener in self.listeners:
+            listener()
 
     def is_current(self, version: int) -> bool:
         """Return whether a version is of the current epoch."""
