--- a/tests/table_fleet.py
+++ b/tests/table_fleet.py
@@ -5,14 +5,21 @@
 from bisect import bisect_right
 from collections.abc import Callable
 from functools import partial
+from typing import NamedTuple
 
 import anyio
 
 from godwitmast.errors import PlatformOutcomeUnknown
 from godwitmast.platform.daemon import feed_sharing
 from godwitmast.platform.settings import BoundsTable
+from godwitmast.platform_api.epoch import (
+    TableEpoch,
+    epoch_of,
+    make_version,
+    number_of,
+)
 from godwitmast.platform_api.feed import ANSWER_MARGIN_S, FeedFollower
-from godwitmast.platform_api.port import Changes, FeedRow, Snapshot
+from godwitmast.platform_api.port import Changes, FeedRow, HistoryLost, Snapshot
 from godwitmast.platform_api.time_agreement import AgreedClock
 from godwitmast.relay.feed import SharedFeed
 from godwitmast.relay.messages import TableChanged, TableTold
@@ -27,6 +34,20 @@
 STORE_S = 0.004
 
 
+class Answer(NamedTuple):
+    """The store's version, the numbers of all changes, and its time."""
+
+    version: int
+    numbers: list[int]
+    store_s: float
+
+
+def rows_of(numbers: list[int]) -> list[FeedRow]:
+    """Return the rows that changes wrote, as of the last one."""
+    latest = {number % KEY_COUNT: number for number in numbers}
+    return [FeedRow(str(key), b"%d" % number) for key, number in latest.items()]
+
+
 class LoopClock:
     """The time of a process's event loop."""
 
@@ -38,34 +59,60 @@
 
 
 class Store:
-    """A table in which each change writes one row, whose content is its version."""
+    """A table in which each change writes one row, whose content is the change's number.
+
+    Numbers are versions until a restore takes versions back.
+    """
 
     def __init__(self, world: World) -> None:
         self.world = world
-        self.version = 0
+        self.epoch = 1
+        self.numbers: list[int] = []
+        """Number of the change that each version wrote."""
+        self.last_number = 0
         self.changed_at: list[float] = []
         self.waiting: list[tuple[int, Callable[[], None]]] = []
 
+    @property
+    def version(self) -> int:
+        return len(self.numbers)
+
     def change(self) -> None:
-        self.version += 1
+        self.last_number += 1
+        self.write(self.last_number)
+
+    def write(self, number: int) -> None:
+        self.numbers.append(number)
         self.changed_at.append(self.world.now)
+        self.end_waits()
+
+    def restore(self, version: int) -> None:
+        """Go back to a version; what was written since is soon written again."""
+        lost = self.numbers[version:]
+        del self.numbers[version:], self.changed_at[version:]
+        self.epoch += 1
+        self.end_waits()
+        for place, number in enumerate(lost):
+            self.world.at(
+                self.world.now + 0.1 + place / 10, partial(self.write, number)
+            )
+
+    def end_waits(self) -> None:
         waiting, self.waiting = self.waiting, []
         for _, answer in waiting:
             answer()
 
     def rows_after(self, after: int, version: int) -> list[FeedRow]:
         """Return the rows that changed between two versions, as of the second."""
-        return [
-            FeedRow(str(number % KEY_COUNT), b"%d" % number)
-            for number in range(max(after, version - KEY_COUNT) + 1, version + 1)
-        ]
+        return rows_of(self.numbers[after:version])
 
     def version_at(self, time: float) -> int:
         return bisect_right(self.changed_at, time)
 
     def wait(self, after: int, wait_s: float, answer: Callable[[], None]) -> None:
         """Call `answer` at a change after a version, or when the wait is over."""
-        if self.version > after or wait_s <= 0:
+        restored = epoch_of(after) not in (self.epoch, -1)
+        if restored or self.version > number_of(after) or wait_s <= 0:
             answer()
             return
         entry = (after, answer)
@@ -92,11 +139,18 @@
         self.clock = AgreedClock(LoopClock())
         self.feed = SharedFeed(self, self.clock, sharing)
         self.feed.followers = lambda: len(self.links)
+        self.epoch = TableEpoch(LoopClock())
         self.follower = self.process.create(
             lambda: FeedFollower(
-                self.feed, LoopClock(), TABLE, self.take_rows, sharing.wait_s
+                self.feed,
+                LoopClock(),
+                TABLE,
+                self.take_rows,
+                sharing.wait_s,
+                order=lambda key, content: (int(content),),
             )
         )
+        self.epoch.listeners.append(self.follower.reissue_wait)
         self.links: list[Vm] = []
         self.relay: Vm | None = None
         self.frames: asyncio.Queue[TableTold | TableChanged] = asyncio.Queue()
@@ -128,33 +182,42 @@
         return self.world.now < self.loses_until
 
     async def snapshot(self, table: str) -> Snapshot:
-        version = await self.call(-1, 0.0)
-        return Snapshot(self.store.rows_after(0, version), version)
-
-    async def changes(self, table: str, after: int, wait_s: float) -> Changes:
-        version = await self.call(after, wait_s)
-        return Changes(self.store.rows_after(after, version), version)
-
-    async def call(self, after: int, wait_s: float) -> int:
-        """Return the version of the store's answer, after the wait."""
+        version, numbers = await self.call(-1, 0.0)
+        return Snapshot(rows_of(numbers), version)
+
+    async def changes(
+        self, table: str, after: int, wait_s: float
+    ) -> Changes | HistoryLost:
+        if not self.epoch.is_current(after):
+            return HistoryLost()
+        version, numbers = await self.call(after, wait_s)
+        if epoch_of(version) != epoch_of(after):
+            return HistoryLost()
+        return Changes(rows_of(numbers[number_of(after) :]), version)
+
+    async def call(self, after: int, wait_s: float) -> tuple[int, list[int]]:
+        """Return the version of the store's answer, after the wait, and its changes."""
         self.calls += 1
-        answered: asyncio.Future[tuple[int, float]] = (
-            asyncio.get_running_loop().create_future()
-        )
+        answered: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
 
         def answer() -> None:
             if self.loses:
                 return
-            told = self.store.version, self.world.now
+            store = self.store
+            version = make_version(store.epoch, store.version)
+            told = Answer(version, list(store.numbers), self.world.now)
             self.world.send(self.process, STORE_S, partial(resolve, answered, told))
 
         if not self.loses:
             wait = partial(self.store.wait, after, wait_s, answer)
             self.world.at(self.world.now + STORE_S, wait)
         with anyio.move_on_after(wait_s + ANSWER_MARGIN_S):
-            version, store_s = await answered
+            version, numbers, store_s = await answered
+            if epoch_of(version) < self.epoch.current:
+                raise PlatformOutcomeUnknown("answered before a restore")
+            self.epoch.observe(epoch_of(version))
             self.clock.update_store_time(store_s)
-            return version
+            return version, numbers
         raise PlatformOutcomeUnknown("no answer")
 
     # Links between VMs.
@@ -184,9 +247,7 @@
             self.feed.apply_frame(await self.frames.get())
 
 
-def resolve(
-    answered: "asyncio.Future[tuple[int, float]]", told: tuple[int, float]
-) -> None:
+def resolve(answered: "asyncio.Future[Answer]", told: Answer) -> None:
     if not answered.done():
         answered.set_result(told)
 
--- a/tests/test_table_followers.py
+++ b/tests/test_table_followers.py
@@ -38,6 +38,8 @@
     """The store answers no call that is open at any moment of its outage."""
     RELAYS_REPLACED = "relays_replaced"
     """Another VM becomes its zone's relay."""
+    STORE_RESTORED = "store_restored"
+    """The store is silent for a moment and comes back without its latest changes."""
     ALL = "all"
 
 
@@ -82,10 +84,19 @@
                 self.fleet.store.drop_calls()
                 for vm in self.fleet.vms:
                     self.lose_calls(vm, for_s)
+            case Fault.STORE_RESTORED:
+                self.fleet.store.drop_calls()
+                for vm in self.fleet.vms:
+                    self.lose_calls(vm, for_s)
+                self.world.at(self.world.now + for_s, self.restore)
             case Fault.RELAYS_REPLACED:
                 self.fleet.replace_relay(self.random)
         self.fail_later()
 
+    def restore(self) -> None:
+        store = self.fleet.store
+        store.restore(max(0, store.version - self.random.randrange(4)))
+
     def lose_calls(self, vm: Vm, for_s: float) -> None:
         self.mark_faulty(vm, for_s)
         vm.loses_until = max(vm.loses_until, self.world.now + for_s)
