--- a/src/godwitmast/entry/crash_reports.py
+++ b/src/godwitmast/entry/crash_reports.py
@@ -159,13 +159,21 @@
         self.written += 1
         await self.table.transact({}, writes)
         self.own_rows[key] = report
+        self.drop_outdated_own(self.clock.store_now())
         for name, item in sent.items():
             if self.pending.get(name) == item:
                 del self.pending[name]
         for row in outdated:
             self.expiry.pop(row, None)
 
-    def record_restore(self) -> None:
+    def drop_outdated_own(self, now: float) -> None:
+        self.own_rows = {
+            key: report
+            for key, report in self.own_rows.items()
+            if report.expires_at > now
+        }
+
+    def table_restored(self) -> None:
         """Write this entry's rows again, as the table was restored without the latest."""
         self.restored.set()
 
@@ -173,12 +181,7 @@
         while True:
             await self.restored.wait()
             self.restored = anyio.Event()
-            now = self.clock.store_now()
-            self.own_rows = {
-                key: report
-                for key, report in self.own_rows.items()
-                if report.expires_at > now
-            }
+            self.drop_outdated_own(self.clock.store_now())
             await self.write_again(list(self.own_rows)[-MAX_RESTORED_ROWS:])
 
     async def write_again(self, keys: list[str]) -> None:
--- a/src/godwitmast/entry/stream_versions.py
+++ b/src/godwitmast/entry/stream_versions.py
@@ -228,7 +228,7 @@
                 await self.write()
                 await anyio.sleep(WRITE_INTERVAL_S)
 
-    def record_restore(self) -> None:
+    def table_restored(self) -> None:
         """Write the latest streams again, as the table was restored without them."""
         for key in self.written:
             if key in self.known:
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -248,7 +248,7 @@
         self.store.failure_listeners.append(self.reissue_waits)
         self.store.epoch.listeners += [
             self.reissue_waits,
-            self.crash_reports.record_restore,
+            self.crash_reports.table_restored,
         ]
         self.store.on_recorded = self.restore_clock
         timing = usage_timing(bounds)
@@ -284,7 +284,7 @@
             self.clock, self.relay.table, self.store, self.app.metrics.registry
         )
         self.app.stream_versions = self.stream_versions
-        self.store.epoch.listeners.append(self.stream_versions.record_restore)
+        self.store.epoch.listeners.append(self.stream_versions.table_restored)
         epoch = self.store.epoch
         journal = Journal(
             settings.node,
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -104,7 +104,7 @@
         await anyio.sleep(0.02)
 
 
-@pytest.mark.parametrize(("vms", "restores"), [(1, 1), (1, 2), (3, 1)])
+@pytest.mark.parametrize(("vms", "restores"), [(1, 1), (1, 2), (3, 1), (6, 2)])
 async def test_each_window_is_reported_once_though_the_store_is_restored(
     fleet: RestoredFleet, http: httpx.AsyncClient, vms: int, restores: int
 ) -> None:
