--- a/src/godwitmast/usage/duty.py
+++ b/src/godwitmast/usage/duty.py
@@ -81,6 +81,7 @@
         self.true_time = true_time or clock
         self.watched_rows: dict[str, WatchedRow] = {}
         self.table_recovered_at = 0.0
+        self.freeze_from = 0.0
         self.table_unreachable = False
         self.wait_s = 0.0
         self.report_pending = True
@@ -141,8 +142,14 @@
         return self.timing.window_s / 4
 
     async def freeze(self, guard: Guard) -> bool:
-        """Freeze every window that is due; return whether the table answered."""
+        """Freeze every window that is due; return whether the table answered.
+
+        Just after a restore, rows of entries may be missing that they create again.
+        """
         while True:
+            if self.clock.now() < self.freeze_from:
+                self.wait_s = self.freeze_from - self.clock.now()
+                return True
             since_recovery_s = self.clock.now() - self.table_recovered_at
             steps = freeze_next(
                 guard.checks,
@@ -185,6 +192,7 @@
         self.report_pending = True
         # Entries write their rows again, as after an outage.
         self.table_recovered_at = self.clock.now()
+        self.freeze_from = self.table_recovered_at + self.timing.recovery_s
         self.held_back.inc(len(restored.held_back))
         steps_of_rows = restore_ended_rows(guard.checks, self.ledger)
         runs = await run_steps(self.platform, steps_of_rows)
--- a/src/godwitmast/usage/journal.py
+++ b/src/godwitmast/usage/journal.py
@@ -47,6 +47,8 @@
     """The outcome is unknown; the same row is sent again until it is known to be stored."""
     SEALED = "sealed"
     """The row was sealed by the duty's holder; the rest is written under a new one."""
+    LOST = "lost"
+    """The row is missing in a restored table; the next write creates it again."""
 
 
 class Journal:
@@ -201,7 +203,7 @@
             if epoch_of(self.version) != self.epoch():
                 # The restored table is from before this row.
                 self.version, self.pending, self.outcome_unknown = 0, None, False
-                return FlushOutcome.NOT_DONE
+                return FlushOutcome.LOST
             # Sealed, billed and removed while this process was suspended or cut off.
             # Whether the pending row was the one billed is no longer known. Assume
             # that it was, since billing usage twice is worse than losing it.
--- a/src/godwitmast/usage/writer.py
+++ b/src/godwitmast/usage/writer.py
@@ -86,11 +86,12 @@
         while not self.closing:
             # Replaced before the flush, so that a change during it is not missed.
             self.flush_requested = anyio.Event()
+            is_missing = self.journal.version == 0
             outcome = await self.flush()
-            first = outcome is FlushOutcome.WRITTEN and self.journal.sequence == 1
-            if first or outcome is FlushOutcome.SEALED:
-                # That write only created the row, or failed on a sealed one: usage
-                # counted so far is not in the table yet.
+            created = outcome is FlushOutcome.WRITTEN and is_missing
+            if created or outcome in (FlushOutcome.SEALED, FlushOutcome.LOST):
+                # That write only created the row, or failed on one that was sealed or
+                # lost: usage counted so far is not in the table yet.
                 continue
             if outcome is not FlushOutcome.WRITTEN:
                 await anyio.sleep(RETRY_FRACTION * self.timing.flush_s)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -157,6 +157,17 @@
         return type(result)(versions)
 
 
+@dataclass
+class KnowingPlatform(RestoredPlatform):
+    """A platform whose processes all know its epoch."""
+
+    def take(self, step: Step, fate: Fate = Fate.ANSWERED) -> Result:
+        self.known_epoch = self.epoch
+        if fate is Fate.DELAYED and not self.away:
+            self.late_epochs.append(self.epoch)
+        return super().take(step, fate)
+
+
 @dataclass
 class FakeGuard:
     """A lease guard whose fence the test sets; None if the lease is not held."""
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -7,10 +7,11 @@
 import pytest
 from prometheus_client import CollectorRegistry
 
-from fakes import FakeGuard, FakePlatform
+from fakes import ORDERS_LEASE, FakeGuard, FakePlatform, KnowingPlatform
 from godwitmast.dev.document import MODEL, dev_key
 from godwitmast.dev.system import DevSystem
 from godwitmast.errors import PlatformUnavailable
+from godwitmast.platform_api.epoch import TableEpoch, make_version
 from godwitmast.platform_api.steps import (
     Failure,
     GetObject,
@@ -112,8 +113,8 @@
 class Windows:
     """Helpers that act as entries and as the holder of the usage duty on one table."""
 
-    def __init__(self) -> None:
-        self.platform = FakePlatform()
+    def __init__(self, platform: FakePlatform | None = None) -> None:
+        self.platform = platform or FakePlatform()
         head = UsageHead(990, {})._asdict()
         self.platform.table.transact({}, {"usage/head": head})
 
@@ -356,3 +357,43 @@
     await duty.report(guard)
     assert intake.reports == [1000, 1010, 1010]
     assert not duty.report_pending
+
+
+def reclaimed_guard(platform: KnowingPlatform) -> FakeGuard:
+    """Return a guard whose lease was claimed in the platform's present epoch."""
+    _, versions = platform.table.transact({}, {ORDERS_LEASE: {}})
+    version = make_version(platform.epoch, versions[ORDERS_LEASE])
+    return FakeGuard(version, reclaimed=True)
+
+
+async def test_window_waits_for_an_entry_whose_row_a_restore_lost() -> None:
+    """Guards against usage of entries that started in the lost seconds."""
+    platform = KnowingPlatform()
+    windows = Windows(platform)
+    clock = FakeClock(1011.6)
+    epoch = TableEpoch(clock)
+    epoch.observe(1)
+    duty = UsageDuty(Intake(platform), clock, TIMING, CollectorRegistry(), epoch=epoch)
+    entry = windows.entry("e1", 1005.0)
+    windows.write(entry, 1011.0)
+    assert await duty.freeze(reclaimed_guard(platform))
+    backup = platform.backup()
+    late = Journal("e2", "a", TIMING.window_s, epoch=lambda: platform.epoch)
+    late.add(KEY, UsageSum(1, 2, 3), 1012.0)
+    for _ in range(2):
+        platform.run(late.flush(1013.0))
+    platform.restore(backup)
+    epoch.observe(2)
+    guard = reclaimed_guard(platform)
+    clock.at = 1021.6
+    for _ in range(2):
+        platform.run(entry.flush(clock.at))
+    assert await duty.freeze(guard)
+    assert 1010 not in duty.ledger.windows
+    assert platform.run(late.flush(clock.at)) is FlushOutcome.LOST
+    for _ in range(2):
+        assert platform.run(late.flush(clock.at)) is FlushOutcome.WRITTEN
+    clock.at += TIMING.recovery_s
+    assert await duty.freeze(guard)
+    [figures] = duty.ledger.windows[1010].window.figures
+    assert figures[3] == 1
--- a/tests/test_usage_restore_model.py
+++ b/tests/test_usage_restore_model.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize, rule
 
-from fakes import Fate, RestoredPlatform
+from fakes import Fate, KnowingPlatform
 from godwitmast.platform_api.epoch import make_version
 from godwitmast.platform_api.steps import Steps
 from godwitmast.usage.journal import Journal
@@ -27,16 +27,6 @@
 """Enough to freeze a window and to report it."""
 
 
-class KnowingPlatform(RestoredPlatform):
-    """A platform whose processes all know its epoch."""
-
-    def take(self, step: Any, fate: Fate = Fate.ANSWERED) -> Any:
-        self.known_epoch = self.epoch
-        if fate is Fate.DELAYED and not self.away:
-            self.late_epochs.append(self.epoch)
-        return super().take(step, fate)
-
-
 class RestoredUsageModel(UsageModel):
     """Entries and reporters of `UsageModel`; the holder at a restore stays the holder."""
 
