--- a/src/godwitmast/usage/ledger.py
+++ b/src/godwitmast/usage/ledger.py
@@ -118,35 +118,54 @@
     if value is None and ledger.head is None:
         return None
     stored = UsageHead(**value) if value is not None else UsageHead(-1, {})
-    known = ledger.head or stored
-    frozen = max(stored.frozen, known.frozen)
-    if not ledger.complete:
-        frozen = max(frozen, int(restored_at // width) * width - width)
     lost = ledger.windows_after(stored.frozen)
     for start, item in lost.items():
         name = object_name(start, item.digest)
         if isinstance((yield PutObject(name, encode_window(item.window))), Failure):
             return None
-    epoch = max(map(epoch_of, lease.values()))
-    head = UsageHead(frozen, merge_marks(stored.marks, known.marks), epoch)
-    writes: dict[str, Json] = {HEAD_KEY: head._asdict()}
-    for start, item in lost.items():
-        row = {"object": object_name(start, item.digest), "digest": item.digest}
-        writes[window_key(start)] = row
-    stored_report = found.value(REPORTED_KEY)
-    is_behind = stored_report is None or stored_report["start"] < ledger.reported
-    if is_behind and ledger.reported in ledger.windows:
-        digest = ledger.windows[ledger.reported].digest
-        writes[REPORTED_KEY] = {"start": ledger.reported, "digest": digest}
+    frozen = last_frozen(stored, ledger, width, restored_at)
+    marks = merge_marks(stored.marks, ledger.head.marks if ledger.head else {})
+    head = UsageHead(frozen, marks, max(map(epoch_of, lease.values())))
+    writes = {HEAD_KEY: head._asdict(), **window_rows(lost)}
+    writes |= report_row(found.value(REPORTED_KEY), ledger)
     checks = {key: found.version(key) for key in (HEAD_KEY, REPORTED_KEY)}
     result = yield Transact({**lease, **checks}, writes)
     if not isinstance(result, Written):
         return None
-    first = stored.frozen + width if value is not None else frozen + width
+    first = (frozen if value is None else stored.frozen) + width
     held_back = [at for at in range(first, frozen + width, width) if at not in lost]
     return RestoredWindows(stored.frozen, frozen, sorted(lost), held_back)
 
 
+def last_frozen(
+    stored: UsageHead, ledger: UsageLedger, width: int, restored_at: float
+) -> int:
+    """Return the last window that is frozen from now on, also if its figures are unknown."""
+    known = ledger.head.frozen if ledger.head else -1
+    if ledger.complete:
+        return max(stored.frozen, known)
+    last_ended = int(restored_at // width) * width - width
+    return max(stored.frozen, known, last_ended)
+
+
+def window_rows(windows: Mapping[int, KnownWindow]) -> dict[str, Json]:
+    return {
+        window_key(start): {
+            "object": object_name(start, item.digest),
+            "digest": item.digest,
+        }
+        for start, item in windows.items()
+    }
+
+
+def report_row(stored: Json, ledger: UsageLedger) -> dict[str, Json]:
+    """Return the row of the last reported window, if the stored one is behind."""
+    last = ledger.windows.get(ledger.reported)
+    if last is None or (stored is not None and stored["start"] >= ledger.reported):
+        return {}
+    return {REPORTED_KEY: {"start": ledger.reported, "digest": last.digest}}
+
+
 def restore_ended_rows(lease: dict[str, int], ledger: UsageLedger) -> Steps[list[str]]:
     """Write the last rows of ended runs again where the table has older ones.
 
