A relay reads a table anew from the store, not from what it was sent before

A VM that had just become its zone's relay held a fresh copy from the relay before, of the epoch before; the store had no history after it, the copy was taken again, and so on without a pause, for up to the time that a copy is fresh. The same holds for a history that the store dropped.

--- a/src/godwitmast/relay/feed.py
+++ b/src/godwitmast/relay/feed.py
@@ -60,7 +60,8 @@
 
     async def snapshot(self, table: str) -> Snapshot:
         copy = self.copy_of(table)
-        if self.fresh_left_s(copy) > 0:
+        # What a relay was sent before it became one may be what has no history now.
+        if not self.serves_followers and self.fresh_left_s(copy) > 0:
             return copy.snapshot
         snapshot = await self.store.snapshot(table)
         if copy.apply_snapshot(snapshot):
