Log when calls under a lease were written, and under which renewal

Neither log of two holders told whether a call was sent late, arrived late or was sent by a process that still held the lease: an order was logged once its outcome was known, without the moment of its sending, and a cancelled call not at all.

DutyCall follows a call from the check of the lease to its outcome. The HTTP library tells just before it writes to the connection; that is the moment logged, with the age and version of the last renewal and the epoch. No decision changes.

--- a/src/godwitmast/capacity/duty.py
+++ b/src/godwitmast/capacity/duty.py
@@ -30,6 +30,7 @@
 from godwitmast.config.document import CapacityPolicy, Document
 from godwitmast.config.follower import ConfigFollower
 from godwitmast.errors import PlatformError, PlatformUnavailable
+from godwitmast.lease.calls import DutyCall
 from godwitmast.lease.intents import (
     Intent,
     RecordOutcome,
@@ -235,14 +236,18 @@
 
     async def send(self, guard: Guard, intent: Intent) -> OrderOutcome:
         """Send the order of an intent; drop the intent once its outcome is known."""
-        fence = guard.fence_if_held(self.clock.now(), self.clock.wall())
-        if fence is None:
+        call = DutyCall.begin(guard, self.clock)
+        if call is None:
             return OrderOutcome.STALE
-        body = {**intent.order, "order_id": intent.intent_id, "fence": fence}
-        outcome = await self.request_order(body)
-        action = intent.order["action"]
-        self.metrics.orders.labels(action, outcome.value).inc()
-        log_event("capacity_order", outcome=outcome.value, **body)
+        body = {**intent.order, "order_id": intent.intent_id}
+        outcome = OrderOutcome.UNKNOWN
+        try:
+            outcome = await self.request_order({**body, "fence": call.fence}, call)
+        finally:
+            action = intent.order["action"]
+            self.metrics.orders.labels(action, outcome.value).inc()
+            fields = call.log_fields()
+            log_event("capacity_order", outcome=outcome.value, **body, **fields)
         if outcome in (OrderOutcome.DONE, OrderOutcome.UNAVAILABLE):
             self.book.remove_pending(intent.intent_id)
             # If this write is lost, the order is sent again, and counts only once.
@@ -251,9 +256,14 @@
             )
         return outcome
 
-    async def request_order(self, body: dict[str, object]) -> OrderOutcome:
+    async def request_order(
+        self, body: dict[str, object], call: DutyCall
+    ) -> OrderOutcome:
         try:
-            answer = await self.platform.order(body, ORDER_TIMEOUT_S)
+            with call.settling():
+                answer = await self.platform.order(
+                    body, ORDER_TIMEOUT_S, call.before_write
+                )
         except PlatformUnavailable:
             return OrderOutcome.NOT_SENT
         except PlatformError:
--- a/src/godwitmast/capacity/zonal_duty.py
+++ b/src/godwitmast/capacity/zonal_duty.py
@@ -18,8 +18,10 @@
 from godwitmast.clock import Clock
 from godwitmast.config.document import Backend
 from godwitmast.errors import PlatformError, PlatformOutcomeUnknown
+from godwitmast.lease.calls import DutyCall
 from godwitmast.lease.machine import Guard
 from godwitmast.logs import log_event
+from godwitmast.platform_api.port import WriteHook
 from godwitmast.types import PoolName, ZoneName
 
 ROUND_S = 0.5
@@ -30,7 +32,11 @@
     """Interface for ordering a number of servers of a kind in a zone."""
 
     async def order_servers(
-        self, pool: PoolName, wanted: DesiredServers, fence: int
+        self,
+        pool: PoolName,
+        wanted: DesiredServers,
+        fence: int,
+        before_write: WriteHook,
     ) -> OrderOutcome:
         """Order a number of servers; raise PlatformError on failure or uncertainty."""
 
@@ -101,26 +107,38 @@
         self, pool: PoolName, wanted: DesiredServers, guard: Guard
     ) -> OrderOutcome:
         """Send a number if the lease is held, and return the outcome."""
-        fence = guard.fence_if_held(self.clock.now(), self.clock.wall())
-        if fence is None:
+        call = DutyCall.begin(guard, self.clock)
+        if call is None:
             return OrderOutcome.STALE
-        error: object = None
+        outcome = OrderOutcome.UNKNOWN
+        error: str | None = "cancelled"
         try:
-            with anyio.fail_after(self.order_timeout_s):
-                outcome = await self.platform.order_servers(pool, wanted, fence)
+            outcome, error = await self.send_call(pool, wanted, call)
+        finally:
+            self.orders.labels(wanted.kind, outcome.value).inc()
+            log_event(
+                "servers_ordered",
+                pool=pool,
+                zone=wanted.zone,
+                kind=wanted.kind,
+                number=wanted.number,
+                outcome=outcome.value,
+                error=error,
+                **call.log_fields(),
+            )
+        return outcome
+
+    async def send_call(
+        self, pool: PoolName, wanted: DesiredServers, call: DutyCall
+    ) -> tuple[OrderOutcome, str | None]:
+        """Send a number, and return the outcome with the error, if any."""
+        try:
+            with call.settling(), anyio.fail_after(self.order_timeout_s):
+                outcome = await self.platform.order_servers(
+                    pool, wanted, call.fence, call.before_write
+                )
         except (PlatformOutcomeUnknown, TimeoutError) as failure:
-            outcome, error = OrderOutcome.UNKNOWN, repr(failure)
+            return OrderOutcome.UNKNOWN, repr(failure)
         except PlatformError as failure:
-            outcome, error = OrderOutcome.NOT_SENT, repr(failure)
-        self.orders.labels(wanted.kind, outcome.value).inc()
-        log_event(
-            "servers_ordered",
-            pool=pool,
-            zone=wanted.zone,
-            kind=wanted.kind,
-            number=wanted.number,
-            fence=fence,
-            outcome=outcome.value,
-            error=error,
-        )
-        return outcome
+            return OrderOutcome.NOT_SENT, repr(failure)
+        return outcome, None
--- /dev/null
+++ b/src/godwitmast/lease/calls.py
@@ -0,0 +1,76 @@
+"""Calls under a lease to a platform, from the check of the lease to the outcome."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import NamedTuple, Self
+
+from godwitmast.clock import Clock
+from godwitmast.errors import PlatformUnavailable
+from godwitmast.lease.machine import Guard
+from godwitmast.platform_api.epoch import number_of
+from godwitmast.types import Json
+
+
+class SentUnder(NamedTuple):
+    """When a call was sent, and the renewal of the lease that was the last one then."""
+
+    wall: float
+    renewal: int
+    renewal_age_s: float
+    epoch: int
+
+
+class DutyCall:
+    """A call that was allowed by the lease, and how it was sent.
+
+    It is settled once it was answered, or was certainly not performed. One that is
+    cancelled or times out may still arrive.
+    """
+
+    def __init__(self, guard: Guard, clock: Clock, fence: int) -> None:
+        self.guard = guard
+        self.clock = clock
+        self.fence = fence
+        self.begun_at = clock.now()
+        self.sent: SentUnder | None = None
+        self.settled = False
+
+    @classmethod
+    def begin(cls, guard: Guard, clock: Clock) -> Self | None:
+        """Return a call if the lease is held, else None."""
+        fence = guard.fence_if_held(clock.now(), clock.wall())
+        return cls(guard, clock, fence) if fence is not None else None
+
+    def before_write(self) -> None:
+        """Record when it was sent; called right before bytes of it are written."""
+        now, wall = self.clock.now(), self.clock.wall()
+        lease = self.guard.held_lease
+        if self.sent is None and lease is not None:
+            age_s = now - lease.sent_now
+            self.sent = SentUnder(wall, lease.beat_version, age_s, lease.epoch)
+
+    @contextmanager
+    def settling(self) -> Iterator[None]:
+        """Record whether the call that is made in this context was settled."""
+        try:
+            yield
+            self.settled = True
+        except PlatformUnavailable:
+            self.settled = True
+            raise
+
+    def log_fields(self) -> Json:
+        """Return log fields that tell a late call of one holder from two holders."""
+        fields: Json = {
+            "fence": self.fence,
+            "settled": self.settled,
+            "took_s": round(self.clock.now() - self.begun_at, 3),
+        }
+        if self.sent is not None:
+            fields |= {
+                "sent_at": round(self.sent.wall, 3),
+                "renewal": number_of(self.sent.renewal),
+                "renewal_age_s": round(self.sent.renewal_age_s, 3),
+                "epoch": self.sent.epoch,
+            }
+        return fields
--- a/src/godwitmast/lease/driver.py
+++ b/src/godwitmast/lease/driver.py
@@ -129,8 +129,9 @@
 
     async def run_duty(self, scope: anyio.CancelScope) -> None:
         name = self.duty.name
-        fence = self.machine.held_lease.fence if self.machine.held_lease else None
-        log_event("lease_gained", lease=name, fence=fence)
+        lease = self.machine.held_lease
+        fence, epoch = (lease.fence, lease.epoch) if lease else (None, None)
+        log_event("lease_gained", lease=name, fence=fence, epoch=epoch)
         try:
             with scope:
                 await self.duty.run(self.machine)
--- a/src/godwitmast/lease/machine.py
+++ b/src/godwitmast/lease/machine.py
@@ -75,6 +75,10 @@
     def reclaimed(self) -> bool:
         """Return whether it was held before a restore of the table, and since."""
 
+    @property
+    def held_lease(self) -> "HeldLease | None":
+        """Return the lease with its last confirmed renewal, perhaps a lapsed one."""
+
 
 @dataclass(frozen=True, slots=True)
 class HeldLease:
--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -43,7 +43,13 @@
 from godwitmast.platform_api.http import HEAD_BYTES, PlatformHttp
 from godwitmast.platform_api.limits import CircuitBreaker, RateBudget
 from godwitmast.platform_api.messages import Conflict, Row, TransactOutcome, Written
-from godwitmast.platform_api.port import Changes, FeedRow, HistoryLost, Snapshot
+from godwitmast.platform_api.port import (
+    Changes,
+    FeedRow,
+    HistoryLost,
+    Snapshot,
+    WriteHook,
+)
 from godwitmast.settings import Listen, PlatformSettings
 from godwitmast.sockets import DEAD_PEER_OPTIONS
 from godwitmast.tls import tls_without_authorities
@@ -339,8 +345,8 @@
             row.ver = make_version(epoch, row.ver)
         return answer
 
-    async def report_usage(self, report: Json) -> None:
-        await self.duties.report_usage(report)
+    async def report_usage(self, report: Json, before_write: WriteHook) -> None:
+        await self.duties.report_usage(report, before_write)
 
 
 class DutyClient(PlatformHttp):
@@ -359,7 +365,7 @@
         """Return the headers with the holder's name and its fencing token."""
         return {DUTY_HOLDER: self.node, FENCING_TOKEN: str(fence)}
 
-    async def report_usage(self, report: Json) -> None:
+    async def report_usage(self, report: Json, before_write: WriteHook) -> None:
         """Report a frozen window: how many requests of each team began in it."""
         window = FrozenWindow(
             report["start"], report["end"], report["figures"], report["late"]
@@ -367,10 +373,16 @@
         width = window.end - window.start
         body = {"window": window.start // width, "counts": count_requests(window)}
         headers = self.duty_headers(report["fence"])
-        await self.send("POST", REPORT_USAGE, json=body, headers=headers)
+        await self.send(
+            "POST", REPORT_USAGE, before_write=before_write, json=body, headers=headers
+        )
 
     async def order_servers(
-        self, pool: PoolName, wanted: DesiredServers, fence: int
+        self,
+        pool: PoolName,
+        wanted: DesiredServers,
+        fence: int,
+        before_write: WriteHook,
     ) -> OrderOutcome:
         """Order a number of servers; at status 409 none of the kind is available."""
         body: Json = {"service": pool, "zone": wanted.zone, "desired": wanted.number}
@@ -378,7 +390,12 @@
             body["spot"] = True
         headers = self.duty_headers(fence)
         response = await self.send(
-            "POST", ORDER_SERVERS, (200, 409), json=body, headers=headers
+            "POST",
+            ORDER_SERVERS,
+            (200, 409),
+            before_write=before_write,
+            json=body,
+            headers=headers,
         )
         refused = response.status_code == 409
         return OrderOutcome.UNAVAILABLE if refused else OrderOutcome.DONE
--- a/src/godwitmast/platform_api/client.py
+++ b/src/godwitmast/platform_api/client.py
@@ -18,6 +18,7 @@
     Vm,
     Written,
 )
+from godwitmast.platform_api.port import WriteHook
 from godwitmast.settings import PlatformSettings
 from godwitmast.types import Json
 
@@ -111,19 +112,27 @@
         answer = await self.send("GET", "/fleet")
         return [FleetServer(**item) for item in answer.json()["servers"]]
 
-    async def order(self, body: Json, timeout_s: float) -> httpx.Response:
+    async def order(
+        self, body: Json, timeout_s: float, before_write: WriteHook
+    ) -> httpx.Response:
         """Send an order for backend servers; the body of a 409 gives the reason for a refusal."""
-        good = (200, 409)
-        return await self.send("POST", "/orders", good, json=body, timeout=timeout_s)
+        return await self.send(
+            "POST",
+            "/orders",
+            (200, 409),
+            before_write=before_write,
+            json=body,
+            timeout=timeout_s,
+        )
 
     async def vms(self) -> list[Vm]:
         """Return the platform's list of VMs, which is updated with a delay."""
         answer = await self.send("GET", "/vms")
         return [Vm(**item) for item in answer.json()["vms"]]
 
-    async def report_usage(self, report: Json) -> None:
+    async def report_usage(self, report: Json, before_write: WriteHook) -> None:
         """Send a usage report to the intake; an identical one may be sent again."""
-        await self.post("/usage", report)
+        await self.send("POST", "/usage", before_write=before_write, json=report)
 
     async def get_object(self, name: str) -> bytes | None:
         answer = await self.send("GET", f"/objects/{name}", good=(200, 404))
--- a/src/godwitmast/platform_api/http.py
+++ b/src/godwitmast/platform_api/http.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
@@ -22,6 +22,7 @@
 from godwitmast.logs import log_event
 from godwitmast.platform_api.calls import CallCounter
 from godwitmast.platform_api.limits import CircuitBreaker, Priority, RateBudget
+from godwitmast.platform_api.port import WriteHook
 from godwitmast.settings import PlatformSettings
 
 MAX_OPEN_CALLS = 8
@@ -40,6 +41,22 @@
 of the HTTP client is for each read, and never ends an answer that keeps arriving."""
 
 
+WRITE_EVENTS = frozenset(
+    ["http11.send_request_headers.started", "http11.send_request_body.started"]
+)
+"""Events of the HTTP library just before it writes to a connection."""
+
+
+def trace_writes(before_write: WriteHook) -> Callable[[str, Any], Awaitable[None]]:
+    """Return a trace for the HTTP library that calls a hook before each write."""
+
+    async def trace(event: str, info: Any) -> None:
+        if event in WRITE_EVENTS:
+            before_write()
+
+    return trace
+
+
 class PlatformHttp:
     """Calls that either return an answer or raise a PlatformError.
 
@@ -80,14 +97,18 @@
         good: tuple[int, ...] = (200,),
         rows: int = 1,
         bypass_breaker: bool = False,
+        before_write: WriteHook | None = None,
         **content: Any,
     ) -> httpx.Response:
         """Return an answer with a status in `good`, or raise a PlatformError.
 
         A call with `bypass_breaker` is sent although the circuit breaker is open, or many
         calls are, so that it succeeds as soon as the platform answers again; its caller
-        has to pace it.
+        has to pace it. `before_write` is called after all waits, for a turn, for the
+        budget and for a connection.
         """
+        if before_write is not None:
+            content["extensions"] = {"trace": trace_writes(before_write)}
         if self.http.is_closed:
             raise PlatformUnavailable(f"{path}: closed")
         if not bypass_breaker and not self.breaker.allow_call(time.monotonic()):
--- a/src/godwitmast/platform_api/port.py
+++ b/src/godwitmast/platform_api/port.py
@@ -1,12 +1,15 @@
 """The interfaces that a platform has to provide."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
 from godwitmast.platform_api.messages import Row, TransactOutcome
 from godwitmast.types import Json
 
+WriteHook = Callable[[], None]
+"""Called right before bytes of a call are written to its connection, head and body."""
+
 
 class Table(Protocol):
     """A table with transactions, and an object store; calls raise PlatformError."""
@@ -27,7 +30,7 @@
 class UsageIntake(Protocol):
     """Receives the figures of frozen windows; the same report may be sent twice."""
 
-    async def report_usage(self, report: Json) -> None: ...
+    async def report_usage(self, report: Json, before_write: WriteHook) -> None: ...
 
 
 class Reporting(Table, UsageIntake, Protocol):
--- a/src/godwitmast/usage/duty.py
+++ b/src/godwitmast/usage/duty.py
@@ -9,6 +9,7 @@
 
 from godwitmast.clock import Clock
 from godwitmast.errors import PlatformError
+from godwitmast.lease.calls import DutyCall
 from godwitmast.lease.machine import Guard
 from godwitmast.logs import log_event
 from godwitmast.platform_api.epoch import TableEpoch
@@ -274,24 +275,33 @@
     async def send(self, guard: Guard, due: DueReport) -> bool:
         """Send one window's frozen figures; return whether the intake accepted them."""
         self.ledger.record_window(due.window, due.digest)
-        report = {**due.window._asdict(), "digest": due.digest}
-        fence = guard.fence_if_held(self.clock.now(), self.clock.wall())
-        if fence is None:
+        call = DutyCall.begin(guard, self.clock)
+        if call is None:
             return False
+        error: str | None = "cancelled"
         try:
-            with anyio.fail_after(self.report_timeout_s):
-                await self.platform.report_usage({**report, "fence": fence})
+            error = await self.send_call(due, call)
+        finally:
+            log_event(
+                "usage_report_failed" if error else "usage_reported",
+                level="WARNING" if error else "INFO",
+                window=due.window.start,
+                digest=due.digest[:12],
+                requests=sum(requests for _, _, _, requests, *_ in due.window.figures),
+                error=error,
+                **call.log_fields(),
+            )
+        return not error
+
+    async def send_call(self, due: DueReport, call: DutyCall) -> str | None:
+        """Send one window's figures; return the error, None if they were accepted."""
+        report = {**due.window._asdict(), "digest": due.digest, "fence": call.fence}
+        try:
+            with call.settling(), anyio.fail_after(self.report_timeout_s):
+                await self.platform.report_usage(report, call.before_write)
         except (PlatformError, TimeoutError) as error:
-            log_event("usage_report_failed", level="WARNING", error=repr(error))
-            return False
-        log_event(
-            "usage_reported",
-            window=due.window.start,
-            digest=due.digest[:12],
-            fence=fence,
-            requests=sum(requests for _, _, _, requests, *_ in due.window.figures),
-        )
-        return True
+            return repr(error)
+        return None
 
     async def watch_rows(self, guard: Guard) -> None:
         """Read the entries' rows for their loads, and remove those of ended runs.
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -175,6 +175,7 @@
     version: int
     fence: int | None = 1
     reclaimed: bool = False
+    held_lease: None = None
 
     def fence_if_held(self, now: float, wall: float) -> int | None:
         return self.fence
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -325,7 +325,7 @@
     async def put_object(self, name: str, content: bytes) -> None:
         self.ask(PutObject(name, content))
 
-    async def report_usage(self, report: Any) -> None:
+    async def report_usage(self, report: Any, before_write: Any) -> None:
         self.reports.append(report["start"])
 
 
--- a/tests/test_zonal_duty.py
+++ b/tests/test_zonal_duty.py
@@ -19,6 +19,7 @@
 from godwitmast.clock import ManualClock
 from godwitmast.config.document import Backend
 from godwitmast.errors import PlatformError, PlatformOutcomeUnknown, PlatformUnavailable
+from godwitmast.platform_api.port import WriteHook
 from godwitmast.types import PoolName, ZoneName
 
 pytestmark = pytest.mark.anyio
@@ -36,7 +37,11 @@
     orders: list[tuple[DesiredServers, int]] = field(default_factory=list)
 
     async def order_servers(
-        self, pool: PoolName, wanted: DesiredServers, fence: int
+        self,
+        pool: PoolName,
+        wanted: DesiredServers,
+        fence: int,
+        before_write: WriteHook,
     ) -> OrderOutcome:
         self.orders.append((wanted, fence))
         if self.hangs:
--- a/tests/usage_fleet.py
+++ b/tests/usage_fleet.py
@@ -16,6 +16,7 @@
 from godwitmast.platform.settings import BoundsTable
 from godwitmast.platform_api.epoch import TableEpoch
 from godwitmast.platform_api.messages import Conflict, Row, TransactOutcome, Written
+from godwitmast.platform_api.port import WriteHook
 from godwitmast.platform_api.steps import (
     Failure,
     GetObject,
@@ -112,7 +113,7 @@
     async def put_object(self, name: str, content: bytes) -> None:
         await self.take(PutObject(name, content))
 
-    async def report_usage(self, report: Json) -> None:
+    async def report_usage(self, report: Json, before_write: WriteHook) -> None:
         await anyio.sleep(CALL_S + self.delay_s)
         self.store.report(report)
         await anyio.sleep(CALL_S + self.delay_s)
