Test calls of a lease holder that the platform performs late

A call that its holder gave up, or that the holder had checked before it stood still, is on the way for some time more, while the next holder already calls.

The stand-in of the store can now perform one usage report or order late, also if its caller is gone, with or without an answer. It records the duty calls in the order in which they were performed, with holder, token and both times. It ignores requests whose body is shorter than announced.

--- a/src/godwitmast/standins/store.py
+++ b/src/godwitmast/standins/store.py
@@ -55,6 +55,24 @@
     number: int
 
 
+class DutyArrival(NamedTuple):
+    """A call of a lease holder that was performed; the times are the stand-in's."""
+
+    holder: str
+    fence: int
+    subject: tuple[str, ...]
+    received_s: float
+    performed_s: float
+
+
+class LateCall(NamedTuple):
+    """The next call to a path is performed late, also if its caller is gone by then."""
+
+    path: str
+    wait_s: float
+    answered: bool = False
+
+
 class StoreBackup(NamedTuple):
     """The content of the store as of one moment."""
 
@@ -79,6 +97,8 @@
     late_s: float = 0.0
     """If above 0, transactions get no answer and are executed after this delay, unless a
     row has another version by then."""
+    late_call: LateCall | None = None
+    """One usage report or order that is performed late; None again once it is received."""
 
 
 @dataclass
@@ -91,6 +111,8 @@
     objects: dict[str, bytes] = field(default_factory=dict)
     reports: list[UsageReport] = field(default_factory=list)
     orders: list[ServersOrder] = field(default_factory=list)
+    arrivals: list[DutyArrival] = field(default_factory=list)
+    """Usage reports and orders, in the order in which they were performed."""
     calls: list[str] = field(default_factory=list)
     faults: StoreFaults = field(default_factory=StoreFaults)
     version: int = 0
@@ -112,6 +134,10 @@
     async def close(self) -> None:
         await self.server.close()
 
+    def seconds(self) -> float:
+        """Return the seconds since the stand-in was made."""
+        return time.monotonic() - self.started_at
+
     def write(self, puts: list[StoredRow]) -> None:
         """Write or remove rows in one transaction, without checks."""
         self.version += 1
@@ -172,6 +198,8 @@
         if scope["type"] != "http":
             return
         body = await read_body(receive)
+        if not is_whole(scope, body):
+            return
         path = scope["path"]
         self.calls.append(path)
         if self.faults.silent:
@@ -182,8 +210,53 @@
         if path == TRANSACT and self.faults.late_s and self.tasks:
             self.tasks.start_soon(self.transact_later, body, self.faults.late_s)
             await anyio.sleep(NO_ANSWER_S)
+        if path in (REPORT_USAGE, ORDER_SERVERS):
+            status = await self.receive_duty_call(scope, body)
+            if self.faults.answers_lost:
+                await anyio.sleep(NO_ANSWER_S)
+            await self.respond(send, status, b"{}")
+            return
         await self.answer(scope, body, send)
 
+    async def receive_duty_call(self, scope: Scope, body: bytes) -> int:
+        """Perform a duty's call, perhaps late, and return its status."""
+        received_s = self.seconds()
+        late = self.faults.late_call
+        if late is None or late.path != scope["path"] or self.tasks is None:
+            return self.perform_duty_call(scope, body, received_s)
+        self.faults.late_call = None
+        statuses: list[int] = []
+        performed = anyio.Event()
+
+        async def perform_late() -> None:
+            await anyio.sleep(late.wait_s)
+            statuses.append(self.perform_duty_call(scope, body, received_s))
+            performed.set()
+
+        # A task of the stand-in: the one of the request may end with its connection.
+        self.tasks.start_soon(perform_late)
+        await performed.wait()
+        if not late.answered:
+            await anyio.sleep(NO_ANSWER_S)
+        return statuses[0]
+
+    def perform_duty_call(self, scope: Scope, body: bytes, received_s: float) -> int:
+        """Record a duty's call as arrived now, and return its status."""
+        content = msgspec.json.decode(body)
+        subject: tuple[str, ...] = ("usage",)
+        status = 200
+        if scope["path"] == REPORT_USAGE:
+            self.record_report(scope, content)
+        else:
+            status = self.record_order(scope, content)
+            kind = "spot" if content.get("spot", False) else "standard"
+            subject = ("order", content["service"], content["zone"], kind)
+        holder, fence = read_duty_headers(scope)
+        self.arrivals.append(
+            DutyArrival(holder, fence, subject, received_s, self.seconds())
+        )
+        return status
+
     async def transact_later(self, body: bytes, wait_s: float) -> None:
         await anyio.sleep(wait_s)
         self.transact(msgspec.json.decode(body))
@@ -206,10 +279,6 @@
         elif path.startswith(GET_OBJECT):
             found = self.objects.get(path.removeprefix(GET_OBJECT))
             status, content = (404, b"") if found is None else (200, found)
-        elif path == REPORT_USAGE:
-            self.record_report(scope, msgspec.json.decode(body))
-        elif path == ORDER_SERVERS:
-            status = self.record_order(scope, msgspec.json.decode(body))
         else:
             status = 404
         if self.faults.answers_lost:
@@ -279,7 +348,7 @@
         return [row for row in self.history if row.ver > version and row.table == table]
 
     def encode_rows(self, rows: list[StoredRow], truncated: bool = False) -> bytes:
-        now_ms = (time.monotonic() - self.started_at) * 1000
+        now_ms = self.seconds() * 1000
         return msgspec.json.encode(
             {"rows": rows, "truncated": truncated, "ver": self.version, "nowMs": now_ms}
         )
@@ -308,6 +377,12 @@
     return headers[DUTY_HOLDER.lower()], int(headers[FENCING_TOKEN.lower()])
 
 
+def is_whole(scope: Scope, body: bytes) -> bool:
+    """Return whether a body is as long as announced, so not broken off."""
+    headers = dict(scope["headers"])
+    return len(body) == int(headers.get(b"content-length", len(body)))
+
+
 async def read_body(receive: Receive) -> bytes:
     """Return the whole body of a request."""
     chunks = []
