Check the lease again right before a call is written

What the platform may see: a call whose lease has been over for seconds, after one of the next holder.

Cause: the lease was checked before the call waited for its turn, for the rate budget and for a connection. Its time-out doesn't prevent that: a connection that is made when the process runs on is used in the same turn of the event loop in which the time-out falls due.

Whether this is what the users saw isn't known: their record tells no moment of sending.

The HTTP library calls DutyCall.before_write right before it writes the head and the body. If the lease is over the call fails with LeaseLost, as not sent, which is true: a request without its body isn't performed. The circuit breaker doesn't count it.

--- a/src/godwitmast/errors.py
+++ b/src/godwitmast/errors.py
@@ -30,6 +30,10 @@
     """A rate limit prevented the call, so nothing took effect."""
 
 
+class LeaseLost(PlatformUnavailable):
+    """The lease was lost before the call was written, so nothing took effect."""
+
+
 class PlatformOutcomeUnknown(PlatformError):
     """The request was sent but not properly answered: it may have taken effect."""
 
--- a/src/godwitmast/lease/calls.py
+++ b/src/godwitmast/lease/calls.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple, Self
 
 from godwitmast.clock import Clock
-from godwitmast.errors import PlatformUnavailable
+from godwitmast.errors import LeaseLost, PlatformUnavailable
 from godwitmast.lease.machine import Guard
 from godwitmast.platform_api.epoch import number_of
 from godwitmast.types import Json
@@ -42,8 +42,14 @@
         return cls(guard, clock, fence) if fence is not None else None
 
     def before_write(self) -> None:
-        """Record when it was sent; called right before bytes of it are written."""
+        """Check the lease again, right before bytes of the call are written.
+
+        Between the first check and this one the call waits for its turn and for a
+        connection, and the process may have been suspended beyond its lease.
+        """
         now, wall = self.clock.now(), self.clock.wall()
+        if self.guard.fence_if_held(now, wall) != self.fence:
+            raise LeaseLost("not written, as the lease is over")
         lease = self.guard.held_lease
         if self.sent is None and lease is not None:
             age_s = now - lease.sent_now
@@ -68,7 +74,7 @@
         }
         if self.sent is not None:
             fields |= {
-                "sent_at": round(self.sent.wall, 3),
+                "sent_at": f"{self.sent.wall:.3f}",
                 "renewal": number_of(self.sent.renewal),
                 "renewal_age_s": round(self.sent.renewal_age_s, 3),
                 "epoch": self.sent.epoch,
--- a/src/godwitmast/platform_api/http.py
+++ b/src/godwitmast/platform_api/http.py
@@ -14,6 +14,7 @@
     read_decoded,
 )
 from godwitmast.errors import (
+    LeaseLost,
     PlatformError,
     PlatformOutcomeUnknown,
     PlatformThrottled,
@@ -121,7 +122,7 @@
             else:
                 answer = await self.request_in_turn(method, path, **content)
             return self.check_status(path, answer, good, budget)
-        except PlatformThrottled:
+        except (PlatformThrottled, LeaseLost):
             raise
         except PlatformError:
             self.breaker.record_failure(time.monotonic())
