Mark a window with whether an earlier report of it may arrive

A report that times out is sent again. Its answer marked the window, and a next holder took that as proof that no report was on the way, and called at once after a lapse, though the first report could still arrive. The mark now tells so; the next holder then waits.

--- a/src/godwitmast/lease/machine.py
+++ b/src/godwitmast/lease/machine.py
@@ -94,6 +94,9 @@
     def end_call(self, fence: int, settled: bool, now: float) -> None:
         """End a call, which is settled if it can no longer arrive."""
 
+    def calls_settled(self, now: float) -> bool:
+        """Return whether no call of this process may still arrive."""
+
     @property
     def checks(self) -> dict[str, int]:
         """Return the row versions that make a deposed holder's transaction fail."""
@@ -228,6 +231,10 @@
         """End a call, which is settled if it can no longer arrive."""
         self.calls.end(fence, settled, now)
 
+    def calls_settled(self, now: float) -> bool:
+        """Return whether no call of this process may still arrive."""
+        return self.calls.arrive_until() <= now
+
     def stop_calls(self) -> None:
         """Begin no more calls, but hold the lease until those that are open have ended."""
         self.calls_stopped = True
--- a/src/godwitmast/usage/duty.py
+++ b/src/godwitmast/usage/duty.py
@@ -260,7 +260,9 @@
                 return
             self.unreported.pop(due.window.start, None)
             self.ledger.record_reported(due.window.start)
-            version = await run_steps(self.platform, mark_reported(guard.checks, due))
+            settled = guard.calls_settled(self.clock.now())
+            mark = mark_reported(guard.checks, due, settled)
+            version = await run_steps(self.platform, mark)
             if version is None:
                 self.last_reported = None
                 return
@@ -275,13 +277,14 @@
 
         It marked each window that it froze after the answer to its report. So if the
         first one that is not marked was frozen by this process, none is on the way,
-        unless the table was restored since the lease was taken.
+        unless the mark tells of an earlier report without an answer, or the table was
+        restored since the lease was taken.
         """
         lease = guard.held_lease
         if lease is None or lease.epoch != self.epoch.current:
             return
         if isinstance(due, DueReport) and due.window.start in self.unreported:
-            self.predecessor_settled = True
+            self.predecessor_settled = due.marked_settled
 
     def next_unreported(self) -> DueReport | None:
         """Return the window after the last reported one, if this process froze it.
--- a/src/godwitmast/usage/windows.py
+++ b/src/godwitmast/usage/windows.py
@@ -316,11 +316,16 @@
 
 
 class DueReport(NamedTuple):
-    """A frozen window that the usage intake has not confirmed."""
+    """A frozen window that the usage intake has not confirmed.
+
+    `marked_settled` is false if the window before it was marked when an earlier report
+    of it could still arrive.
+    """
 
     window: FrozenWindow
     digest: str
     reported_version: int
+    marked_settled: bool = True
 
 
 def next_report(window_s: int) -> Steps[DueReport | Failure | None]:
@@ -347,18 +352,23 @@
     content = yield GetObject(row["object"])
     if not isinstance(content, ObjectRead) or content.content is None:
         return Failure.NOT_DONE
-    return DueReport(decode_window(content.content), row["digest"], version)
+    settled = reported is None or reported.get("settled", True)
+    return DueReport(decode_window(content.content), row["digest"], version, settled)
 
 
-def mark_reported(lease: Checks, due: DueReport) -> Steps[int | None]:
+def mark_reported(
+    lease: Checks, due: DueReport, settled: bool = True
+) -> Steps[int | None]:
     """Record that the intake accepted a window, and return that row's new version.
 
+    `settled` is whether no earlier report of this holder may still arrive.
     None if the write failed or its outcome is unknown: the window is then sent again
     with identical figures.
     """
+    row = {"start": due.window.start, "digest": due.digest}
     result = yield Transact(
         {**lease, REPORTED_KEY: due.reported_version},
-        {REPORTED_KEY: {"start": due.window.start, "digest": due.digest}},
+        {REPORTED_KEY: row if settled else {**row, "settled": False}},
     )
     return result.versions[REPORTED_KEY] if isinstance(result, Written) else None
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -193,6 +193,9 @@
     def end_call(self, fence: int, settled: bool, now: float) -> None:
         pass
 
+    def calls_settled(self, now: float) -> bool:
+        return True
+
     @property
     def checks(self) -> dict[str, int]:
         return {ORDERS_LEASE: self.version}
