Model and virtual fleets with calls that arrive late

The lease model let an order arrive within its time-out only, and left only when no order was on the way: it excluded the cause of the incident. Calls are now begun, checked at the write, arrive any time within late_s, and end with or without an answer, over stops, kills, pauses and restores.

Orders and reports share one token: if a platform compared tokens over all kinds of calls, a late order could still follow a report. The model shows that; the users' rule compares them by duty and subject.

--- a/tests/test_lease_model.py
+++ b/tests/test_lease_model.py
@@ -1,7 +1,10 @@
 """Model of the lease protocol under lost, delayed and repeated messages, pauses and
-restarts."""
+restarts, with calls that arrive late at a platform that doesn't check fencing tokens."""
 
+import math
+from collections import defaultdict
 from dataclasses import dataclass, replace
+from enum import Enum
 from itertools import count
 
 import pytest
@@ -9,12 +12,18 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from fakes import FakePlatform, Fate, RestoredPlatform
+from godwitmast.lease.call_log import CallLog
 from godwitmast.lease.machine import NO_HOLDER, LeaseMachine, LeaseTiming
-from godwitmast.platform_api.steps import Result, Step
+from godwitmast.platform_api.messages import Written
+from godwitmast.platform_api.steps import Read, Result, Rows, Step, Transact
 from models import BROKEN_EXAMPLES, EXPLORED, explore
 
-TIMING = LeaseTiming(ttl_s=8.0, guard_s=3.0, renew_s=2.0, watch_s=1.0)
-ORDER_TIMEOUT_S = 2.0
+TIMING = LeaseTiming(ttl_s=8.0, guard_s=3.0, renew_s=2.0, watch_s=1.0, late_s=8.0)
+LATE_STEPS = 20
+"""Steps of an example in the search for late calls, each of which needs few rules."""
+
+FROZEN_KEY = "usage/frozen"
+MARKED_KEY = "usage/marked"
 
 PROCESSES = st.integers(0, 2)
 FATES = st.sampled_from([Fate.ANSWERED] * 4 + list(Fate))
@@ -31,30 +40,66 @@
     answer: Result | None = None
 
 
-@dataclass(frozen=True)
-class Order:
-    """An order in flight to a server that does not check fencing tokens."""
+class Kind(Enum):
+    """What a call is for; the platform compares the tokens of calls of one kind."""
+
+    ORDER = "order"
+    REPORT = "report"
+
+
+KINDS = st.sampled_from(Kind)
+
+
+class Fault(Enum):
+    """What befalls the holder around a call."""
+
+    NONE = "none"
+    PAUSED = "paused"
+    PAUSED_BEFORE_WRITE = "paused_before_write"
+    STOPPED = "stopped"
+    KILLED = "killed"
+
+
+@dataclass
+class Call:
+    """A call of one machine; `window` and its mark's version are those of a report."""
 
+    machine: LeaseMachine
     fence: int
-    arrives_by: float
+    kind: Kind
+    window: int = 0
+    mark_version: int = 0
+    written_at: float | None = None
+    open: bool = True
+    arrived: bool = False
 
 
 class LeaseModel(RuleBasedStateMachine):
-    """Three contenders, their table, and a server that obeys whoever orders.
+    """Three contenders, their table, and a platform that obeys whoever calls.
 
     A process that no rule picks is paused: time passes for it as for the rest.
     """
 
     machine_type: type[LeaseMachine] = LeaseMachine
+    rates = (0.9, 1.0, 1.1)
+    checks_at_write = True
+    marks_only_settled = True
+    """Whether a mark tells that an earlier report of its holder may still arrive."""
 
     @initialize()
     def begin(self) -> None:
         self.platform = FakePlatform()
         self.time = 1000.0
         self.names = count()
-        self.orders: list[Order] = []
-        self.highest_fence = 0
-        self.contenders = [Contender(self.fresh(), r) for r in (0.9, 1.0, 1.1)]
+        self.calls: list[Call] = []
+        self.highest_fences: defaultdict[Kind, int] = defaultdict(int)
+        self.senders: dict[int, str] = {}
+        self.frozen_by: dict[tuple[int, int], str] = {}
+        self.contenders = [Contender(self.fresh(), rate) for rate in self.rates]
+        # Within `late_s` of the slowest clocks of a holder and the fastest of the next:
+        # both times of a lapse count from one renewal.
+        ttl_s, late_s = TIMING.ttl_s, TIMING.late_s
+        self.arrives_s = (ttl_s + late_s) / max(self.rates) - ttl_s / min(self.rates)
 
     def fresh(self) -> LeaseMachine:
         return self.machine_type("spend", f"holder-{next(self.names)}", TIMING)
@@ -70,7 +115,15 @@
     def pass_time(self, seconds: float) -> None:
         self.count()
         self.time += seconds
-        self.orders = [o for o in self.orders if o.arrives_by >= self.time]
+        self.calls = [
+            call
+            for call in self.calls
+            if call.open or (not call.arrived and self.may_arrive(call))
+        ]
+
+    def may_arrive(self, call: Call) -> bool:
+        written_at = call.written_at
+        return written_at is not None and self.time < written_at + self.arrives_s
 
     @rule(rounds=st.integers(1, 16), paused=st.sets(PROCESSES, max_size=2))
     def run(self, rounds: int, paused: set[int]) -> None:
@@ -78,10 +131,69 @@
         for _ in range(rounds):
             self.pass_time(1.0)
             for who in {0, 1, 2} - paused:
-                self.order(who)
+                if self.holds(who):
+                    self.call_is_answered(who, Kind.ORDER)
+                    self.call_is_answered(who, Kind.REPORT)
                 self.take_a_step(who, Fate.ANSWERED)
-            while self.orders:
-                self.order_arrives(0)
+
+    def holds(self, who: int) -> bool:
+        contender = self.contenders[who]
+        return contender.machine.fence_if_held(*self.clocks(contender)) is not None
+
+    @rule(
+        kind=KINDS,
+        stale=st.integers(0, 8),
+        fault=st.sampled_from(Fault),
+        again=st.booleans(),
+        rounds=st.integers(0, 16),
+    )
+    def call_arrives_late(
+        self, kind: Kind, stale: int, fault: Fault, again: bool, rounds: int
+    ) -> None:
+        """Have the holder call some time after a renewal, and others work meanwhile."""
+        self.late_call(kind, stale, fault, again, rounds)
+
+    def late_call(
+        self, kind: Kind, stale: int, fault: Fault, again: bool, rounds: int
+    ) -> None:
+        holder = self.some_holder()
+        if holder is None:
+            return
+        self.run(stale, {holder})
+        call = self.try_call(holder, kind)
+        if call is None:
+            return
+        if fault is not Fault.PAUSED_BEFORE_WRITE:
+            self.write(call)
+            if call.open:
+                self.end(call, settled=False)
+        if again:
+            self.call_is_answered(holder, kind)
+        match fault:
+            case Fault.STOPPED:
+                self.leave(holder, cancels=True)
+                self.take_a_step(holder, Fate.ANSWERED)
+            case Fault.KILLED:
+                self.restart_empty(holder)
+        paused = fault in (Fault.PAUSED, Fault.PAUSED_BEFORE_WRITE)
+        self.work_meanwhile(rounds, {holder} if paused else set())
+        if call.open and call.written_at is None:
+            self.write(call)
+        if not call.arrived and self.may_arrive(call):
+            self.arrive(call, answered=False)
+
+    def some_holder(self) -> int | None:
+        """Replace the processes that have stopped, and return one that holds the lease."""
+        self.platform.away = False
+        for who, contender in enumerate(self.contenders):
+            if contender.machine.calls_stopped:
+                self.restart_empty(who)
+        if not any(map(self.holds, range(3))):
+            self.run(13, set())
+        return next(filter(self.holds, range(3)), None)
+
+    def work_meanwhile(self, rounds: int, paused: set[int]) -> None:
+        self.run(rounds, paused)
 
     @rule(who=PROCESSES, fate=FATES)
     def take_a_step(self, who: int, fate: Fate) -> None:
@@ -127,22 +239,139 @@
         if self.platform.late:
             self.platform.arrive(index)
 
-    @rule(who=PROCESSES)
-    def order(self, who: int) -> None:
-        """Give an order after the last-step check."""
+    @rule(who=PROCESSES, kind=KINDS)
+    def begin_call(self, who: int, kind: Kind) -> None:
+        """Begin a call, which is written later or never."""
+        self.try_call(who, kind)
+
+    def try_call(self, who: int, kind: Kind) -> Call | None:
+        """Begin a call and return it, None if it may not begin."""
         self.count()
         contender = self.contenders[who]
-        fence = contender.machine.fence_if_held(*self.clocks(contender))
-        if fence is not None:
-            self.orders.append(Order(fence, self.time + ORDER_TIMEOUT_S))
+        machine = contender.machine
+        call = Call(machine, 0, kind)
+        settled = kind is Kind.REPORT and self.freeze(who, call)
+        if kind is Kind.REPORT and not call.window:
+            return None
+        fence = machine.begin_call(*self.clocks(contender), settled)
+        if fence is None:
+            return None
+        call.fence = fence
+        self.calls.append(call)
+        return call
+
+    def freeze(self, who: int, call: Call) -> bool:
+        """Set the window to report, after freezing one if all are marked.
+
+        Return whether the first window that isn't marked shows that no report of the
+        last holder is on the way. A process reports one window at a time.
+        """
+        contender = self.contenders[who]
+        machine = contender.machine
+        reporting = any(
+            c.machine is machine and c.window and c.open for c in self.calls
+        )
+        fence = machine.fence_if_held(*self.clocks(contender))
+        rows = self.take_usage(who, Read([FROZEN_KEY, MARKED_KEY]))
+        if reporting or fence is None or not isinstance(rows, Rows):
+            return False
+        frozen = rows.value(FROZEN_KEY) or 0
+        mark = rows.value(MARKED_KEY) or {"window": 0, "settled": True}
+        if frozen == mark["window"]:
+            checks = {**machine.checks, FROZEN_KEY: rows.version(FROZEN_KEY)}
+            step = Transact(checks, {FROZEN_KEY: frozen + 1})
+            if not isinstance(self.take_usage(who, step), Written):
+                return False
+            self.frozen_by[fence, frozen + 1] = machine.holder
+        call.window, call.mark_version = mark["window"] + 1, rows.version(MARKED_KEY)
+        return (fence, call.window) in self.frozen_by and mark["settled"]
+
+    def mark(self, who: int, call: Call) -> None:
+        """Record that a report was answered."""
+        now = self.clocks(self.contenders[who])[0]
+        settled = call.machine.calls_settled(now)
+        row = {
+            "window": call.window,
+            "settled": settled or not self.marks_only_settled,
+        }
+        checks = {**call.machine.checks, MARKED_KEY: call.mark_version}
+        self.take_usage(who, Transact(checks, {MARKED_KEY: row}))
+
+    def take_usage(self, who: int, step: Step) -> Result:
+        return self.platform.take(step)
 
     @rule(index=st.integers(0, 5))
-    def order_arrives(self, index: int) -> None:
+    def write_call(self, index: int) -> None:
+        """Write a call if the lease is still held; its process may have been paused."""
         self.count()
-        if self.orders:
-            order = self.orders.pop(index % len(self.orders))
-            assert order.fence >= self.highest_fence, "a deposed holder was obeyed"
-            self.highest_fence = order.fence
+        calls = [c for c in self.calls if c.open and c.written_at is None]
+        if calls:
+            self.write(calls[index % len(calls)])
+
+    def write(self, call: Call) -> None:
+        contender = self.contenders[self.owner(call)]
+        fence = call.machine.fence_if_held(*self.clocks(contender))
+        if fence == call.fence or not self.checks_at_write:
+            call.written_at = self.time
+        else:
+            self.end(call, settled=True)
+
+    @rule(index=st.integers(0, 5), answered=st.booleans())
+    def call_arrives(self, index: int, answered: bool) -> None:
+        self.count()
+        calls = [c for c in self.calls if not c.arrived and self.may_arrive(c)]
+        if calls:
+            self.arrive(calls[index % len(calls)], answered)
+
+    def arrive(self, call: Call, answered: bool) -> None:
+        """Perform a call at the platform, whose answer arrives if its caller waits."""
+        call.arrived = True
+        fence, kind = call.fence, call.kind
+        holder = self.senders.setdefault(fence, call.machine.holder)
+        assert holder == call.machine.holder, f"two processes sent {fence}"
+        assert fence >= self.highest_fences[kind], "a deposed holder was obeyed"
+        self.highest_fences[kind] = fence
+        if answered and call.open:
+            self.end(call, settled=True)
+
+    @rule(index=st.integers(0, 5))
+    def call_fails(self, index: int) -> None:
+        """Time out or cancel a call, which is settled only if it wasn't written."""
+        self.count()
+        calls = [c for c in self.calls if c.open]
+        if calls:
+            call = calls[index % len(calls)]
+            self.end(call, settled=call.written_at is None)
+
+    def owner(self, call: Call) -> int:
+        return next(
+            n for n, c in enumerate(self.contenders) if c.machine is call.machine
+        )
+
+    def end(self, call: Call, settled: bool) -> None:
+        call.open = False
+        who = self.owner(call)
+        now = self.clocks(self.contenders[who])[0]
+        call.machine.end_call(call.fence, settled, now)
+        if settled and call.arrived and call.window:
+            self.mark(who, call)
+
+    @rule(who=PROCESSES, kind=KINDS)
+    def call_is_not_answered(self, who: int, kind: Kind) -> None:
+        """Write a call that is cancelled at once and may arrive late."""
+        call = self.try_call(who, kind)
+        if call is not None:
+            self.write(call)
+            if call.open:
+                self.end(call, settled=False)
+
+    @rule(who=PROCESSES, kind=KINDS)
+    def call_is_answered(self, who: int, kind: Kind) -> None:
+        call = self.try_call(who, kind)
+        if call is not None:
+            self.write(call)
+            if call.open:
+                self.arrive(call, answered=True)
 
     @rule(who=PROCESSES)
     def restart_empty(self, who: int) -> None:
@@ -150,6 +379,8 @@
         old = self.contenders[who]
         if old.sent is not None:
             self.platform.late.append(old.sent)
+        for call in self.calls:
+            call.open = call.open and call.machine is not old.machine
         self.contenders[who] = replace(
             old, machine=self.fresh(), sent=None, answer=None
         )
@@ -160,11 +391,24 @@
         self.contenders[who].wall_offset += seconds
 
     @rule(who=st.integers(0, 8))
-    def leave(self, who: int) -> None:
-        """Give the lease up, which is done only with no order under way."""
+    def stop_calls(self, who: int) -> None:
+        """Begin no more calls; the lease is released once those that are open ended."""
         self.count()
-        if not self.orders and who < len(self.contenders):
-            self.contenders[who].machine.give_up()
+        if who < len(self.contenders):
+            self.contenders[who].machine.stop_calls()
+
+    @rule(who=st.integers(0, 8), cancels=st.booleans())
+    def leave(self, who: int, cancels: bool) -> None:
+        """Give the lease up without an open call; cancel them if they take too long."""
+        self.stop_calls(who)
+        if who >= len(self.contenders):
+            return
+        machine = self.contenders[who].machine
+        if cancels:
+            for call in [c for c in self.calls if c.open and c.machine is machine]:
+                self.end(call, settled=call.written_at is None)
+        if not machine.calls.open_count:
+            machine.give_up()
 
     @rule(away=st.sampled_from([False, False, True]))
     def table_goes_or_comes(self, away: bool) -> None:
@@ -193,6 +437,7 @@
         self.sent_epochs = [1, 1, 1]
         self.answer_epochs = [1, 1, 1]
         self.holders_of_fences: dict[int, str] = {}
+        self.restore_next: tuple[int, int] | None = None
 
     @rule(seconds=st.sampled_from([0.5, 1.0, 2.0, 3.0, 12.0, 14.0]))
     def pass_time(self, seconds: float) -> None:
@@ -226,6 +471,41 @@
         answered = fate is Fate.ANSWERED and not self.platform.away
         self.answer_epochs[who] = self.platform.epoch if answered else sent_epoch
 
+    @rule(
+        kind=KINDS,
+        stale=st.integers(0, 8),
+        fault=st.sampled_from(Fault),
+        again=st.booleans(),
+        rounds=st.integers(0, 16),
+        back=st.integers(1, 12),
+        rounds_after=st.integers(1, 8),
+    )
+    def call_arrives_after_a_restore(
+        self,
+        kind: Kind,
+        stale: int,
+        fault: Fault,
+        again: bool,
+        rounds: int,
+        back: int,
+        rounds_after: int,
+    ) -> None:
+        self.restore_next = (back, rounds_after)
+        self.late_call(kind, stale, fault, again, rounds)
+        self.restore_next = None
+
+    def work_meanwhile(self, rounds: int, paused: set[int]) -> None:
+        super().work_meanwhile(rounds, paused)
+        if self.restore_next is not None:
+            back, rounds_after = self.restore_next
+            self.restore(back)
+            self.run(rounds_after, paused)
+
+    def take_usage(self, who: int, step: Step) -> Result:
+        result = self.platform.take_of(step, self.known[who], Fate.ANSWERED)
+        self.observe(who, self.platform.epoch if not self.platform.away else 0)
+        return result
+
     @rule(who=PROCESSES)
     def learn(self, who: int) -> None:
         if self.contenders[who].answer is not None:
@@ -313,6 +593,69 @@
         return now >= self.observed_since + self.timing.ttl_s / 2
 
 
+class LeaseSilentAboutCalls(LeaseMachine):
+    """Cancels its calls and releases at once without telling that they may arrive."""
+
+    def calls_arrive_for_s(self, now: float) -> float:
+        return 0.0
+
+
+class LeaseWithoutWaitAfterLapse(LeaseMachine):
+    """Begins calls as soon as it takes a lease that lapsed."""
+
+    def wait_for_calls_of(self, observed) -> None:
+        super().wait_for_calls_of(observed)
+        self.calls_from_after_lapse = -math.inf
+
+
+class LeaseIgnoringOwnCalls(LeaseMachine):
+    """Calls at once under a higher token, though its own earlier calls may arrive."""
+
+    def fence_for_call(self, now, wall, predecessor_settled=False) -> int | None:
+        log, self.calls = self.calls, CallLog(self.timing.late_s)
+        fence = super().fence_for_call(now, wall, predecessor_settled)
+        self.calls = log
+        return fence
+
+
+class EqualRatesModel(LeaseModel):
+    """Calls arrive up to `late_s` after they were written, by clocks of one rate."""
+
+    rates = (1.0, 1.0, 1.0)
+
+
+class EqualRatesRestoredModel(RestoredLeaseModel):
+    """The same, with a table that is restored now and then."""
+
+    rates = (1.0, 1.0, 1.0)
+
+
+class UncheckedWriteModel(EqualRatesModel):
+    """Writes a call without checking the lease again."""
+
+    checks_at_write = False
+
+
+class SecondReportModel(EqualRatesModel):
+    """Marks a window whose first report, without an answer, may still arrive."""
+
+    marks_only_settled = False
+
+    def late_call(self, kind, stale, fault, again, rounds) -> None:
+        super().late_call(Kind.REPORT, stale, fault, True, rounds)
+
+
+class OneTokenForAllKindsModel(EqualRatesModel):
+    """A platform that compares the tokens of reports with those of orders."""
+
+    def late_call(self, kind, stale, fault, again, rounds) -> None:
+        super().late_call(Kind.ORDER, stale, fault, False, rounds)
+
+    def arrive(self, call: Call, answered: bool) -> None:
+        self.highest_fences[call.kind] = max(self.highest_fences.values(), default=0)
+        super().arrive(call, answered)
+
+
 def test_lease_has_one_holder_at_a_time_whatever_fails() -> None:
     explore(LeaseModel)
 
@@ -345,3 +688,42 @@
     )
     with pytest.raises(AssertionError):
         explore(model, examples=BROKEN_EXAMPLES)
+
+
+@pytest.mark.parametrize("model", [EqualRatesModel])
+def test_late_calls_are_safe_up_to_the_bound(model: type[LeaseModel]) -> None:
+    """Guards against a wait that is shorter than the time in which a call may arrive."""
+    explore(model, examples=60)
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [LeaseSilentAboutCalls, LeaseWithoutWaitAfterLapse],
+)
+def test_model_finds_late_calls(broken: type[LeaseMachine]) -> None:
+    """Guards against a model that can't show the fault of which it clears the lease."""
+    model = type(
+        f"{broken.__name__}Model", (EqualRatesModel,), {"machine_type": broken}
+    )
+    with pytest.raises(AssertionError, match="a deposed holder was obeyed"):
+        explore(model, examples=BROKEN_EXAMPLES, steps=LATE_STEPS)
+
+
+@pytest.mark.parametrize(
+    "model", [UncheckedWriteModel, SecondReportModel, OneTokenForAllKindsModel]
+)
+def test_model_finds_late_calls_of_a_driver(model: type[LeaseModel]) -> None:
+    """Guards against a model that misses the faults of work under a lease."""
+    with pytest.raises(AssertionError, match="a deposed holder was obeyed"):
+        explore(model, examples=BROKEN_EXAMPLES, steps=LATE_STEPS)
+
+
+def test_model_finds_own_late_calls_over_restores() -> None:
+    """Guards against a model that misses a holder's calls under its earlier token."""
+    model = type(
+        "IgnoringOwnCallsModel",
+        (EqualRatesRestoredModel,),
+        {"machine_type": LeaseIgnoringOwnCalls},
+    )
+    with pytest.raises(AssertionError, match="a deposed holder was obeyed"):
+        explore(model, examples=BROKEN_EXAMPLES, steps=LATE_STEPS)
--- a/tests/usage_fleet.py
+++ b/tests/usage_fleet.py
@@ -1,5 +1,6 @@
 """VMs that count, write and report usage on a store that can be restored, in virtual time."""
 
+import asyncio
 import random
 from collections import defaultdict
 from itertools import count
@@ -58,9 +59,14 @@
         super().__init__()
         self.reports: defaultdict[int, set[int]] = defaultdict(set)
         self.late = 0
+        self.fences: list[int] = []
+        """Fencing tokens of the reports in the order in which they arrived."""
+        self.report_delays: list[float] = []
+        """For how long each of the next reports is late; those after it aren't."""
 
     def report(self, report: Json) -> None:
         """Count requests that began in the window itself, as the platform's client does."""
+        self.fences.append(report["fence"])
         total = sum(row[3] for row in report["figures"])
         late = sum(row[3] for row in report["late"])
         self.reports[report["start"]].add(total - late)
@@ -72,6 +78,8 @@
 
     def __init__(self, store: Store, clock: LoopClock, epoch: TableEpoch) -> None:
         self.store = store
+        self.cut_off = False
+        self.calls = 0
         self.epoch = epoch
         self.clock = clock
         self.delay_s = 0.0
@@ -79,6 +87,9 @@
 
     async def take(self, step: Step) -> Any:
         await anyio.sleep(CALL_S + self.delay_s)
+        self.calls += 1
+        if self.cut_off:
+            raise PlatformUnavailable("cut off")
         known = self.epoch.current
         result: Result = self.store.take_of(step, known, Fate.ANSWERED)
         epoch = self.store.epoch
@@ -114,9 +125,13 @@
         await self.take(PutObject(name, content))
 
     async def report_usage(self, report: Json, before_write: WriteHook) -> None:
+        """Send a report, which arrives also if its caller gives it up."""
         await anyio.sleep(CALL_S + self.delay_s)
-        self.store.report(report)
-        await anyio.sleep(CALL_S + self.delay_s)
+        before_write()
+        delays = self.store.report_delays
+        late_s = delays.pop(0) if delays else 0.0
+        asyncio.get_running_loop().call_later(late_s, self.store.report, report)
+        await anyio.sleep(CALL_S + self.delay_s + late_s)
 
 
 class Vm:
@@ -147,10 +162,17 @@
         # The driver's own holder has a random part.
         self.lease.machine = LeaseMachine(duty.name, name, lease_timing(bounds))
         self.counted = 0
+        self.killed = anyio.CancelScope()
 
     async def start(self, tasks: TaskGroup) -> None:
-        await self.writer.start(tasks)
-        await self.lease.start(tasks)
+        tasks.start_soon(self.run)
+
+    async def run(self) -> None:
+        with self.killed:
+            async with anyio.create_task_group() as tasks:
+                await self.writer.start(tasks)
+                await self.lease.start(tasks)
+                await anyio.sleep_forever()
 
     async def count_requests(self, gap_s: float, until: float) -> None:
         """Count a request every `gap_s` seconds until a time."""
@@ -184,6 +206,10 @@
         reports = self.store.reports
         return {window: counts for window, counts in reports.items() if len(counts) > 1}
 
+    @property
+    def holder(self) -> Vm | None:
+        return next((vm for vm in self.vms if vm.lease.held), None)
+
     async def restore(self, backup: Backup, away_s: float) -> None:
         """Have the store away for a while, and come back from a copy."""
         self.store.away = True
