Ignore a late rejection of another request

Callers saw: a request that isn't idempotent ran twice, or was refused as not run though it ran.

Cause: a backend server may send the answer to an earlier request at the point where that to the next one is expected. The id of the attempt was compared only after Not-Executed and status 421 had been believed, so that a late rejection of an earlier request counted as one of the request that had just been written.

The id is now compared before anything is believed that the answer says of its request. The attempt then counts as one that may have run, and the connection is closed. A rejection without an id is believed as before.

--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -133,10 +133,12 @@
         headers: list[tuple[str, str]],
         content: bytes,
         on_head: Callable[[httpx.Response], None] = lambda answer: None,
+        belongs: Callable[[httpx.Response], bool] = lambda answer: True,
     ) -> AsyncIterator[httpx.Response]:
         """Send a request and yield the response once its headers have arrived.
 
-        `on_head` gets every response, also one that fails the attempt.
+        `on_head` gets every response, also one that fails the attempt. `belongs` tells
+        whether a response belongs to this request.
 
         Raise AttemptFailed on any failure. Only the given headers are sent, besides
         those of the connection, and the target is sent unchanged: the library's URL
@@ -161,6 +163,13 @@
             answer = await self.http.send(request, stream=True)
             try:
                 on_head(answer)
+                # Before anything that it says of its request is used.
+                if not belongs(answer):
+                    # The answer to this request may follow it, and the next request on
+                    # the connection would read that one.
+                    await answer.extensions["network_stream"].aclose()
+                    detail = "the answer belongs to another request"
+                    raise AttemptFailed(FailureKind.CUT, detail)
                 if self.header_parser.reports_not_run(answer):
                     detail = f"status {answer.status_code}"
                     raise AttemptFailed(FailureKind.REFUSED, detail)
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -573,15 +573,8 @@
             attempt_request.headers,
             attempt_request.content,
             lambda head: self.record_head(start.backend_id, head, sent),
+            outbound.belongs_to_request,
         ) as answer:
-            if not outbound.belongs_to_request(answer):
-                # An earlier request left this answer on the connection. The answer to
-                # this one may follow it, and the next request would read that one, so
-                # the connection is closed.
-                await answer.extensions["network_stream"].aclose()
-                raise AttemptFailed(
-                    FailureKind.CUT, "the answer belongs to another request"
-                )
             self.reached_backend = True
             begins_with_event = outbound.streams and self.is_stream(answer)
             self.may_have_begun = self.may_have_begun or not begins_with_event
--- a/src/godwitmast/platform/frontend.py
+++ b/src/godwitmast/platform/frontend.py
@@ -152,8 +152,12 @@
         return [*others, (LAST_EVENT_ID, self.events.last_id)]
 
     def belongs_to_request(self, answer: httpx.Response) -> bool:
-        """Return whether an answer belongs to this request, not an earlier one."""
-        return answer.headers.get(ATTEMPT_ID) == self.attempt_id
+        """Return whether an answer belongs to this request, not an earlier one.
+
+        A rejection without an id counts as this one's, as some servers send none there.
+        """
+        default = self.attempt_id if is_rejection(answer) else None
+        return answer.headers.get(ATTEMPT_ID, default) == self.attempt_id
 
     def stream_headers(self, answer: httpx.Response) -> RawHeaders:
         return forwarded_headers(answer)
@@ -177,7 +181,7 @@
         With status 421 it reports that it is not the server that was meant: the address
         was reused, or the server was restarted.
         """
-        return NOT_EXECUTED in answer.headers or answer.status_code == 421
+        return is_rejection(answer)
 
     def parse_statement(self, answer: httpx.Response) -> ServerStatement:
         headers = answer.headers
@@ -363,6 +367,10 @@
         await send_response(send, answer.status, headers, msgspec.json.encode(body))
 
 
+def is_rejection(answer: httpx.Response) -> bool:
+    return NOT_EXECUTED in answer.headers or answer.status_code == 421
+
+
 def read_stream(head: RequestHead) -> StreamIdentity:
     """Return the caller's attempt at a stream, and which attempt began it.
 
--- /dev/null
+++ b/tests/test_late_calls.py
@@ -0,0 +1,104 @@
+"""Calls, writes and answers that arrive later than the state that allowed them."""
+
+from collections.abc import AsyncIterator
+
+import anyio
+import h11
+import httpx
+import pytest
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+
+from fleet import Fleet
+from godwitmast.platform.wire import ATTEMPT_ID, NOT_EXECUTED, READY
+from running import running
+
+pytestmark = pytest.mark.anyio
+
+
+class RejectingFront:
+    """A server on whose connections the answer to an earlier request arrives late.
+
+    The first request of each connection is answered at once. To each later one the late
+    answer comes first: a rejection of the first request, while the later one runs.
+    """
+
+    def __init__(self, status: int, header: str) -> None:
+        self.status = status
+        self.header = header
+        self.port = 0
+        self.ran: list[str] = []
+
+    async def start(self, tasks: TaskGroup) -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self.port = listener.extra(SocketAttribute.local_port)
+        tasks.start_soon(listener.serve, self.serve)
+
+    async def serve(self, stream: SocketStream) -> None:
+        parser = h11.Connection(h11.SERVER)
+        first = ""
+        async with stream:
+            while True:
+                event = parser.next_event()
+                if event is h11.NEED_DATA:
+                    try:
+                        parser.receive_data(await stream.receive())
+                    except (anyio.EndOfStream, anyio.BrokenResourceError):
+                        return
+                elif isinstance(event, h11.Request):
+                    headers = {k.decode(): v.decode() for k, v in event.headers}
+                    attempt_id = headers[ATTEMPT_ID.lower()]
+                elif isinstance(event, h11.EndOfMessage):
+                    self.ran.append(attempt_id)
+                    if first:
+                        await stream.send(answer_of(self.status, first, self.header))
+                        return
+                    first = attempt_id
+                    await stream.send(answer_of(200, attempt_id))
+                    parser = h11.Connection(h11.SERVER)
+                elif isinstance(event, h11.ConnectionClosed):
+                    return
+
+
+def answer_of(status: int, attempt_id: str, more: str = "") -> bytes:
+    head = f"HTTP/1.1 {status} x\r\n{ATTEMPT_ID}: {attempt_id}\r\n{more}"
+    return f"{head}Content-Length: 2\r\n\r\nok".encode()
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[Fleet]:
+    async with running(Fleet()) as started:
+        yield started
+
+
+async def serve_behind(fleet: Fleet, front: RejectingFront) -> None:
+    """Have the front be the only server of the plain service."""
+    await front.start(fleet.tasks)
+    first, second = fleet.plain
+    first.port = front.port
+    first.publish_row(READY)
+    fleet.store.remove_server(second.server_id)
+
+    def is_listed() -> bool:
+        listed = fleet.node.driver.listed_backends
+        return second.server_id not in listed and listed[first.server_id].url.endswith(
+            f":{front.port}"
+        )
+
+    await fleet.wait_until(is_listed)
+
+
+@pytest.mark.parametrize(
+    ("status", "header"), [(503, f"{NOT_EXECUTED}: 1\r\n"), (421, "")]
+)
+async def test_late_rejection_of_an_earlier_request_is_no_promise_for_the_next(
+    fleet: Fleet, http: httpx.AsyncClient, status: int, header: str
+) -> None:
+    """Guards against a request that is refused as not run, or run again, though it ran:
+    the rejection that was read was the late answer to another one."""
+    front = RejectingFront(status, header)
+    await serve_behind(fleet, front)
+    earlier = await fleet.request(http, "/pay/1", "POST", Attempt_Id="a1")
+    assert earlier.status_code == 200
+    answer = await fleet.request(http, "/pay/2", "POST", Attempt_Id="a2")
+    assert front.ran == ["a1", "a2"]
+    assert answer.status_code == 502
