Write a crash report again that the table refused after a restore

Callers saw: a request that crashes backend servers is not quarantined at other VMs, so that it crashes more of them.

Cause: each transaction expects that no later restore of the table is recorded. One that arrives after such a record is refused. A crash report has no versions of its own to check, so the refusal was taken for success: the report was no longer pending. If the VM learned of the restore from another call while the report was on its way, it was not written again either.

Evidence: the new test fails without the change, as the refused write raises no error.

A refusal now counts as a write that was not done, and is repeated.

--- a/src/godwitmast/entry/crash_reports.py
+++ b/src/godwitmast/entry/crash_reports.py
@@ -23,8 +23,9 @@
 )
 from godwitmast.dispatch.poison import QUARANTINE_S, SUSPICION_S, advance_ages
 from godwitmast.entry.driver import RouterDriver
-from godwitmast.errors import PlatformError
+from godwitmast.errors import PlatformError, PlatformUnavailable
 from godwitmast.logs import log_event
+from godwitmast.platform_api.messages import Written
 from godwitmast.platform_api.port import Table
 from godwitmast.platform_api.time_agreement import AgreedClock
 from godwitmast.types import Json
@@ -157,7 +158,7 @@
         # A write whose answer is lost may have taken effect, and VMs apply a row once.
         # The next one, which may hold more, has another key.
         self.written += 1
-        await self.table.transact({}, writes)
+        await self.write_rows(writes)
         self.own_rows[key] = report
         self.drop_outdated_own(self.clock.store_now())
         for name, item in sent.items():
@@ -166,6 +167,14 @@
         for row in outdated:
             self.expiry.pop(row, None)
 
+    async def write_rows(self, writes: dict[str, Json]) -> None:
+        """Write or remove rows; raise PlatformUnavailable if the table refused it.
+
+        It does if a restore was recorded of which this entry didn't know yet.
+        """
+        if not isinstance(await self.table.transact({}, writes), Written):
+            raise PlatformUnavailable("refused, as the table was restored")
+
     def drop_outdated_own(self, now: float) -> None:
         self.own_rows = {
             key: report
@@ -188,7 +197,7 @@
         writes = {key: msgspec.to_builtins(self.own_rows[key]) for key in keys}
         while writes:
             try:
-                await self.table.transact({}, writes)
+                await self.write_rows(writes)
             except PlatformError as error:
                 log_event("crash_report_not_written", error=str(error))
                 await anyio.sleep(random.uniform(0.5, 1.5) * RETRY_S)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -12,8 +12,14 @@
 from godwitmast.dispatch.messages import Quarantine
 from godwitmast.entry.crash_reports import Observation
 from godwitmast.entry.stream_versions import KnownStream
+from godwitmast.errors import PlatformError
 from godwitmast.platform.daemon import Node
-from godwitmast.platform.store import CRASHES_TABLE, OWN_TABLE, RESTORE_PREFIX
+from godwitmast.platform.store import (
+    CRASHES_TABLE,
+    OWN_TABLE,
+    RESTORE_PREFIX,
+    restore_key,
+)
 from godwitmast.platform.wire import DRAINING, OPERATOR_TABLE, SERVERS_TABLE
 from godwitmast.platform_api.time_agreement import CLOCK_KEY
 from godwitmast.standins.store import StoreBackup
@@ -278,6 +284,27 @@
     await fleet.wait_until(lambda: key in fleet.store.rows)
 
 
+async def test_crash_report_that_arrives_after_a_restore_is_written_again(
+    fleet: RestoredFleet,
+) -> None:
+    """Guards against a crash that no other VM learns of: the table refused its report,
+    as another VM had recorded a restore of which this one didn't know yet."""
+    reports = fleet.node.crash_reports
+    recorded = (OWN_TABLE, restore_key(2))
+    fleet.store.put(*recorded, b"{}")
+    now = fleet.node.agreed_clock.store_now()
+    observed = Observation(Quarantine("deadly", 30.0), now)
+    reports.pending["quarantine", "deadly"] = observed
+    with pytest.raises(PlatformError):
+        await reports.write()
+    assert reports.pending
+    fleet.store.remove(*recorded)
+    await reports.write()
+    assert not reports.pending
+    keys = [key for table, key in fleet.store.rows if table == CRASHES_TABLE]
+    assert len(keys) == 1
+
+
 async def test_versions_of_streams_are_written_again(fleet: RestoredFleet) -> None:
     """Guards against streams that no other VM can take up, as their version is lost."""
     versions = fleet.node.stream_versions
