Check the row of a stream's version when it is written

Callers saw: a stream that is taken up at another VM goes on at a software version that did not begin it.

Cause: these rows were written without a check. A server that starts again makes the versions of its latest streams unknown. A write of the first version that got no answer, at a relay that stood still for example, could take effect after the row that says so. A doubt that arose while a write was on its way was also dropped with that write, and a write that the table refused after a restore counted as done.

Evidence: the new test fails without the change if the first write arrives last: the row has v1 in place of ?.

Each write now expects the version of its rows, or that there are none, so that of two writes the one that was sent first can't take effect last. A refused write stays pending and is sent with the versions that the table named.

--- a/src/godwitmast/entry/stream_versions.py
+++ b/src/godwitmast/entry/stream_versions.py
@@ -21,6 +21,7 @@
 from godwitmast.dispatch.messages import UNKNOWN_VERSION
 from godwitmast.errors import PlatformError
 from godwitmast.logs import log_event
+from godwitmast.platform_api.messages import Written
 from godwitmast.platform_api.port import Table
 from godwitmast.types import BackendId, Json, PoolName
 
@@ -38,9 +39,9 @@
 """Streams that began within this time are written together. Those of a VM that ends
 before are lost."""
 
-MAX_ROWS = 45
-"""Rows that one write adds, and as many that it removes, of the hundred entries of a
-transaction."""
+MAX_ROWS = 30
+"""Rows that one write checks and adds, and as many that it removes, of the hundred entries
+of a transaction."""
 
 MAX_KNOWN = 20_000
 
@@ -93,6 +94,8 @@
         self.known: dict[str, KnownStream] = {}
         self.pending: dict[str, str] = {}
         self.written: dict[str, float] = {}
+        self.row_versions: dict[str, int] = {}
+        """Versions of the rows in the table, where they are known; else there is none."""
         self.started_at = clock.now()
         self.changed = anyio.Event()
         self.background = BackgroundTasks(self.run)
@@ -248,25 +251,37 @@
             for key, version in self.pending.items()
             if key in self.known and self.known[key].began_at > oldest
         }
+        used = self.pending.keys() | self.written.keys()
+        self.row_versions = {k: v for k, v in self.row_versions.items() if k in used}
 
     async def write(self) -> None:
-        """Write the oldest pending streams; after a failure they stay pending."""
+        """Write the oldest pending streams; after a failure they stay pending.
+
+        Their rows are checked: an earlier write without an answer could otherwise take
+        effect after this one, and undo that a stream's version is in doubt.
+        """
         self.drop_outdated()
         now = self.clock.now()
         added = dict(list(self.pending.items())[:MAX_ROWS])
         removed = self.outdated()[:MAX_ROWS]
         writes: dict[str, Json] = dict.fromkeys(removed)
         writes.update(added)
+        checks = {key: self.row_versions.get(key, 0) for key in added}
         try:
-            await self.table.transact({}, writes)
+            outcome = await self.table.transact(checks, writes)
         except PlatformError as error:
             log_event("stream_versions_not_written", error=str(error))
             return
-        for key in added:
-            self.pending.pop(key, None)
+        self.row_versions.update(outcome.versions)
+        if not isinstance(outcome, Written):
+            return
+        for key, version in added.items():
+            if self.pending.get(key) == version:
+                del self.pending[key]
             self.written[key] = now
         for key in removed:
             self.written.pop(key, None)
+            self.row_versions.pop(key, None)
 
 
 def stream_key(team: str, attempt_id: str) -> str:
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -7,9 +7,18 @@
 import httpx
 import pytest
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from prometheus_client import CollectorRegistry
 
+from fakes import FakePlatform, Fate
 from fleet import Fleet
+from godwitmast.clock import ManualClock
+from godwitmast.dispatch.messages import UNKNOWN_VERSION
+from godwitmast.entry.stream_versions import ListedServer, StreamVersions
+from godwitmast.errors import PlatformOutcomeUnknown
 from godwitmast.platform.wire import ATTEMPT_ID, NOT_EXECUTED, READY
+from godwitmast.platform_api.messages import Conflict, TransactOutcome, Written
+from godwitmast.platform_api.steps import Transact
+from godwitmast.types import BackendId, Json, PoolName
 from running import running
 
 pytestmark = pytest.mark.anyio
@@ -102,3 +111,57 @@
     answer = await fleet.request(http, "/pay/2", "POST", Attempt_Id="a2")
     assert front.ran == ["a1", "a2"]
     assert answer.status_code == 502
+
+
+class LateTable:
+    """A table whose transactions meet the fate that a test sets."""
+
+    def __init__(self) -> None:
+        self.platform = FakePlatform()
+        self.fate = Fate.ANSWERED
+
+    async def transact(
+        self, checks: dict[str, int], writes: dict[str, Json]
+    ) -> TransactOutcome:
+        result = self.platform.take(Transact(checks, writes), self.fate)
+        if not isinstance(result, Written | Conflict):
+            raise PlatformOutcomeUnknown("no answer")
+        return result
+
+    def values(self, prefix: str) -> list[Json]:
+        rows = self.platform.table.scan(prefix, "", 100)
+        return [row.value for _, row in rows]
+
+
+@pytest.mark.parametrize("arrives_first", [False, True])
+async def test_late_write_of_a_stream_does_not_undo_that_its_version_is_in_doubt(
+    arrives_first: bool,
+) -> None:
+    """Guards against a stream that goes on at a version that did not begin it, as the
+    version written first arrives after the row that says that it is not known."""
+    table = LateTable()
+    versions = StreamVersions(
+        ManualClock(100.0),
+        table,  # type: ignore[arg-type]
+        table,  # type: ignore[arg-type]
+        CollectorRegistry(),
+    )
+    pools = frozenset(["lm"])
+    listed = {
+        BackendId("e1"): ListedServer(pools, "v1", 1),
+        BackendId("e2"): ListedServer(pools, "v2", 1),
+    }
+    versions.update_servers(listed)
+    versions.record_begin("arima", "a1", PoolName("lm"), BackendId("e1"))
+    table.fate = Fate.DELAYED
+    await versions.write()
+    restarted = ListedServer(pools, "v2", 2)
+    versions.update_servers({**listed, BackendId("e1"): restarted})
+    table.fate = Fate.ANSWERED
+    if arrives_first:
+        table.platform.arrive(0)
+    while versions.pending:
+        await versions.write()
+    if not arrives_first:
+        table.platform.arrive(0)
+    assert table.values("stream/") == [UNKNOWN_VERSION]
