Don't report a patch as not written that may still arrive

Callers saw: an operator was told that the platform was not reached and nothing was written, and the patch was in force later.

Cause: a patch whose outcome is unknown is proposed again under its id. If the platform was unreachable by then, the last outcome alone counted, which only tells that this try wrote nothing.

Evidence: the new test fails without the change: the outcome is Unreachable, and the head row has number 2 after the write has arrived.

Once a try ended with an unknown outcome, an unreachable platform leaves it unknown. The next try, or the operator's with the same id, finds out.

--- a/src/godwitmast/ctl/session.py
+++ b/src/godwitmast/ctl/session.py
@@ -14,6 +14,7 @@
     OutcomeUnknown,
     Patch,
     Stale,
+    Unreachable,
     document_at,
     propose,
     read_history,
@@ -35,6 +36,7 @@
 
 WAIT_POLL_INTERVAL_S = 0.25
 PATCH_ATTEMPTS = 5
+RETRY_S = 0.5
 EDIT_ATTEMPTS = 8
 
 
@@ -96,13 +98,21 @@
         return changes
 
     async def patch(self, patch: Patch) -> ChangeOutcome:
-        """Send a patch, and resend it with the same id while its outcome is unknown."""
+        """Send a patch, and resend it with the same id while its outcome is unknown.
+
+        If the platform is then unreachable, the outcome of the write before stays unknown.
+        """
         outcome: ChangeOutcome = OutcomeUnknown()
+        sent = False
         for _ in range(PATCH_ATTEMPTS):
             outcome = await run_steps(self.platform, propose(self.state, patch))
-            if not isinstance(outcome, OutcomeUnknown):
+            if isinstance(outcome, OutcomeUnknown):
+                sent = True
+            elif sent and isinstance(outcome, Unreachable):
+                outcome = OutcomeUnknown()
+            else:
                 break
-            await anyio.sleep(0.5)
+            await anyio.sleep(RETRY_S)
         return outcome
 
     async def edit(self, make: Edit, reason: str) -> ChangeOutcome:
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -1,5 +1,6 @@
 """Calls, writes and answers that arrive later than the state that allowed them."""
 
+import math
 from collections.abc import AsyncIterator
 
 import anyio
@@ -12,15 +13,30 @@
 from fakes import FakePlatform, Fate
 from fleet import Fleet
 from godwitmast.clock import ManualClock
+from godwitmast.config.change import MAX_WRITE_ATTEMPTS, OutcomeUnknown
+from godwitmast.config.rows import HEAD_KEY, first_objects, first_rows
+from godwitmast.ctl.session import Session, new_patch
 from godwitmast.dispatch.messages import UNKNOWN_VERSION
 from godwitmast.entry.stream_versions import ListedServer, StreamVersions
-from godwitmast.errors import PlatformOutcomeUnknown
+from godwitmast.errors import PlatformOutcomeUnknown, PlatformUnavailable
 from godwitmast.platform.wire import ATTEMPT_ID, NOT_EXECUTED, READY
-from godwitmast.platform_api.messages import Conflict, TransactOutcome, Written
-from godwitmast.platform_api.steps import Transact
+from godwitmast.platform_api.messages import (
+    Conflict,
+    FleetServer,
+    Row,
+    TransactOutcome,
+    Written,
+)
+from godwitmast.platform_api.port import WriteHook
+from godwitmast.platform_api.steps import Read, Result, Rows, Scan, Transact
 from godwitmast.types import BackendId, Json, PoolName
 from running import running
 
+FIRST_CONFIG = {
+    "classes": {"question": {"tier": 1, "first_token_s": 1.0}},
+    "teams": {"a": {}},
+}
+
 pytestmark = pytest.mark.anyio
 
 
@@ -119,11 +135,40 @@
     def __init__(self) -> None:
         self.platform = FakePlatform()
         self.fate = Fate.ANSWERED
+        self.order_ids: list[str] = []
+        self.away_after = math.inf
+        """Number of transactions after which the platform is away."""
+
+    async def read(self, keys: list[str]) -> dict[str, Row]:
+        return self.rows_of(self.platform.take(Read(keys)))
+
+    async def scan(self, prefix: str, after: str = "") -> dict[str, Row]:
+        return self.rows_of(self.platform.take(Scan(prefix, after)))
+
+    async def fleet(self) -> list[FleetServer]:
+        return []
+
+    async def order(
+        self, body: Json, timeout_s: float, before_write: WriteHook
+    ) -> httpx.Response:
+        """Execute an order whose answer is lost."""
+        self.order_ids.append(body["order_id"])
+        raise PlatformOutcomeUnknown("no answer")
+
+    async def get_object(self, name: str) -> bytes | None:
+        return self.platform.objects.get(name)
+
+    def rows_of(self, found: Result) -> dict[str, Row]:
+        if not isinstance(found, Rows):
+            raise PlatformUnavailable("away")
+        return found.rows
 
     async def transact(
         self, checks: dict[str, int], writes: dict[str, Json]
     ) -> TransactOutcome:
         result = self.platform.take(Transact(checks, writes), self.fate)
+        self.away_after -= 1
+        self.platform.away = self.away_after <= 0
         if not isinstance(result, Written | Conflict):
             raise PlatformOutcomeUnknown("no answer")
         return result
@@ -165,3 +210,24 @@
     if not arrives_first:
         table.platform.arrive(0)
     assert table.values("stream/") == [UNKNOWN_VERSION]
+
+
+async def test_patch_that_may_still_arrive_is_not_reported_as_not_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an operator who is told that nothing was written, though a write
+    of the patch without an answer takes effect after the platform is back."""
+    monkeypatch.setattr("godwitmast.ctl.session.RETRY_S", 0.0)
+    table = LateTable()
+    table.platform.objects |= first_objects(FIRST_CONFIG)
+    table.platform.take(Transact({}, first_rows(FIRST_CONFIG)))
+    table.fate = Fate.DELAYED
+    table.away_after = MAX_WRITE_ATTEMPTS
+    session = Session(table)  # type: ignore[arg-type]
+    outcome = await session.patch(new_patch(1, {"teams": {"b": {}}}, ""))
+    table.platform.away = False
+    table.platform.arrive(0)
+    head = table.platform.take(Read([HEAD_KEY]))
+    assert isinstance(head, Rows)
+    assert head.value(HEAD_KEY)["number"] == 2
+    assert isinstance(outcome, OutcomeUnknown)
