Check the fleet's row when it is written

Callers saw: an entry that starts sends requests to a backend server that was drained or left before.

Cause: writes of the fleet's row checked the lease alone. A write without an answer could take effect after a later one of the same holder. Its row has a lower number and servers as they were; running entries ignore it, but one that starts goes by it until the fleet changes again, and a successor continues its numbers from there, so that running entries ignore the successor's row too.

Evidence: the new test fails without the change: the server that leaves is listed as serving.

Each write now expects the version of the row, as last read, written or named by a conflict. After a conflict the row is written again under a new number.

--- a/src/godwitmast/capacity/duty.py
+++ b/src/godwitmast/capacity/duty.py
@@ -131,6 +131,7 @@
         row = rows.get(SERVERS_KEY)
         self.book = OrderBook()
         self.book.resume(intents, load_fleet(row.value) if row else EMPTY_FLEET)
+        self.book.row_version = row.version if row else 0
         return True
 
     async def run_round(self, guard: Guard) -> None:
@@ -274,16 +275,23 @@
         return OrderOutcome.STALE if stale else OrderOutcome.UNAVAILABLE
 
     async def publish(self, guard: Guard, row: FleetRow) -> bool:
-        """Write the fleet row if it changed; return False if that failed."""
+        """Write the fleet row if it changed; return False if that failed.
+
+        The row's version is checked: an earlier write without an answer could otherwise
+        take effect after this one.
+        """
         if row == self.book.published:
             return True
+        checks = {**guard.checks, SERVERS_KEY: self.book.row_version}
         try:
-            written = await self.platform.transact(guard.checks, dump_fleet(row))
+            written = await self.platform.transact(checks, dump_fleet(row))
         except PlatformError as error:
             log_event("fleet_not_published", level="WARNING", error=error)
             self.book.is_write_uncertain = True
             return False
+        self.book.row_version = written.versions.get(SERVERS_KEY, self.book.row_version)
         if not isinstance(written, Written):
+            self.book.is_write_uncertain = True
             return False
         self.book.published = row
         self.book.is_write_uncertain = False
--- a/src/godwitmast/capacity/orders.py
+++ b/src/godwitmast/capacity/orders.py
@@ -47,6 +47,8 @@
     is_write_uncertain: bool = False
     """The outcome of the last write of a fleet row is unknown; it may be in the
     table."""
+    row_version: int = 0
+    """Version of the fleet's row in the table, as last known."""
 
     def resume(self, intents: list[Intent], published: FleetRow) -> None:
         """Load the state that the previous lease holder left."""
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -10,10 +10,14 @@
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 from prometheus_client import CollectorRegistry
 
-from fakes import FakePlatform, Fate
+from fakes import ORDERS_LEASE, FakeGuard, FakePlatform, Fate
 from fleet import Fleet
+from godwitmast.backends.client import BackendClient
+from godwitmast.capacity.duty import CapacityDuty
+from godwitmast.capacity.fleet import SERVERS_KEY, load_fleet
 from godwitmast.clock import ManualClock
 from godwitmast.config.change import MAX_WRITE_ATTEMPTS, OutcomeUnknown
+from godwitmast.config.follower import ConfigFollower
 from godwitmast.config.rows import HEAD_KEY, first_objects, first_rows
 from godwitmast.ctl.session import Session, new_patch
 from godwitmast.dispatch.messages import UNKNOWN_VERSION
@@ -231,3 +235,40 @@
     assert isinstance(head, Rows)
     assert head.value(HEAD_KEY)["number"] == 2
     assert isinstance(outcome, OutcomeUnknown)
+
+
+@pytest.fixture
+def table() -> LateTable:
+    """Return a table in which this process holds the lease on orders."""
+    table = LateTable()
+    table.platform.table.transact({}, {ORDERS_LEASE: {"holder": "me"}})
+    return table
+
+
+def capacity_duty(table: LateTable) -> CapacityDuty:
+    return CapacityDuty(
+        table,  # type: ignore[arg-type]
+        ConfigFollower(table),  # type: ignore[arg-type]
+        BackendClient(),
+        ManualClock(100.0),
+        CollectorRegistry(),
+    )
+
+
+async def test_late_write_of_the_fleet_does_not_replace_a_newer_one(
+    table: LateTable,
+) -> None:
+    """Guards against an entry that starts with servers that were drained meanwhile: a
+    write of an older fleet row takes effect after that of a newer one."""
+    guard = FakeGuard(table.platform.table.version(ORDERS_LEASE))
+    duty = capacity_duty(table)
+    serving = FleetServer("e1", "http://e1", "a", "on_demand", ["lm"], "1-1", "serving")
+    table.fate = Fate.DELAYED
+    await duty.publish(guard, duty.book.make_row([serving]))
+    table.fate = Fate.ANSWERED
+    leaving = serving._replace(state="leaving")
+    while not await duty.publish(guard, duty.book.make_row([leaving])):
+        pass
+    table.platform.arrive(0)
+    [servers] = table.values(SERVERS_KEY)
+    assert load_fleet(servers).servers["e1"].leaving
