Record an order again whose record may still arrive

Callers saw: two backend servers were ordered for one need.

Cause: an order is recorded as an intent before it is sent. If the outcome of that write was unknown and the row was not found, the holder dropped the order and placed another one. The record could arrive after that, and the next holder, which sends what it finds recorded without an outcome, then sent the first order too.

The holder now keeps that intent, and records it again under the same id before anything else is planned. So either the late record or the repeated one counts, and the order is sent once. A record that arrives after the lease has changed hands fails its check of the lease.

--- a/src/godwitmast/capacity/duty.py
+++ b/src/godwitmast/capacity/duty.py
@@ -140,6 +140,8 @@
         If the platform does not answer, the round ends: the fleet stays as it is,
         entries keep the row that they have, and no order is sent.
         """
+        if not await self.record_again(guard):
+            return
         try:
             await self.resend_pending(guard)
             fleet = await self.platform.fleet()
@@ -218,17 +220,33 @@
         intent = self.book.make_intent(decision, fence)
         if intent is None:
             return True
-        recorded = await run_steps(
-            self.platform, record_intent(self.name, guard, intent)
-        )
-        if recorded is not RecordOutcome.WRITTEN:
+        self.book.unrecorded = intent
+        if not await self.record_again(guard):
             return False
-        self.book.add_pending(intent)
         outcome = await self.send(guard, intent)
         if outcome is OrderOutcome.UNAVAILABLE and isinstance(decision, Order):
             planner.record_cheap_refusal(decision.zone, self.clock.now())
         return outcome is not OrderOutcome.STALE
 
+    async def record_again(self, guard: Guard) -> bool:
+        """Record the intent that is not recorded yet, if any; return False on failure.
+
+        Its record may arrive late, and the next holder would then send its order. So no
+        other order takes its place.
+        """
+        intent = self.book.unrecorded
+        if intent is None:
+            return True
+        recorded = await run_steps(
+            self.platform, record_intent(self.name, guard, intent)
+        )
+        # Ids are unique, so a record that exists is the one of an earlier try.
+        if recorded not in (RecordOutcome.WRITTEN, RecordOutcome.EXISTS):
+            return False
+        self.book.unrecorded = None
+        self.book.add_pending(intent)
+        return True
+
     async def resend_pending(self, guard: Guard) -> None:
         """Resend every pending order under its own id."""
         for intent in list(self.book.pending.values()):
--- a/src/godwitmast/capacity/orders.py
+++ b/src/godwitmast/capacity/orders.py
@@ -42,6 +42,8 @@
     running_requests: dict[str, int | None] = field(default_factory=dict)
     """Running and waiting requests of each draining server; None if it did not
     answer."""
+    unrecorded: Intent | None = None
+    """The intent whose record may still arrive in the table, if there is one."""
     intent_count: int = 0
     row_number: int = 0
     is_write_uncertain: bool = False
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -15,8 +15,11 @@
 from godwitmast.backends.client import BackendClient
 from godwitmast.capacity.duty import CapacityDuty
 from godwitmast.capacity.fleet import SERVERS_KEY, load_fleet
+from godwitmast.capacity.messages import Order
+from godwitmast.capacity.planner import Planner
 from godwitmast.clock import ManualClock
 from godwitmast.config.change import MAX_WRITE_ATTEMPTS, OutcomeUnknown
+from godwitmast.config.document import CapacityPolicy
 from godwitmast.config.follower import ConfigFollower
 from godwitmast.config.rows import HEAD_KEY, first_objects, first_rows
 from godwitmast.ctl.session import Session, new_patch
@@ -33,7 +36,7 @@
 )
 from godwitmast.platform_api.port import WriteHook
 from godwitmast.platform_api.steps import Read, Result, Rows, Scan, Transact
-from godwitmast.types import BackendId, Json, PoolName
+from godwitmast.types import BackendId, Json, PoolName, ZoneName
 from running import running
 
 FIRST_CONFIG = {
@@ -272,3 +275,23 @@
     table.platform.arrive(0)
     [servers] = table.values(SERVERS_KEY)
     assert load_fleet(servers).servers["e1"].leaving
+
+
+async def test_order_whose_record_arrives_late_is_sent_once(table: LateTable) -> None:
+    """Guards against two servers for one need: the holder couldn't record an order and
+    placed another one, then the record arrives, and its successor sends the order."""
+    guard = FakeGuard(table.platform.table.version(ORDERS_LEASE))
+    duty = capacity_duty(table)
+    planner = Planner(PoolName("lm"), [ZoneName("a")], CapacityPolicy())
+    order = Order(PoolName("lm"), ZoneName("a"), "cheap", "demand")
+    table.fate = Fate.DELAYED
+    assert not await duty.carry_out(guard, planner, order)
+    table.fate = Fate.ANSWERED
+    await duty.run_round(guard)
+    if not duty.book.pending:
+        await duty.carry_out(guard, planner, order)
+    table.platform.arrive(0)
+    successor = capacity_duty(table)
+    assert await successor.resume()
+    await successor.resend_pending(guard)
+    assert len(set(table.order_ids)) == 1
