Answer 504, not 500, if the deadline passed before it is watched

Callers saw: status 500 for a request of a VM that stood still as it took the request on, up to the moment at which it was about to be sent.

Cause: the exchange waits until the request's deadline in a task of its own. If the deadline has passed when that task starts, the time to wait is negative, which the library's sleep refuses, and the exchange broke.

Evidence: the new test, in which the process stands still for 0.8 s after it stated the 0.3 s that are left, fails without the change, for a new and for a kept connection: 500. With it the answer is 504, and no server has run the request: the deadline ends the attempt before its first byte is written.

--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -395,7 +395,7 @@
 
     async def watch_deadline(self, at: float) -> None:
         """Abort the exchange at `at`, unless it is answered by then."""
-        await anyio.sleep(at - self.driver.clock.now())
+        await anyio.sleep(max(0.0, at - self.driver.clock.now()))
         if not self.answered:
             self.abort(CancelReason.DEADLINE)
 
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -1,7 +1,9 @@
 """Calls, writes and answers that arrive later than the state that allowed them."""
 
 import math
+import time
 from collections.abc import AsyncIterator
+from typing import Any
 
 import anyio
 import h11
@@ -24,8 +26,10 @@
 from godwitmast.config.rows import HEAD_KEY, first_objects, first_rows
 from godwitmast.ctl.session import Session, new_patch
 from godwitmast.dispatch.messages import UNKNOWN_VERSION
+from godwitmast.entry.outbound import AttemptRequest
 from godwitmast.entry.stream_versions import ListedServer, StreamVersions
 from godwitmast.errors import PlatformOutcomeUnknown, PlatformUnavailable
+from godwitmast.platform.frontend import RoutedRequest
 from godwitmast.platform.wire import ATTEMPT_ID, NOT_EXECUTED, READY
 from godwitmast.platform_api.messages import (
     Conflict,
@@ -46,6 +50,9 @@
 
 pytestmark = pytest.mark.anyio
 
+STOPPED_S = 0.8
+"""How long a process stands still: longer than the deadline of its request."""
+
 
 class RejectingFront:
     """A server on whose connections the answer to an earlier request arrives late.
@@ -295,3 +302,32 @@
     assert await successor.resume()
     await successor.resend_pending(guard)
     assert len(set(table.order_ids)) == 1
+
+
+@pytest.mark.parametrize("is_connected", [False, True])
+async def test_request_is_not_sent_after_its_deadline_by_a_vm_that_stood_still(
+    fleet: Fleet,
+    http: httpx.AsyncClient,
+    monkeypatch: pytest.MonkeyPatch,
+    is_connected: bool,
+) -> None:
+    """Guards against a server that runs a request which its caller has given up: the VM
+    stood still after it stated the time that is left, and then sent the request."""
+    if is_connected:
+        for _ in range(4):
+            await fleet.request(http, "/pay/1", "POST")
+    for replica in fleet.plain:
+        replica.served.clear()
+    build_attempt = RoutedRequest.build_attempt
+
+    def stand_still(self: RoutedRequest, *args: Any) -> AttemptRequest:
+        built = build_attempt(self, *args)
+        time.sleep(STOPPED_S)
+        return built
+
+    monkeypatch.setattr(RoutedRequest, "build_attempt", stand_still)
+    answer = await fleet.request(http, "/pay/2", "POST", Deadline_Ms="300")
+    await anyio.sleep(0.3)
+    ran = [request for replica in fleet.plain for request in replica.served]
+    assert answer.status_code == 504
+    assert not ran
