Ignore a late demand row of an entry's earlier start

Callers saw: backend servers are ordered for requests of the past.

Cause: an entry writes its demand row, which is named after the VM, beside a row that is named after this start of its process, and only the latter's version is checked. The last write of a process that ended can take effect after the first one of its successor. Counts are cumulative, and those of another start count from zero: all requests of the earlier one were counted as new.

Evidence: the new test fails without the change: 1,000 requests are counted anew.

The reader remembers the earlier starts of each VM and ignores their rows.

--- a/src/godwitmast/capacity/demand.py
+++ b/src/godwitmast/capacity/demand.py
@@ -78,6 +78,8 @@
     incarnation: str
     cells: dict[tuple[str, str], list[int]]
     updated_at: float
+    ended: frozenset[str] = frozenset()
+    """Earlier starts of the entry, whose last write may still arrive."""
 
 
 @dataclass
@@ -118,16 +120,23 @@
         old = self.nodes.get(key)
         if old is not None and old.version == version:
             return
+        start = value["incarnation"]
+        if old is not None and start in old.ended:
+            old.version = version
+            return
         # Most counts of an entry have not changed since the last round, five seconds
         # ago. Comparing lists first keeps a round of 350 entries from blocking the
         # event loop of the lease holder.
         cells = {(row[0], row[1]): row[2:] for row in value["sums"]}
-        self.nodes[key] = NodeDemand(version, value["incarnation"], cells, now)
+        ended: frozenset[str] = frozenset()
+        if old is not None:
+            ended = (old.ended | {old.incarnation}) - {start}
+        self.nodes[key] = NodeDemand(version, start, cells, now, ended)
         if old is None:
             # The first row covers an unknown time, so that no rate follows from it.
             return
         self.last_change_at = now
-        old_cells = old.cells if old.incarnation == value["incarnation"] else {}
+        old_cells = old.cells if old.incarnation == start else {}
         for cell_key, counts in cells.items():
             old_counts = old_cells.get(cell_key)
             if counts != old_counts:
--- a/tests/test_capacity_orders.py
+++ b/tests/test_capacity_orders.py
@@ -10,7 +10,12 @@
 
 from fakes import ORDERS_LEASE, FakeGuard
 from godwitmast.backends.client import BackendClient
-from godwitmast.capacity.demand import DemandAggregator, DemandKey, DemandMeter
+from godwitmast.capacity.demand import (
+    DemandAggregator,
+    DemandKey,
+    DemandMeter,
+    DemandSum,
+)
 from godwitmast.capacity.duty import CapacityDuty
 from godwitmast.capacity.fleet import SERVERS_KEY, FleetRow, load_fleet, merge_backends
 from godwitmast.capacity.messages import Drain, Order, Release, ServerState
@@ -342,3 +347,20 @@
     new.record_request(key, 1200)
     book.apply_rows({"demand/e": (2, new.dump("i2", {}))}, 10.0)
     assert book.increments[key].requests == 1
+
+
+def test_late_row_of_an_entrys_last_start_is_not_counted_again() -> None:
+    """Guards against servers that are ordered for demand of the past: the last write of
+    an entry that restarted takes effect after the first one of its new start."""
+    book = DemandAggregator()
+    key = DemandKey(MODEL, "question")
+    old, new = DemandMeter(), DemandMeter()
+    for _ in range(1000):
+        old.record_request(key, 1200)
+    new.record_request(key, 1200)
+    rows = [(old, "i1"), (new, "i2"), (old, "i1"), (new, "i2")]
+    requests = []
+    for number, (meter, start) in enumerate(rows):
+        book.apply_rows({"demand/e": (number, meter.dump(start, {}))}, number * 5.0)
+        requests.append(book.increments.get(key, DemandSum()).requests)
+    assert requests == [0, 1, 0, 0]
