--- a/tests/test_time_agreement.py
+++ b/tests/test_time_agreement.py
@@ -6,10 +6,19 @@
 import pytest
 
 from fakes import FakePlatform, Fate
-from fleet import Fleet
+from fleet import Fleet, settings_of
+from godwitmast.platform.settings import PlatformFile
+from godwitmast.platform.store import StoreClient
 from godwitmast.platform_api.messages import Written
+from godwitmast.platform_api.runner import run_steps
 from godwitmast.platform_api.steps import Failure, Rows
-from godwitmast.platform_api.time_agreement import AgreedClock, agree_on_time
+from godwitmast.platform_api.time_agreement import (
+    CLOCK_KEY,
+    AgreedClock,
+    agree_on_time,
+)
+from godwitmast.settings import check_settings
+from godwitmast.standins.store import StoreStandin
 from running import running
 
 
@@ -125,3 +134,31 @@
         # A report whose holder lost its lease before it was recorded is repeated.
         figures = {(report.window, repr(report.counts)) for report in reports}
         assert len(figures) == len(set(windows))
+
+
+@pytest.mark.anyio
+async def test_vm_that_starts_before_a_restore_is_recorded_takes_the_agreed_clock() -> (
+    None
+):
+    """Guards against VMs with two times of day: the table lost the clock's row, and a VM
+    that starts writes one of its own before another one writes the old one again."""
+    async with running(StoreStandin(epoch=1)) as store:
+        settings = check_settings(
+            settings_of(store.server.port), PlatformFile, "settings"
+        )
+        backup = store.backup()
+        clocks = AgreedClock(JumpyClock()), AgreedClock(JumpyClock(-2_400.0))
+        known, started = (
+            StoreClient(settings, clock.update_store_time, clock) for clock in clocks
+        )
+        known.rows_to_restore = clocks[0].rows_to_restore
+        assert await run_steps(known, agree_on_time(clocks[0]))
+        store.restore(backup)
+        assert await run_steps(started, agree_on_time(clocks[1]))
+        await known.read([CLOCK_KEY])
+        await known.transact({}, {"x": 1})
+        await started.read([CLOCK_KEY])
+        difference_s = clocks[0].wall() - clocks[1].wall()
+        await known.close()
+        await started.close()
+    assert abs(difference_s) < 1.0
