--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -331,3 +331,15 @@
     ran = [request for replica in fleet.plain for request in replica.served]
     assert answer.status_code == 504
     assert not ran
+
+
+async def test_request_that_was_sent_and_given_up_is_not_answered_as_not_run(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against a caller that sends a request again which a server still runs: its
+    bytes were written before the deadline cancelled the attempt."""
+    for replica in fleet.plain:
+        replica.faults.hangs = True
+    answer = await fleet.request(http, "/pay/1", "POST", Deadline_Ms="300")
+    assert sum(len(replica.served) for replica in fleet.plain) == 1
+    assert answer.status_code == 504
