Don't send a call whose client was closed while it waited

What an operator sees: a VM that stops, or a test's VM, ends with RuntimeError from the HTTP library instead of a call that failed.

Cause: whether the client is closed was asked before the call waited for its budget and its turn. Evidence: the new test fails without the change, RuntimeError: Cannot send a request, as the client has been closed.

It is asked again right before the call is made; the call counts as not sent.

--- a/src/godwitmast/platform_api/http.py
+++ b/src/godwitmast/platform_api/http.py
@@ -162,6 +162,9 @@
             self.open_calls.release()
 
     async def request(self, method: str, path: str, **content: Any) -> httpx.Response:
+        if self.http.is_closed:
+            # It may have been closed while the call waited for its turn.
+            raise PlatformUnavailable(f"{path}: closed")
         self.calls.add(self.call_name(path))
         try:
             async with self.http.stream(method, path, **content) as answer:
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -1,6 +1,7 @@
 """The platform client: rate budget, circuit breaker and group commit."""
 
 import random
+from typing import Any
 
 import anyio
 import pytest
@@ -126,3 +127,19 @@
         with pytest.raises(PlatformOutcomeUnknown):
             await group.transact({"a": 0}, {"a": 1})
         tasks.cancel_scope.cancel()
+
+
+async def test_call_that_waits_while_its_client_is_closed_was_not_sent() -> None:
+    """Guards against a call that ends its process, as the library refuses it."""
+    platform = StandinPlatform(PlatformStandinSettings())
+    async with running(platform):
+        client = PlatformClient(PlatformSettings(platform.server.url), "vm-1")
+        wait_for_budget = client.wait_for_budget
+
+        async def close_meanwhile(*args: Any) -> None:
+            await wait_for_budget(*args)
+            await client.close()
+
+        client.wait_for_budget = close_meanwhile
+        with pytest.raises(PlatformUnavailable):
+            await client.vms()
