Take nothing for granted in rows about calls that may arrive late

- A report that was answered was sent again if its mark got no answer.
A report that was answered isn't sent again; only its mark is written again. test_window_is_reported_though_the_table_goes_away_once_it_is_frozen expected the second report; it now expects the mark in its place.
- A release or a mark of the version before, in a rolling upgrade, lacks calls_s or settled.
The longest time counts then, and no proof.
- calls_s that isn't a number ended the lease's driver, and a negative one allowed calls at once.
An invalid value counts as the longest time.
- A mark that is written again after a restore proves nothing.
- The time-out of an order on godwitmast's own platform was one of each phase of the call; it is one of the whole call now.

--- a/src/godwitmast/capacity/duty.py
+++ b/src/godwitmast/capacity/duty.py
@@ -279,13 +279,13 @@
         self, body: dict[str, object], call: DutyCall
     ) -> OrderOutcome:
         try:
-            with call.settling():
+            with call.settling(), anyio.fail_after(ORDER_TIMEOUT_S):
                 answer = await self.platform.order(
                     body, ORDER_TIMEOUT_S, call.before_write
                 )
         except PlatformUnavailable:
             return OrderOutcome.NOT_SENT
-        except PlatformError:
+        except (PlatformError, TimeoutError):
             return OrderOutcome.UNKNOWN
         if answer.status_code == 200:
             return OrderOutcome.DONE
--- a/src/godwitmast/lease/machine.py
+++ b/src/godwitmast/lease/machine.py
@@ -149,6 +149,18 @@
     calls_s: float = 0.0
 
 
+def read_calls_s(lease: Json, late_s: float) -> float:
+    """Return for how long calls may arrive after a release, by the lease's row.
+
+    A row of an earlier version lacks the field. The longest time counts then, and in
+    place of a value that is not valid.
+    """
+    value = lease.get("calls_s")
+    if isinstance(value, int | float) and not isinstance(value, bool):
+        return float(value) if 0 <= value <= late_s else late_s
+    return late_s
+
+
 class LeaseMachine:
     """One process that contends for one lease or holds it.
 
@@ -501,7 +513,7 @@
     def missing_row(self) -> Json:
         """Return a row for a lease without one, which a restore may have lost."""
         epoch = None if self.restored else self.epoch
-        return {"holder": NO_HOLDER, "fence": 0, "epoch": epoch}
+        return {"holder": NO_HOLDER, "fence": 0, "epoch": epoch, "calls_s": 0.0}
 
     def apply_rows(self, rows: Rows, now: float) -> None:
         """Apply the rows that were read.
@@ -538,7 +550,7 @@
             lease["fence"],
             lease["holder"],
             lease.get("epoch", 0),
-            lease.get("calls_s", 0.0),
+            read_calls_s(lease, self.timing.late_s),
         )
         if self.reclaims and seen.epoch != self.epoch:
             self.observed, self.observed_since, self.next_at = seen, now, now
--- a/src/godwitmast/usage/duty.py
+++ b/src/godwitmast/usage/duty.py
@@ -92,6 +92,7 @@
         self.predecessor_settled = False
         # The window whose report waits until calls of earlier holders have arrived.
         self.waiting_report: DueReport | None = None
+        self.answered_start: int | None = None
         self.late_windows = Counter(
             "godwit_usage_late_windows",
             "Windows that hold usage of earlier ones.",
@@ -119,6 +120,7 @@
         self.last_reported = None
         self.predecessor_settled = False
         self.waiting_report = None
+        self.answered_start = None
         self.report_pending = True
         self.table_recovered_at = self.clock.now()
         if not guard.reclaimed:
@@ -256,8 +258,12 @@
                 # None means that all windows are reported; a failure is retried.
                 self.report_pending = due is not None
                 return
-            if not await self.send(guard, due):
-                return
+            # A report that was answered is not sent again if its mark was not written: the
+            # mark may be written late, and then tells nothing of a second report.
+            if due.window.start != self.answered_start:
+                if not await self.send(guard, due):
+                    return
+                self.answered_start = due.window.start
             self.unreported.pop(due.window.start, None)
             self.ledger.record_reported(due.window.start)
             settled = guard.calls_settled(self.clock.now())
--- a/src/godwitmast/usage/ledger.py
+++ b/src/godwitmast/usage/ledger.py
@@ -163,7 +163,8 @@
     last = ledger.windows.get(ledger.reported)
     if last is None or (stored is not None and stored["start"] >= ledger.reported):
         return {}
-    return {REPORTED_KEY: {"start": ledger.reported, "digest": last.digest}}
+    row = {"start": ledger.reported, "digest": last.digest, "settled": False}
+    return {REPORTED_KEY: row}
 
 
 def restore_ended_rows(lease: dict[str, int], ledger: UsageLedger) -> Steps[list[str]]:
--- a/src/godwitmast/usage/windows.py
+++ b/src/godwitmast/usage/windows.py
@@ -352,7 +352,8 @@
     content = yield GetObject(row["object"])
     if not isinstance(content, ObjectRead) or content.content is None:
         return Failure.NOT_DONE
-    settled = reported is None or reported.get("settled", True)
+    # A holder of a version before this field may have left a report.
+    settled = reported is None or reported.get("settled") is True
     return DueReport(decode_window(content.content), row["digest"], version, settled)
 
 
@@ -365,10 +366,9 @@
     None if the write failed or its outcome is unknown: the window is then sent again
     with identical figures.
     """
-    row = {"start": due.window.start, "digest": due.digest}
+    row = {"start": due.window.start, "digest": due.digest, "settled": settled}
     result = yield Transact(
-        {**lease, REPORTED_KEY: due.reported_version},
-        {REPORTED_KEY: row if settled else {**row, "settled": False}},
+        {**lease, REPORTED_KEY: due.reported_version}, {REPORTED_KEY: row}
     )
     return result.versions[REPORTED_KEY] if isinstance(result, Written) else None
 
