Wake up the exchange of measurements only when something is due

Cause: MeasurementLinks.run woke up 50 times a second whether a report was due or not. That was the largest part of what sharing takes on a follower.

Change: it sleeps until the next report is due or the picture expires, 0.25 s at most. A new failure on this VM, a follower's report with urgent news, a change of the relay stage and of what the relay's heartbeat says wake it for the next tick of 20 ms, so that servers that fail at once still go into one report.

--- a/src/godwitmast/measurements/collector.py
+++ b/src/godwitmast/measurements/collector.py
@@ -5,6 +5,7 @@
 second do not grow with their number.
 """
 
+import math
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
@@ -55,8 +56,7 @@
     def due_report(self, now: float) -> VmReport | None:
         """Return the next report if one is due."""
         self.urgent |= self.is_urgent()
-        wait_s = URGENT_S if self.urgent else REPORT_S
-        if self.last_at is not None and now < self.last_at + wait_s:
+        if now < self.due_at():
             return None
         self.last_at, self.urgent = now, False
         self.number += 1
@@ -70,6 +70,11 @@
         )
         return self.last_report
 
+    def due_at(self) -> float:
+        """Return when the next report is due, by the failures that are known."""
+        wait_s = URGENT_S if self.urgent else REPORT_S
+        return self.last_at + wait_s if self.last_at is not None else -math.inf
+
     def server_reports(self, now: float) -> tuple[ServerReport, ...]:
         """Return the reports of the servers that fail or were not reported for longest."""
         outcomes, speeds = self.outcomes(now), self.speeds(now)
--- a/src/godwitmast/measurements/merge.py
+++ b/src/godwitmast/measurements/merge.py
@@ -198,8 +198,7 @@
 
     def due_report(self, now: float) -> ZoneReport | None:
         """Return the next report to followers and other zones, if one is due."""
-        wait_s = URGENT_S if self.urgent else ZONE_REPORT_S
-        if now < self.last_at + wait_s:
+        if now < self.due_at():
             return None
         self.last_at = now
         self.expire(now)
@@ -213,6 +212,10 @@
         )
         return self.make_report(changed[:MAX_CHANGED], now)
 
+    def due_at(self) -> float:
+        """Return when the next report is due."""
+        return self.last_at + (URGENT_S if self.urgent else ZONE_REPORT_S)
+
     def may_send(self, server: Digest, merged: MergedServer, now: float) -> bool:
         """Return whether a server's news may be sent: at once if it is urgent."""
         return server in self.urgent or now >= merged.sent_at + SERVER_REPORT_S
--- a/src/godwitmast/outliers/log.py
+++ b/src/godwitmast/outliers/log.py
@@ -7,6 +7,7 @@
 
 import math
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -98,6 +99,7 @@
         self.failed_on: OrderedDict[str, tuple[Start, float]] = OrderedDict()
         self.has_new_failures = False
         """A server that worked on this VM fails since the reports were last taken."""
+        self.on_new_failure: Callable[[], None] = lambda: None
 
     def of(self, server: Start) -> ServerLog:
         return self.servers.setdefault(server, ServerLog())
@@ -116,7 +118,9 @@
         if failed.is_repeated or self.failed_elsewhere(server, failed.fingerprint, now):
             return False
         log = self.of(server)
-        self.has_new_failures |= not log.is_failing
+        if not log.is_failing:
+            self.has_new_failures = True
+            self.on_new_failure()
         slot = log.slot(now)
         slot.failed += 1
         slot.failed_soon += failed.is_soon
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -512,6 +512,7 @@
         outliers.failing = lambda: picture.failing(self.clock.now())
         collector.outcomes = outliers.log.reports
         collector.is_urgent = outliers.log.pop_new_failures
+        outliers.log.on_new_failure = self.measurements.wake
 
     def held_version(self, table: str) -> int:
         return number_of(self.feed.copy_of(table).version)
--- a/src/godwitmast/relay/driver.py
+++ b/src/godwitmast/relay/driver.py
@@ -178,6 +178,8 @@
             for socket in self.links:
                 self.tasks.start_soon(socket.close)
         self.stage = stage
+        if self.measurements is not None:
+            self.measurements.wake()
         relay_row = self.machine.relay_row
         address = relay_row.address if relay_row else None
         log_event("relay_stage", stage=stage.value, zone=self.zone, relay=address)
@@ -207,8 +209,12 @@
     def apply_heartbeat(self, beat: Beat) -> None:
         if beat.epoch:
             self.epoch.observe(beat.epoch)
+        before = (self.relay_measures, self.machine.relay_available)
         self.relay_measures = beat.measures
         self.machine.record_heartbeat(beat.able, beat.vms, self.clock.now())
+        after = (self.relay_measures, self.machine.relay_available)
+        if self.measurements is not None and after != before:
+            self.measurements.wake()
 
     def record_own_answer(self) -> None:
         """Drop the link to a relay without the platform if this VM is answered."""
--- a/src/godwitmast/relay/exchange.py
+++ b/src/godwitmast/relay/exchange.py
@@ -42,8 +42,14 @@
 """Path of the links between relays, which carry nothing but reports."""
 
 TICK_S = 0.02
+"""Urgent events of one tick are handled together: servers that fail at once go into one
+report, instead of a second one a tenth of a second later."""
+
 IDLE_TICK_S = 0.25
-"""Time between checks for reports that are due; long while nothing is shared."""
+"""Longest time between checks of the configuration, the role and the links."""
+
+MIN_WAIT_S = 0.001
+"""Shortest wait for a report, as a timer may end a little before its time."""
 
 QUEUED_REPORTS = 16
 """Reports that wait for a link: two seconds of seven zones."""
@@ -108,6 +114,7 @@
         self.zone_links: dict[str, anyio.CancelScope] = {}
         self.dialled_at: dict[str, float] = {}
         self.expired_at = 0.0
+        self.woken = anyio.Event()
         self.background = BackgroundTasks(self.run)
         relay.link.on_zone_report = self.receive_zone_report
         self.add_metrics(registry)
@@ -155,13 +162,38 @@
     async def run(self) -> None:
         """Send each report when it is due, and keep the links to other zones."""
         while True:
+            # Before the exchange, so that a wake-up during it is not lost.
+            self.woken = anyio.Event()
             active = self.is_active
             self.relay.machine.reads_zones = active
             if active:
                 await self.exchange(self.clock.now())
             elif self.zone_links or self.merge is not None:
                 self.stop_serving()
-            await anyio.sleep(TICK_S if active else IDLE_TICK_S)
+            if active:
+                await self.wait_until_due()
+            else:
+                await anyio.sleep(IDLE_TICK_S)
+
+    def wake(self) -> None:
+        """Have reports that are urgent, or a change of role, handled at the next tick."""
+        self.woken.set()
+
+    async def wait_until_due(self) -> None:
+        """Wait until something is due, or for the first tick after a call of `wake`."""
+        now = self.clock.now()
+        with anyio.move_on_after(self.next_at(now) - now):
+            await self.woken.wait()
+            await anyio.sleep(TICK_S - self.clock.now() % TICK_S)
+
+    def next_at(self, now: float) -> float:
+        """Return when a report is due or a check is to be made next."""
+        due = [now + IDLE_TICK_S, self.expired_at + EXPIRE_S]
+        if self.merge is not None:
+            due += [self.collector.due_at(), self.merge.due_at()]
+        elif self.relay.machine.relay_available and self.relay.relay_measures:
+            due.append(self.collector.due_at())
+        return max(now + MIN_WAIT_S, min(due))
 
     async def exchange(self, now: float) -> None:
         if now >= self.expired_at + EXPIRE_S:
@@ -240,6 +272,8 @@
             self.reject(PeerError(f"another VM's name: {report.vm!r:.100}"), socket)
         elif not self.merge.apply(report, self.clock.now()):
             self.lost_reports.labels("old").inc()
+        elif self.merge.urgent:
+            self.wake()
 
     def reject(self, error: PeerError, socket: Connection | None) -> None:
         peer = socket.remote_address if socket is not None else None
