--- a/src/godwitmast/lease/machine.py
+++ b/src/godwitmast/lease/machine.py
@@ -55,9 +55,9 @@
     than the holder's: at the defaults, by a third. A new holder takes over at most
     `watch_s + ttl_s + guard_s` after the old one's last renewal.
 
-    `late_s` is the longest time from the writing of a call to its arrival. It is twice
-    the time for which the kernel sends unacknowledged bytes again, and the longest delay
-    with which the users' store performs a transaction that it did not answer.
+    `late_s` is the assumed bound from the writing of a call to its arrival: twice the
+    time for which the kernel sends unacknowledged bytes again, to leave the platform as
+    much for performing it.
     """
 
     ttl_s: float = 9.0
