The unreachable server of a test keeps its port from other tests

Its log shows the answer as that of engine-1, the address that was to refuse connections; stand-ins of other tests answer 421. The port had only been free at the moment. It is now bound, without listening, while the test runs. The checks are as before.

--- a/tests/test_dispatch_entry.py
+++ b/tests/test_dispatch_entry.py
@@ -1,7 +1,9 @@
 """Failures of backend servers, with real sockets from caller to engine."""
 
 import json
+from collections.abc import Iterator
 from pathlib import Path
+from socket import socket
 
 import anyio
 import httpx
@@ -10,7 +12,7 @@
 from godwitmast.dev.document import MODEL, SERVICE, dev_document, dev_key
 from godwitmast.dev.system import DevSystem
 from godwitmast.standins.engine import StandinEngine
-from processes import Process, Processes, free_port
+from processes import Process, Processes
 from running import running
 
 pytestmark = pytest.mark.anyio
@@ -81,13 +83,20 @@
         assert all(record not in busy[0].served for record in resumed)
 
 
+@pytest.fixture
+def unreachable() -> Iterator[str]:
+    """Yield a URL that refuses connections, at a port that no other test can take."""
+    with socket() as bound:
+        bound.bind(("127.0.0.1", 0))
+        yield f"http://127.0.0.1:{bound.getsockname()[1]}"
+
+
 async def test_unreachable_server_fails_no_request(
-    http: httpx.AsyncClient,
+    http: httpx.AsyncClient, unreachable: str
 ) -> None:
     system = DevSystem(engines=2)
     async with running(system):
         urls = [engine.server.url for engine in system.engines]
-        unreachable = f"http://127.0.0.1:{free_port()}"
         system.put_config(dev_document([unreachable, *urls], system.service.server.url))
         entry = system.entries[0]
         with anyio.fail_after(10):
