A test cuts a stream that has begun, not one that may not have

The cut came at a fixed time, and beside load the request reached no server before it. It now comes half a second after a server has the request; the checks are as before.

--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -160,6 +160,7 @@
     async with anyio.create_task_group() as tasks:
 
         async def cut_later() -> None:
+            await fleet.wait_until(lambda: any(e.served for e in fleet.engines))
             await anyio.sleep(0.5)
             fleet.cut(cut, 1)
 
