The test of callers that read nothing allows no refusal, and depends on no time

Trace: its log shows requests 41 to 60 refused within 9 ms each by admission, right after memory became short: at the pace measured by then they would have started after the route's target of 2.5 s. Nothing kept a slot: all attempts ended while their callers were still connected.

Change: the route's target and the deadlines are 25 s, beyond the 10 s that the test waits for the end of all attempts, and all 80 requests must be served and none refused (before: fewer than 20 refused). Bounds of the test in time: as before.

--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -72,20 +72,23 @@
     fleet: Fleet, http: httpx.AsyncClient
 ) -> None:
     """Guards against slots that stay taken by answers that nobody reads."""
-    # With a target of half a second for answers of 3 MB, admission refuses most at once.
-    bulk = route("bulk", "/bulk/", "idempotent", "app", sloMs=2500)
+    # Admission refuses what can't meet its target, and how long 60 answers of 3 MB take
+    # depends on the machine. With this target it refuses none.
+    bulk = route("bulk", "/bulk/", "idempotent", "app", sloMs=25_000, timeoutMs=25_000)
+    deadline = {"Deadline-Ms": "25000"}
     await fleet.configure(2, routes=[*config_of(2)["routes"], bulk])
     async with AsyncExitStack() as stack:
         for _ in range(60):
-            caller = SlowCaller(fleet.node.caller_server.port, "/bulk/1")
+            caller = SlowCaller(fleet.node.caller_server.port, "/bulk/1", **deadline)
             await stack.enter_async_context(caller)
         for _ in range(20):
-            answer = await fleet.request(http, "/bulk/2", Authorization=OTHER)
+            answer = await fleet.request(
+                http, "/bulk/2", Authorization=OTHER, **deadline
+            )
             assert (answer.status_code, answer.content) == (200, b"answer of app")
             await anyio.sleep(0.05)
         await fleet.wait_until(lambda: not open_attempts(fleet) and idle(fleet))
-        assert served(fleet) + refused(fleet) == 80
-        assert refused(fleet) < 20
+        assert (served(fleet), refused(fleet)) == (80, 0)
         budget = fleet.node.memory.budget
         assert budget.limit is not None
         assert budget.peak <= READ_AHEAD_SHARE * budget.limit + 16 * 64 * 1024
