Check the lease before the last byte of a call, too

What callers saw: the platform receives a whole usage report after its sender's lease, and after its successor's reports, if the holder stands still while a part of the report is still to be written. A report of thousands of teams is longer than what the kernel takes at once.

Cause: the lease was checked before the head and before the body, and the event loop writes the rest of a body when the connection takes more, without a check. A loop that ran on after a pause wrote it before any time-out fired.

Change: the last byte of the body is a part of its own, and the lease is checked right before it, when the kernel has all other bytes. A body without its last byte isn't performed, so the call counts as settled. Head and body are checked as before. The cost is one packet a call.

Ruled out: a pause between the check and the first write needs no change. With the installed anyio nothing else runs between the two unless earlier bytes of the connection are unsent.

--- a/src/godwitmast/platform_api/http.py
+++ b/src/godwitmast/platform_api/http.py
@@ -2,11 +2,12 @@
 
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from typing import Any
 
 import anyio
 import httpx
+import msgspec
 
 from godwitmast.backends.answer_limits import (
     AnswerTooLong,
@@ -25,6 +26,7 @@
 from godwitmast.platform_api.limits import CircuitBreaker, Priority, RateBudget
 from godwitmast.platform_api.port import WriteHook
 from godwitmast.settings import PlatformSettings
+from godwitmast.types import Json
 
 MAX_OPEN_CALLS = 8
 """Calls of one process that may be open at a time, so that an outage does not fill it with
@@ -42,22 +44,54 @@
 of the HTTP client is for each read, and never ends an answer that keeps arriving."""
 
 
-WRITE_EVENTS = frozenset(
-    ["http11.send_request_headers.started", "http11.send_request_body.started"]
-)
-"""Events of the HTTP library just before it writes to a connection."""
+WRITE_HEAD_EVENT = "http11.send_request_headers.started"
+"""Event of the HTTP library just before it writes a request's head to a connection."""
 
 
-def trace_writes(before_write: WriteHook) -> Callable[[str, Any], Awaitable[None]]:
-    """Return a trace for the HTTP library that calls a hook before each write."""
+def trace_head(before_write: WriteHook) -> Callable[[str, Any], Awaitable[None]]:
+    """Return a trace for the HTTP library that calls a hook before a head is written."""
 
     async def trace(event: str, info: Any) -> None:
-        if event in WRITE_EVENTS:
+        if event == WRITE_HEAD_EVENT:
             before_write()
 
     return trace
 
 
+class CheckedBody:
+    """A request's body that calls a hook before its first and before its last byte.
+
+    The kernel may take a body in parts, the last one seconds after the first. The last
+    byte is a part of its own, so that it isn't among those that wait for the kernel.
+    """
+
+    def __init__(self, content: bytes, before_write: WriteHook) -> None:
+        self.content = content
+        self.before_write = before_write
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        self.before_write()
+        yield self.content[:-1]
+        self.before_write()
+        yield self.content[-1:]
+
+
+def checked_content(
+    body: Json, headers: Mapping[str, str], before_write: WriteHook
+) -> dict[str, Any]:
+    """Return the arguments of a request that calls a hook before each write."""
+    content = msgspec.json.encode(body)
+    return {
+        "content": CheckedBody(content, before_write),
+        "headers": {
+            "Content-Type": "application/json",
+            "Content-Length": str(len(content)),
+            **headers,
+        },
+        "extensions": {"trace": trace_head(before_write)},
+    }
+
+
 class PlatformHttp:
     """Calls that either return an answer or raise a PlatformError.
 
@@ -106,10 +140,11 @@
         A call with `bypass_breaker` is sent although the circuit breaker is open, or many
         calls are, so that it succeeds as soon as the platform answers again; its caller
         has to pace it. `before_write` is called after all waits, for a turn, for the
-        budget and for a connection.
+        budget, for a connection and for the kernel to take the body of `json`.
         """
         if before_write is not None:
-            content["extensions"] = {"trace": trace_writes(before_write)}
+            body, headers = content.pop("json"), content.pop("headers", {})
+            content |= checked_content(body, headers, before_write)
         if self.http.is_closed:
             raise PlatformUnavailable(f"{path}: closed")
         if not bypass_breaker and not self.breaker.allow_call(time.monotonic()):
