Don't send a report again that was answered before its duty was cancelled

What callers saw: if the wall clock of the holder is set while the mark of a window has no answer, the platform gets the same report twice. The mark may be written after that, and says that no report is on the way; so if the second one is late, and the holder dies, its successor's report may arrive first.

Cause: the holder's lease isn't valid for a moment, the duty is cancelled and begins again under the same token, and forgot which window was answered.

Change: it forgets that only under another token.

--- a/src/godwitmast/usage/duty.py
+++ b/src/godwitmast/usage/duty.py
@@ -93,6 +93,7 @@
         # The window whose report waits until calls of earlier holders have arrived.
         self.waiting_report: DueReport | None = None
         self.answered_start: int | None = None
+        self.answered_fence: int | None = None
         self.late_windows = Counter(
             "godwit_usage_late_windows",
             "Windows that hold usage of earlier ones.",
@@ -120,7 +121,9 @@
         self.last_reported = None
         self.predecessor_settled = False
         self.waiting_report = None
-        self.answered_start = None
+        # The duty may have been cancelled and begun again under the same token.
+        if guard.held_lease is None or guard.held_lease.fence != self.answered_fence:
+            self.answered_start = None
         self.report_pending = True
         self.table_recovered_at = self.clock.now()
         if not guard.reclaimed:
@@ -260,10 +263,9 @@
                 return
             # A report that was answered is not sent again if its mark was not written: the
             # mark may be written late, and then tells nothing of a second report.
-            if due.window.start != self.answered_start:
-                if not await self.send(guard, due):
-                    return
-                self.answered_start = due.window.start
+            is_answered = due.window.start == self.answered_start
+            if not is_answered and not await self.send(guard, due):
+                return
             self.unreported.pop(due.window.start, None)
             self.ledger.record_reported(due.window.start)
             settled = guard.calls_settled(self.clock.now())
@@ -326,6 +328,8 @@
                 error=error,
                 **call.log_fields(),
             )
+        if not error:
+            self.answered_start, self.answered_fence = due.window.start, call.fence
         return not error
 
     async def send_call(self, due: DueReport, call: DutyCall) -> str | None:
--- a/tests/test_late_marks.py
+++ b/tests/test_late_marks.py
@@ -16,7 +16,7 @@
     UsageHead,
 )
 from godwitmast.usage.windows import next_report, write_window
-from usage_fleet import SlowTable, Store, UsageFleet
+from usage_fleet import SlowTable, Store, UsageFleet, VmClock
 from virtual_time import run_virtually
 
 TIMING = LeaseTiming(ttl_s=3.0, guard_s=2.0, renew_s=1.0, watch_s=0.5, late_s=6.0)
@@ -191,3 +191,50 @@
     run_virtually(play)
     assert len(set(store.fences)) > 1
     assert store.fences == sorted(store.fences)
+
+
+class SteppedClock(VmClock):
+    """A VM's clock, whose time of day is set forward by `step_s`."""
+
+    step_s = 0.0
+
+    def wall(self) -> float:
+        return super().wall() + self.step_s
+
+
+def test_report_that_was_answered_is_not_repeated_after_a_clock_step() -> None:
+    """Guards against a second report whose first one's mark, written late, calls settled.
+
+    The mark has no answer and isn't in the table yet. The holder's clock is set forward
+    for a moment, so that its duty ends and begins again under the same token.
+    """
+    store = StoreWithLateMark()
+
+    async def play() -> None:
+        fleet = UsageFleet(2, 1)
+        clocks = {vm: SteppedClock() for vm in fleet.vms}
+        for vm, clock in clocks.items():
+            vm.table.store = store
+            own = SlowTable(store, vm.clock, vm.epoch)
+            vm.lease.platform = vm.lease.duty.platform = own
+            vm.lease.clock = vm.lease.duty.clock = clock
+        async with anyio.create_task_group() as tasks:
+            for vm in fleet.vms:
+                await vm.start(tasks)
+            await anyio.sleep(3.0 * fleet.bounds.window_s)
+            store.holds_next_mark = True
+            while not store.held:
+                await anyio.sleep(0.01)
+            holder = fleet.holder
+            reported = list(store.fences)
+            clocks[holder].step_s = 10.0
+            while holder.lease.duty_scope is not None:
+                await anyio.sleep(0.01)
+            clocks[holder].step_s = 0.0
+            while not holder.lease.held:
+                await anyio.sleep(0.01)
+            await anyio.sleep(0.5 * fleet.bounds.window_s)
+            assert store.fences == reported
+            tasks.cancel_scope.cancel()
+
+    run_virtually(play)
