Keep a VM from calling before and after another one within the lease time

What callers saw: calls of two VMs can arrive in the order A, B, A within leaseMs, which the rule ONE forbids, if A releases the lease, B takes it, calls and releases it, and a new process of A takes it again. Each handover of a released lease took a tenth of a second.

Cause: a released lease told only for how long calls may still arrive, nothing of who called.

Change: a holder that took a released lease and called writes with its own release for how long the one before it has to wait, at most leaseMs after that one's last call. The next holder, whoever it is, begins its first call after that. Rows of a version without the field count as the longest time. A first holder, one that held for leaseMs, and one that made no call leave no wait.

Ruled out: a lapse, after which a lease is taken no sooner than 5 s after the last renewal.

Evidence: the new test failed before (a call 0.2 s after the first one, 3 s wanted) and passes now; a second one shows that no other handover waits. tests/test_lease_model.py, test_late_reports.py, test_late_marks.py, test_lease.py and test_zonal_duty.py pass.

--- a/src/godwitmast/lease/machine.py
+++ b/src/godwitmast/lease/machine.py
@@ -11,7 +11,8 @@
 
 A holder makes calls to a platform that does not check fencing tokens. A call without an
 answer may arrive when another process holds the lease, so each holder begins its first
-call only when those of the last one have arrived or no longer can.
+call only when those of the last one have arrived or no longer can. Nor may a holder
+call again within the lease time if another one called in between.
 """
 
 import math
@@ -138,7 +139,8 @@
     """The rows as last read; a change of any field restarts the wait for a takeover.
 
     `epoch` is the one in which the lease was last taken or released, None if unknown.
-    `calls_s` is how long calls could still arrive when the lease was released.
+    `calls_s` is how long calls could still arrive when the lease was released, and
+    `return_wait_s` how long the holder before that one had to wait until its next call.
     """
 
     lease_version: int
@@ -147,18 +149,19 @@
     holder: str
     epoch: int | None
     calls_s: float = 0.0
+    return_wait_s: float = 0.0
 
 
-def read_calls_s(lease: Json, late_s: float) -> float:
-    """Return for how long calls may arrive after a release, by the lease's row.
+def read_seconds(lease: Json, name: str, longest_s: float) -> float:
+    """Return for how long to wait after a release, by a field of the lease's row.
 
     A row of an earlier version lacks the field. The longest time counts then, and in
     place of a value that is not valid.
     """
-    value = lease.get("calls_s")
+    value = lease.get(name)
     if isinstance(value, int | float) and not isinstance(value, bool):
-        return float(value) if 0 <= value <= late_s else late_s
-    return late_s
+        return float(value) if 0 <= value <= longest_s else longest_s
+    return longest_s
 
 
 class LeaseMachine:
@@ -199,6 +202,10 @@
         # holder whose lease lapsed, and may have left none.
         self.calls_from = -math.inf
         self.calls_from_after_lapse = -math.inf
+        # The last holder before this process may not call again until then, if this
+        # process has called.
+        self.return_from = -math.inf
+        self.has_called = False
 
     def fence_if_held(self, now: float, wall: float) -> int | None:
         """Return the fencing token if the lease is held at this moment, else None.
@@ -237,6 +244,7 @@
         fence = self.fence_for_call(now, wall, predecessor_settled)
         if fence is not None:
             self.calls.begin(fence)
+            self.has_called = True
         return fence
 
     def end_call(self, fence: int, settled: bool, now: float) -> None:
@@ -392,9 +400,14 @@
 
     def wait_for_calls_of(self, observed: ObservedRows) -> None:
         """Set from when on calls may begin, by how the last holder's lease ended."""
-        self.calls_from = self.calls_from_after_lapse = -math.inf
+        self.calls_from = self.calls_from_after_lapse = self.return_from = -math.inf
+        self.has_called = False
         if self.is_vacant(observed):
-            self.calls_from = self.observed_since + observed.calls_s
+            wait_s = max(observed.calls_s, observed.return_wait_s)
+            self.calls_from = self.observed_since + wait_s
+            if observed.fence:
+                last_call_by = self.observed_since + observed.calls_s
+                self.return_from = last_call_by + self.timing.ttl_s
             return
         until = self.observed_since + self.timing.ttl_s + self.timing.late_s
         if observed.epoch == self.epoch:
@@ -409,6 +422,16 @@
         )
         return min(max(0.0, until - now), self.timing.late_s)
 
+    def return_wait_s(self, now: float) -> float:
+        """Return for how long the last holder before this process may not call.
+
+        It may be the next one, and would act before and after this one within the lease
+        time. After a lapse it couldn't be back that soon.
+        """
+        if not self.has_called:
+            return 0.0
+        return min(max(0.0, self.return_from - now), self.timing.ttl_s)
+
     def release(self, now: float) -> Step | None:
         held_lease = self.held_lease
         self.held_lease = None
@@ -421,6 +444,7 @@
                 self.lease_key: {
                     **self.lease_row(NO_HOLDER, held_lease.fence),
                     "calls_s": self.calls_arrive_for_s(now),
+                    "return_wait_s": self.return_wait_s(now),
                 }
             },
         )
@@ -513,7 +537,13 @@
     def missing_row(self) -> Json:
         """Return a row for a lease without one, which a restore may have lost."""
         epoch = None if self.restored else self.epoch
-        return {"holder": NO_HOLDER, "fence": 0, "epoch": epoch, "calls_s": 0.0}
+        return {
+            "holder": NO_HOLDER,
+            "fence": 0,
+            "epoch": epoch,
+            "calls_s": 0.0,
+            "return_wait_s": 0.0,
+        }
 
     def apply_rows(self, rows: Rows, now: float) -> None:
         """Apply the rows that were read.
@@ -550,7 +580,8 @@
             lease["fence"],
             lease["holder"],
             lease.get("epoch", 0),
-            read_calls_s(lease, self.timing.late_s),
+            read_seconds(lease, "calls_s", self.timing.late_s),
+            read_seconds(lease, "return_wait_s", self.timing.ttl_s),
         )
         if self.reclaims and seen.epoch != self.epoch:
             self.observed, self.observed_since, self.next_at = seen, now, now
--- a/tests/test_call_log.py
+++ b/tests/test_call_log.py
@@ -200,3 +200,42 @@
     log.end(1, settled=False, now=11.0)
     assert log.arrive_until(other_than=2) == 17.0
     assert log.open_count == 0
+
+
+def test_machine_does_not_call_again_within_the_lease_time_of_another_holders_call() -> (
+    None
+):
+    """Guards against holders that call in the order A, B, A within the lease time.
+
+    VMs are restarted one after another, so that B's turn is short and A is back soon.
+    """
+    platform = FakePlatform()
+    now = 100.0
+    for name in ("a", "b"):
+        machine = contender(platform, f"{name}/1", now)
+        fence = machine.begin_call(now, now)
+        assert fence is not None
+        machine.end_call(fence, settled=True, now=now)
+        release(platform, machine, now)
+        now = round(now + TENTH_S, 6)
+    restarted = contender(platform, "a/2", now)
+    while restarted.begin_call(now, now) is None:
+        now = round(now + TENTH_S, 6)
+        play(platform, restarted, now)
+    assert now >= 100.0 + TIMING.ttl_s
+
+
+def test_third_holder_calls_at_once_if_the_second_one_held_for_the_lease_time() -> None:
+    """Guards against handovers that delay calls although no holder can have alternated."""
+    platform = FakePlatform()
+    now = 100.0
+    for name in ("a", "b"):
+        machine = contender(platform, name, now)
+        fence = machine.begin_call(now, now)
+        assert fence is not None
+        machine.end_call(fence, settled=True, now=now)
+        for _ in range(30):
+            now = round(now + TENTH_S, 6)
+            play(platform, machine, now)
+        release(platform, machine, now)
+    assert contender(platform, "c", now).begin_call(now, now) == 3
