--- a/tests/test_late_duty_calls.py
+++ b/tests/test_late_duty_calls.py
@@ -413,7 +413,43 @@
     monkeypatch.setattr(HeadCountingStream, "write", write_slowly)
 
 
-@pytest.mark.parametrize("stall", [stall_while_connecting, stall_after_head])
+def stall_before_turn(
+    monkeypatch: pytest.MonkeyPatch, stand_still: Callable[[], None]
+) -> None:
+    """Have the call get its turn among the open calls once the lease is over."""
+    request = PlatformHttp.request
+
+    async def request_late(
+        client: PlatformHttp, *args: Any, **content: Any
+    ) -> httpx.Response:
+        stand_still()
+        return await request(client, *args, **content)
+
+    monkeypatch.setattr(PlatformHttp, "request", request_late)
+
+
+def stall_for_budget(
+    monkeypatch: pytest.MonkeyPatch, stand_still: Callable[[], None]
+) -> None:
+    """Have the process's rate budget allow the call once the lease is over."""
+    wait_for_budget = PlatformHttp.wait_for_budget
+
+    async def wait_long(client: PlatformHttp, *args: Any) -> None:
+        await wait_for_budget(client, *args)
+        stand_still()
+
+    monkeypatch.setattr(PlatformHttp, "wait_for_budget", wait_long)
+
+
+STALLS = [
+    stall_while_connecting,
+    stall_after_head,
+    stall_before_turn,
+    stall_for_budget,
+]
+
+
+@pytest.mark.parametrize("stall", STALLS)
 @pytest.mark.parametrize(
     "make_call", [report_usage, order_numbers, order_one, report_journal]
 )
--- a/tests/test_late_duty_stalls.py
+++ b/tests/test_late_duty_stalls.py
@@ -1,16 +1,23 @@
 """Calls of a lease holder whose VM stands still, or whose connections do, while one is on its way."""
 
 import socket
+import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from enum import Enum, auto
 
 import anyio
 import pytest
+from anyio.abc import SocketAttribute, SocketStream
 
 from fakes import FakePlatform
 from fleet import settings_of
 from godwitmast.clock import ManualClock
-from godwitmast.errors import PlatformError, PlatformUnavailable
+from godwitmast.errors import (
+    PlatformError,
+    PlatformOutcomeUnknown,
+    PlatformUnavailable,
+)
 from godwitmast.lease.calls import DutyCall
 from godwitmast.lease.machine import LeaseMachine
 from godwitmast.platform import store
@@ -67,8 +74,8 @@
         platform.close()
 
 
-def large_report(fence: int) -> dict:
-    figures = [[f"team-{number}", "c", "p", 1, 1, 1] for number in range(TEAMS)]
+def report_of(teams: int, fence: int) -> dict:
+    figures = [[f"team-{number}", "c", "p", 1, 1, 1] for number in range(teams)]
     return {"start": 10, "end": 11, "figures": figures, "late": [], "fence": fence}
 
 
@@ -94,7 +101,7 @@
         async def report() -> None:
             try:
                 with call.settling():
-                    report = large_report(call.fence)
+                    report = report_of(TEAMS, call.fence)
                     await client.report_usage(report, call.before_write)
             except PlatformError as failure:
                 errors.append(failure)
@@ -105,12 +112,107 @@
             await anyio.sleep(0.001)
         clock.advance(TIMING.ttl_s + 0.1)
         received.append(await platform.read_all())
-    head, _, body = received[0].partition(b"\r\n\r\n")
-    lengths = [
-        int(line.split(b":")[1])
-        for line in head.lower().split(b"\r\n")
-        if line.startswith(b"content-length")
-    ]
-    assert lengths and len(body) < lengths[0]
+    assert b"content-length" in received[0].lower()
+    assert not is_whole(received[0])
     assert isinstance(errors[0], PlatformUnavailable)
     assert call.settled
+
+
+class Break(Enum):
+    """What the platform does with a connection once it has read a call."""
+
+    RESET = auto()
+    CLOSED = auto()
+    SILENT = auto()
+    ANSWER_CUT = auto()
+
+
+NO_LINGER = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing a connection resets it."""
+
+
+def reset(connection: SocketStream) -> None:
+    raw = connection.extra(SocketAttribute.raw_socket)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+
+
+class BreakingPlatform:
+    """A platform that answers one call, and breaks its connection on the next one."""
+
+    def __init__(self, broken: Break) -> None:
+        self.broken = broken
+        self.received: list[bytes] = []
+        self.connections = 0
+
+    async def serve(self, connection: SocketStream) -> None:
+        self.connections += 1
+        async with connection:
+            while True:
+                call = await read_call(connection)
+                if call is None:
+                    return
+                self.received.append(call)
+                if len(self.received) > 1:
+                    await self.break_off(connection)
+                    return
+                await connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+
+    async def break_off(self, connection: SocketStream) -> None:
+        match self.broken:
+            case Break.RESET:
+                reset(connection)
+            case Break.SILENT:
+                await connection.receive()
+            case Break.ANSWER_CUT:
+                await connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{")
+
+
+async def read_call(connection: SocketStream) -> bytes | None:
+    """Return a whole request, None if the connection ends before."""
+    data = b""
+    try:
+        while not is_whole(data):
+            data += await connection.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return None
+    return data
+
+
+def is_whole(request: bytes) -> bool:
+    """Return whether a request has as many bytes in its body as its head announces."""
+    head, _, body = request.lower().partition(b"\r\n\r\n")
+    fields = dict(line.split(b": ", 1) for line in head.split(b"\r\n")[1:])
+    return len(body) == int(fields.get(b"content-length", -1))
+
+
+@pytest.mark.parametrize("broken", Break)
+async def test_call_on_a_kept_connection_that_breaks_is_sent_once_and_may_arrive(
+    broken: Break,
+) -> None:
+    """Guards against a client that sends such a call again, or calls it settled."""
+    clock = ManualClock(100.0)
+    machine: LeaseMachine = hold(FakePlatform(), "a", clock.now())
+    platform = BreakingPlatform(broken)
+    async with anyio.create_task_group() as tasks:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        tasks.start_soon(listener.serve, platform.serve)
+        port = listener.extra(SocketAttribute.local_port)
+        settings = check_settings(settings_of(port), PlatformFile, "settings")
+        client = DutyClient(settings)
+        errors: list[PlatformError] = []
+        for _ in range(2):
+            call = DutyCall.begin(machine, clock)
+            assert call is not None
+            try:
+                with call.settling():
+                    report = report_of(1, call.fence)
+                    await client.report_usage(report, call.before_write)
+            except PlatformError as failure:
+                errors.append(failure)
+        await client.close()
+        tasks.cancel_scope.cancel()
+    assert [type(error) for error in errors] == [PlatformOutcomeUnknown]
+    assert not call.settled
+    assert len(platform.received) == 2
+    assert platform.connections == 1
+    assert machine.calls_arrive_for_s(clock.now()) == TIMING.late_s
