Send a stopping relay's own write at once, so that its last usage is not lost

Cause: a VM that stops writes its last usage within 0.5 s (a sixteenth of graceS), after the write before has ended. If the VM is its zone's relay, that one may be gathered with those of others for 1 s (a fifth of a window). Then the last write never began (usage_left in the log), the one being gathered was lost with the process too, and the row stayed open until it was sealed.

Change: the relay, once its links are closed, sends at once what it has gathered of its own (GroupCommit.stop_gathering). Writes of followers end with their links, as before.

Evidence: the new test failed before (the row was not written as ended) and passes now.

The users' case, 39 of 151 requests, isn't proven to be this one.

--- a/src/godwitmast/platform_api/group_commit.py
+++ b/src/godwitmast/platform_api/group_commit.py
@@ -58,6 +58,7 @@
         self.arrived = anyio.Event()
         self.sent = 0
         self.last_failed = False
+        self.hurried = anyio.Event()
 
     async def start(self, tasks: TaskGroup) -> None:
         tasks.start_soon(self.run)
@@ -80,11 +81,16 @@
         assert pending.outcome is not None, "a completed transaction has an outcome"
         return pending.outcome
 
+    def stop_gathering(self) -> None:
+        """Send pending and later transactions at once, as the process is about to end."""
+        self.hurried.set()
+
     async def run(self) -> None:
         while True:
             await self.arrived.wait()
             if self.gather_s and not self.last_failed:
-                await anyio.sleep(self.gather_s)
+                with anyio.move_on_after(self.gather_s):
+                    await self.hurried.wait()
             self.arrived = anyio.Event()
             while self.queue:
                 await self.commit(self.take_batch())
--- a/src/godwitmast/relay/driver.py
+++ b/src/godwitmast/relay/driver.py
@@ -137,7 +137,11 @@
         tasks.start_soon(self.run)
 
     async def close(self) -> None:
-        """Delete the relay row, so that another VM claims it, and close all links."""
+        """Delete the relay row, so that another VM claims it, and close all links.
+
+        A write of this VM's own that is being gathered is then sent at once, as its last
+        usage waits for the outcome. Those of followers end with their links.
+        """
         step = self.machine.leave()
         if step is not None:
             with anyio.move_on_after(LEAVE_TIMEOUT_S):
@@ -147,6 +151,7 @@
             self.server.close()
             with anyio.move_on_after(LEAVE_TIMEOUT_S):
                 await self.server.wait_closed()
+        self.group.stop_gathering()
 
     async def run(self) -> None:
         """Run each step when it is due, and dial or drop the link to the relay."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,12 +7,14 @@
 
 import anyio
 import cbor2
+import httpx
 import msgspec
 import pytest
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import ServerConnection
 
 from fakes import FakePlatform, Fate
+from fleet import Fleet
 from godwitmast.clock import SystemClock
 from godwitmast.errors import (
     PeerError,
@@ -38,6 +40,8 @@
 pytestmark = pytest.mark.anyio
 
 GATHER_S = 0.05
+LONG_GATHER_S = 600.0
+"""Longer than a VM has for its stop."""
 SHARING = Sharing(confirm_s=0.1, fresh_s=0.2, wait_s=10.0)
 WITHIN_S = 10.0
 
@@ -317,6 +321,21 @@
     assert sent_at[1] - sent_at[0] < group.gather_s
 
 
+async def test_relay_that_stops_writes_its_last_usage(http: httpx.AsyncClient) -> None:
+    """Guards against usage that is lost as the last write waits for one being gathered."""
+    async with running(Fleet()) as fleet:
+        node = fleet.node
+        await fleet.wait_until(lambda: node.relay.machine.serving)
+        node.relay.group.gather_s = LONG_GATHER_S
+        answer = await fleet.request(http, "/peek/1")
+        assert answer.status_code == 200
+        await fleet.wait_until(lambda: node.relay.group.queue)
+        await node.close()
+        journal = node.writer.journal
+        assert journal.last is not None and journal.last.ended
+        assert journal.holds_all
+
+
 def large_config() -> bytes:
     """Return a configuration of 1,700 routes in an operator's format."""
     draw = random.Random(1)
