--- a/tests/test_late_duty_calls.py
+++ b/tests/test_late_duty_calls.py
@@ -221,6 +221,44 @@
     await play_end(fleet, http, LateCall(path, wait_s), lose_store)
 
 
+def calls_are_stopped(node: Node) -> bool:
+    return node.lease.machine.calls_stopped
+
+
+def lease_is_released(node: Node) -> bool:
+    return node.lease.machine.released
+
+
+@pytest.mark.parametrize(
+    ("path", "second_signal_once", "vms"),
+    [
+        (REPORT_USAGE, calls_are_stopped, 2),
+        (REPORT_USAGE, lease_is_released, 6),
+        (ORDER_SERVERS, calls_are_stopped, 6),
+        (ORDER_SERVERS, lease_is_released, 2),
+    ],
+)
+async def test_call_of_a_holder_that_is_stopped_twice_arrives_before_its_successors(
+    fleet: RestoredFleet,
+    http: httpx.AsyncClient,
+    path: str,
+    second_signal_once: Callable[[Node], bool],
+    vms: int,
+) -> None:
+    """Guards against a lease that is handed over as if its last call had ended, as a second
+    signal ends the stop."""
+
+    async def stop_twice(node: Node) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(node.close)
+            while not second_signal_once(node):
+                await anyio.sleep(0.001)
+            tasks.cancel_scope.cancel()
+        await lose_all(node)
+
+    await play_end(fleet, http, LateCall(path, 4.5), stop_twice, vms)
+
+
 @pytest.mark.parametrize(
     ("away_s", "wait_s"), [(0.0, 3.0), (0.0, 4.5), (0.5, 3.0), (0.5, 4.5), (2.5, 5.8)]
 )
