Wait for a lease whose row a restore may have lost before a process started

Callers saw: two holders of the duties after a restore of the store to before the lease's first row: a process that starts then took the lease at once, while the old holder, which doesn't know of the restore yet, still counts on it.

Cause: a missing row counted as a lease that nobody held, unless the process itself saw the epoch rise. A process that starts knows no earlier epoch.

A missing row is now waited for like a lapsed lease (ttl and guard), except where the table's epoch is 0 or unknown, or where `bootstrap` in the settings says that the whole system starts for the first time and the process saw no rise. The record of a restore can't tell that nobody held the lease, since whoever records it needn't know.

The lease model let every process know of each restore. In it now, processes that start know no epoch; it finds the fault in a variant with the old rule (LeaseWithoutLostRows).

With `bootstrap`, with epoch 0 and without epochs nothing changes.

Changes to tests: the fleets in virtual time and RestoredFleet stand for the first start of a system, so they say so; VMs that are added later don't. In test_process_that_starts_after_a_restore_does_not_take_a_lost_lease_at_once the old process belongs to the first start and is checked to hold the lease, without which the test would prove nothing now; it also checks when the new one takes over.

--- a/src/godwitmast/lease/driver.py
+++ b/src/godwitmast/lease/driver.py
@@ -66,6 +66,7 @@
         count_vms: Callable[[], int] = lambda: 0,
         candidates_only: Callable[[], bool] = lambda: False,
         epoch: TableEpoch | None = None,
+        first_start: bool = False,
     ) -> None:
         self.epoch = epoch or TableEpoch(clock)
         self.platform = platform
@@ -74,7 +75,7 @@
         self.count_vms = count_vms
         self.candidates_only = candidates_only
         holder = f"{node}/{secrets.token_hex(4)}"
-        self.machine = LeaseMachine(duty.name, holder, timing)
+        self.machine = LeaseMachine(duty.name, holder, timing, first_start)
         self.duty_scope: anyio.CancelScope | None = None
         self.duty_ended = anyio.Event()
         self.duty_ended.set()
--- a/src/godwitmast/lease/machine.py
+++ b/src/godwitmast/lease/machine.py
@@ -21,6 +21,7 @@
 from xxhash import xxh3_64_intdigest
 
 from godwitmast.lease.call_log import CallLog
+from godwitmast.platform_api.epoch import may_lack_rows
 from godwitmast.platform_api.messages import Conflict, Written
 from godwitmast.platform_api.steps import Failure, Read, Result, Rows, Step, Transact
 from godwitmast.types import Json
@@ -167,14 +168,21 @@
     `step` returns the next table step when one is due, `took` applies its result, and
     at most one step is in flight at a time. `holder` must be unique to each process
     start, since a restarted process does not know what its predecessor sent.
+    `first_start` tells that the process belongs to the first start of the whole system,
+    so that nobody held the lease before.
     """
 
     def __init__(
-        self, name: str, holder: str, timing: LeaseTiming = LeaseTiming()
+        self,
+        name: str,
+        holder: str,
+        timing: LeaseTiming = LeaseTiming(),
+        first_start: bool = False,
     ) -> None:
         self.name = name
         self.holder = holder
         self.timing = timing
+        self.first_start = first_start
         self.lease_key = f"lease/{name}"
         self.beat_key = f"lease/{name}/beat"
         self.held_lease: HeldLease | None = None
@@ -511,8 +519,12 @@
 
     @property
     def missing_row(self) -> Json:
-        """Return a row for a lease without one, which a restore may have lost."""
-        epoch = None if self.restored else self.epoch
+        """Return a row for a lease without one, which a restore may have lost.
+
+        It is then waited for, as if another process held it.
+        """
+        lost = may_lack_rows(self.epoch, self.restored, self.first_start)
+        epoch = None if lost else self.epoch
         return {"holder": NO_HOLDER, "fence": 0, "epoch": epoch, "calls_s": 0.0}
 
     def apply_rows(self, rows: Rows, now: float) -> None:
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -263,6 +263,7 @@
             self.crash_reports.table_restored,
         ]
         self.store.rows_to_restore = self.agreed_clock.rows_to_restore
+        self.first_start = settings.bootstrap
         timing = usage_timing(bounds)
         self.relay = RelayDriver(
             self.store,
@@ -357,6 +358,7 @@
             lease_timing(bounds),
             lambda: len(duty.loads()),
             candidates_only=lambda: self.relay.machine.relay_available,
+            first_start=self.first_start,
             epoch=self.store.epoch,
         )
         self.add_metrics(self.app.metrics.registry)
--- a/src/godwitmast/platform/settings.py
+++ b/src/godwitmast/platform/settings.py
@@ -92,3 +92,5 @@
     invariants: tuple[str, ...] = ()
     """The parts of the platform's rules that are in force."""
     limits: LimitsTable = LimitsTable()
+    bootstrap: bool = False
+    """Whether this start belongs to the first one of the whole system."""
--- a/src/godwitmast/platform_api/epoch.py
+++ b/src/godwitmast/platform_api/epoch.py
@@ -30,6 +30,16 @@
     return version & ((1 << NUMBER_BITS) - 1)
 
 
+def may_lack_rows(epoch: int, restored: bool, first_start: bool) -> bool:
+    """Return whether a row that is missing may be one that a restore lost.
+
+    `restored` is whether this process saw the epoch rise. One that knows no epoch but
+    the present one can't tell whether there was a restore before, unless that epoch is 0
+    (or the table tells none), or it belongs to the first start of the whole system.
+    """
+    return restored or (epoch > 0 and not first_start)
+
+
 class TableEpoch:
     """The latest epoch that this process knows of; 0 if the platform tells none."""
 
--- a/tests/test_late_marks.py
+++ b/tests/test_late_marks.py
@@ -106,13 +106,50 @@
         while (step := machine.step(now, now)) is not None:
             machine.took(platform.take_of(step, epoch, Fate.ANSWERED), now)
 
-    old, new = (LeaseMachine("duties", name, TIMING) for name in ("old", "new"))
+    old = LeaseMachine("duties", "old", TIMING, first_start=True)
+    new = LeaseMachine("duties", "new", TIMING)
     play_epoch(old, 1, 100.0)
+    assert old.fence_if_held(100.0, 100.0) is not None
     platform.restore(backup)
     play_epoch(new, 2, 100.1)
     first = new.begin_call(100.2, 100.2)
     later = old.begin_call(100.3, 100.3)
     assert first is None or later is None, f"{first}, then {later}"
+    now = 100.1
+    while new.fence_if_held(now, now) is None:
+        now = round(now + 0.1, 6)
+        play_epoch(new, 2, now)
+    wait_s = TIMING.ttl_s + TIMING.guard_s
+    assert 100.1 + wait_s <= now <= 100.1 + wait_s + 0.2
+
+
+@pytest.mark.parametrize(
+    ("epoch", "first_start", "at_once"),
+    [(0, False, True), (1, True, True), (7, True, True), (1, False, False)],
+)
+def test_first_start_of_the_system_takes_a_lease_at_once(
+    epoch: int, first_start: bool, at_once: bool
+) -> None:
+    """Guards against a first start that waits for a holder whom there never was."""
+    platform = RestoredPlatform(epoch=epoch)
+    machine = LeaseMachine("duties", "a", TIMING, first_start)
+    machine.observe_epoch(epoch, False, 100.0, 100.0)
+    while (step := machine.step(100.0, 100.0)) is not None:
+        machine.took(platform.take_of(step, epoch, Fate.ANSWERED), 100.0)
+    assert (machine.begin_call(100.0, 100.0) is not None) == at_once
+
+
+def test_process_of_the_first_start_that_sees_a_restore_waits_for_a_lost_lease() -> (
+    None
+):
+    """Guards against a process that takes a missing row for a free lease by its settings."""
+    platform = RestoredPlatform(epoch=2)
+    machine = LeaseMachine("duties", "a", TIMING, first_start=True)
+    machine.observe_epoch(1, False, 100.0, 100.0)
+    machine.observe_epoch(2, True, 100.1, 100.1)
+    while (step := machine.step(100.1, 100.1)) is not None:
+        machine.took(platform.take_of(step, 2, Fate.ANSWERED), 100.1)
+    assert machine.fence_if_held(100.1, 100.1) is None
 
 
 def test_mark_of_a_version_without_the_field_proves_nothing() -> None:
--- a/tests/test_late_reports.py
+++ b/tests/test_late_reports.py
@@ -98,7 +98,9 @@
         fleet = UsageFleet(vm_count, seed)
         for vm in fleet.vms:
             old = vm.lease.machine
-            vm.lease.machine = machine(old.name, f"{old.holder}/{seed}", old.timing)
+            vm.lease.machine = machine(
+                old.name, f"{old.holder}/{seed}", old.timing, old.first_start
+            )
         times = min(2, vm_count - 1)
         async with anyio.create_task_group() as tasks:
             for vm in fleet.vms:
--- a/tests/test_lease_model.py
+++ b/tests/test_lease_model.py
@@ -426,14 +426,21 @@
 
 
 class RestoredLeaseModel(LeaseModel):
-    """The same, with a table that is restored now and then."""
+    """The same, with a table that is restored now and then.
+
+    The first processes know that they belong to the first start of the system, and that
+    the epoch is 1. Others know no epoch before the table's first answer.
+    """
 
     @initialize()
     def begin(self) -> None:
         super().begin()
+        for contender in self.contenders:
+            contender.machine.first_start = True
         self.platform = RestoredPlatform()
         self.backups = [self.platform.backup()]
         self.known = [1, 1, 1]
+        self.restored = [False, False, False]
         self.sent_epochs = [1, 1, 1]
         self.answer_epochs = [1, 1, 1]
         self.holders_of_fences: dict[int, str] = {}
@@ -513,18 +520,29 @@
         super().learn(who)
 
     def observe(self, who: int, epoch: int) -> None:
-        """Let a process know an epoch."""
+        """Let a process know an epoch, and whether it saw it rise."""
         contender = self.contenders[who]
-        self.known[who] = max(self.known[who], epoch)
-        restored = self.known[who] > 1
+        if epoch > self.known[who]:
+            self.restored[who] = self.known[who] > 0
+            self.known[who] = epoch
         clocks = self.clocks(contender)
-        contender.machine.observe_epoch(self.known[who], restored, *clocks)
+        contender.machine.observe_epoch(self.known[who], self.restored[who], *clocks)
 
     @rule(who=PROCESSES)
     def restart_empty(self, who: int) -> None:
         if self.contenders[who].sent is not None:
             self.platform.late_epochs.append(self.sent_epochs[who])
         super().restart_empty(who)
+        self.known[who], self.restored[who] = 0, False
+
+    @rule(who=PROCESSES)
+    def starts_after_a_restore_to_the_start(self, who: int) -> None:
+        """Lose all rows, and start a process that takes its first steps then."""
+        self.platform.away = False
+        self.restore(len(self.backups))
+        self.restart_empty(who)
+        for _ in range(3):
+            self.take_a_step(who, Fate.ANSWERED)
 
     @invariant()
     def fences_have_one_holder(self) -> None:
@@ -572,6 +590,15 @@
         return observed.holder == NO_HOLDER
 
 
+class LeaseWithoutLostRows(LeaseMachine):
+    """Takes a missing row for a lease that nobody held unless it saw the restore."""
+
+    @property
+    def missing_row(self):
+        epoch = None if self.restored else self.epoch
+        return {**super().missing_row, "epoch": epoch}
+
+
 class LeaseReclaimedAnyTime(LeaseMachine):
     """Claims its lease after a restore however long its time has been over."""
 
@@ -678,7 +705,13 @@
 
 
 @pytest.mark.parametrize(
-    "broken", [LeaseVacantAfterRestore, LeaseReclaimedAnyTime, LeaseWithoutEpochs]
+    "broken",
+    [
+        LeaseVacantAfterRestore,
+        LeaseReclaimedAnyTime,
+        LeaseWithoutEpochs,
+        LeaseWithoutLostRows,
+    ],
 )
 def test_model_finds_the_fault_of_a_lease_over_restores(
     broken: type[LeaseMachine],
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -44,11 +44,16 @@
     """VMs whose store tells its epoch and can be restored."""
 
     async def start(self, tasks: Any) -> None:
+        self.settings = {"bootstrap": True, **self.settings}
         await super().start(tasks)
         self.store.epoch = 1
         # A VM that first hears of an epoch after a restore can't know of it.
         await self.wait_until(lambda: self.node.store.epoch.current == 1)
 
+    async def add_vm(self, name: str, **changes: Any) -> Node:
+        """Start one more VM, which doesn't belong to the first start of the system."""
+        return await super().add_vm(name, **{"bootstrap": False, **changes})
+
     async def lose_seconds(self, lost_s: float, away_s: float = AWAY_S) -> None:
         """Lose what is written from now on, as the store then comes back from a copy."""
         backup = self.store.backup()
--- a/tests/usage_fleet.py
+++ b/tests/usage_fleet.py
@@ -160,7 +160,9 @@
             self.table, clock, duty, name, lease_timing(bounds), epoch=self.epoch
         )
         # The driver's own holder has a random part.
-        self.lease.machine = LeaseMachine(duty.name, name, lease_timing(bounds))
+        self.lease.machine = LeaseMachine(
+            duty.name, name, lease_timing(bounds), first_start=True
+        )
         self.counted = 0
         self.killed = anyio.CancelScope()
 
