Add usage from before the agreement on the time to its true windows

Callers saw: requests that a VM serves before it knows the common time of day may never be reported, if its own clock is ahead.

Increments are kept by the second of the monotonic clock until the writer starts, which a VM does once the time is agreed, and are then added to the windows of that time.

Evidence: test_usage_from_before_the_agreement_is_in_its_true_window failed before with 20 requests in windows 2,400 s ahead. Found by reading, when weighing what a VM does that counted by a time of day which is replaced after a restore.

Ruled out: adding all of it to the window of the start. That would be off by a window or more where the agreement takes seconds.

--- a/src/godwitmast/usage/writer.py
+++ b/src/godwitmast/usage/writer.py
@@ -14,7 +14,7 @@
 from godwitmast.platform_api.port import Table
 from godwitmast.platform_api.runner import run_steps
 from godwitmast.usage.journal import FlushOutcome, Journal, read_marks
-from godwitmast.usage.meter import UsageKey, UsageSum
+from godwitmast.usage.meter import Sums, UsageKey, UsageSum, add_sums
 from godwitmast.usage.rows import HEAD_KEY, UsageHead
 from godwitmast.usage.windows import UsageTiming
 
@@ -32,6 +32,9 @@
 MIN_WRITE_INTERVAL_S = 2.0
 """Shortest time between two writes, also when the configuration changes often."""
 
+MAX_EARLY_SECONDS = 300
+"""Bounds the usage that is kept before the start to teams x classes x pools x 300 sums."""
+
 
 class NodeWriter:
     """Writes one entry's row every few seconds, and a last time when the entry stops.
@@ -62,14 +65,36 @@
         self.read_recent = read_recent
         self.flush_requested = anyio.Event()
         self.write_lock = anyio.Lock()
+        self.started = False
         self.closing = False
+        # Usage from before the start, by the second of the monotonic clock.
+        self.early: dict[int, Sums] = {}
         self.unsaved_s = 0.0
         self.saved_at = clock.now()
         self.marks_read_at = 0.0
 
     def count(self, key: UsageKey, increment: UsageSum) -> None:
-        """Add an increment of the meter to the journal."""
-        self.journal.add(key, increment, self.clock.wall())
+        """Add an increment of the meter to the journal.
+
+        Before the start the time of day may be wrong, and the journal never goes back
+        from a window: the increment is kept until then.
+        """
+        if self.started:
+            self.journal.add(key, increment, self.clock.wall())
+            return
+        add_sums(self.early.setdefault(int(self.clock.now()), {}), {key: increment})
+        if len(self.early) > MAX_EARLY_SECONDS:
+            first, second, *_ = self.early
+            add_sums(self.early[second], self.early.pop(first))
+
+    def add_early_usage(self) -> None:
+        """Add usage from before the start to its windows, by the present time of day."""
+        self.started = True
+        now, wall = self.clock.now(), self.clock.wall()
+        for second, sums in self.early.items():
+            for key, increment in sums.items():
+                self.journal.add(key, increment, wall - (now - second))
+        self.early.clear()
 
     def config_changed(self, config: object) -> None:
         """Publish the version in force soon, since an operator may be waiting for it."""
@@ -80,6 +105,7 @@
         self.flush_requested.set()
 
     async def start(self, tasks: TaskGroup) -> None:
+        self.add_early_usage()
         tasks.start_soon(self.run)
 
     async def run(self) -> None:
@@ -152,6 +178,7 @@
     async def close(self) -> None:
         """Write the remaining usage, once no request is running any more."""
         self.closing = True
+        self.add_early_usage()
         with anyio.move_on_after(self.timing.stop_s):
             while not await self.flush_last():
                 await anyio.sleep(0.1)
--- a/tests/test_time_agreement.py
+++ b/tests/test_time_agreement.py
@@ -1,7 +1,9 @@
 """The common time of day of all VMs while single clocks jump."""
 
 import time
+from collections import Counter
 
+import anyio
 import httpx
 import pytest
 
@@ -19,6 +21,10 @@
 )
 from godwitmast.settings import check_settings
 from godwitmast.standins.store import StoreStandin
+from godwitmast.usage.journal import Journal
+from godwitmast.usage.meter import UsageKey, UsageSum
+from godwitmast.usage.windows import UsageTiming
+from godwitmast.usage.writer import NodeWriter
 from running import running
 
 
@@ -136,6 +142,32 @@
         assert len(figures) == len(set(windows))
 
 
+@pytest.mark.anyio
+async def test_usage_from_before_the_agreement_is_in_its_true_window() -> None:
+    """Guards against usage that is never reported, as a VM counts it by its own clock,
+    which is ahead, until it knows the common time."""
+    platform = FakePlatform()
+    right, ahead = JumpyClock(), JumpyClock(2_400.0)
+    true_time, clock = agreed(platform, right), AgreedClock(ahead)
+    journal = Journal("front-1", "z1", 5)
+    timing = UsageTiming(window_s=5, flush_s=1.0)
+    writer = NodeWriter(None, clock, journal, timing, lambda: 1, dict)
+    key = UsageKey("arima", "question", "lm")
+    counted: Counter[int] = Counter()
+    for _ in range(20):
+        writer.count(key, UsageSum(1))
+        counted[int(true_time.wall() // 5) * 5] += 1
+        right.seconds += 0.5
+        ahead.seconds += 0.5
+    clock.update_store_time(ahead.seconds + 50.0)
+    assert platform.run(agree_on_time(clock))
+    async with anyio.create_task_group() as tasks:
+        await writer.start(tasks)
+        tasks.cancel_scope.cancel()
+    found = {at: sums[key].requests for at, sums in journal.segments.items()}
+    assert found == counted
+
+
 @pytest.mark.anyio
 async def test_vm_that_starts_before_a_restore_is_recorded_takes_the_agreed_clock() -> (
     None
