Look up the socket of an idle connection only once

Cause: for each question the library collected all attributes of the connection anew, made a poll object, and polled the socket.

Change: a connection keeps its socket and a poll object. It is polled as before, and a socket that has been closed counts as readable as before: its number may be that of another socket.

--- a/src/godwitmast/backends/transport.py
+++ b/src/godwitmast/backends/transport.py
@@ -4,6 +4,7 @@
 as a server sends. So the bytes are counted below it, at the connection.
 """
 
+import select
 import ssl
 from collections.abc import AsyncIterator, Iterable, Iterator
 from contextlib import contextmanager
@@ -57,6 +58,8 @@
         self.network = network
         self.awaits_head = True
         self.received = 0
+        self.socket: Any = None
+        self.poll: select.poll | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         if not self.awaits_head:
@@ -86,8 +89,25 @@
         return HeadCountingStream(secured, self.network)
 
     def get_extra_info(self, info: str) -> Any:
+        if info == "is_readable":
+            return self.is_readable()
         return self.stream.get_extra_info(info)
 
+    def is_readable(self) -> bool:
+        """Return whether bytes, or the end of the connection, wait to be read.
+
+        The pool asks this of all idle connections at the start and at the end of each
+        request, so that the socket is looked up only once.
+        """
+        if self.poll is None:
+            self.socket = self.stream.get_extra_info("socket")
+            if self.socket is None or self.socket.fileno() < 0:
+                return True
+            self.poll = select.poll()
+            self.poll.register(self.socket, select.POLLIN)
+        # Once the socket is closed, its number may be that of another one.
+        return self.socket.fileno() < 0 or bool(self.poll.poll(0))
+
 
 class HeadCountingNetwork(httpcore.AsyncNetworkBackend):
     """Opens connections that allow `head_bytes` for the head of an answer."""
