Agree on one time of day after a restore, whoever starts or records it first

Usage of the one is counted in windows that the other never reports.

Cause: the VM that starts found no row and used a difference by its own clock at once. The record of the restore then overwrote that row unchecked, and the VM that started didn't read it again.

Now each VM that knows the difference reads the row again after each restore, and writes it with a check of what it read until the row is stored. A VM that finds no row where one may be lost (an epoch above 0 without `bootstrap`, or a restore that it saw) writes a proposal that names the store's time. VMs that know an earlier difference replace it for 3 s, nobody uses it for 9 s, and after that it stands, so that the order of the writes doesn't matter. The VM counts no window meanwhile. The record of a restore no longer holds the row.

Ruled out: the record takes the row that it finds. All VMs would then go by the clock of the one that started: behind by 40 minutes, nothing is reported for as long, since frozen windows never go back. Ruled out too: a VM that was cut off for over 3 s puts its own difference in force again. All that reported by the proposal would have to go back.

Cost: one read of the row after a restore for each relay and each VM without one. A start in an epoch above 0 without `bootstrap` that finds no row takes 9 s longer until it reports usage.

Changes to tests: test_vm_that_starts_before_a_restore_is_recorded_takes_the_agreed_clock expected the VM that starts to use its own difference at once, and to change it by any read of the row. It now runs the agreement again as the Node does, in five orders, and also checks whose time is used. test_clock_difference_..._though_an_answer_is_lost lost the record's answer, which held the row; it also loses the first write of the row now.

--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -32,7 +32,7 @@
 from godwitmast.entry.request_parsing import CallerGone
 from godwitmast.entry.sending import EntryMemory
 from godwitmast.entry.stream_versions import ListedServer, StreamVersions
-from godwitmast.errors import ConfigInvalid, SettingsError
+from godwitmast.errors import ConfigInvalid, PlatformError, SettingsError
 from godwitmast.forwarding.peers import PeerChoice
 from godwitmast.http_server import HttpServer, Receive, Scope, Send
 from godwitmast.lease.driver import DutyGroup, LeaseDriver
@@ -59,10 +59,14 @@
     READY_PATH,
     SERVERS_TABLE,
 )
-from godwitmast.platform_api.epoch import number_of
+from godwitmast.platform_api.epoch import may_lack_rows, number_of
 from godwitmast.platform_api.feed import FeedFollower, long_poll_s
 from godwitmast.platform_api.runner import run_steps
-from godwitmast.platform_api.time_agreement import AgreedClock, agree_on_time
+from godwitmast.platform_api.time_agreement import (
+    CLOCK_KEY,
+    AgreedClock,
+    agree_on_time,
+)
 from godwitmast.relay.driver import RelayDriver
 from godwitmast.relay.exchange import MeasurementLinks
 from godwitmast.relay.feed import SharedFeed
@@ -262,8 +266,9 @@
             self.reissue_waits,
             self.crash_reports.table_restored,
         ]
-        self.store.rows_to_restore = self.agreed_clock.rows_to_restore
         self.first_start = settings.bootstrap
+        self.table_restored = anyio.Event()
+        self.store.epoch.listeners.append(lambda: self.table_restored.set())
         timing = usage_timing(bounds)
         self.relay = RelayDriver(
             self.store,
@@ -358,8 +363,8 @@
             lease_timing(bounds),
             lambda: len(duty.loads()),
             candidates_only=lambda: self.relay.machine.relay_available,
-            first_start=self.first_start,
             epoch=self.store.epoch,
+            first_start=self.first_start,
         )
         self.add_metrics(self.app.metrics.registry)
         self.caller_server = HttpServer(
@@ -564,12 +569,44 @@
         to an earlier one. The lease uses the VM's own clocks, since only they show that
         the VM was suspended.
         """
-        while not await run_steps(self.store, agree_on_time(self.agreed_clock)):
-            await anyio.sleep(AGREE_INTERVAL_S)
-        log_event("time_agreed", difference_s=self.agreed_clock.difference_s)
+        await self.agree_on_time()
         await self.relay.start(tasks)
         await self.writer.start(tasks)
         await self.lease.start(tasks)
+        while True:
+            await self.table_restored.wait()
+            self.table_restored = anyio.Event()
+            if not await self.time_is_stored():
+                await self.agree_on_time()
+
+    async def agree_on_time(self) -> None:
+        """Use the stored clock difference, after storing it if it is missing."""
+        clock = self.agreed_clock
+        before_s = clock.difference_s
+        while not await run_steps(self.store, agree_on_time(clock, self.may_lack_rows)):
+            await anyio.sleep(AGREE_INTERVAL_S)
+        if clock.difference_s != before_s:
+            level = "INFO" if before_s is None else "WARNING"
+            log_event("time_agreed", level=level, difference_s=clock.difference_s)
+
+    async def time_is_stored(self) -> bool:
+        """Return whether the table has the clock difference that this VM uses.
+
+        The zone's VMs share the read, since a restore makes all of them ask at once.
+        """
+        try:
+            rows = await self.relay.table.read_recent([CLOCK_KEY])
+        except PlatformError:
+            return False
+        row = rows.get(CLOCK_KEY)
+        if row is None or not self.store.epoch.is_current(row.version):
+            return False
+        return self.agreed_clock.is_in_use(row.value)
+
+    def may_lack_rows(self) -> bool:
+        """Return whether a restore may have lost a row that is missing."""
+        epoch = self.store.epoch
+        return may_lack_rows(epoch.current, epoch.restored, self.first_start)
 
     async def close(self) -> None:
         """Stop within the platform's grace period, without cutting a request.
--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -127,8 +127,6 @@
         self.epoch = TableEpoch(clock or SystemClock())
         self.recorded_epoch = 0
         self.record_lock = anyio.Lock()
-        self.rows_to_restore: Callable[[], dict[str, Json]] = dict
-        """Rows that never change, which are written again with the record of a restore."""
         address = settings.platform.address
         limits = PlatformSettings(url_of(address), CALL_TIMEOUT_S)
         super().__init__(limits, make_http(address, CALL_TIMEOUT_S))
@@ -254,17 +252,9 @@
                     await self.write_restore_rows(self.epoch.current)
 
     async def write_restore_rows(self, epoch: int) -> None:
-        """Write the row of an epoch and of those just before, unless they exist.
-
-        The rows to restore are part of the same transaction: written after it, they were
-        lost for good if its answer was, or if the task that wrote them was cancelled.
-        """
-        keys = [restore_key(max(0, epoch - back)) for back in range(LATE_EPOCHS)]
-        writes: dict[str, Json] = {**dict.fromkeys(keys, {}), **self.rows_to_restore()}
-        puts = [
-            {**row_address(key), "value": encode_value(value)}
-            for key, value in writes.items()
-        ]
+        """Write the row of an epoch and of those just before, unless they exist."""
+        keys = {restore_key(max(0, epoch - back)) for back in range(LATE_EPOCHS)}
+        puts = [{**row_address(key), "value": encode_value({})} for key in sorted(keys)]
         expected = [
             {**row_address(restore_key(number)), "ver": 0}
             for number in (epoch, epoch + 1)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -17,7 +17,6 @@
 from godwitmast.platform.store import (
     CRASHES_TABLE,
     OWN_TABLE,
-    RESTORE_PREFIX,
     restore_key,
 )
 from godwitmast.platform.wire import DRAINING, OPERATOR_TABLE, SERVERS_TABLE
@@ -37,6 +36,9 @@
 SETTLE_S = 6.0
 """By then all windows of a test are reported."""
 
+RECORD_KEY = restore_key(2)
+"""The row that records the first restore."""
+
 Loss = Counter[int]
 
 
@@ -341,27 +343,31 @@
 async def test_clock_difference_is_stored_again_though_an_answer_is_lost(
     fleet: RestoredFleet,
 ) -> None:
-    """Guards against a row that is lost as the call that recorded the restore got no answer."""
+    """Guards against a row that is lost as the call that recorded the restore, or the one
+    that writes the row again, got no answer."""
     key = (OWN_TABLE, CLOCK_KEY)
     await fleet.wait_until(lambda: key in fleet.store.rows)
     agreed = fleet.store.rows[key].value
     backup = fleet.store.backup()
     del backup.rows[key]
     transact = fleet.store.transact
-    lost = []
+    lost = set()
 
     def lose_answer(transaction: Any) -> tuple[int, bytes]:
+        puts = {item["key"] for item in transaction["puts"]}
+        if CLOCK_KEY in puts - lost:
+            lost.add(CLOCK_KEY)
+            raise ConnectionError
         answer = transact(transaction)
-        puts = [item["key"] for item in transaction["puts"]]
-        if not lost and any(name.startswith(RESTORE_PREFIX) for name in puts):
-            lost.append(puts)
+        if RECORD_KEY in puts - lost:
+            lost.add(RECORD_KEY)
             raise ConnectionError
         return answer
 
     fleet.store.transact = lose_answer
     fleet.come_back(backup)
     await fleet.wait_until(lambda: key in fleet.store.rows)
-    assert lost
+    await fleet.wait_until(lambda: lost == {CLOCK_KEY, RECORD_KEY})
     assert fleet.store.rows[key].value == agreed
 
 
--- a/tests/test_time_agreement.py
+++ b/tests/test_time_agreement.py
@@ -2,20 +2,25 @@
 
 import time
 from collections import Counter
+from typing import Any
 
 import anyio
 import httpx
+import msgspec
 import pytest
 
 from fakes import FakePlatform, Fate
 from fleet import Fleet, settings_of
+from godwitmast.clock import SystemClock
 from godwitmast.platform.settings import PlatformFile
-from godwitmast.platform.store import StoreClient
+from godwitmast.platform.store import OWN_TABLE, StoreClient
 from godwitmast.platform_api.messages import Written
 from godwitmast.platform_api.runner import run_steps
 from godwitmast.platform_api.steps import Failure, Rows
 from godwitmast.platform_api.time_agreement import (
     CLOCK_KEY,
+    REPLACE_S,
+    SETTLE_S,
     AgreedClock,
     agree_on_time,
 )
@@ -26,6 +31,7 @@
 from godwitmast.usage.windows import UsageTiming
 from godwitmast.usage.writer import NodeWriter
 from running import running
+from test_restored_store import RestoredFleet
 
 
 class JumpyClock:
@@ -142,6 +148,84 @@
         assert len(figures) == len(set(windows))
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("back_after_s", [None, 0.0, 2.5, 4.0, 30.0])
+async def test_vm_that_starts_before_a_restore_is_recorded_takes_the_agreed_clock(
+    back_after_s: float | None,
+) -> None:
+    """Guards against VMs with two times of day: the table lost the clock's row, and a VM
+    that starts writes one of its own before another one writes the old one again.
+
+    The other one returns first (None), in time to replace the new row, or too late.
+    """
+    async with running(StoreStandin(epoch=1)) as store:
+        settings = check_settings(
+            settings_of(store.server.port), PlatformFile, "settings"
+        )
+        backup = store.backup()
+        own = JumpyClock(), JumpyClock(-2_400.0)
+        clocks = AgreedClock(own[0]), AgreedClock(own[1])
+        known, started = (
+            StoreClient(settings, clock.update_store_time, clock) for clock in clocks
+        )
+
+        async def agree(who: int) -> bool:
+            """Agree as a VM does when it starts or learns of a restore."""
+            may_be_lost = lambda: who == 1  # noqa: E731
+            steps = agree_on_time(clocks[who], may_be_lost)
+            return await run_steps((known, started)[who], steps)
+
+        def pass_time(seconds: float) -> None:
+            for clock in own:
+                clock.seconds += seconds
+
+        assert await agree(0)
+        store.restore(backup)
+        if back_after_s is None:
+            assert await agree(0)
+            assert await agree(1)
+        else:
+            assert not await agree(1)
+            pass_time(back_after_s)
+            await known.read([CLOCK_KEY])
+            await known.transact({}, {"x": 1})
+            await agree(0)
+            pass_time(SETTLE_S)
+            assert await agree(1)
+            assert await agree(0)
+        difference_s = clocks[0].wall() - clocks[1].wall()
+        by_known_clock = abs(clocks[0].wall() - own[0].wall()) < 1.0
+        await known.close()
+        await started.close()
+    assert abs(difference_s) < 1.0
+    assert by_known_clock == (back_after_s is None or back_after_s < REPLACE_S)
+
+
+@pytest.mark.parametrize("proposed_s", ["1", [], None, True])
+def test_invalid_time_of_a_proposed_difference_counts_as_long_ago(
+    proposed_s: Any,
+) -> None:
+    """Guards against a row that keeps all VMs from agreeing."""
+    platform = FakePlatform()
+    row = {"difference_s": 5.0, "proposed_s": proposed_s}
+    platform.table.transact({}, {CLOCK_KEY: row})
+    assert agreed(platform, JumpyClock()).difference_s == 5.0
+
+
+def test_own_difference_after_a_possible_restore_is_not_used_before_it_is_settled() -> (
+    None
+):
+    """Guards against usage that a VM counts by a time of day that is then replaced."""
+    platform = FakePlatform()
+    own = JumpyClock()
+    clock = AgreedClock(own)
+    clock.update_store_time(50.0)
+    while own.seconds < SETTLE_S:
+        assert not platform.run(agree_on_time(clock, lambda: True))
+        own.seconds += 0.5
+    assert platform.run(agree_on_time(clock, lambda: True))
+
+
 @pytest.mark.anyio
 async def test_usage_from_before_the_agreement_is_in_its_true_window() -> None:
     """Guards against usage that is never reported, as a VM counts it by its own clock,
@@ -169,28 +253,22 @@
 
 
 @pytest.mark.anyio
-async def test_vm_that_starts_before_a_restore_is_recorded_takes_the_agreed_clock() -> (
-    None
-):
-    """Guards against VMs with two times of day: the table lost the clock's row, and a VM
-    that starts writes one of its own before another one writes the old one again."""
-    async with running(StoreStandin(epoch=1)) as store:
-        settings = check_settings(
-            settings_of(store.server.port), PlatformFile, "settings"
-        )
-        backup = store.backup()
-        clocks = AgreedClock(JumpyClock()), AgreedClock(JumpyClock(-2_400.0))
-        known, started = (
-            StoreClient(settings, clock.update_store_time, clock) for clock in clocks
-        )
-        known.rows_to_restore = clocks[0].rows_to_restore
-        assert await run_steps(known, agree_on_time(clocks[0]))
-        store.restore(backup)
-        assert await run_steps(started, agree_on_time(clocks[1]))
-        await known.read([CLOCK_KEY])
-        await known.transact({}, {"x": 1})
-        await started.read([CLOCK_KEY])
-        difference_s = clocks[0].wall() - clocks[1].wall()
-        await known.close()
-        await started.close()
-    assert abs(difference_s) < 1.0
+async def test_vms_replace_a_time_of_day_that_another_one_proposes_after_a_restore(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against VMs that don't read the clock's row again after a restore, and a VM
+    that starts by its own clock, which is off."""
+    async with running(RestoredFleet()) as fleet:
+        key = (OWN_TABLE, CLOCK_KEY)
+        await fleet.wait_until(lambda: key in fleet.store.rows)
+        before = fleet.node.agreed_clock.difference_s
+        backup = fleet.store.backup()
+        del backup.rows[key]
+        fleet.come_back(backup)
+        row = {"difference_s": before - 2_400.0, "proposed_s": fleet.store.seconds()}
+        fleet.store.put(*key, msgspec.json.encode(row))
+        monkeypatch.setattr(SystemClock, "wall", lambda self: time.time() - 2_400.0)
+        started = await fleet.add_vm("front-2")
+        await fleet.wait_until(lambda: started.agreed_clock.difference_s is not None)
+        differences = [node.agreed_clock.difference_s for node in fleet.nodes]
+    assert differences == [before, before]
