Merge and expire measurements without unpacking them whole

What was seen (benchmarks/sharing_cost.py): once a second each VM takes 499 us to expire its picture of the fleet, and a relay takes 154 us for each report of a VM and 3.3 to 3.7 ms for each report of its zone.

Cause: to compare times, expiry unpacked each measurement of four zones and 49 servers whole, and so did the search for one VM's speed among those of a server. The merge of a server's outcomes copied each VM's outcomes by name and passed over them six times.

Change: the time and the VM are read from the head of the packed bytes. Ages are added, and outcomes of VMs merged, in one pass each. Results are the same.

--- a/src/godwitmast/measurements/merge.py
+++ b/src/godwitmast/measurements/merge.py
@@ -24,7 +24,11 @@
 )
 from godwitmast.measurements.outcomes import add_age as age_outcomes
 from godwitmast.measurements.outcomes import merge_vms
-from godwitmast.measurements.packed import pack_vm_speed, unpack_vm_speed
+from godwitmast.measurements.packed import (
+    pack_vm_speed,
+    unpack_vm_speed,
+    vm_speed_head,
+)
 from godwitmast.measurements.rooms import merge_rooms
 from godwitmast.measurements.speeds import add_age as age_speed
 from godwitmast.measurements.speeds import merge_speeds
@@ -164,7 +168,7 @@
             merged.outcomes = {k: v for k, v in merged.outcomes.items() if v[0] > limit}
             limit = now - SPEED_KEPT_S
             merged.speeds = tuple(
-                item for item in merged.speeds if unpack_vm_speed(item)[1] > limit
+                item for item in merged.speeds if vm_speed_head(item)[1] > limit
             )
             if not merged.outcomes and not merged.speeds:
                 del self.servers[server]
@@ -192,7 +196,7 @@
 
     def without_cause(self, outcomes: Outcomes) -> Outcomes:
         """Return outcomes without the latest failure if its request is the cause."""
-        if not self.is_cause(outcomes.failed_request):
+        if not outcomes.failed_request or not self.is_cause(outcomes.failed_request):
             return outcomes
         return outcomes._replace(failure_age_s=MAX_AGE_S, failed_request=0)
 
@@ -267,4 +271,4 @@
 def speeds_of_others(merged: MergedServer, vm: str) -> tuple[bytes, ...]:
     """Return the speeds that other VMs reported of a server."""
     digest = short_hash(vm)
-    return tuple(item for item in merged.speeds if unpack_vm_speed(item)[0] != digest)
+    return tuple(item for item in merged.speeds if vm_speed_head(item)[0] != digest)
--- a/src/godwitmast/measurements/outcomes.py
+++ b/src/godwitmast/measurements/outcomes.py
@@ -8,6 +8,7 @@
 server began to fail end well seconds later, and say nothing of its state since.
 """
 
+import math
 from collections.abc import Sequence
 
 from godwitmast.measurements.messages import (
@@ -27,10 +28,21 @@
 
 def add_age(outcomes: Outcomes, age_s: float) -> Outcomes:
     """Return outcomes of `age_s` seconds ago with the ages that they have now."""
-    return outcomes._replace(
-        success_age_s=min(MAX_AGE_S, outcomes.success_age_s + age_s),
-        failure_age_s=min(MAX_AGE_S, outcomes.failure_age_s + age_s),
-        failing_s=min(MAX_AGE_S, outcomes.failing_s + age_s),
+    completed, failed, soon, success_s, failure_s, failing_s, last, request = outcomes
+    success_s, failure_s, failing_s = (
+        success_s + age_s,
+        failure_s + age_s,
+        failing_s + age_s,
+    )
+    return Outcomes(
+        completed,
+        failed,
+        soon,
+        success_s if success_s < MAX_AGE_S else MAX_AGE_S,
+        failure_s if failure_s < MAX_AGE_S else MAX_AGE_S,
+        failing_s if failing_s < MAX_AGE_S else MAX_AGE_S,
+        last,
+        request,
     )
 
 
@@ -38,21 +50,30 @@
     """Return the outcomes of a zone's VMs, one item each, with their present ages."""
     if not reports:
         return ServerSummary(server)
-    success_age_s = min(item.success_age_s for item in reports)
+    completed = failed = soon = vms = 0
+    success_age_s = failure_age_s = math.inf
+    # One pass, as a relay merges each server's reports of all of its VMs.
+    for done, errors, errors_soon, success_s, failure_s, *_ in reports:
+        completed += done if done < MAX_COUNT_OF_VM else MAX_COUNT_OF_VM
+        failed += errors if errors < MAX_COUNT_OF_VM else MAX_COUNT_OF_VM
+        soon += errors_soon if errors_soon < MAX_COUNT_OF_VM else MAX_COUNT_OF_VM
+        vms += done + errors > 0
+        success_age_s = success_s if success_s < success_age_s else success_age_s
+        failure_age_s = failure_s if failure_s < failure_age_s else failure_age_s
     failing = distinct([item for item in reports if item.failure_age_s < success_age_s])
     requests = {item.failed_request for item in failing}
     return ServerSummary(
         server,
         outcomes=Outcomes(
-            sum(min(MAX_COUNT_OF_VM, item.completed) for item in reports),
-            sum(min(MAX_COUNT_OF_VM, item.failed) for item in reports),
-            sum(min(MAX_COUNT_OF_VM, item.failed_soon) for item in reports),
+            completed,
+            failed,
+            soon,
             success_age_s,
-            min(item.failure_age_s for item in reports),
+            failure_age_s,
             max((item.failure_age_s for item in failing), default=0.0),
             failed_request=requests.pop() if len(requests) == 1 else 0,
         ),
-        vms=sum(item.completed + item.failed > 0 for item in reports),
+        vms=vms,
         vms_failing=len(failing),
         vms_failing_soon=sum(item.last_failed_soon for item in failing),
     )
--- a/src/godwitmast/measurements/packed.py
+++ b/src/godwitmast/measurements/packed.py
@@ -16,7 +16,9 @@
 
 SPEED = struct.Struct("<ffffHf")
 VM_SPEED = struct.Struct(f"<Id{SPEED.size}s")
+VM_SPEED_HEAD = struct.Struct("<Id")
 SUMMARY = struct.Struct(f"<dHHHHHHfffIB{SPEED.size}s")
+SUMMARY_TIME = struct.Struct("<d")
 MAX_SHORT = 2**16 - 1
 
 
@@ -54,6 +56,12 @@
     return vm, at, unpack_speed(speed)
 
 
+def vm_speed_head(data: bytes) -> tuple[Digest, float]:
+    """Return the VM and the time of what `pack_vm_speed` returned."""
+    vm, at = VM_SPEED_HEAD.unpack_from(data)
+    return vm, at
+
+
 def pack_summary(at: float, summary: ServerSummary) -> bytes:
     """Return what a zone measured at a time; the server's hash and age are left out."""
     item = summary.outcomes
@@ -77,6 +85,12 @@
     )
 
 
+def summary_time(data: bytes) -> float:
+    """Return the time of what `pack_summary` returned."""
+    (at,) = SUMMARY_TIME.unpack_from(data)
+    return float(at)
+
+
 def unpack_summary(server: Digest, data: bytes) -> tuple[float, ServerSummary]:
     """Return the time, and what a zone measured then."""
     at, completed, failed, soon, vms, failing, failing_soon, *rest = SUMMARY.unpack(
--- a/src/godwitmast/measurements/picture.py
+++ b/src/godwitmast/measurements/picture.py
@@ -24,7 +24,7 @@
 )
 from godwitmast.measurements.outcomes import add_age as age_outcomes
 from godwitmast.measurements.outcomes import merge_zones
-from godwitmast.measurements.packed import pack_summary, unpack_summary
+from godwitmast.measurements.packed import pack_summary, summary_time, unpack_summary
 from godwitmast.measurements.rooms import merge_rooms, without
 from godwitmast.measurements.speeds import add_age as age_speed
 from godwitmast.measurements.speeds import merge_speeds
@@ -141,8 +141,8 @@
         """Drop what is no longer trusted."""
         for name, zone in list(self.zones.items()):
             limit = now - NO_TRUST_S
-            for server, (at, _) in unpacked(zone):
-                if at < limit:
+            for server, item in list(zone.servers.items()):
+                if summary_time(item) < limit:
                     del zone.servers[server]
                     zone.failing.discard(server)
             if zone.heard_at < limit:
@@ -265,10 +265,12 @@
     ) -> list[tuple[float, ServerSummary]]:
         """Return what each zone reported of a server lately, with its age."""
         known = (zone.servers.get(server) for zone in self.zones.values())
-        found = [unpack_summary(server, item) for item in known if item is not None]
-        return [
-            (max(0.0, now - at), summary) for at, summary in found if now < at + kept_s
+        found = [
+            unpack_summary(server, item)
+            for item in known
+            if item is not None and now < summary_time(item) + kept_s
         ]
+        return [(max(0.0, now - at), summary) for at, summary in found]
 
 
 def unpacked(zone: ZonePicture) -> list[tuple[Digest, tuple[float, ServerSummary]]]:
