Make the periodic checks of a process in common wake-ups

What was seen: an idle VM used 1.40 % of a core and woke up 21 times a second (followers of a zone of three VMs, benchmarks/vm_cost.py, 25 s). A wake-up of an idle process costs far more than a check that finds nothing due: some 0.3 ms for one of the exchange (benchmarks/sharing_cost.py).

Cause: each periodic check had a timer of its own: the relay's and the exchange's each quarter of a second, the router's and the lease's each half second, the settings' each second, 13 wake-ups a second together.

Change: these checks end their waits on a grid of a quarter of a second, so that all of them need four wake-ups a second. No check waits longer than before; one may wait up to a quarter of a second less. The grid's phase is random for each process, so that the VMs of one machine don't wake up together. Waits shorter than the grid, requests, reports and wake-ups by events are as before.

Evidence: tests/test_check_times.py. Five checks in virtual time woke up 130 times in ten seconds without the grid, and 41 times at most with it. Another test fails if a part of a VM has a timer of its own again.

--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -19,6 +19,7 @@
 from godwitmast.background import BackgroundTasks
 from godwitmast.capacity.demand import OPEN_REQUESTS_KEY
 from godwitmast.capacity.fleet import EMPTY_FLEET, FleetRow, merge_backends
+from godwitmast.check_times import until_check_s
 from godwitmast.clock import Clock
 from godwitmast.config.document import Backend, Document, NumberedConfig
 from godwitmast.dispatch.connectivity import ConnectivityTable
@@ -500,7 +501,8 @@
                 await anyio.sleep(TICK_S)
             else:
                 self.request_submitted = anyio.Event()
-                with anyio.move_on_after(IDLE_TICK_S):
+                wait_s = until_check_s(self.clock.now(), IDLE_TICK_S)
+                with anyio.move_on_after(wait_s):
                     await self.request_submitted.wait()
             if self.router is not None:
                 now = self.clock.now()
--- a/src/godwitmast/lease/driver.py
+++ b/src/godwitmast/lease/driver.py
@@ -8,6 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from godwitmast.check_times import until_check_s
 from godwitmast.clock import Clock
 from godwitmast.lease.machine import Guard, LeaseMachine, LeaseTiming
 from godwitmast.logs import log_event
@@ -96,7 +97,7 @@
             if self.held:
                 machine.vm_count = self.count_vms() or machine.vm_count
             if self.candidates_only() and not machine.is_active:
-                await anyio.sleep(IDLE_POLL_S)
+                await anyio.sleep(until_check_s(self.clock.now(), IDLE_POLL_S))
                 continue
             step = machine.step(self.clock.now(), self.clock.wall())
             if step is None:
@@ -116,8 +117,9 @@
         """Return the seconds until the next poll, few while a lease may expire."""
         if self.held or self.duty_scope is not None:
             return POLL_S
-        due_s = self.machine.next_at - self.clock.now()
-        return min(IDLE_POLL_S, max(POLL_S / 10, due_s))
+        now = self.clock.now()
+        due_s = self.machine.next_at - now
+        return min(until_check_s(now, IDLE_POLL_S), max(POLL_S / 10, due_s))
 
     def start_or_stop_duty(self, tasks: TaskGroup) -> None:
         if self.held and self.duty_scope is None:
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -15,6 +15,7 @@
 from godwitmast.backends.client import BackendClient
 from godwitmast.capacity.zonal import ZonalLimits
 from godwitmast.capacity.zonal_duty import ZonalDuty, sum_open_requests
+from godwitmast.check_times import until_check_s
 from godwitmast.clock import SystemClock
 from godwitmast.dispatch.retries import SharedRetryBudgets
 from godwitmast.dispatch.router import Router
@@ -695,7 +696,8 @@
     async def poll_settings(self) -> None:
         """Apply the number of VMs and a changed settings file, at a fixed interval."""
         while True:
-            await anyio.sleep(SETTINGS_POLL_INTERVAL_S)
+            wait_s = until_check_s(self.clock.now(), SETTINGS_POLL_INTERVAL_S)
+            await anyio.sleep(wait_s)
             vms = self.count_vms()
             self.budgets.set_router_count(vms, self.clock.now())
             self.driver.set_entry_count(vms)
--- a/src/godwitmast/relay/driver.py
+++ b/src/godwitmast/relay/driver.py
@@ -9,6 +9,7 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed
 
+from godwitmast.check_times import until_check_s
 from godwitmast.clock import Clock
 from godwitmast.errors import PeerError, PlatformError, PlatformUnavailable
 from godwitmast.http_server import bind
@@ -163,7 +164,7 @@
                 self.tasks.start_soon(
                     self.follow, self.machine.address, self.link_scope
                 )
-            await anyio.sleep(CHECK_EVERY_S)
+            await anyio.sleep(until_check_s(self.clock.now(), CHECK_EVERY_S))
 
     async def run_step(self, step: Step) -> Step | None:
         result = await take_step(self.store, step)
--- a/src/godwitmast/relay/exchange.py
+++ b/src/godwitmast/relay/exchange.py
@@ -21,6 +21,7 @@
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from godwitmast.background import BackgroundTasks
+from godwitmast.check_times import until_check_s
 from godwitmast.clock import Clock
 from godwitmast.errors import PeerError
 from godwitmast.logs import log_event
@@ -173,7 +174,7 @@
             if active:
                 await self.wait_until_due()
             else:
-                await anyio.sleep(IDLE_TICK_S)
+                await anyio.sleep(until_check_s(self.clock.now(), IDLE_TICK_S))
 
     def wake(self) -> None:
         """Have reports that are urgent, or a change of role, handled at the next tick."""
@@ -188,7 +189,10 @@
 
     def next_at(self, now: float) -> float:
         """Return when a report is due or a check is to be made next."""
-        due = [now + IDLE_TICK_S, self.expired_at + EXPIRE_S]
+        due = [
+            now + until_check_s(now, IDLE_TICK_S),
+            self.expired_at + EXPIRE_S,
+        ]
         if self.merge is not None:
             due += [self.collector.due_at(), self.merge.due_at()]
         elif self.relay.machine.relay_available and self.relay.relay_measures:
