Compare requests in the same crashes by the reports of all VMs

Callers saw innocent requests refused for 600 s that were on two servers which another VM's request crashed. Cause: on the users' platform suspects are isolated from those of the own VM alone, as placements are not shared. The VM counted the second crash as identifying its only suspect there, before any report could arrive, and no later report changed that.

Now a verdict on two crashes is given 0.75 s after the second one, when most reports have arrived, and the request is held until then. It is not given while another request that has not completed was in the same crashes: both run on; the innocent one completes and clears itself, and the other is quarantined then, or by a third crash. A report that comes later lifts a quarantine for two crashes (log request_released), never one for three. Suspicions are reported beside quarantines, so that VMs compare the same crashes in whatever order rows arrive. Where entries announce placements, the crash of a server on which a suspect was announced identifies it at once, as before. A request on several servers of a pool that lost all of them is quarantined without comparison: a third crash ends their successors.

--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -218,7 +218,8 @@
     """A crash of a server `age_s` seconds ago, while the suspect ran on it.
 
     `sole` says that no other suspect is a likely cause of it, `doubtful` that so many
-    servers crashed at once that an outage is a likely one.
+    servers crashed at once that an outage is a likely one. Both are set if the request
+    was on several servers of a pool that lost all of them.
     """
 
     backend_id: BackendId
--- a/src/godwitmast/dispatch/poison.py
+++ b/src/godwitmast/dispatch/poison.py
@@ -10,6 +10,12 @@
 the cause: two crashes are what it takes to tell it from the requests that ran beside
 it, and fewer cannot. Other suspects crash nothing, and are cleared when they complete.
 
+This holds where entries announce where suspects run. Elsewhere two entries may have had
+a suspect each on both servers. So a verdict on two crashes waits for the other entries'
+reports, and the request with it. It is not quarantined while another request was in the
+same crashes: both run on, the innocent one completes, and the other is quarantined then
+or by a third crash. A quarantine is lifted if a later report names another such request.
+
 Where suspects could not be kept apart, as on the last server of a pool or under entries
 that do not learn in time what the others start, a second crash tells nothing. A request
 that was in three of them without completing is quarantined all the same.
@@ -26,7 +32,7 @@
 
 import math
 from collections import Counter, deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
@@ -46,6 +52,10 @@
 """Crashes after which a request is quarantined though each of them may have had another
 cause: few others are in so many without completing in between."""
 
+REPORTS_S = 0.75
+"""Time from a crash until most reports of it have arrived from entries that share them
+through a table: they gather for 0.2 s and arrive 0.2 to 0.5 s later."""
+
 SAME_EVENT_S = 0.3
 """Crashes within this time may have one cause, as a rack that lost its power: a suspect
 is not retried that soon. Copies of a common request, such as a lookup, are on several
@@ -123,6 +133,13 @@
     crashed: tuple[BackendId, ...]
 
 
+class ReleaseNotice(NamedTuple):
+    """A fingerprint that is no longer quarantined, as another one was in its crashes."""
+
+    fingerprint: str
+    crashed: tuple[BackendId, ...]
+
+
 class ReviewReason(Enum):
     """Why a crash counts for more or less than before."""
 
@@ -142,7 +159,16 @@
     fingerprints: tuple[str, ...]
 
 
-Notice = CrashNotice | QuarantineNotice | ReviewNotice
+Notice = CrashNotice | QuarantineNotice | ReleaseNotice | ReviewNotice
+
+
+class Verdict(Enum):
+    """Whether a request is taken for the cause of the crashes that it was in."""
+
+    OPEN = "open"
+    LIKELY = "likely"
+    """It is, unless another entry had another request on the same servers."""
+    CERTAIN = "certain"
 
 
 class CrashRecord(NamedTuple):
@@ -190,11 +216,20 @@
 
 
 class PoisonGuard:
-    """The suspects, where they run, and the quarantined fingerprints."""
+    """The suspects, where they run, and the quarantined fingerprints.
+
+    `announces_suspects` says whether entries send each other `Placement`.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, announces_suspects: bool = True) -> None:
+        self.announces_suspects = announces_suspects
         self.suspects: dict[str, Suspect] = {}
+        self.undecided: dict[str, bool] = {}
+        """Suspects that are likely causes, and whether a crash seen here made them so."""
         self.quarantined: dict[str, float] = {}
+        self.evidence: dict[str, Suspect] = {}
+        """The crashes of quarantined fingerprints, as far as they are known."""
+        self.has_new_evidence = False
         self.cleared_at: dict[str, float] = {}
         self.completed_at: dict[str, float] = {}
         self.first_completion_at = math.inf
@@ -205,19 +240,28 @@
         self.recent_crashes: deque[CrashRecord] = deque()
         self.updates: list[PoisonUpdate] = []
         self.notices: deque[Notice] = deque(maxlen=MAX_NOTICES)
-        self.quarantined_here: dict[str, Suspect] = {}
-        """Suspects that a crash observed here quarantined."""
+        self.quarantined_here: set[str] = set()
+        """Fingerprints that a crash observed here quarantined."""
 
     def quarantine_left_s(self, fingerprint: str, now: float) -> float | None:
         """Return for how many seconds the fingerprint is still refused, or None."""
         until = self.quarantined.get(fingerprint)
-        return until - now if until is not None and until > now else None
+        if until is not None:
+            return until - now if until > now else None
+        return QUARANTINE_S if self.is_cause(fingerprint, now) else None
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a request has to be isolated."""
         suspect = self.suspects.get(fingerprint)
         return suspect is not None and suspect.is_isolated
 
+    def is_held(self, fingerprint: str, now: float) -> bool:
+        """Return whether a suspect waits for the other entries' reports on it."""
+        suspect = self.suspects.get(fingerprint)
+        if suspect is None or fingerprint not in self.undecided:
+            return False
+        return now < verdict_at(suspect)
+
     def has_running_copy(self, fingerprint: str) -> bool:
         """Return whether a copy of this suspect already runs, on this entry or another
         one."""
@@ -309,8 +353,9 @@
         """Record a crash; return the fingerprints that are quarantined by it."""
         ran = {item.fingerprint: item.ran_s for item in in_flight if item.fingerprint}
         blamed = self.find_blamed(backend_id, set(ran), now)
+        announced = self.on_probation(backend_id, now) & blamed.keys()
         for fingerprint in sorted(ran):
-            suspect = self.suspects.setdefault(fingerprint, Suspect())
+            suspect = self.record_of(fingerprint)
             suspect.passed_probation = False
             suspect.observed_here = True
             suspect.probation_s = min(
@@ -323,7 +368,14 @@
         self.notices.append(
             CrashNotice(backend_id, tuple(sorted(ran)), tuple(sorted(blamed)))
         )
-        return self.update_suspects(set(blamed) | self.doubt_outage_crashes(now), now)
+        changed = set(blamed) | self.doubt_outage_crashes(now)
+        return self.update_suspects(changed, now, announced)
+
+    def record_of(self, fingerprint: str) -> Suspect:
+        """Return what is known of a fingerprint, to which crashes can be added."""
+        known = self.evidence if fingerprint in self.quarantined else self.suspects
+        self.has_new_evidence = True
+        return known.setdefault(fingerprint, Suspect())
 
     def record_lost_servers(self, crashes: list[CrashRecord], now: float) -> list[str]:
         """Record crashes whose cause may be an outage of a pool; return the fingerprints
@@ -340,13 +392,10 @@
                 if self.last_cleared_at(name) <= crash.at
             }
             for name in names:
-                suspect = self.suspects.setdefault(name, Suspect())
+                suspect = self.record_of(name)
                 suspect.observed_here = True
-                certain = seen[name] > 1
-                add_crash(
-                    suspect,
-                    SeenCrash(crash.backend_id, crash.at, certain, not certain),
-                )
+                sole = seen[name] > 1
+                add_crash(suspect, SeenCrash(crash.backend_id, crash.at, sole, True))
             self.report_review(crash.backend_id, ReviewReason.SERVERS_LOST, names)
             suspects |= names
         return self.update_suspects(suspects, now)
@@ -427,12 +476,14 @@
 
     def withdraw_crash(self, backend_id: BackendId, at: float) -> None:
         """Withdraw a crash that was none, with the suspicions and quarantines by it."""
-        for fingerprint, suspect in list(self.quarantined_here.items()):
+        for fingerprint, suspect in list(self.evidence.items()):
             crashes = without_crash(suspect, backend_id, at)
-            if len(crashes) < len(suspect.crashes) and not identify_cause(crashes):
-                del self.quarantined_here[fingerprint]
-                self.quarantined.pop(fingerprint, None)
-                self.suspects[fingerprint] = suspect
+            if len(crashes) == len(suspect.crashes):
+                continue
+            if fingerprint in self.quarantined_here and not identify_cause(crashes):
+                self.lift_quarantine(fingerprint)
+            else:
+                suspect.crashes = crashes
         dropped = [
             fingerprint
             for fingerprint in list(self.suspects)
@@ -454,9 +505,9 @@
         """
         return now < self.completed_at.get(fingerprint, -math.inf) + FAMILIAR_S
 
-    def is_cause(
+    def judge(
         self, fingerprint: str, crashes: list[SeenCrash], seen_here: bool, now: float
-    ) -> bool:
+    ) -> Verdict:
         """Return whether a request is taken for the cause of the crashes.
 
         Copies of a common request are on several servers by chance, so that crashes of
@@ -465,54 +516,165 @@
         """
         events = one_crash_per_event(crashes)
         if self.is_common(fingerprint, now):
-            return len(events) >= CRASHES_AMONG_SUSPECTS
-        if identify_cause(crashes if seen_here else events):
-            return True
+            enough = len(events) >= CRASHES_AMONG_SUSPECTS
+            return Verdict.CERTAIN if enough else Verdict.OPEN
+        counted = crashes if seen_here else events
         by_chance = self.is_learning(now) and len(events) == 1
-        return len(crashes) >= CRASHES_AMONG_SUSPECTS and not by_chance
+        if len(counted if by_chance else crashes) >= CRASHES_AMONG_SUSPECTS:
+            return Verdict.CERTAIN
+        if not identify_cause(counted):
+            return Verdict.OPEN
+        # Once a service has lost all servers, a third crash ends their successors, too.
+        lost = sum(crash.sole and crash.doubtful for crash in counted)
+        return Verdict.CERTAIN if lost >= CRASHES_TO_QUARANTINE else Verdict.LIKELY
+
+    def is_cause(self, fingerprint: str, now: float) -> bool:
+        """Return whether an undecided suspect is the only one in its crashes, as far as
+        the reports tell that have arrived in time."""
+        suspect = self.suspects.get(fingerprint)
+        seen_here = self.undecided.get(fingerprint)
+        if suspect is None or seen_here is None or now < verdict_at(suspect):
+            return False
+        match self.judge(fingerprint, suspect.crashes, seen_here, now):
+            case Verdict.OPEN:
+                return False
+            case Verdict.LIKELY:
+                return not self.has_rival(fingerprint, suspect.crashes, now)
+            case Verdict.CERTAIN:
+                return True
+
+    def has_rival(self, fingerprint: str, crashes: list[SeenCrash], now: float) -> bool:
+        """Return whether another request was in the same crashes and has not completed."""
+        return any(
+            len(other.crashes) >= len(crashes)
+            and name != fingerprint
+            and not self.is_common(name, now)
+            and covers(other.crashes, crashes, self.last_cleared_at(name))
+            for known in (self.suspects, self.evidence)
+            for name, other in known.items()
+        )
 
     def is_learning(self, now: float) -> bool:
         """Return whether common requests may not have completed here yet."""
         return now < self.first_completion_at + LEARNING_S
 
     def review_suspects(self, now: float) -> list[str]:
-        """Once common requests are known, quarantine others with enough crashes.
+        """Decide on suspects whose time to wait for reports is over; lift quarantines
+        that reports put in doubt.
 
         Return the fingerprints that are quarantined now.
         """
+        if self.has_new_evidence:
+            self.has_new_evidence = False
+            self.release_doubtful(now)
+        quarantined = self.review_unlearned(now)
+        for fingerprint in list(self.undecided):
+            if fingerprint not in self.suspects:
+                del self.undecided[fingerprint]
+            elif self.is_cause(fingerprint, now):
+                self.conclude(fingerprint, now)
+                quarantined.append(fingerprint)
+        return quarantined
+
+    def review_unlearned(self, now: float) -> list[str]:
+        """Once common requests are known, quarantine others with enough crashes."""
         if not self.was_learning or self.is_learning(now):
             return []
         self.was_learning = False
-        causes = [
-            (fingerprint, suspect)
-            for fingerprint, suspect in self.suspects.items()
-            if self.is_cause(fingerprint, suspect.crashes, False, now)
+        return [
+            fingerprint
+            for fingerprint in list(self.suspects)
+            if self.decide(fingerprint, False, now)
         ]
-        for fingerprint, suspect in causes:
-            self.quarantine(fingerprint, now + QUARANTINE_S)
-            if suspect.observed_here:
-                self.updates.append(Quarantine(fingerprint, QUARANTINE_S))
-        return [fingerprint for fingerprint, _ in causes]
-
-    def update_suspects(self, fingerprints: set[str], now: float) -> list[str]:
-        """Quarantine suspects with enough crashes, and announce the others."""
-        quarantined = []
-        for fingerprint in sorted(fingerprints & self.suspects.keys()):
+
+    def release_doubtful(self, now: float) -> None:
+        """Lift quarantines for two crashes that another request was in as well."""
+        doubtful = [
+            fingerprint
+            for fingerprint, suspect in self.evidence.items()
+            if self.is_doubtful(fingerprint, suspect, now)
+        ]
+        for fingerprint in doubtful:
+            self.lift_quarantine(fingerprint)
             suspect = self.suspects[fingerprint]
-            if self.is_cause(fingerprint, suspect.crashes, True, now):
-                self.quarantined_here[fingerprint] = suspect
-                self.quarantine(fingerprint, now + QUARANTINE_S)
-                self.updates.append(Quarantine(fingerprint, QUARANTINE_S))
+            self.undecided[fingerprint] = suspect.observed_here
+            crashed = tuple(crash.backend_id for crash in suspect.crashes)
+            self.notices.append(ReleaseNotice(fingerprint, crashed))
+
+    def is_doubtful(self, fingerprint: str, suspect: Suspect, now: float) -> bool:
+        """Return whether two crashes that another request was in are all the evidence."""
+        return (
+            len(suspect.crashes) == CRASHES_TO_QUARANTINE
+            and self.judge(fingerprint, suspect.crashes, True, now) is Verdict.LIKELY
+            and self.has_rival(fingerprint, suspect.crashes, now)
+        )
+
+    def lift_quarantine(self, fingerprint: str) -> None:
+        """Make a quarantined fingerprint a suspect again."""
+        self.quarantined.pop(fingerprint, None)
+        self.quarantined_here.discard(fingerprint)
+        self.suspects[fingerprint] = self.evidence.pop(fingerprint)
+
+    def update_suspects(
+        self, fingerprints: set[str], now: float, announced: Collection[str] = ()
+    ) -> list[str]:
+        """Announce suspects, and quarantine those with enough crashes.
+
+        The crash of a server on which a suspect was announced tells it from others.
+        """
+        quarantined = []
+        for fingerprint in sorted(fingerprints):
+            suspect = self.suspects.get(fingerprint) or self.evidence.get(fingerprint)
+            if suspect is None:
+                continue
+            # Entries that had other requests there compare them by the crashes.
+            self.updates.append(suspicion_update(fingerprint, suspect, now))
+            is_apart = self.announces_suspects and fingerprint in announced
+            if fingerprint in self.suspects and self.decide(
+                fingerprint, True, now, is_apart
+            ):
+                self.quarantined_here.add(fingerprint)
                 quarantined.append(fingerprint)
-            else:
-                self.updates.append(suspicion_update(fingerprint, suspect, now))
         return quarantined
 
+    def decide(
+        self, fingerprint: str, seen_here: bool, now: float, is_apart: bool = False
+    ) -> bool:
+        """Quarantine a suspect if its crashes suffice; return whether they do.
+
+        One that is only likely is reviewed once reports have arrived, unless it ran
+        apart from other suspects.
+        """
+        crashes = self.suspects[fingerprint].crashes
+        verdict = self.judge(fingerprint, crashes, seen_here, now)
+        if verdict is Verdict.LIKELY and not is_apart:
+            known = self.undecided.get(fingerprint, False)
+            self.undecided[fingerprint] = known or seen_here
+            return False
+        if verdict is Verdict.OPEN:
+            return False
+        self.conclude(fingerprint, now)
+        return True
+
+    def conclude(self, fingerprint: str, now: float) -> None:
+        """Quarantine a suspect, and tell other entries if a crash was observed here.
+
+        All entries that received the same updates conclude this, hundreds of them.
+        """
+        if self.suspects[fingerprint].observed_here:
+            self.updates.append(Quarantine(fingerprint, QUARANTINE_S))
+        if self.undecided.pop(fingerprint, False):
+            self.quarantined_here.add(fingerprint)
+        self.quarantine(fingerprint, now + QUARANTINE_S)
+
     def quarantine(self, fingerprint: str, until: float) -> None:
         known_until = self.quarantined.get(fingerprint)
         self.quarantined[fingerprint] = max(until, known_until or 0.0)
         self.end_probation(fingerprint)
         suspect = self.suspects.pop(fingerprint, None)
+        if suspect is not None:
+            self.evidence[fingerprint] = suspect
+            self.has_new_evidence = True
         if known_until is None:
             crashes = suspect.crashes if suspect else []
             crashed = tuple(crash.backend_id for crash in crashes)
@@ -548,7 +710,8 @@
         for fingerprint, until in list(self.quarantined.items()):
             if until <= now:
                 del self.quarantined[fingerprint]
-                self.quarantined_here.pop(fingerprint, None)
+                self.evidence.pop(fingerprint, None)
+                self.quarantined_here.discard(fingerprint)
         for fingerprint, at in list(self.cleared_at.items()):
             if at < now - SUSPICION_S:
                 del self.cleared_at[fingerprint]
@@ -573,12 +736,14 @@
 
     def refresh_update(self, update: PoisonUpdate, now: float) -> PoisonUpdate | None:
         """Return an update that is sent only now, or None if it was withdrawn since."""
-        if not isinstance(update, Suspicion):
-            return update
-        suspect = self.suspects.get(update.fingerprint)
-        if suspect is None:
-            return None
-        return suspicion_update(update.fingerprint, suspect, now)
+        fingerprint = update.fingerprint
+        match update:
+            case Suspicion():
+                known = self.suspects.get(fingerprint) or self.evidence.get(fingerprint)
+                return suspicion_update(fingerprint, known, now) if known else None
+            case Quarantine():
+                return update if fingerprint in self.quarantined else None
+        return update
 
     def pop_notices(self) -> list[Notice]:
         """Return and clear what is to be logged."""
@@ -594,7 +759,9 @@
             if until > now
         ]
         known += [
-            suspicion_update(name, item, now) for name, item in self.suspects.items()
+            suspicion_update(name, item, now)
+            for name, item in [*self.suspects.items(), *self.evidence.items()]
+            if item.crashes
         ]
         known += [
             Placement(fingerprint, backend_id, until - now)
@@ -611,7 +778,10 @@
         for item in updates:
             match item:
                 case Quarantine(fingerprint, left_s):
-                    if left_s > 0:
+                    suspect = self.suspects.get(fingerprint)
+                    if suspect and self.is_doubtful(fingerprint, suspect, now):
+                        self.undecided.setdefault(fingerprint, suspect.observed_here)
+                    elif left_s > 0:
                         self.quarantine(fingerprint, now + min(left_s, QUARANTINE_S))
                         quarantined.append(fingerprint)
                 case Suspicion():
@@ -625,8 +795,6 @@
     def apply_suspicion(self, item: Suspicion, now: float) -> list[str]:
         """Add a peer's observed crashes to our own; return the fingerprint if that
         quarantines it."""
-        if self.quarantine_left_s(item.fingerprint, now) is not None:
-            return []
         cleared_at = self.last_cleared_at(item.fingerprint)
         crashes = [
             SeenCrash(crash.backend_id, now - crash.age_s, crash.sole, crash.doubtful)
@@ -635,16 +803,13 @@
         ]
         if not crashes:
             return []
-        suspect = self.suspects.setdefault(item.fingerprint, Suspect())
+        suspect = self.record_of(item.fingerprint)
         for crash in crashes:
             add_crash(suspect, crash)
-        if not self.is_cause(item.fingerprint, suspect.crashes, False, now):
+        if item.fingerprint in self.quarantined:
             return []
-        self.quarantine(item.fingerprint, now + QUARANTINE_S)
-        # All entries that received the same updates conclude this, hundreds of them.
-        if suspect.observed_here:
-            self.updates.append(Quarantine(item.fingerprint, QUARANTINE_S))
-        return [item.fingerprint]
+        is_quarantined = self.decide(item.fingerprint, False, now)
+        return [item.fingerprint] if is_quarantined else []
 
     def apply_placement(
         self, fingerprint: str, backend_id: BackendId, now: float, left_s: float
@@ -671,6 +836,17 @@
     return sole >= CRASHES_TO_QUARANTINE or len(crashes) >= CRASHES_AMONG_SUSPECTS
 
 
+def verdict_at(suspect: Suspect) -> float:
+    """Return when most reports on a suspect's latest crash have arrived."""
+    return max((crash.at for crash in suspect.crashes), default=0.0) + REPORTS_S
+
+
+def covers(known: list[SeenCrash], crashes: list[SeenCrash], cleared_at: float) -> bool:
+    """Return whether each of some crashes is among others later than a time."""
+    later = [crash for crash in known if crash.at > cleared_at]
+    return all(any(crash.is_same(item) for item in later) for crash in crashes)
+
+
 def one_crash_per_event(crashes: list[SeenCrash]) -> list[SeenCrash]:
     """Return the crashes without those that follow another within `SAME_EVENT_S`."""
     events: list[SeenCrash] = []
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -103,6 +103,7 @@
         seed: int = 0,
         budgets: RetryBudgets | None = None,
         router_count: RouterCount | None = None,
+        announces_suspects: bool = True,
     ) -> None:
         self.document = document
         self.backends = BackendTable(zone, seed, router_count)
@@ -113,7 +114,7 @@
         self.shared_health = SharedHealth(self.backends)
         self.shared_health.set_use(document.fleet.outlier_sharing)
         self.active_requests = ActiveRequests()
-        self.guard = PoisonGuard()
+        self.guard = PoisonGuard(announces_suspects)
         self.part_guard = PartGuard()
         self.budgets = budgets or RetryBudgets()
         self.retries = RetryQueue()
@@ -868,7 +869,7 @@
             code = RefusalCode.BACKEND_FAILED
             self.end_request(active, now)
             return [refuse(active.request, code, RETRY_AFTER_S, active.may_have_run)]
-        if self.is_suspect(active) and not self.may_queue_suspect(active):
+        if self.is_suspect(active) and not self.may_queue_suspect(active, now):
             self.retries.add(request_id, now + SUSPECT_RETRY_S)
             return []
         self.admission.requeue(active.request, now)
@@ -1044,6 +1045,8 @@
         fingerprint = active.request.fingerprint
         if self.guard.has_running_copy(fingerprint):
             return None
+        if self.guard.is_held(fingerprint, now):
+            return None
         reserved = self.guard.reservation_of(fingerprint, now)
         if reserved is None:
             request = active.request
@@ -1066,7 +1069,7 @@
             return None
         return backend_id if ready and state.may_send(now) else None
 
-    def may_queue_suspect(self, active: ActiveRequest) -> bool:
+    def may_queue_suspect(self, active: ActiveRequest, now: float) -> bool:
         """Return whether a suspect may wait in the queue.
 
         The server need not have room now: a suspect that waited outside the queue until
@@ -1075,6 +1078,8 @@
         request = active.request
         if self.guard.has_running_copy(request.fingerprint):
             return False
+        if self.guard.is_held(request.fingerprint, now):
+            return False
         if request.fingerprint in self.guard.reservations:
             return True
         return self.backends.has_server_outside(
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -40,6 +40,7 @@
     CrashNotice,
     Notice,
     QuarantineNotice,
+    ReleaseNotice,
     ReviewNotice,
 )
 from godwitmast.dispatch.policy import Policy
@@ -78,8 +79,10 @@
         clock: Clock,
         client: BackendClient,
         budgets: RetryBudgets | None = None,
+        announces_suspects: bool = True,
     ) -> None:
         self.budgets = budgets or RetryBudgets()
+        self.announces_suspects = announces_suspects
         self.listed_backends: dict[str, Backend] = {}
         self.evacuated: frozenset[ZoneName] = frozenset()
         """Availability zones that the platform's operators evacuated."""
@@ -127,7 +130,14 @@
         if self.router is None:
             # With the same seed, all entries would choose the same server at once.
             seed = secrets.randbits(32)
-            self.router = Router(document, self.zone, seed, self.budgets, self.count)
+            self.router = Router(
+                document,
+                self.zone,
+                seed,
+                self.budgets,
+                self.count,
+                self.announces_suspects,
+            )
             self.connect_router(self.router)
         else:
             self.deliver_actions(self.router.update_config(document, now))
@@ -695,6 +705,13 @@
                 fingerprint=fingerprint,
                 crashed=",".join(crashed) or None,
             )
+        case ReleaseNotice(fingerprint, crashed):
+            log_event(
+                "request_released",
+                level="WARNING",
+                fingerprint=fingerprint,
+                crashed=",".join(crashed),
+            )
         case ReviewNotice(backend_id, reason, fingerprints):
             log_event(
                 "crash_reviewed",
--- a/src/godwitmast/load/simulation.py
+++ b/src/godwitmast/load/simulation.py
@@ -98,11 +98,13 @@
     request: LogicalRequest
 
 
-def make_policy(name: str, document: Document, zone: str, seed: int) -> Policy:
+def make_policy(
+    name: str, document: Document, zone: str, seed: int, announces: bool = True
+) -> Policy:
     """Return the policy of this command-line name; ValueError if there is none."""
     match name:
         case "godwit":
-            return Router(document, ZoneName(zone), seed)
+            return Router(document, ZoneName(zone), seed, announces_suspects=announces)
         case "fifo":
             return FifoLeastOutstanding(document)
         case "strict":
@@ -142,7 +144,13 @@
         }
         zones = scenario.zones
         self.policies = [
-            make_policy(policy, self.document, zones[n % len(zones)], seed * 100 + n)
+            make_policy(
+                policy,
+                self.document,
+                zones[n % len(zones)],
+                seed * 100 + n,
+                announces=scenario.table_delay_s is None,
+            )
             for n in range(scenario.entries)
         ]
         self.requests: dict[RequestId, LogicalRequest] = {}
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -203,7 +203,13 @@
         self.budgets = SharedRetryBudgets(
             bounds.budget_slack, bounds.retry_budget_ratio * RETRY_RATIO_SHARE
         )
-        self.driver = RouterDriver(settings.zone, self.clock, self.client, self.budgets)
+        self.driver = RouterDriver(
+            settings.zone,
+            self.clock,
+            self.client,
+            self.budgets,
+            announces_suspects=False,
+        )
         self.driver.should_poll = lambda backend_id: False
         self.meter = Meter()
         budget = MemoryBudget(limit_of(settings.limits.memory_mb))
--- a/tests/small_pool.py
+++ b/tests/small_pool.py
@@ -109,11 +109,17 @@
         self.runs: dict[str, list[float]] = defaultdict(list)
         self.outcomes: Counter[tuple[str, str]] = Counter()
         self.cut_vms: set[int] = set()
+        self.attempts = 2
+        self.report_delay_s = REPORT_DELAY_S
+        self.report_copies = 1
+        self.lost_reports = 0.0
+        """Share of the reports that do not arrive, for each VM."""
 
     def add_vm(self) -> Vm:
         """Start a VM, which reads all rows of the table."""
         zone = ZoneName(f"z{len(self.vms) % SERVERS + 1}")
-        vm = Vm(Router(self.document(), zone, self.random.randrange(1 << 30)))
+        seed = self.random.randrange(1 << 30)
+        vm = Vm(Router(self.document(), zone, seed, announces_suspects=False))
         vm.connectivity = Connectivity(self.random.randrange(1 << 30))
         self.vms.append(vm)
         for server in self.servers:
@@ -174,7 +180,7 @@
             fingerprint=call.fingerprint,
             streams=False,
             resumable=False,
-            attempts=2,
+            attempts=self.attempts,
         )
 
     def send_regularly(
@@ -275,8 +281,15 @@
             self.rows.append((self.now, updates))
             for other in self.vms:
                 if other is not vm:
-                    delay_s = self.random.uniform(*REPORT_DELAY_S)
-                    self.schedule(delay_s, self.apply, other, self.now, updates)
+                    self.deliver(other, updates)
+
+    def deliver(self, vm: Vm, updates: list[PoisonUpdate]) -> None:
+        """Have a VM read a report, unless that is lost."""
+        if self.lost_reports and self.random.random() < self.lost_reports:
+            return
+        for _ in range(self.report_copies):
+            delay_s = self.random.uniform(*self.report_delay_s)
+            self.schedule(delay_s, self.apply, vm, self.now, updates)
 
     def apply(self, vm: Vm, at: float, updates: list[PoisonUpdate]) -> None:
         aged = [advance_ages(item, self.now - at) for item in updates]
