Count a crash against older copies of suspects, too

A suspect that was retried on a server where an older copy of the deadly request still ran was taken for the cause of its crash alone: the copy had begun before the first crash, so that it was not on probation, and the crash did not count against it. The new test failed before. Copies that have run for less than their suspect's probation now count as likely causes beside those on probation.

--- a/src/godwitmast/dispatch/poison.py
+++ b/src/godwitmast/dispatch/poison.py
@@ -352,7 +352,7 @@
     ) -> list[str]:
         """Record a crash; return the fingerprints that are quarantined by it."""
         ran = {item.fingerprint: item.ran_s for item in in_flight if item.fingerprint}
-        blamed = self.find_blamed(backend_id, set(ran), now)
+        blamed = self.find_blamed(backend_id, ran, now)
         announced = self.on_probation(backend_id, now) & blamed.keys()
         for fingerprint in sorted(ran):
             suspect = self.record_of(fingerprint)
@@ -406,7 +406,7 @@
         return max(cleared_at, self.completed_at.get(fingerprint, -math.inf))
 
     def find_blamed(
-        self, backend_id: BackendId, fingerprints: set[str], now: float
+        self, backend_id: BackendId, ran: dict[str, float], now: float
     ) -> dict[str, bool]:
         """Return the requests on a crashed server against which the crash counts.
 
@@ -414,10 +414,14 @@
         on probation, it is the only likely cause among the suspects. If several were,
         since two entries placed theirs before they learned of each other's, or if
         several ran that had passed probation, the crash does not tell them apart.
+        A copy that began before the first crash counts as on probation, too.
         """
-        suspects = {name for name in fingerprints if self.is_suspect(name)}
-        likely_causes = self.on_probation(backend_id, now) or suspects
-        blamed = dict.fromkeys(fingerprints - suspects, True)
+        suspects = {name for name in ran if self.is_suspect(name)}
+        recent = {
+            name for name in suspects if ran[name] < self.suspects[name].probation_s
+        }
+        likely_causes = self.on_probation(backend_id, now) | recent or suspects
+        blamed = dict.fromkeys(ran.keys() - suspects, True)
         blamed.update(dict.fromkeys(likely_causes & suspects, len(likely_causes) == 1))
         return blamed
 
--- a/tests/test_poison_rivals.py
+++ b/tests/test_poison_rivals.py
@@ -208,6 +208,22 @@
     assert here.review_suspects(SECOND_AT + 5.0) == []
 
 
+def test_copy_that_ran_before_the_first_crash_is_a_likely_cause_of_the_next(
+    here: PoisonGuard,
+) -> None:
+    """Guards against a crash counted against a suspect beside an older deadly copy."""
+    here.record_crash(
+        ONE, [InFlight("poison", 1.5), InFlight("question", 0.5)], FIRST_AT
+    )
+    here.record_start("question", TWO, FIRST_AT + 0.3)
+    copies = [InFlight("poison", 1.0), InFlight("question", 0.2)]
+    here.record_crash(TWO, copies, FIRST_AT + 0.5)
+    assert here.review_suspects(FIRST_AT + 0.5 + REPORTS_S) == []
+    assert not any(
+        here.suspects[name].crashes[1].sole for name in ("poison", "question")
+    )
+
+
 def test_entry_that_starts_compares_the_reports_that_it_reads(
     here: PoisonGuard,
 ) -> None:
