Give the periodic checks of tests one phase

The phase of the grid is random for each process, so that tests in virtual time with the lease's driver differed from run to run. It is read at each call now, and 0 in tests.

--- a/src/godwitmast/check_times.py
+++ b/src/godwitmast/check_times.py
@@ -16,10 +16,11 @@
 """A timer may end this much before its time."""
 
 
-def until_check_s(now: float, period_s: float, phase_s: float = PHASE_S) -> float:
+def until_check_s(now: float, period_s: float, phase_s: float | None = None) -> float:
     """Return the time until the next check of a period: at most the period, and less by
     up to CHECK_GRID_S."""
     if period_s < CHECK_GRID_S:
         return period_s
+    phase_s = PHASE_S if phase_s is None else phase_s
     wait_s = period_s - (now + period_s - phase_s) % CHECK_GRID_S
     return wait_s if wait_s > MIN_WAIT_S else wait_s + CHECK_GRID_S
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,11 +6,15 @@
 import httpx
 import pytest
 
+from godwitmast import check_times
 from godwitmast.dev.system import DevSystem
 from processes import Processes
 
 pytest_plugins = ["known_red"]
 
+# Tests in virtual time are the same in each run.
+check_times.PHASE_S = 0.0
+
 
 @pytest.fixture
 def anyio_backend() -> str:
