Keep an evacuation that a restore lost for ten seconds, not two

Callers saw: requests go to a zone that the operator evacuated, from two seconds after a restore of the store until the operator writes the evacuation again.

Cause: rows that a restored table lacks were kept for the two seconds within which servers write theirs again. Nothing orders an evacuation's row, which only has to exist.

Rows of the operator that a restored table lacks are now kept for as long as rows of which it has an older one (OLDER_GRACE_S). Servers' rows stay at two seconds.

Evidence: test_evacuation_that_is_written_again_late_after_a_restore_holds failed before, three seconds after the restore.

Cost: an evacuation that the operator ends while the store is away ends up to eight seconds later on VMs that knew it, if the copy is from before it.

Left: an evacuation that is written later than ten seconds after the restore, and VMs that start before it is.

--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -60,7 +60,7 @@
     SERVERS_TABLE,
 )
 from godwitmast.platform_api.epoch import may_lack_rows, number_of
-from godwitmast.platform_api.feed import FeedFollower, long_poll_s
+from godwitmast.platform_api.feed import OLDER_GRACE_S, FeedFollower, long_poll_s
 from godwitmast.platform_api.runner import run_steps
 from godwitmast.platform_api.time_agreement import (
     CLOCK_KEY,
@@ -242,6 +242,7 @@
                 self.apply_operator_rows,
                 sharing.wait_s,
                 order=operator_row_order,
+                lost_grace_s=OLDER_GRACE_S,
             ),
             FeedFollower(
                 self.feed,
--- a/src/godwitmast/platform_api/feed.py
+++ b/src/godwitmast/platform_api/feed.py
@@ -86,7 +86,8 @@
 
     A restored table has older rows: a server is ready again that has said that it
     leaves, or listed again though it has left. Where `order` tells, the newer content is
-    kept until the row is written again, for `OLDER_GRACE_S` at most.
+    kept until the row is written again, for `OLDER_GRACE_S` at most. A row that the
+    restored table lacks is kept for `lost_grace_s`.
     """
 
     rows: dict[str, bytes] = field(default_factory=dict)
@@ -95,6 +96,7 @@
     recovered_at: float = float("-inf")
     lapsed_keys: set[str] = field(default_factory=set)
     order: RowOrder = lambda key, content: None
+    lost_grace_s: float = RETURN_GRACE_S
     epoch: int | None = None
     restored_at: float = float("-inf")
     older: dict[str, bytes] = field(default_factory=dict)
@@ -225,11 +227,13 @@
     def remove_expired(self, now: float) -> bool:
         """Give up rows that the table lacks or has older, and that were not written again.
 
-        Missing ones have `RETURN_GRACE_S`, older ones `OLDER_GRACE_S`. Return whether
-        any row changed.
+        Missing ones have `RETURN_GRACE_S`, or `lost_grace_s` after a restore, older ones
+        `OLDER_GRACE_S`. Return whether any row changed.
         """
         changed = False
-        if self.lapsed_keys and now >= self.recovered_at + RETURN_GRACE_S:
+        restored = self.recovered_at == self.restored_at
+        grace_s = self.lost_grace_s if restored else RETURN_GRACE_S
+        if self.lapsed_keys and now >= self.recovered_at + grace_s:
             for key in self.lapsed_keys:
                 self.remove_row(key, now)
             self.lapsed_keys.clear()
@@ -253,6 +257,7 @@
         wait_s: float = MAX_WAIT_S,
         gather_s: Callable[[], float] = lambda: 0.0,
         order: RowOrder = lambda key, content: None,
+        lost_grace_s: float = RETURN_GRACE_S,
     ) -> None:
         self.feed = feed
         self.clock = clock
@@ -260,7 +265,7 @@
         self.listener = listener
         self.wait_s = wait_s
         self.gather_s = gather_s
-        self.view = FeedView(order=order)
+        self.view = FeedView(order=order, lost_grace_s=lost_grace_s)
         self.pause_s = BACKOFF_S[0]
         self.own_call = True
         self.rows_lapsed = anyio.Event()
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -176,3 +176,28 @@
     assert view.remove_expired(20.0 + OLDER_GRACE_S)
     assert view.rows == {"a": b"ready 2", "b": b"ready 5", "c": b"y"}
     assert not view.awaits_rows
+
+
+def test_row_that_its_writer_is_slow_to_write_again_after_a_restore_is_kept() -> None:
+    """Guards against an evacuation that lapses: a restore lost it, and the operator writes
+    it again seconds later."""
+    view = FeedView(lost_grace_s=OLDER_GRACE_S)
+    view.apply_snapshot(Snapshot(rows("a", "b"), make_version(1, 7)), 0.0)
+    view.record_failure(10.0)
+    view.apply_snapshot(Snapshot(rows("a"), make_version(2, 5)), 12.0)
+    assert not view.remove_expired(12.0 + OLDER_GRACE_S - 0.1)
+    assert view.rows.keys() == {"a", "b"}
+    assert view.remove_expired(12.0 + OLDER_GRACE_S)
+    assert view.rows.keys() == {"a"}
+
+
+def test_rows_that_expire_in_a_later_outage_have_its_shorter_grace() -> None:
+    """Guards against rows of servers that left and are kept as if a restore lost them."""
+    view = FeedView(lost_grace_s=OLDER_GRACE_S)
+    view.apply_snapshot(Snapshot(rows("a", "b"), make_version(1, 7)), 0.0)
+    view.apply_snapshot(Snapshot(rows("a", "b"), make_version(2, 5)), 12.0)
+    view.record_failure(13.0)
+    gone = [FeedRow("a", None), FeedRow("b", None)]
+    view.apply_changes(Changes(gone, make_version(2, 9)), 15.0)
+    assert view.remove_expired(15.0 + RETURN_GRACE_S)
+    assert not view.rows
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -20,6 +20,7 @@
     restore_key,
 )
 from godwitmast.platform.wire import DRAINING, OPERATOR_TABLE, SERVERS_TABLE
+from godwitmast.platform_api.feed import OLDER_GRACE_S, RETURN_GRACE_S
 from godwitmast.platform_api.time_agreement import CLOCK_KEY
 from godwitmast.standins.store import StoreBackup
 from godwitmast.types import BackendId
@@ -212,6 +213,25 @@
     assert len(leaving.served) == received
 
 
+async def test_evacuation_that_is_written_again_late_after_a_restore_holds(
+    fleet: RestoredFleet,
+) -> None:
+    """Guards against requests to an evacuated zone while its row is lost."""
+    backup = fleet.store.backup()
+    fleet.store.put(OPERATOR_TABLE, "evacuate/z2", b"{}")
+    await fleet.wait_until(lambda: "z2" in fleet.node.driver.evacuated)
+    fleet.store.faults.refusal_status = 503
+    await anyio.sleep(AWAY_S)
+    fleet.store.restore(backup)
+    fleet.store.faults.refusal_status = None
+    await fleet.wait_until(lambda: fleet.node.store.epoch.current == 2)
+    await anyio.sleep(RETURN_GRACE_S + 1.0)
+    assert "z2" in fleet.node.driver.evacuated
+    fleet.store.put(OPERATOR_TABLE, "evacuate/z2", b"{}")
+    await anyio.sleep(OLDER_GRACE_S - RETURN_GRACE_S)
+    assert "z2" in fleet.node.driver.evacuated
+
+
 async def lose_power(node: Node) -> None:
     """End all calls of a VM, as if it had lost power."""
     await node.store.http.aclose()
