Parse the URLs of servers and of calls to the platform once

On an idle VM of a zone of eight, five such requests took 25 of 139 ms.

Cause: the HTTP library parses a URL that it is given as text, and merges a call's path with the base anew each time.

Change: parsed URLs of servers, and merged URLs of calls, are kept (least recently used, 1,024 and 256). What is sent is the same.

--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -5,6 +5,7 @@
 import ssl
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from functools import lru_cache
 from typing import Protocol
 
 import httpx
@@ -31,6 +32,9 @@
 """A server that has not taken a request within this time, plus its length at this rate, is
 slow: the slowest links carry 2.5 times as much, and buffers take a small body at once."""
 
+MAX_URLS = 1024
+"""URLs of servers that are kept parsed."""
+
 NOT_RUN_HEADER = "engine-not-run"
 LOAD_HEADER = "engine-load"
 RATE_LIMIT_HEADER = "engine-rate-limit"
@@ -145,10 +149,11 @@
         class would resolve its dot segments and quote its characters, so that the
         server would run another request than the caller's.
         """
-        base = httpx.URL(server).raw_path.rstrip(b"/")
+        url = parse_url(server)
+        base = url.raw_path.rstrip(b"/")
         request = httpx.Request(
             method,
-            server,
+            url,
             headers=[(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers],
             content=content,
             extensions={
@@ -198,6 +203,12 @@
             return None
 
 
+@lru_cache(maxsize=MAX_URLS)
+def parse_url(server: str) -> httpx.URL:
+    """Return a server's URL; parsing it takes as long as building the request."""
+    return httpx.URL(server)
+
+
 def send_timeout_s(body_bytes: int) -> float:
     """Return how long a server may take to read a request with a body of this length."""
     return SEND_TIMEOUT_S + body_bytes / SEND_BYTES_PER_S
--- a/src/godwitmast/platform_api/http.py
+++ b/src/godwitmast/platform_api/http.py
@@ -3,6 +3,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable
+from functools import lru_cache
 from typing import Any
 
 import anyio
@@ -30,6 +31,9 @@
 """Calls of one process that may be open at a time, so that an outage does not fill it with
 calls that wait for their time-outs."""
 
+MAX_URLS = 256
+"""URLs of calls that are kept merged; those of tables are a dozen."""
+
 HEAD_BYTES = 128 * 1024
 """The HTTP library takes up to 100 KiB for one head; informational answers come on top."""
 
@@ -167,7 +171,8 @@
             raise PlatformUnavailable(f"{path}: closed")
         self.calls.add(self.call_name(path))
         try:
-            async with self.http.stream(method, path, **content) as answer:
+            url = merge_url(self.http.base_url, path)
+            async with self.http.stream(method, url, **content) as answer:
                 return await self.read_answer(answer)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             raise PlatformUnavailable(f"{path}: {error!r}") from None
@@ -221,3 +226,11 @@
         if answer.status_code == 503:
             raise PlatformUnavailable(f"{path}: 503")
         raise PlatformOutcomeUnknown(f"{path}: {answer.status_code}")
+
+
+@lru_cache(maxsize=MAX_URLS)
+def merge_url(base: httpx.URL, path: str) -> httpx.URL:
+    """Return the URL of a call, as the HTTP client merges it anew for each call."""
+    return base.copy_with(
+        raw_path=base.raw_path + httpx.URL(path).raw_path.lstrip(b"/")
+    )
