What is usual in a pool is the median of its servers' reports, on every VM alike

Placement weights the order of engines for a prefix with these figures, which all VMs are meant to learn alike.

Cause: each VM found the medians over the pool's servers by steps of 1 % per server that it read, from the first one that it happened to read. With some seventeen reads a second, by calculation a median that is off by half takes about 16 s to follow.

Change: the medians are derived from the latest reports of all servers, at most each half second, as often as reports of zones arrive.

Evidence: the new test fails before (25,393 prompt tokens a second for 50,000).

--- a/src/godwitmast/speed/model.py
+++ b/src/godwitmast/speed/model.py
@@ -15,7 +15,8 @@
 """
 
 import math
-from collections.abc import Iterator
+import statistics
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from godwitmast.measurements.messages import FleetSpeed, SpeedSample
@@ -71,6 +72,10 @@
 """How often the other VMs' measurements of a server are read at most: they arrive each
 half second, and a statement means little after 0.6 s."""
 
+FLEET_USUAL_S = 0.5
+"""How often the medians over a pool's servers are derived at most: as often as reports
+of zones arrive."""
+
 SAMPLE_RETENTION_S = 30.0
 """How long after its last measurement a server is reported: after that, nobody trusts
 the report any more."""
@@ -156,26 +161,25 @@
     """A server of the pool has stated how long work takes there."""
     usual_log_slowness: float = 0.0
 
-    fleet_step_s: Quantile = field(default_factory=lambda: pool_quantile(0.5))
-    fleet_tokens_per_s: Quantile = field(default_factory=lambda: pool_quantile(0.5))
-    fleet_service_s: Quantile = field(default_factory=lambda: pool_quantile(0.5))
+    fleet_step_s: float | None = None
+    fleet_tokens_per_s: float | None = None
+    fleet_service_s: float | None = None
     """Medians over the servers by what all VMs measured, which count before our own."""
+    fleet_updated_at: float = -math.inf
 
     @property
     def usual_step_s(self) -> float:
-        return self.fleet_step_s.value or self.step_s.value or DEFAULT_STEP_S
+        return self.fleet_step_s or self.step_s.value or DEFAULT_STEP_S
 
     @property
     def usual_tokens_per_s(self) -> float:
         return (
-            self.fleet_tokens_per_s.value
-            or self.tokens_per_s.value
-            or DEFAULT_TOKENS_PER_S
+            self.fleet_tokens_per_s or self.tokens_per_s.value or DEFAULT_TOKENS_PER_S
         )
 
     @property
     def usual_service_s(self) -> float:
-        return self.fleet_service_s.value or self.service_s.value or DEFAULT_SERVICE_S
+        return self.fleet_service_s or self.service_s.value or DEFAULT_SERVICE_S
 
     def server(self, backend_id: BackendId, incarnation: int) -> ServerSpeed:
         """Return the speed of a server; another start of it begins anew."""
@@ -259,22 +263,28 @@
         """Apply what all VMs measured of a server."""
         server.fleet_read_at = now
         server.fleet = fleet
-        if fleet is not None and fleet.trust > 0:
-            self.record_fleet(fleet.sample)
+        if now - self.fleet_updated_at >= FLEET_USUAL_S:
+            self.update_fleet(now)
         if fleet is not None and fleet.sample.stated_percent is not None:
             made_at = now - fleet.age_s - fleet.sample.stated_age_s
             if made_at > server.stated.made_at + REPEATED_S:
                 server.stated.record(fleet.sample.stated_percent, made_at)
         self.update_slowness(server, now)
 
-    def record_fleet(self, sample: SpeedSample) -> None:
-        """Count a server's measures for what is usual in the pool."""
-        if sample.step_ms:
-            self.fleet_step_s.add(sample.step_ms / 1000)
-        if sample.prompt_tokens_per_ms:
-            self.fleet_tokens_per_s.add(sample.prompt_tokens_per_ms * 1000)
-        if sample.service_ms:
-            self.fleet_service_s.add(sample.service_ms / 1000)
+    def update_fleet(self, now: float) -> None:
+        """Derive what is usual in the pool from what all VMs measured of its servers."""
+        self.fleet_updated_at = now
+        samples = [
+            server.fleet.sample
+            for server in self.servers.values()
+            if server.fleet is not None and server.fleet.trust > 0
+        ]
+        step_ms = median([sample.step_ms for sample in samples])
+        tokens_per_ms = median([sample.prompt_tokens_per_ms for sample in samples])
+        service_ms = median([sample.service_ms for sample in samples])
+        self.fleet_step_s = step_ms / 1000 if step_ms else None
+        self.fleet_tokens_per_s = tokens_per_ms * 1000 if tokens_per_ms else None
+        self.fleet_service_s = service_ms / 1000 if service_ms else None
 
     def update_slowness(self, server: ServerSpeed, now: float) -> None:
         """Combine what this VM, the others and the pool tell of a server."""
@@ -327,5 +337,10 @@
     return min(bound, max(-bound, math.log(value / usual)))
 
 
+def median(values: Iterable[float | None]) -> float | None:
+    known = [value for value in values if value is not None]
+    return statistics.median(known) if known else None
+
+
 def pool_quantile(share: float) -> Quantile:
     return Quantile(share, step=POOL_STEP)
--- a/tests/test_speed_model.py
+++ b/tests/test_speed_model.py
@@ -27,6 +27,7 @@
 from godwitmast.types import BackendId
 
 FAST, SLOW, NEW = BackendId("fast"), BackendId("slow"), BackendId("new")
+OTHER = BackendId("other")
 STEP_S, SLOW_FACTOR = 0.02, 2.4
 
 
@@ -139,6 +140,50 @@
     assert slowness[0.0] == pytest.approx(1.0, abs=0.05)
 
 
+@pytest.mark.parametrize("order", [(FAST, OTHER, SLOW), (SLOW, OTHER, FAST)])
+def test_vms_with_the_same_reports_agree_on_what_is_usual(
+    order: tuple[BackendId, ...],
+) -> None:
+    """Guards against VMs that disagree by a factor for tens of seconds on how fast a
+    server is, as each compares it with the first servers that it happened to read."""
+    factors = {FAST: 1.0, OTHER: 1.0, SLOW: SLOW_FACTOR}
+    known = {
+        (name, 0): FleetSpeed(
+            SpeedSample(50.0 / factor, 20.0 * factor, 80.0 * factor, weight=100.0),
+            0.5,
+            1.0,
+        )
+        for name, factor in factors.items()
+    }
+    pool = PoolSpeed()
+    for number in range(15):
+        pool.slowness(order[number % 3], 0, FixedView(known), number / 5)
+    assert pool.usual_step_s == pytest.approx(0.02)
+    assert pool.usual_tokens_per_s == pytest.approx(50_000)
+    assert pool.usual_service_s == pytest.approx(0.08)
+    for name, factor in factors.items():
+        found = pool.slowness(name, 0, FixedView(known), 3.5)
+        assert found == pytest.approx(factor, rel=0.1)
+
+
+def test_usual_speeds_are_derived_once_for_each_report() -> None:
+    """Guards against medians over all servers in each decision."""
+    known = {
+        (BackendId(f"e{number}"), 0): FleetSpeed(
+            SpeedSample(step_ms=20.0, weight=9.0), 0.1, 1.0
+        )
+        for number in range(45)
+    }
+    pool = PoolSpeed()
+    pool.slowness(BackendId("e0"), 0, FixedView(known), 1.0)
+    updated_at = pool.fleet_updated_at
+    for name, _ in known:
+        pool.slowness(name, 0, FixedView(known), 1.4)
+    assert pool.fleet_updated_at == updated_at
+    pool.slowness(BackendId("e0"), 0, FixedView(known), 1.6)
+    assert pool.fleet_updated_at == 1.6
+
+
 def test_another_start_of_a_server_begins_anew(pool: PoolSpeed) -> None:
     """Guards against what an earlier start of a server showed."""
     before = pool.slowness(SLOW, 0, EmptyView(), 10.0)
