Keep a likely cause through crashes of other servers in the wait

While a verdict on two crashes waits, three servers that crash within a second made the second crash doubtful as an outage's, and the verdict was dropped; before the wait the request was quarantined by then. The new test failed before. A suspect that awaits its verdict keeps its crashes.

--- a/src/godwitmast/dispatch/poison.py
+++ b/src/godwitmast/dispatch/poison.py
@@ -446,9 +446,12 @@
         return doubted
 
     def doubt_crash(self, fingerprint: str, backend_id: BackendId, at: float) -> bool:
-        """Mark a crash that was observed here as doubtful; return whether that is new."""
+        """Mark a crash that was observed here as doubtful; return whether that is new.
+
+        One that had made a likely cause of the request before is not doubted.
+        """
         suspect = self.suspects.get(fingerprint)
-        if suspect is None:
+        if suspect is None or fingerprint in self.undecided:
             return False
         for number, crash in enumerate(suspect.crashes):
             if crash[:2] == (backend_id, at) and not crash.doubtful:
--- a/tests/test_poison_rivals.py
+++ b/tests/test_poison_rivals.py
@@ -107,6 +107,15 @@
     assert Quarantine("poison", QUARANTINE_S) in here.pop_updates()
 
 
+def test_other_crashes_during_the_wait_leave_a_likely_cause(here: PoisonGuard) -> None:
+    """Guards against a verdict that is dropped as servers crash without it meanwhile."""
+    for server, at in ((ONE, FIRST_AT), (TWO, SECOND_AT)):
+        here.record_crash(server, [InFlight("poison", 0.1)], at)
+    for server, name, at in ((THREE, "a", 0.2), (FOUR, "b", 0.4)):
+        here.record_crash(server, [InFlight(name, 0.1)], SECOND_AT + at)
+    assert here.review_suspects(SECOND_AT + REPORTS_S) == ["poison"]
+
+
 def test_report_that_comes_after_the_verdict_lifts_it(
     here: PoisonGuard, there: PoisonGuard
 ) -> None:
