Start no probe after the probes of a VM have ended

The VM's stop ended with RuntimeError: this task group is not active.

Cause: a VM that stops ends its probes before its router. A tick between the two that found a probe due started it in the group that had ended; the error cancelled all tasks of the process in the middle of its stop, its last usage included.

Change: the group is forgotten once it has ended, as before its start.

Evidence: the new test failed before with that error and passes now.

--- a/src/godwitmast/entry/probes.py
+++ b/src/godwitmast/entry/probes.py
@@ -66,8 +66,12 @@
         await self.background.close()
 
     async def run(self) -> None:
-        async with anyio.create_task_group() as self.group:
-            await anyio.sleep_forever()
+        try:
+            async with anyio.create_task_group() as self.group:
+                await anyio.sleep_forever()
+        finally:
+            # The router still ticks while the VM stops, after the probes have ended.
+            self.group = None
 
     @property
     def pools(self) -> dict[PoolName, Connectivity]:
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -12,6 +12,7 @@
 from fleet import Fleet, config_of, request_headers, route
 from godwitmast.platform.daemon import Node
 from godwitmast.platform.store import CRASHES_TABLE
+from godwitmast.types import BackendId, PoolName
 from partition import Cut, Partition
 from running import running
 
@@ -352,6 +353,13 @@
     await fleet.wait_until(lambda: not any(e.running for e in fleet.engines))
 
 
+async def test_tick_after_the_end_of_the_probes_starts_none(fleet: VmFleet) -> None:
+    """Guards against a VM whose stop fails, as its router still ticks while it closes."""
+    probes = fleet.nodes[0].probes
+    await probes.close()
+    probes.send(PoolName("app"), [BackendId("p1")])
+
+
 async def test_loss_of_links_is_not_reported_as_crashes(
     fleet: VmFleet, http: httpx.AsyncClient
 ) -> None:
