Read the head of an answer in pieces of 8 KiB

Cause: the HTTP library parses all informational answers in what it has read, up to 64 KiB, without a pause, and several calls to the store take turns with that.

Change: while a head is awaited, 8 KiB are read at a time.

The new test failed before (64 KiB read). Answers with a longer head and body than 8 KiB take one read more.

--- a/src/godwitmast/backends/transport.py
+++ b/src/godwitmast/backends/transport.py
@@ -20,6 +20,10 @@
 ENCODED_PIECE_BYTES = 4096
 """Encoded bodies are decoded in pieces of this size, which expand to 4 MB at most."""
 
+HEAD_READ_BYTES = 8192
+"""Bytes of a head that are read at a time. The library parses the informational answers
+in them without a pause: 64 KiB of those take 40 ms, and more on a small VM."""
+
 ERRORS: dict[type[BaseException], type[httpx.TransportError]] = {
     httpcore.ConnectTimeout: httpx.ConnectTimeout,
     httpcore.ReadTimeout: httpx.ReadTimeout,
@@ -66,7 +70,7 @@
             return await self.stream.read(max_bytes, timeout)
         # All bytes so far belong to the head, as more of it is needed.
         check_length(AnswerPart.HEAD, self.network.head_bytes, self.received)
-        data = await self.stream.read(max_bytes, timeout)
+        data = await self.stream.read(min(max_bytes, HEAD_READ_BYTES), timeout)
         self.received += len(data)
         return data
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import anyio
+import httpcore
 import httpx
 import pytest
 from anyio.lowlevel import checkpoint
@@ -15,6 +16,11 @@
     BodiesInProgress,
     bound,
 )
+from godwitmast.backends.transport import (
+    HEAD_READ_BYTES,
+    HeadCountingNetwork,
+    HeadCountingStream,
+)
 from godwitmast.config.document import BODY_BYTES, AnswerLimits
 from godwitmast.config.parsing import parse_document
 from godwitmast.entry.refusals import send_response
@@ -228,6 +234,22 @@
 }
 
 
+class FloodedStream(httpcore.AsyncNetworkStream):
+    """A connection that always has as many bytes as are asked for."""
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        return b"x" * max_bytes
+
+
+async def test_head_is_read_in_small_pieces() -> None:
+    """Guards against a flood of informational answers that is parsed while everything else
+    on the VM waits."""
+    stream = HeadCountingStream(FloodedStream(), HeadCountingNetwork(131_072))
+    assert len(await stream.read(65_536)) == HEAD_READ_BYTES
+    stream.awaits_head = False
+    assert len(await stream.read(65_536)) == 65_536
+
+
 @pytest.mark.parametrize("what", STORE_FLOODS)
 async def test_endless_answers_of_the_store_are_broken_off(
     http: httpx.AsyncClient, what: Flood
