Count a crash against deadly requests that are past their probation, too

A request that takes a second to crash each engine, and writes until then, ends its probation at about the moment of the crash, as a probation lasts as long as the earlier run. It was past it by a millisecond or not, and if it was, the crash counted only against another suspect that had just been sent there. That one was refused, and the deadly request went on. One of several copies on a server, cut early by the crash of an older one, even shortened the probation: the last copy in the list told how long the request had run.

The oldest copy tells it now, and a later crash doesn't shorten it. Where suspects are not announced, one counts as a likely cause until it has run for 1.25 times its probation. Where they are, the announced one is still taken for the cause: a test demands that of two requests that ran equally long, and is left as it is.

--- a/src/godwitmast/dispatch/poison.py
+++ b/src/godwitmast/dispatch/poison.py
@@ -73,6 +73,11 @@
 """Two observations of a server's crash within this time are one crash: a restart takes
 longer."""
 
+SAME_RUN_SHARE = 1.25
+"""A deadly request takes about the same time to crash each of its servers. Where suspects
+are not announced, one is a likely cause of a crash until it has run for this share of its
+probation; elsewhere the announced one is taken for the cause."""
+
 MIN_PROBATION_S = 0.5
 MAX_PROBATION_S = 5.0
 """A suspect is on probation for as long as it had run when its server crashed, within
@@ -351,15 +356,16 @@
         self, backend_id: BackendId, in_flight: Iterable[InFlight], now: float
     ) -> list[str]:
         """Record a crash; return the fingerprints that are quarantined by it."""
-        ran = {item.fingerprint: item.ran_s for item in in_flight if item.fingerprint}
+        ran = longest_runs(in_flight)
         blamed = self.find_blamed(backend_id, ran, now)
         announced = self.on_probation(backend_id, now) & blamed.keys()
         for fingerprint in sorted(ran):
             suspect = self.record_of(fingerprint)
             suspect.passed_probation = False
             suspect.observed_here = True
+            # A copy may be cut early, by the crash of an older one beside it.
             suspect.probation_s = min(
-                max(ran[fingerprint], MIN_PROBATION_S), MAX_PROBATION_S
+                max(ran[fingerprint], suspect.probation_s), MAX_PROBATION_S
             )
             self.end_probation(fingerprint)
             if fingerprint in blamed:
@@ -417,8 +423,11 @@
         A copy that began before the first crash counts as on probation, too.
         """
         suspects = {name for name in ran if self.is_suspect(name)}
+        share = 1.0 if self.announces_suspects else SAME_RUN_SHARE
         recent = {
-            name for name in suspects if ran[name] < self.suspects[name].probation_s
+            name
+            for name in suspects
+            if ran[name] < self.suspects[name].probation_s * share
         }
         likely_causes = self.on_probation(backend_id, now) | recent or suspects
         blamed = dict.fromkeys(ran.keys() - suspects, True)
@@ -834,6 +843,15 @@
         self.cleared_at[fingerprint] = max(at, self.cleared_at.get(fingerprint, at))
 
 
+def longest_runs(in_flight: Iterable[InFlight]) -> dict[str, float]:
+    """Return how long the oldest copy of each request had run on a server."""
+    ran: dict[str, float] = {}
+    for fingerprint, ran_s in in_flight:
+        if fingerprint:
+            ran[fingerprint] = max(ran_s, ran.get(fingerprint, 0.0))
+    return ran
+
+
 def identify_cause(crashes: list[SeenCrash]) -> bool:
     """Return whether the crashes suffice to take the request in them for their cause."""
     sole = sum(crash.sole for crash in crashes)
--- a/tests/engine_pool.py
+++ b/tests/engine_pool.py
@@ -38,6 +38,8 @@
     def __init__(self, vms: int, seed: int, engines: int = ENGINES) -> None:
         super().__init__(vms, seed, engines)
         self.deadly: set[str] = set()
+        self.deadly_requests_write = False
+        """Whether requests that crash their engines write tokens until then."""
         self.part_crashes: dict[str, list[float]] = {}
         self.part_runs: dict[str, list[float]] = {}
         self.sound_calls: list[tuple[float, Call]] = []
@@ -84,7 +86,7 @@
         super().run_call(vm, start, call, server)
         for name in self.deadly_parts(call):
             self.part_runs.setdefault(name, []).append(self.now)
-        if call.crash_s is None:
+        if call.crash_s is None or self.deadly_requests_write:
             write = partial(self.write_token, vm, start, server, 1)
             self.schedule(FIRST_TOKEN_S, write)
 
--- a/tests/test_poison_among_streams.py
+++ b/tests/test_poison_among_streams.py
@@ -42,10 +42,12 @@
     crash_s: float,
     reports: Reports = IN_TIME,
     on_one_vm: bool = False,
+    writes: bool = False,
 ) -> EnginePool:
     """Resend the request twice a second among twenty streams a second."""
     pool = EnginePool(vms, seed)
     pool.attempts = ATTEMPTS
+    pool.deadly_requests_write = writes
     pool.report_delay_s = reports.delay_s
     pool.report_copies = reports.copies
     pool.lost_reports = reports.lost
@@ -71,6 +73,19 @@
         assert pool.outcomes["other", "quarantined"] <= MAX_REFUSED
 
 
+@pytest.mark.parametrize("vms", [1, 3])
+@pytest.mark.parametrize("crash_s", [1.0, 1.2])
+def test_streams_are_not_refused_for_a_request_that_writes_until_it_crashes_its_engine(
+    vms: int, crash_s: float
+) -> None:
+    """Guards against crashes that count against other suspects alone, as a deadly request
+    ended its probation just before it crashed its engine."""
+    plays = [play(vms, seed, crash_s, writes=True) for seed in range(1, 9)]
+    assert max(len(pool.crashes[POISON]) for pool in plays) <= 3
+    refused = [pool.outcomes["other", "quarantined"] for pool in plays]
+    assert sum(refused) <= 1
+
+
 @pytest.mark.parametrize("vms", [2, 6, 60])
 def test_request_that_one_vm_sends_crashes_two_engines(vms: int) -> None:
     """Guards against a wait for reports in which the request runs on."""
--- a/tests/test_poison_rivals.py
+++ b/tests/test_poison_rivals.py
@@ -224,6 +224,23 @@
     )
 
 
+@pytest.mark.parametrize("ran_s", [1.0, 1.002])
+def test_crash_counts_against_a_copy_that_ran_as_long_as_the_one_before(
+    here: PoisonGuard, ran_s: float
+) -> None:
+    """Guards against a deadly request that is past its probation when it crashes a
+    server again, so that the crash counts against another suspect alone."""
+    here.record_crash(
+        ONE, [InFlight("poison", 1.0), InFlight("question", 0.5)], FIRST_AT
+    )
+    # Two copies on one server: the later one is cut early.
+    copies = [InFlight("poison", ran_s), InFlight("poison", 0.3)]
+    here.record_crash(TWO, copies, FIRST_AT + 0.5)
+    here.record_start("question", THREE, FIRST_AT + 1.0)
+    copies = [InFlight("poison", ran_s), InFlight("question", 0.2)]
+    assert here.record_crash(THREE, copies, FIRST_AT + 1.2) == ["poison"]
+
+
 def test_entry_that_starts_compares_the_reports_that_it_reads(
     here: PoisonGuard,
 ) -> None:
