Count usage by a proposed time of day if the VM stops before it is in use

After a restore that lost the clock's row, a VM that starts waits up to nine seconds until a proposed difference is in use. If it stopped meanwhile, it wrote the usage counted since its start by its own clock. With a clock that is 40 minutes behind, the requests were in a window that had been reported long before, so that nobody counted them.

The VM has read the proposal at that time, and uses it now until the difference is agreed: a proposal becomes the time of all VMs unless one that knows the earlier difference replaces it. A VM that stops before the store answers still has only its own clock.

The new test stops such a VM: its request was 2,400 s off before, and is in its true window after.

--- a/src/godwitmast/platform_api/time_agreement.py
+++ b/src/godwitmast/platform_api/time_agreement.py
@@ -39,6 +39,8 @@
     def __init__(self, own: Clock) -> None:
         self.local = own
         self.difference_s: float | None = None
+        self.proposed_difference_s: float | None = None
+        """One that is not in use yet. A VM that stops before it is has no better one."""
         self.store_s = 0.0
         self.updated_at: float | None = None
 
@@ -61,9 +63,12 @@
         return self.local.now()
 
     def wall(self) -> float:
-        if self.difference_s is None or self.updated_at is None:
+        difference_s = self.difference_s
+        if difference_s is None:
+            difference_s = self.proposed_difference_s
+        if difference_s is None or self.updated_at is None:
             return self.local.wall()
-        return self.store_now() + self.difference_s
+        return self.store_now() + difference_s
 
     def age_of(self, row: Json) -> float:
         """Return the seconds since a difference was proposed; infinite if it wasn't."""
@@ -110,6 +115,7 @@
             case Failure():
                 return False
     if clock.age_of(row) < SETTLE_S:
+        clock.proposed_difference_s = row["difference_s"]
         return False
     clock.difference_s = row["difference_s"]
     return True
--- a/tests/test_time_agreement.py
+++ b/tests/test_time_agreement.py
@@ -252,6 +252,29 @@
     assert found == counted
 
 
+@pytest.mark.anyio
+async def test_usage_of_a_vm_that_stops_before_the_agreement_is_in_its_true_window(
+    http: httpx.AsyncClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against usage that a VM writes by its own clock, which is off, as it stops
+    while another VM's proposal is not in use yet."""
+    async with running(RestoredFleet()) as fleet:
+        key = (OWN_TABLE, CLOCK_KEY)
+        await fleet.wait_until(lambda: key in fleet.store.rows)
+        difference_s = fleet.node.agreed_clock.difference_s
+        row = {"difference_s": difference_s, "proposed_s": fleet.store.seconds()}
+        fleet.store.put(*key, msgspec.json.encode(row))
+        monkeypatch.setattr(SystemClock, "wall", lambda self: time.time() - 2_400.0)
+        started = await fleet.add_vm("front-2")
+        before = time.time()
+        assert (await fleet.request(http, "/peek/1", node=started)).status_code == 200
+        await started.close()
+        fleet.added.remove(started)
+        assert started.agreed_clock.difference_s is None
+        (window,) = started.writer.journal.segments
+    assert abs(window - before) < 5.0
+
+
 @pytest.mark.anyio
 async def test_vms_replace_a_time_of_day_that_another_one_proposes_after_a_restore(
     monkeypatch: pytest.MonkeyPatch,
