The fleet of test_late_faults belongs to the first start of its system

Since processes wait for a lease whose row a restore may have lost, fleets of tests say that nobody held it before; this one was written beside that change and lost its first window, 34 of its cases failed.

--- a/tests/test_late_faults.py
+++ b/tests/test_late_faults.py
@@ -130,7 +130,9 @@
         self.arrivals: list[Arrival] = []
         for vm in self.fleet.vms:
             old = vm.lease.machine
-            vm.lease.machine = machine(old.name, old.holder, old.timing)
+            vm.lease.machine = machine(
+                old.name, old.holder, old.timing, old.first_start
+            )
         self.vms = [FaultyVm(vm, self.arrivals) for vm in self.fleet.vms]
 
     async def holder(self) -> FaultyVm:
