--- a/src/godwitmast/platform_api/time_agreement.py
+++ b/src/godwitmast/platform_api/time_agreement.py
@@ -24,13 +24,14 @@
 from godwitmast.types import Json
 
 CLOCK_KEY = "clock"
-"""The row with the difference, which is written once."""
+"""The row with the difference. It is written again only after a restore of the table."""
 
 REPLACE_S = 3.0
 """Time in which VMs in touch with the store learn of a restore and write the row again."""
 
 SETTLE_S = 9.0
-"""Longer than `REPLACE_S` by the 6 s for which a write may arrive late."""
+"""Longer than `REPLACE_S` by the 6 s for which a write may arrive late, as in
+`LeaseTiming.late_s`."""
 
 
 class AgreedClock:
