--- a/review/3/run.py
+++ b/review/3/run.py
@@ -15,7 +15,7 @@
 sys.path.insert(0, str(HERE.parent / "lib"))
 import standins  # noqa: E402
 
-FAULT_S, PAUSE_S, WINDOWS = 5.0, 3.0, 5
+FAULT_S, PAUSE_S, WINDOWS = 5.0, 3.0, 8
 """Site file: garble for_s = 5.5 (extra), 5.0 (extra late). It comes several times."""
 EVERY = 34
 """One answer in 34 of the faulty replica, 0.0294; site file: x = 0.03 (extra late). One
