Rows and documents of other programs: any bytes are a message or nothing

Cause: the row's bytes end within 4,000 nested lists. `read_age` and `read_server` know `msgspec.DecodeError` alone; the decoder raises RecursionError for values nested over a thousand deep. It passed through `FeedFollower.run` into the process's task group. Read and then shown: a traceback of each end names `read_age` or, for a VM that starts, `read_server`. The same decoder with the same single error was called for the configuration, answers of the store, crash reports, groups of prompt parts, events of streams, whole answers, callers' bodies, and servers' load documents, whose numbers could also end the process that polls them (`int` of infinity).

Change: `godwitmast.decoding` is the one place where bytes of others become a value: whatever the library raises is `Undecodable`. All of these use it. A feed's listener that fails is logged with its trace, and the loop goes on: no row can end it.

Why it works: nothing that the library raises leaves `decode_json` as another error, and what remains in the listener can't reach the task group.

--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -1,14 +1,14 @@
 """An HTTP client for backend servers that classifies every failure."""
 
-import json
 import math
 import ssl
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from functools import lru_cache
-from typing import Protocol
+from typing import Annotated, Protocol, TypeVar
 
 import httpx
+import msgspec
 
 from godwitmast.backends.answer_limits import (
     AnswerTooLong,
@@ -17,9 +17,13 @@
 )
 from godwitmast.backends.transport import BoundedTransport, SocketOptions
 from godwitmast.config.document import AnswerLimits
+from godwitmast.decoding import decode_json
 from godwitmast.dispatch.messages import FailureKind, LoadReport, ServerStatement
+from godwitmast.errors import Undecodable
 from godwitmast.logs import log_event
 
+T = TypeVar("T")
+
 CONNECT_TIMEOUT_S = 0.3
 """A reachable backend server accepts within milliseconds, one in another region within
 a tenth of a second, and one behind a network partition never. The rest of an
@@ -42,6 +46,17 @@
 LEAVING_HEADER = "engine-leaving"
 
 
+NonNegative = msgspec.Meta(ge=0)
+
+
+class LoadDocument(msgspec.Struct):
+    """What a backend server serves at `/load`; `age_s` is the age of its numbers."""
+
+    running: Annotated[int, NonNegative]
+    waiting: Annotated[int, NonNegative]
+    age_s: Annotated[float, NonNegative] = 0.0
+
+
 class AttemptFailed(Exception):
     """An attempt ended without a complete answer."""
 
@@ -187,19 +202,23 @@
         except httpx.HTTPError as error:
             raise AttemptFailed(failure_kind(error), repr(error)) from None
 
-    async def get_json(self, url: str, timeout_s: float) -> dict[str, object] | None:
-        """Return the JSON document that a backend server serves at `url`, or None."""
+    async def get_json(self, url: str, shape: type[T], timeout_s: float) -> T | None:
+        """Return the JSON document that a backend server serves at `url`, or None if it
+        serves none that is a valid `shape`."""
         if self.http.is_closed:
             # A poll may come due while its entry closes, which is no error.
             return None
         try:
             async with self.http.stream("GET", url, timeout=timeout_s) as answer:
                 body = await read_decoded(answer, self.limits.body_bytes, self.bodies)
-            return json.loads(body) if answer.status_code == 200 else None
+            return decode_json(body, shape) if answer.status_code == 200 else None
         except AnswerTooLong as error:
             self.report_limit(url, error)
             return None
-        except (httpx.HTTPError, ValueError):
+        except Undecodable as error:
+            log_event("document_bad", level="WARNING", url=url, error=str(error))
+            return None
+        except httpx.HTTPError:
             return None
 
 
--- a/src/godwitmast/capacity/duty.py
+++ b/src/godwitmast/capacity/duty.py
@@ -6,7 +6,7 @@
 import anyio
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
-from godwitmast.backends.client import BackendClient
+from godwitmast.backends.client import BackendClient, LoadDocument
 from godwitmast.capacity.demand import DEMAND_KEY_PREFIX, DemandAggregator
 from godwitmast.capacity.fleet import (
     EMPTY_FLEET,
@@ -328,12 +328,8 @@
                 tasks.start_soon(partial(self.read_running_requests, name, url))
 
     async def read_running_requests(self, name: str, url: str) -> None:
-        load_report = await self.client.get_json(f"{url}/load", LOAD_TIMEOUT_S)
-        try:
-            running = int(load_report["running"]) + int(load_report["waiting"])  # type: ignore
-        except (KeyError, TypeError, ValueError):
-            self.book.running_requests[name] = None
-            return
+        load = await self.client.get_json(f"{url}/load", LoadDocument, LOAD_TIMEOUT_S)
+        running = load.running + load.waiting if load is not None else None
         self.book.running_requests[name] = running
 
     def update_metrics(self, fleet: list[FleetServer]) -> None:
--- /dev/null
+++ b/src/godwitmast/decoding.py
@@ -0,0 +1,34 @@
+"""Decoding of bytes that other programs wrote, which may be any bytes."""
+
+from collections.abc import Hashable
+from functools import lru_cache
+from typing import Any, TypeVar, cast
+
+import msgspec
+
+from godwitmast.errors import Undecodable
+
+T = TypeVar("T")
+
+
+def decode_json(content: bytes | str, shape: type[T]) -> T:
+    """Return the value; raise Undecodable for anything that is not a valid `shape`."""
+    try:
+        value: T = decoder_of(cast(Hashable, shape)).decode(content)
+    except Exception as error:
+        # The library raises RecursionError, among others, besides its own errors.
+        raise Undecodable(f"{error!r:.200}") from None
+    return value
+
+
+def convert(value: Any, shape: type[T]) -> T:
+    """Return a decoded value as `shape`; raise Undecodable if it is not valid."""
+    try:
+        return msgspec.convert(value, shape)
+    except Exception as error:
+        raise Undecodable(f"{error!r:.200}") from None
+
+
+@lru_cache
+def decoder_of(shape: Hashable) -> msgspec.json.Decoder[Any]:
+    return msgspec.json.Decoder(cast(Any, shape))
--- a/src/godwitmast/dispatch/part_crashes.py
+++ b/src/godwitmast/dispatch/part_crashes.py
@@ -22,6 +22,7 @@
 
 import msgspec
 
+from godwitmast.decoding import decode_json
 from godwitmast.dispatch.messages import (
     Clearance,
     Crash,
@@ -38,6 +39,7 @@
     SeenCrash,
     one_crash_per_event,
 )
+from godwitmast.errors import Undecodable
 from godwitmast.types import BackendId, PoolName
 
 KEY_PREFIX = "prompt-parts:"
@@ -101,10 +103,10 @@
     if not fingerprint.startswith(KEY_PREFIX):
         return None
     try:
-        pool, ids = msgspec.json.decode(
-            fingerprint.removeprefix(KEY_PREFIX), type=tuple[str, list[str]]
+        pool, ids = decode_json(
+            fingerprint.removeprefix(KEY_PREFIX), tuple[str, list[str]]
         )
-    except msgspec.DecodeError:
+    except Undecodable:
         return None
     return PartGroup(PoolName(pool), frozenset(ids)) if ids else None
 
--- a/src/godwitmast/entry/crash_reports.py
+++ b/src/godwitmast/entry/crash_reports.py
@@ -14,6 +14,7 @@
 from anyio.abc import TaskGroup
 
 from godwitmast.background import BackgroundTasks
+from godwitmast.decoding import convert, decode_json
 from godwitmast.dispatch.messages import (
     Clearance,
     Placement,
@@ -23,7 +24,7 @@
 )
 from godwitmast.dispatch.poison import QUARANTINE_S, SUSPICION_S, advance_ages
 from godwitmast.entry.driver import RouterDriver
-from godwitmast.errors import PlatformError, PlatformUnavailable
+from godwitmast.errors import PlatformError, PlatformUnavailable, Undecodable
 from godwitmast.logs import log_event
 from godwitmast.platform_api.messages import Written
 from godwitmast.platform_api.port import Table
@@ -247,8 +248,8 @@
 def read_report(key: str, content: bytes) -> Report | None:
     """Return a row's report, or None if the row cannot be read."""
     try:
-        return msgspec.json.decode(content, type=Report)
-    except msgspec.DecodeError as error:
+        return decode_json(content, Report)
+    except Undecodable as error:
         log_event("crash_report_bad", level="WARNING", row=key, error=str(error))
         return None
 
@@ -257,8 +258,8 @@
     """Return a report's updates with their ages as of now; others' kinds are skipped."""
     for kind, at, value in report.updates:
         try:
-            update = msgspec.convert(value, KINDS[kind])
-        except (KeyError, msgspec.ValidationError) as error:
+            update: PoisonUpdate = convert(value, KINDS[kind])
+        except (KeyError, Undecodable) as error:
             log_event("crash_report_bad", level="WARNING", error=repr(error))
             continue
         yield advance_ages(update, max(0.0, now - at))
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -15,7 +15,7 @@
 from anyio.abc import TaskGroup
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
-from godwitmast.backends.client import BackendClient
+from godwitmast.backends.client import BackendClient, LoadDocument
 from godwitmast.background import BackgroundTasks
 from godwitmast.capacity.demand import OPEN_REQUESTS_KEY
 from godwitmast.capacity.fleet import EMPTY_FLEET, FleetRow, merge_backends
@@ -534,18 +534,12 @@
                         tasks.start_soon(partial(self.poll_load, backend_id, url))
 
     async def poll_load(self, backend_id: BackendId, url: str) -> None:
-        reply = await self.client.get_json(f"{url}/load", LOAD_POLL_TIMEOUT_S)
-        if reply is None:
-            return
-        try:
-            report = LoadReport(
-                running=int(reply["running"]),  # type: ignore[call-overload]
-                waiting=int(reply["waiting"]),  # type: ignore[call-overload]
-                age_s=float(reply.get("age_s", 0.0)),  # type: ignore[arg-type]
-            )
-        except (KeyError, TypeError, ValueError) as error:
-            log_event("load_report_bad", backend=backend_id, error=repr(error))
+        document = await self.client.get_json(
+            f"{url}/load", LoadDocument, LOAD_POLL_TIMEOUT_S
+        )
+        if document is None:
             return
+        report = LoadReport(document.running, document.waiting, age_s=document.age_s)
         for listener in self.load_listeners:
             listener(backend_id, report)
         self.record_load(backend_id, report)
--- a/src/godwitmast/entry/events.py
+++ b/src/godwitmast/entry/events.py
@@ -1,10 +1,11 @@
 """Readers of server-sent events, which meter an answer and let an attempt resume it."""
 
 import re
-from typing import Any
 
 import msgspec
 
+from godwitmast.decoding import decode_json
+from godwitmast.errors import Undecodable
 from godwitmast.types import TokenCount
 
 LINE_ENDS = b"\r\n"
@@ -46,9 +47,6 @@
     usage: Usage | None = None
 
 
-CHUNK_DECODER = msgspec.json.Decoder(Chunk)
-
-
 def split_events(joined: bytes) -> tuple[list[bytes], bytes]:
     """Return the complete events at the start of `joined`, and the rest."""
     events = []
@@ -119,8 +117,8 @@
             self.done = True
             return
         try:
-            chunk = CHUNK_DECODER.decode(data)
-        except msgspec.DecodeError:
+            chunk = decode_json(data, Chunk)
+        except Undecodable:
             return
         for choice in chunk.choices:
             text = choice.delta.content if choice.delta else choice.text
@@ -197,7 +195,7 @@
 def read_usage(body: bytes) -> TokenCount | None:
     """Return the usage in the body of a whole answer, or None."""
     try:
-        chunk: Any = CHUNK_DECODER.decode(body)
-    except msgspec.DecodeError:
+        chunk = decode_json(body, Chunk)
+    except Undecodable:
         return None
     return token_count(chunk.usage) if chunk.usage else None
--- a/src/godwitmast/entry/gossip.py
+++ b/src/godwitmast/entry/gossip.py
@@ -7,6 +7,7 @@
 from godwitmast.admission.service_reports import ServiceKey, ServiceReport
 from godwitmast.clock import Clock
 from godwitmast.config.document import Backend
+from godwitmast.decoding import convert
 from godwitmast.dispatch.messages import (
     Clearance,
     LoadReport,
@@ -18,6 +19,7 @@
 from godwitmast.dispatch.poison import advance_ages
 from godwitmast.dispatch.router import Router
 from godwitmast.entry.driver import RouterDriver
+from godwitmast.errors import Undecodable
 from godwitmast.logs import log_event
 from godwitmast.peers.driver import PeerDriver
 from godwitmast.peers.messages import LoadEntry, Record, Topic
@@ -266,8 +268,8 @@
             return
         try:
             kind, _, left_s = POISON_KINDS[record.value["kind"]]
-            news: PoisonUpdate = msgspec.convert(record.value["news"], kind)
-        except (KeyError, TypeError, msgspec.ValidationError) as error:
+            news: PoisonUpdate = convert(record.value["news"], kind)
+        except (KeyError, TypeError, Undecodable) as error:
             log_event("peer_news_bad", level="WARNING", error=repr(error))
             return
         advanced = advance_ages(news, max(0.0, left_s - record.left_s))
--- a/src/godwitmast/entry/outbound.py
+++ b/src/godwitmast/entry/outbound.py
@@ -8,7 +8,9 @@
 import httpx
 import msgspec
 
+from godwitmast.decoding import decode_json
 from godwitmast.entry.events import CompletionReader, read_usage
+from godwitmast.errors import Undecodable
 from godwitmast.forwarding.terms import SERVED_BY_HEADER
 from godwitmast.types import BackendId, TokenCount
 
@@ -218,7 +220,7 @@
     def is_truncated(self, body: bytes) -> bool:
         """Return whether a completion, which is a JSON document, cannot be decoded."""
         try:
-            msgspec.json.decode(body)
-        except msgspec.DecodeError:
+            decode_json(body, object)
+        except Undecodable:
             return True
         return False
--- a/src/godwitmast/entry/peering.py
+++ b/src/godwitmast/entry/peering.py
@@ -14,6 +14,7 @@
 from godwitmast.config.follower import ConfigFollower
 from godwitmast.config.machine import Offered
 from godwitmast.config.rows import Delta, Snapshot
+from godwitmast.decoding import convert
 from godwitmast.entry.app import EntryApp
 from godwitmast.entry.gossip import (
     LeavingGossip,
@@ -22,7 +23,7 @@
     ServiceGossip,
 )
 from godwitmast.entry.settings import EntrySettings
-from godwitmast.errors import PlatformError
+from godwitmast.errors import PlatformError, Undecodable
 from godwitmast.logs import log_event
 from godwitmast.peers.driver import PeerDriver
 from godwitmast.peers.machine import PeerMachine
@@ -81,8 +82,8 @@
 
     def adopt_deltas(self, after: int, number: int, payload: Json) -> bool:
         try:
-            deltas = msgspec.convert(payload, list[Delta])
-        except msgspec.ValidationError as error:
+            deltas = convert(payload, list[Delta])
+        except Undecodable as error:
             log_event("peer_deltas_bad", level="WARNING", error=error)
             return False
         return self.follower.offer_deltas(deltas) is Offered.ADOPTED
--- a/src/godwitmast/entry/request_parsing.py
+++ b/src/godwitmast/entry/request_parsing.py
@@ -10,7 +10,9 @@
 import xxhash
 from annotated_types import Gt
 
+from godwitmast.decoding import decode_json
 from godwitmast.entry.refusals import MEMORY_SHORT, ErrorAnswer
+from godwitmast.errors import Undecodable
 from godwitmast.http_server import Receive, Scope
 from godwitmast.settings import Seconds
 
@@ -229,8 +231,8 @@
 def read_model_call(body: bytes, chat: bool) -> ModelCall | ErrorAnswer:
     """Return the validated completion request, or the error to answer with."""
     try:
-        call = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
+        call: Any = decode_json(body, object)
+    except Undecodable as error:
         return ErrorAnswer(422, "bad_json", f"The body is not JSON: {error}")
     problem = find_problem(call, chat)
     if problem:
--- a/src/godwitmast/errors.py
+++ b/src/godwitmast/errors.py
@@ -42,5 +42,9 @@
     """A peer sent invalid data, so its connection is closed."""
 
 
+class Undecodable(GodwitError):
+    """Bytes from another program are not a valid message."""
+
+
 class InvariantBroken(GodwitError):
     """An internal invariant is broken; the process cannot continue."""
--- a/src/godwitmast/platform/catalog.py
+++ b/src/godwitmast/platform/catalog.py
@@ -3,8 +3,6 @@
 from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
-import msgspec
-
 from godwitmast.capacity.zonal import ZonalLimits
 from godwitmast.config.document import (
     Backend,
@@ -18,7 +16,8 @@
     Service,
     Team,
 )
-from godwitmast.errors import ConfigInvalid
+from godwitmast.decoding import decode_json
+from godwitmast.errors import ConfigInvalid, Undecodable
 from godwitmast.keys.hashing import hash_key
 from godwitmast.logs import log_event
 from godwitmast.platform.wire import (
@@ -101,8 +100,8 @@
 ) -> Catalog:
     """Return the checked configuration, or raise ConfigInvalid."""
     try:
-        wire = msgspec.json.decode(content, type=WireConfig)
-    except msgspec.DecodeError as error:
+        wire = decode_json(content, WireConfig)
+    except Undecodable as error:
         raise ConfigInvalid(str(error)) from None
     tenants = wire.tenants or []
     team_priorities = {t.name: t.priority for t in tenants if t.priority is not None}
@@ -298,8 +297,8 @@
 
 def read_age(content: bytes) -> WireRowAge | None:
     try:
-        return msgspec.json.decode(content, type=WireRowAge)
-    except msgspec.DecodeError:
+        return decode_json(content, WireRowAge)
+    except Undecodable:
         return None
 
 
@@ -315,8 +314,8 @@
 
 def read_server(server_id: str, content: bytes) -> Backend | None:
     try:
-        wire = msgspec.json.decode(content, type=WireServer)
-    except msgspec.DecodeError as error:
+        wire = decode_json(content, WireServer)
+    except Undecodable as error:
         log_event("server_row_bad", server=server_id, error=str(error))
         return None
     host, _, port = wire.address.rpartition(":")
--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -14,8 +14,9 @@
 from godwitmast.capacity.messages import OrderOutcome
 from godwitmast.capacity.zonal import DesiredServers
 from godwitmast.clock import Clock, SystemClock
+from godwitmast.decoding import decode_json
 from godwitmast.entry.crash_reports import CRASH_PREFIX
-from godwitmast.errors import PlatformOutcomeUnknown
+from godwitmast.errors import PlatformOutcomeUnknown, Undecodable
 from godwitmast.logs import log_event
 from godwitmast.platform.settings import PlatformFile
 from godwitmast.platform.wire import (
@@ -322,8 +323,8 @@
     def parse(self, response: httpx.Response) -> RowsAnswer:
         """Return the decoded answer; raise PlatformOutcomeUnknown if malformed."""
         try:
-            answer = msgspec.json.decode(response.content, type=RowsAnswer)
-        except msgspec.DecodeError as error:
+            answer = decode_json(response.content, RowsAnswer)
+        except Undecodable as error:
             raise PlatformOutcomeUnknown(f"{response.url.path}: {error}") from None
         if self.on_store_time is not None and answer.now_ms is not None:
             self.on_store_time(answer.now_ms / 1000)
--- a/src/godwitmast/platform_api/feed.py
+++ b/src/godwitmast/platform_api/feed.py
@@ -1,6 +1,7 @@
 """The follower of an external table that has a change feed."""
 
 import random
+import traceback
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -356,4 +357,16 @@
                     self.notify_listener()
 
     def notify_listener(self) -> None:
-        self.listener(self.view.rows)
+        """Pass the rows on; none of them, whoever wrote it, may end this loop."""
+        try:
+            self.listener(self.view.rows)
+        except Exception as error:
+            log_event(
+                "feed_rows_not_applied",
+                level="ERROR",
+                table=self.table,
+                version=self.view.version,
+                rows=len(self.view.rows),
+                error=repr(error),
+                trace=traceback.format_exc(),
+            )
