Server rows without a field of the page, or with an unusable one, name no server

Cause: `version`, `coldLeftMs` and `born` had defaults and `sequence` was not read, so a row without them named a server to use; of the address only the port's characters were looked at. `ConnectionProbes.try_connecting` then read `.port` of 127.0.0.1:99999, which raises ValueError, in the task group that the process depends on. The same row reached `BackendSpec` with a `batchSlots` of 400 digits (OverflowError), or an address that the HTTP library refuses. An id that no header can carry failed each request placed on it.

Change: the row's type has no defaults for what the page lists (`born` isn't listed there and stays optional); numbers are bounded; the address is an IPv4 address and a port, as the page has no names; the id can be sent. Probes take an address that cannot be read as inconclusive. `parse_whole_number` replaces five readers of digits in headers, of which four raised for thousands of them: a caller's `Token-Usage` of 5,000 digits got a 500.

Why it works: what is in the list can be connected to and sent, and all else is dropped where it is read.

Three tests built rows without the fields that the page names, or with port 0; their rows are complete now, and what they assert is unchanged.

--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -17,7 +17,7 @@
 )
 from godwitmast.backends.transport import BoundedTransport, SocketOptions
 from godwitmast.config.document import AnswerLimits
-from godwitmast.decoding import decode_json
+from godwitmast.decoding import decode_json, parse_whole_number
 from godwitmast.dispatch.messages import FailureKind, LoadReport, ServerStatement
 from godwitmast.errors import Undecodable
 from godwitmast.logs import log_event
@@ -241,9 +241,10 @@
     where it matters most: on the servers that get the requests.
     """
     running, _, waiting = answer.headers.get(LOAD_HEADER, "").partition(";")
-    if not (running.isdecimal() and waiting.isdecimal()):
+    numbers = parse_whole_number(running), parse_whole_number(waiting)
+    if numbers[0] is None or numbers[1] is None:
         return None
-    return LoadReport(int(running), int(waiting))
+    return LoadReport(numbers[0], numbers[1])
 
 
 def parse_number(text: str | None) -> float | None:
--- a/src/godwitmast/decoding.py
+++ b/src/godwitmast/decoding.py
@@ -10,6 +10,9 @@
 
 T = TypeVar("T")
 
+MAX_DIGITS = 9
+"""Longest number that is read from a header."""
+
 
 def decode_json(content: bytes | str, shape: type[T]) -> T:
     """Return the value; raise Undecodable for anything that is not a valid `shape`."""
@@ -29,6 +32,16 @@
         raise Undecodable(f"{error!r:.200}") from None
 
 
+def parse_whole_number(text: str, max_digits: int = MAX_DIGITS) -> int | None:
+    """Return a whole number that is not negative, or None.
+
+    `int` alone takes digits of all scripts, and raises for thousands of them.
+    """
+    digits = text.strip()
+    usable = digits.isascii() and digits.isdecimal() and len(digits) <= max_digits
+    return int(digits) if usable else None
+
+
 @lru_cache
 def decoder_of(shape: Hashable) -> msgspec.json.Decoder[Any]:
     return msgspec.json.Decoder(cast(Any, shape))
--- a/src/godwitmast/entry/probes.py
+++ b/src/godwitmast/entry/probes.py
@@ -30,6 +30,16 @@
     await stream.aclose()
 
 
+def parse_address(url: str) -> tuple[str, int] | None:
+    """Return host and port of a server's URL, None if it has no usable ones."""
+    try:
+        parts = urlsplit(url)
+        host, port = parts.hostname, parts.port
+    except ValueError:
+        return None
+    return None if host is None or port is None else (host, port)
+
+
 class ConnectionProbes:
     """Probes a pool's servers when it seems that none of them can be reached."""
 
@@ -110,12 +120,12 @@
         """Open a connection to a server, and return the outcome."""
         began = self.driver.clock.now()
         outcome = ProbeOutcome.FAILED
-        address = urlsplit(self.driver.urls.get(backend_id, ""))
-        if address.hostname is None or address.port is None:
+        address = parse_address(self.driver.urls.get(backend_id, ""))
+        if address is None:
             return ProbeOutcome.INCONCLUSIVE
         with anyio.move_on_after(CONNECT_TIMEOUT_S):
             try:
-                await self.connect(address.hostname, address.port)
+                await self.connect(*address)
                 outcome = ProbeOutcome.CONNECTED
             except OSError:
                 outcome = ProbeOutcome.FAILED
--- a/src/godwitmast/forwarding/terms.py
+++ b/src/godwitmast/forwarding/terms.py
@@ -3,6 +3,7 @@
 import base64
 from typing import NamedTuple
 
+from godwitmast.decoding import parse_whole_number
 from godwitmast.types import PoolName
 
 Headers = list[tuple[str, str]]
@@ -16,6 +17,9 @@
 SERVED_BY_HEADER = b"godwit-served-by"
 """Names the backend server of an answer that one VM sends to another."""
 
+MAX_CONFIG_DIGITS = 19
+"""Digits of the largest number of a configuration, which has 64 bits."""
+
 HEADERS = frozenset(
     [CONFIG_HEADER, POOL_HEADER, ATTEMPTS_HEADER, METERED_HEADER, QUESTION_HEADER]
 )
@@ -60,16 +64,16 @@
     """Return the terms, None if they are missing or malformed, and the other headers."""
     found = {name.lower(): value.decode("latin-1") for name, value in headers}
     rest = [pair for pair in headers if pair[0].lower() not in HEADERS]
-    config = found.get(CONFIG_HEADER, "")
+    config = parse_whole_number(found.get(CONFIG_HEADER, ""), MAX_CONFIG_DIGITS)
     attempts = found.get(ATTEMPTS_HEADER)
     pool = decode_pool(found.get(POOL_HEADER, ""))
-    if pool is None or not config.isdecimal():
+    if pool is None or config is None:
         return None, rest
-    if attempts is not None and not attempts.isdecimal():
+    allowed = None if attempts is None else parse_whole_number(attempts)
+    if attempts is not None and allowed is None:
         return None, rest
-    allowed = None if attempts is None else int(attempts)
     flags = METERED_HEADER in found, QUESTION_HEADER in found
-    return ForwardTerms(int(config), pool, allowed, *flags), rest
+    return ForwardTerms(config, pool, allowed, *flags), rest
 
 
 def decode_pool(text: str) -> PoolName | None:
--- a/src/godwitmast/platform/catalog.py
+++ b/src/godwitmast/platform/catalog.py
@@ -1,6 +1,7 @@
 """Conversion of the platform's configuration and server rows to the router's types."""
 
 from collections.abc import Collection, Mapping
+from ipaddress import IPv4Address
 from typing import NamedTuple
 
 from godwitmast.capacity.zonal import ZonalLimits
@@ -16,7 +17,7 @@
     Service,
     Team,
 )
-from godwitmast.decoding import decode_json
+from godwitmast.decoding import decode_json, parse_whole_number
 from godwitmast.errors import ConfigInvalid, Undecodable
 from godwitmast.keys.hashing import hash_key
 from godwitmast.logs import log_event
@@ -39,6 +40,9 @@
 from godwitmast.routes.table import Route, RouteTable, Split
 from godwitmast.types import ClassName, PoolName, ZoneName
 
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+
 MAX_ENGINE_PRIORITY = 9
 """Largest priority number that engines accept; 0 is the most urgent."""
 
@@ -318,10 +322,9 @@
     except Undecodable as error:
         log_event("server_row_bad", server=server_id, error=str(error))
         return None
-    host, _, port = wire.address.rpartition(":")
-    is_usable = host and port.isdecimal() and wire.batch_slots > 0
-    if wire.state not in (READY, DRAINING) or not is_usable:
-        log_event("server_row_bad", server=server_id, state=wire.state)
+    problem = find_problem(server_id, wire)
+    if problem is not None:
+        log_event("server_row_bad", server=server_id, error=problem)
         return None
     return Backend(
         f"http://{wire.address}",
@@ -334,3 +337,31 @@
         incarnation=wire.born,
         version=wire.version,
     )
+
+
+def find_problem(server_id: str, wire: WireServer) -> str | None:
+    """Return why a row names no server to use, None if it names one."""
+    if not is_header_value(server_id):
+        return "the id cannot be sent in a header"
+    if wire.state not in (READY, DRAINING):
+        return f"unknown state {wire.state!r:.40}"
+    if not is_socket_address(wire.address):
+        return f"bad address {wire.address!r:.40}"
+    return None
+
+
+def is_header_value(text: str) -> bool:
+    return text.isascii() and text.isprintable() and text == text.strip() != ""
+
+
+def is_socket_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address with a port."""
+    host, _, port_text = text.rpartition(":")
+    port = parse_whole_number(port_text, MAX_PORT_DIGITS)
+    if port is None or str(port) != port_text or not 0 < port <= MAX_PORT:
+        return False
+    try:
+        IPv4Address(host)
+    except ValueError:
+        return False
+    return True
--- a/src/godwitmast/platform/frontend.py
+++ b/src/godwitmast/platform/frontend.py
@@ -9,6 +9,7 @@
 
 from godwitmast.backends.client import parse_number, parse_rest
 from godwitmast.config.document import Document, NumberedConfig
+from godwitmast.decoding import parse_whole_number
 from godwitmast.dispatch.messages import (
     LoadReport,
     NotRun,
@@ -69,9 +70,6 @@
 
 BODY_TIMEOUT_S = 10.0
 
-MAX_DIGITS = 9
-"""Longest number that is read from a header."""
-
 MAX_PERCENT = 10_000
 """Enough for a body of 100 kB from a slow phone at 80 kbit/s."""
 
@@ -388,7 +386,7 @@
 
     The third number is the batch size; servers that share no machine send no fourth.
     """
-    numbers = [read_number(part) for part in text.split(",")]
+    numbers = [parse_whole_number(part) for part in text.split(",")]
     if len(numbers) < 2 or numbers[0] is None or numbers[1] is None:
         return None
     percent = numbers[3] if len(numbers) == 4 else None
@@ -396,13 +394,6 @@
     return LoadReport(numbers[0], numbers[1], percent=percent if usable else None)
 
 
-def read_number(text: str) -> int | None:
-    """Return a whole number that is not negative, or None."""
-    digits = text.strip()
-    usable = digits.isascii() and digits.isdecimal() and len(digits) <= MAX_DIGITS
-    return int(digits) if usable else None
-
-
 def read_bearer(header: str) -> str | None:
     scheme, _, token = header.partition(" ")
     return token.strip() if scheme.lower() == "bearer" and token.strip() else None
@@ -435,17 +426,17 @@
 def read_tokens(text: str) -> tuple[int, int]:
     """Return the prompt tokens, and the limit on the answer's tokens."""
     prompt, _, output = text.partition(",")
-    if prompt.isdecimal() and output.isdecimal():
-        return int(prompt), int(output)
-    return 0, 0
+    tokens = parse_whole_number(prompt), parse_whole_number(output)
+    return (0, 0) if tokens[0] is None or tokens[1] is None else (tokens[0], tokens[1])
 
 
 def read_parts(text: str) -> tuple[PromptPart, ...]:
     """Return the parts of a prompt; none if any of them cannot be read."""
     parts = []
     for item in text.split(","):
-        part_id, _, tokens = item.strip().partition(":")
-        if not part_id or not tokens.isdecimal():
+        part_id, _, text_of_tokens = item.strip().partition(":")
+        tokens = parse_whole_number(text_of_tokens)
+        if not part_id or tokens is None:
             return ()
-        parts.append(PromptPart(part_id, int(tokens)))
+        parts.append(PromptPart(part_id, tokens))
     return tuple(parts)
--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -14,7 +14,7 @@
 from godwitmast.capacity.messages import OrderOutcome
 from godwitmast.capacity.zonal import DesiredServers
 from godwitmast.clock import Clock, SystemClock
-from godwitmast.decoding import decode_json
+from godwitmast.decoding import decode_json, parse_whole_number
 from godwitmast.entry.crash_reports import CRASH_PREFIX
 from godwitmast.errors import PlatformOutcomeUnknown, Undecodable
 from godwitmast.logs import log_event
@@ -409,10 +409,8 @@
 def read_epoch(response: httpx.Response) -> int | None:
     """Return the epoch in an answer's header, None if it is missing or invalid."""
     text = response.headers.get(STORE_ERA, "")
-    if not (text.isascii() and text.isdecimal() and len(text) <= len(str(MAX_EPOCH))):
-        return None
-    epoch = int(text)
-    return epoch if epoch <= MAX_EPOCH else None
+    epoch = parse_whole_number(text, len(str(MAX_EPOCH)))
+    return epoch if epoch is not None and epoch <= MAX_EPOCH else None
 
 
 def same_epoch(epoch: int | None, answer: RowsAnswer) -> int:
--- a/src/godwitmast/platform/wire.py
+++ b/src/godwitmast/platform/wire.py
@@ -4,7 +4,7 @@
 unknown fields are ignored, since the platform may add some.
 """
 
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
@@ -191,17 +191,27 @@
     sequence: int | None = None
 
 
+MAX_BATCH_SLOTS = 1_000_000
+
+BatchSlots = Annotated[int, msgspec.Meta(ge=1, le=MAX_BATCH_SLOTS)]
+WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class WireServer(PlatformJson):
-    """Row by which a backend server registers itself; its id is the row's key."""
+    """Row by which a backend server registers itself; its id is the row's key.
+
+    A row without one of the fields that have no default names no server.
+    """
 
     service: str
     address: str
     zone: str
+    version: str
+    """Version of its software, not of the weights of its models."""
     state: str
-    batch_slots: int
+    batch_slots: BatchSlots
+    cold_left_ms: float
+    sequence: WholeNumber
     spot: bool = False
-    cold_left_ms: float = 0.0
-    born: int = 0
+    born: WholeNumber = 0
     """When the server started; its id may stay the same across a restart."""
-    version: str = ""
-    """Version of its software, not of the weights of its models."""
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -5,14 +5,16 @@
 import httpx
 import pytest
 
+from fleet import Fleet
 from godwitmast.backends.client import BackendClient, LoadDocument
-from godwitmast.decoding import convert, decode_json
+from godwitmast.decoding import convert, decode_json, parse_whole_number
 from godwitmast.dispatch.part_crashes import KEY_PREFIX, decode_group
 from godwitmast.entry.crash_reports import read_report
 from godwitmast.entry.events import read_usage
 from godwitmast.entry.refusals import ErrorAnswer
 from godwitmast.entry.request_parsing import read_model_call
 from godwitmast.errors import Undecodable
+from running import running
 from test_foreign_rows import UNREADABLE
 
 pytestmark = pytest.mark.anyio
@@ -74,3 +76,39 @@
     await client.http.aclose()
     client.http = httpx.AsyncClient(transport=transport)
     assert await client.get_json("http://server/load", LoadDocument, 1.0) is None
+
+
+@pytest.mark.parametrize(
+    ("text", "number"),
+    [
+        ("17", 17),
+        (" 17 ", 17),
+        ("0", 0),
+        ("9" * 9, 999_999_999),
+        ("9" * 10, None),
+        ("9" * 5000, None),
+        ("", None),
+        ("-1", None),
+        ("+1", None),
+        ("1.0", None),
+        ("1_0", None),
+        ("\u0661", None),
+        ("\u00b2", None),
+    ],
+)
+def test_number_in_a_header_has_few_ascii_digits(text: str, number: int | None) -> None:
+    """Guards against digits that `int` does not take, or takes for another number."""
+    assert parse_whole_number(text) == number
+
+
+@pytest.mark.parametrize("digits", [5, 3500])
+async def test_request_with_a_number_of_thousands_of_digits_is_served(
+    http: httpx.AsyncClient, digits: int
+) -> None:
+    """Guards against an error of a VM for a number that its caller sent."""
+    async with running(Fleet()) as fleet:
+        tokens = "9" * digits
+        headers = {"Token-Usage": f"{tokens},80", "Prompt-Prefix": f"5c1e07a2:{tokens}"}
+        for name, value in headers.items():
+            answer = await fleet.request(http, "/digest/1", "POST", **{name: value})
+            assert answer.status_code == 200
--- a/tests/test_platform_catalog.py
+++ b/tests/test_platform_catalog.py
@@ -184,8 +184,11 @@
     "service": "lm",
     "address": "10.0.0.1:80",
     "zone": "z1",
+    "version": "v1",
     "state": "ready",
     "batchSlots": 8,
+    "coldLeftMs": 0,
+    "sequence": 3,
 }
 
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -486,8 +486,11 @@
     return {
         "address": f"127.0.0.1:{engine.server.port}",
         "zone": "z1",
+        "version": "v1",
         "state": "ready",
         "batchSlots": 8,
+        "coldLeftMs": 0,
+        "sequence": 0,
     }
 
 
@@ -646,7 +649,7 @@
     assert order.holder == "front-1"
     assert order.fence >= 1
     for replica in (ReplicaStandin(fleet.store, f"s{n}", "lm") for n in (1, 2)):
-        replica.server = fleet.engines[0].server
+        replica.port = fleet.engines[0].port
         replica.publish_row("ready", spot=True)
     await fleet.wait_until(lambda: len(fleet.store.orders) == 2)
     assert fleet.store.orders[1][2:] == ("lm", "z1", "standard", 1)
