Bytes after an answer: a connection that holds any is not used again

Cause: the HTTP library gives a connection back once its answer is complete, whatever its parser holds beyond it. The check before the next use asks the socket, and these bytes have left it. Half a value of an extra answer was joined with the next answer's head, which kept the first one's status; an extra rejection without an id counted as that of the next request, which ran.

Change, in the transport that the router, VMs to each other, the store and duty calls share: a connection whose parser holds bytes has expired; it is asked once more as the request is about to be sent, when the pool can still take another one. Bytes that the TLS layer holds count too. A head in which another status line stands is not an answer. A rejection without an id counts as the request's only on a connection that had no request before: what arrives on a used one may be the last one's, and this one may run.

Why it works: bytes that came before the request was sent can't be read as its answer.

The look at an idle connection whose number another socket got gives that number on purpose now: the next socket didn't always get it beside other tests.

--- a/src/godwitmast/backends/transport.py
+++ b/src/godwitmast/backends/transport.py
@@ -4,6 +4,7 @@
 as a server sends. So the bytes are counted below it, at the connection.
 """
 
+import re
 import select
 import ssl
 from collections.abc import AsyncIterator, Iterable, Iterator
@@ -52,8 +53,31 @@
         raise kind(str(error)) from error
 
 
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
+
+
+def holds_status_line(answer: httpcore.Response) -> bool:
+    """Return whether a head was joined from two, of which the first was broken off.
+
+    That may happen within the reason or a value of the first one.
+    """
+    reason = answer.extensions.get("reason_phrase", b"")
+    values = [reason, *(value for name, value in answer.headers)]
+    return any(STATUS_LINE.search(value) for value in values)
+
+
+def is_first_exchange(answer: httpx.Response) -> bool:
+    """Return whether no request was sent on the connection of an answer before."""
+    connection = answer.extensions.get("network_stream")
+    return not isinstance(connection, HeadCountingStream) or connection.exchanges == 1
+
+
 class HeadCountingStream(httpcore.AsyncNetworkStream):
-    """A connection that counts the bytes read before the final head of an answer."""
+    """A connection that counts the bytes read before the final head of an answer.
+
+    Bytes that arrive between two exchanges belong to neither: the next request is not
+    sent on such a connection.
+    """
 
     def __init__(
         self, stream: httpcore.AsyncNetworkStream, network: "HeadCountingNetwork"
@@ -61,6 +85,8 @@
         self.stream = stream
         self.network = network
         self.awaits_head = True
+        self.exchanges = 0
+        """Requests that were sent, or begun."""
         self.received = 0
         self.socket: Any = None
         self.poll: select.poll | None = None
@@ -75,7 +101,14 @@
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Write a part of a request, whose answer is read only after all of it."""
+        """Write a part of a request, whose answer is read only after all of it.
+
+        The pool sends a request that raises ConnectionNotAvailable on another connection.
+        """
+        if not self.awaits_head or self.exchanges == 0:
+            if self.exchanges and self.is_readable():
+                raise httpcore.ConnectionNotAvailable
+            self.exchanges += 1
         self.awaits_head = True
         self.received = 0
         await self.stream.write(buffer, timeout)
@@ -110,7 +143,22 @@
             self.poll = select.poll()
             self.poll.register(self.socket, select.POLLIN)
         # Once the socket is closed, its number may be that of another one.
-        return self.socket.fileno() < 0 or bool(self.poll.poll(0))
+        if self.socket.fileno() < 0 or self.poll.poll(0):
+            return True
+        return self.has_decrypted_bytes()
+
+    def has_decrypted_bytes(self) -> bool:
+        """Return whether bytes that the socket no longer holds wait in the TLS layer."""
+        tls = self.stream.get_extra_info("ssl_object")
+        if tls is None:
+            return False
+        try:
+            tls.read(1)
+        except ssl.SSLWantReadError:
+            return False
+        except ssl.SSLError:
+            return True
+        return True
 
 
 class HeadCountingNetwork(httpcore.AsyncNetworkBackend):
@@ -141,6 +189,37 @@
         await self.backend.sleep(seconds)
 
 
+class ReusableConnection(httpcore.AsyncHTTPConnection):
+    """A connection that is used again only if nothing followed its last answer.
+
+    Bytes after the end of an answer would be read as the beginning of the next one.
+    """
+
+    def has_expired(self) -> bool:
+        return super().has_expired() or (self.is_idle() and self.has_unread_bytes())
+
+    def has_unread_bytes(self) -> bool:
+        """Return whether the parser holds bytes that are no part of the last answer."""
+        connection = self._connection
+        if not isinstance(connection, httpcore.AsyncHTTP11Connection):
+            return False
+        # The library offers no other way to its parser.
+        return connection._h11_state.trailing_data[0] != b""
+
+
+class ConnectionPool(httpcore.AsyncConnectionPool):
+    """A pool of HTTP/1.1 connections that are checked before each use."""
+
+    def create_connection(self, origin: httpcore.Origin) -> ReusableConnection:
+        return ReusableConnection(
+            origin=origin,
+            ssl_context=self._ssl_context,
+            keepalive_expiry=self._keepalive_expiry,
+            network_backend=self._network_backend,
+            socket_options=self._socket_options,
+        )
+
+
 class BodyStream(httpx.AsyncByteStream):
     """The body of an answer, as it is received."""
 
@@ -178,7 +257,7 @@
         socket_options: SocketOptions = (),
     ) -> None:
         self.network = HeadCountingNetwork(head_bytes)
-        self.pool = httpcore.AsyncConnectionPool(
+        self.pool = ConnectionPool(
             ssl_context=tls,
             max_connections=limits.max_connections,
             max_keepalive_connections=limits.max_keepalive_connections,
@@ -203,15 +282,21 @@
         )
         with translated_errors():
             answer = await self.pool.handle_async_request(sent)
-        connection = answer.extensions.get("network_stream")
-        if isinstance(connection, HeadCountingStream):
-            connection.awaits_head = False
-        return httpx.Response(
+        response = httpx.Response(
             answer.status,
             headers=answer.headers,
             stream=BodyStream(answer),
             extensions=answer.extensions,
         )
+        connection = answer.extensions.get("network_stream")
+        if isinstance(connection, HeadCountingStream):
+            connection.awaits_head = False
+        if holds_status_line(answer):
+            await response.aclose()
+            raise httpx.RemoteProtocolError(
+                "the head holds the start of another answer"
+            )
+        return response
 
     async def aclose(self) -> None:
         await self.pool.aclose()
--- a/src/godwitmast/platform/frontend.py
+++ b/src/godwitmast/platform/frontend.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from godwitmast.backends.client import parse_number, parse_rest
+from godwitmast.backends.transport import is_first_exchange
 from godwitmast.config.document import Document, NumberedConfig
 from godwitmast.decoding import parse_whole_number
 from godwitmast.dispatch.messages import (
@@ -152,9 +153,12 @@
     def belongs_to_request(self, answer: httpx.Response) -> bool:
         """Return whether an answer belongs to this request, not an earlier one.
 
-        A rejection without an id counts as this one's, as some servers send none there.
+        A rejection without an id counts as this one's, as some servers send none there,
+        if no earlier request was sent on its connection: else it may belong to that one,
+        and this one may run.
         """
-        default = self.attempt_id if is_rejection(answer) else None
+        is_own = is_rejection(answer) and is_first_exchange(answer)
+        default = self.attempt_id if is_own else None
         return answer.headers.get(ATTEMPT_ID, default) == self.attempt_id
 
     def stream_headers(self, answer: httpx.Response) -> RawHeaders:
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -1,5 +1,6 @@
 """What the pool of connections to servers does for each request, and for idle ones."""
 
+import os
 from collections import Counter
 from collections.abc import AsyncIterator
 from typing import Any
@@ -73,8 +74,11 @@
     async with await anyio.create_udp_socket(local_host="127.0.0.1") as other:
         await anyio.sleep(0.01)
         raw = other.extra(anyio.abc.SocketAttribute.raw_socket)
-        assert raw.fileno() == number, "the next socket gets the lowest free number"
+        if raw.fileno() != number:
+            os.dup2(raw.fileno(), number)
         assert stream.get_extra_info("is_readable")
+        if raw.fileno() != number:
+            os.close(number)
 
 
 async def test_sockets_of_idle_connections_are_looked_up_once(
