Malformed answers are no crash of their server, nor of the request

Cause: every error of the connection but a time-out was FailureKind.CUT, so also bytes that the parser refuses and answers with another request's id. A connection that ends and one that carries wrong bytes have the same type in the library, RemoteProtocolError; only the text tells them apart.

Change: the transport raises ReadError where a connection ends within an answer, which it knows from the framing. What is left of RemoteProtocolError, and an answer with another id, is FailureKind.MALFORMED: the request may have run, as after a cut, and the server is counted as one that answers with an error, not as one that crashed.

Why it works: a server that crashes ends its connections; none of the malformed kinds does.

A stand-in's crash broke off its answers only where one had begun; elsewhere its HTTP library sent a 500 without the request's id. It now ends the connection within the answer, as its docstring says.

--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -189,7 +189,7 @@
                     # the connection would read that one.
                     await answer.extensions["network_stream"].aclose()
                     detail = "the answer belongs to another request"
-                    raise AttemptFailed(FailureKind.CUT, detail)
+                    raise AttemptFailed(FailureKind.MALFORMED, detail)
                 if self.header_parser.reports_not_run(answer):
                     detail = f"status {answer.status_code}"
                     raise AttemptFailed(FailureKind.REFUSED, detail)
@@ -273,5 +273,10 @@
         case httpx.TimeoutException():
             # Also one of sending: a server that reads slowly has not crashed.
             return FailureKind.TIMEOUT
+        case httpx.RemoteProtocolError():
+            # A server that crashes ends its connection, which is a ReadError.
+            return FailureKind.MALFORMED
+        case httpx.LocalProtocolError():
+            return FailureKind.ERROR
         case _:
             return FailureKind.CUT
--- a/src/godwitmast/backends/transport.py
+++ b/src/godwitmast/backends/transport.py
@@ -15,6 +15,7 @@
 import httpx
 
 from godwitmast.backends.answer_limits import AnswerPart, check_length
+from godwitmast.backends.framing import Framing, framing_of
 
 SocketOptions: TypeAlias = Iterable[tuple[int, int, int]]
 
@@ -88,15 +89,23 @@
         self.exchanges = 0
         """Requests that were sent, or begun."""
         self.received = 0
+        self.may_end = False
+        """Whether the end of the connection is that of the answer."""
         self.socket: Any = None
         self.poll: select.poll | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         if not self.awaits_head:
-            return await self.stream.read(max_bytes, timeout)
+            data = await self.stream.read(max_bytes, timeout)
+            if not data and not self.may_end:
+                raise httpcore.ReadError("the connection ended within the body")
+            return data
         # All bytes so far belong to the head, as more of it is needed.
         check_length(AnswerPart.HEAD, self.network.head_bytes, self.received)
         data = await self.stream.read(min(max_bytes, HEAD_READ_BYTES), timeout)
+        if not data:
+            where = "within the head" if self.received else "without an answer"
+            raise httpcore.ReadError(f"the connection ended {where}")
         self.received += len(data)
         return data
 
@@ -110,6 +119,7 @@
                 raise httpcore.ConnectionNotAvailable
             self.exchanges += 1
         self.awaits_head = True
+        self.may_end = False
         self.received = 0
         await self.stream.write(buffer, timeout)
 
@@ -287,10 +297,12 @@
             headers=answer.headers,
             stream=BodyStream(answer),
             extensions=answer.extensions,
+            request=request,
         )
         connection = answer.extensions.get("network_stream")
         if isinstance(connection, HeadCountingStream):
             connection.awaits_head = False
+            connection.may_end = framing_of(response) is Framing.CLOSE
         if holds_status_line(answer):
             await response.aclose()
             raise httpx.RemoteProtocolError(
--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -142,6 +142,8 @@
     """The backend server reported that it did not run the request."""
     CUT = "cut"
     """The connection broke after the request may have been read."""
+    MALFORMED = "malformed"
+    """Bytes arrived that are no answer to the request, which may have run."""
     TIMEOUT = "timeout"
     """Nothing arrived within the time-out."""
     ERROR = "error"
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -378,7 +378,7 @@
                 self.shared_health.record_unreachable(active, now)
             case FailureKind.REFUSED:
                 self.backends.record_refusal(backend_id, now)
-            case FailureKind.ERROR:
+            case FailureKind.ERROR | FailureKind.MALFORMED:
                 self.shared_health.record_error(active, now)
             case FailureKind.TIMEOUT:
                 if self.backends.record_timeout(backend_id, now):
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -76,6 +76,11 @@
 from godwitmast.types import AttemptId, BackendId, TokenCount
 
 REPLAYED = (b"godwit-replayed", b"true")
+
+MAY_HAVE_BEGUN = frozenset(
+    [FailureKind.CUT, FailureKind.MALFORMED, FailureKind.TIMEOUT]
+)
+"""Failures after which a plain service may be running what it accepted."""
 """Marks the stored answer of an earlier call with the same idempotency key."""
 
 STREAM_UNKNOWN = ErrorAnswer(
@@ -834,7 +839,7 @@
             self.driver.record_broken_connection(start.backend_id)
         if kind is not FailureKind.CONNECT:
             self.reached_backend = True
-        if kind in (FailureKind.CUT, FailureKind.TIMEOUT) and not self.outbound.streams:
+        if kind in MAY_HAVE_BEGUN and not self.outbound.streams:
             # A plain service runs what it accepts. An engine that ends without a first
             # event may have had the request in its queue.
             self.may_have_begun = True
--- a/src/godwitmast/entry/forwarding.py
+++ b/src/godwitmast/entry/forwarding.py
@@ -190,7 +190,12 @@
         match kind:
             case FailureKind.REFUSED:
                 self.choice.record_refusal(peer.address, pool, now)
-            case FailureKind.CONNECT | FailureKind.CUT | FailureKind.TIMEOUT:
+            case (
+                FailureKind.CONNECT
+                | FailureKind.CUT
+                | FailureKind.MALFORMED
+                | FailureKind.TIMEOUT
+            ):
                 self.choice.record_unreachable(peer.address, now)
 
     def record_answer(self, peer: Peer, pool: PoolName) -> None:
--- a/src/godwitmast/standins/replica.py
+++ b/src/godwitmast/standins/replica.py
@@ -1,10 +1,12 @@
 """A stand-in of a backend server of the users' platform, with faults."""
 
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
+from hypercorn.utils import UnexpectedMessageError
 
 from godwitmast.entry.refusals import send_response
 from godwitmast.http_server import HttpServer, Receive, Scope, Send
@@ -104,6 +106,7 @@
     def __post_init__(self) -> None:
         self.server = HttpServer(self, Listen(), grace_s=0.1)
         self.running_scopes: set[anyio.CancelScope] = set()
+        self.crashed_scopes: set[anyio.CancelScope] = set()
         self.port = 0
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -165,8 +168,11 @@
                     await anyio.sleep_forever()
                 await self.answer(headers, send)
                 tasks.cancel_scope.cancel()
+            if tasks.cancel_scope in self.crashed_scopes:
+                await self.break_off(headers, send)
         finally:
             self.running_scopes.discard(tasks.cancel_scope)
+            self.crashed_scopes.discard(tasks.cancel_scope)
             self.running -= 1
 
     def crash(self) -> None:
@@ -176,9 +182,17 @@
             self.store.tasks.start_soon(self.remove_row_later, self.server_id)
         self.server_id = f"{self.server_id.partition('-')[0]}-{self.crashes}"
         self.publish_row(READY)
+        self.crashed_scopes |= self.running_scopes
         for scope in self.running_scopes:
             scope.cancel()
 
+    async def break_off(self, headers: dict[str, str], send: Send) -> None:
+        """End the connection within the answer; without any, the library sends a 500."""
+        attempt_id = headers.get(ATTEMPT_ID, "").encode()
+        with suppress(UnexpectedMessageError):
+            await self.send_head(send, 200, [(ATTEMPT_ID.encode(), attempt_id)])
+        await send({"type": "http.response.body", "body": b"\n", "more_body": True})
+
     async def remove_row_later(self, server_id: str) -> None:
         """Remove the row of a server that crashed, as its heartbeats are missing."""
         await anyio.sleep(ROW_EXPIRY_S)
--- a/tests/test_extra_bytes.py
+++ b/tests/test_extra_bytes.py
@@ -136,6 +136,19 @@
     assert lost <= (0 if at is ExtraTime.TOGETHER else added)
 
 
+@pytest.mark.parametrize("at", ExtraTime)
+async def test_server_that_sends_extra_bytes_does_not_count_as_crashed(
+    fleet: ExtraFleet, at: ExtraTime
+) -> None:
+    """Guards against live servers that get no requests, and requests under suspicion."""
+    await fleet.add_fronts(EXTRA["second answer"], at, every=3)
+    await fleet.call_often("/peek/1")
+    router = fleet.node.driver.router
+    assert router is not None
+    assert not router.crashes
+    assert fleet.node.driver.count_suspects() == 0
+
+
 @pytest.mark.parametrize("path", ["/pay/1", "/peek/1"])
 async def test_connections_of_sound_servers_are_used_again(
     fleet: ExtraFleet, path: str
