Streams after a release: a pool's past is recorded, and not assumed

Callers whose streams had broken off with their VMs took them up at a VM that had just started, and got 200 with the rest from a newer version than the first part ("rejoined").

Cause: a VM that lists one version took "no row found" for "one version only". A stream had a row only if its pool had several versions when it began, so those open at a release had none; a VM that started once the old servers had left listed one version, looked for the row for 0.2 s, and took any error or slow answer of the store for none.

Change: the table has one row for each pool with its versions, when the last server of each was gone, and since when the row covers all streams (`entry/pool_versions.py`). A VM reads them once as it starts and writes them where the versions of its list differ: one call a start and a change, none a stream. A pool is of one version only if its row, and what the VM listed since, show it for as long as a stream lasts. Else the stream's row is looked up, and without it the request is refused as not run. A resumption at a pool of one version is bound to that version, so that it can't end at one that is listed while it waits. Streams that are open when a second version is listed get their rows then. A missing row means that no VM ran before only at the system's first start, or where the table has no row of another VM's run and was not restored.

Why it works: the only way to go on without a version is a recorded past of one. Weighed: a row a stream at all times (a write for each 0.2 s and VM), and versions in each VM's usage row (lost with the run, and written every few seconds).

--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -238,15 +238,11 @@
         if versions is None or stream is None or stream.resumes is None:
             return True
         pool = self.spec.pool
-        if not versions.must_look_up(pool):
-            return True
         version = await versions.find(self.spec.team, stream.resumes, pool)
         if version is not None:
             self.spec = self.spec._replace(version=version)
             versions.record_resumed(self.spec.team, stream.attempt_id, pool, version)
             return True
-        if not versions.is_mixed(pool):
-            return True
         await self.send_error_answer(STREAM_UNKNOWN)
         return False
 
--- a/src/godwitmast/entry/stream_versions.py
+++ b/src/godwitmast/entry/stream_versions.py
@@ -3,9 +3,9 @@
 
 Servers of several versions may serve side by side, and a stream can only go on at the
 version that began it. A caller names the attempt that brought the first event. While a
-pool has several versions, the VM that began a stream writes its version to the platform's
-table, where any VM finds it though that one has ended. A VM that cannot learn the version
-refuses the request as not run.
+pool has several versions (see `pool_versions`), the VM that began a stream writes its
+version to the platform's table, where any VM finds it though that one has ended. A VM
+that cannot learn the version refuses the request as not run.
 """
 
 import math
@@ -19,6 +19,7 @@
 from godwitmast.background import BackgroundTasks
 from godwitmast.clock import Clock
 from godwitmast.dispatch.messages import UNKNOWN_VERSION
+from godwitmast.entry.pool_versions import PoolVersions
 from godwitmast.errors import PlatformError
 from godwitmast.logs import log_event
 from godwitmast.platform_api.messages import Written
@@ -28,10 +29,6 @@
 STREAM_PREFIX = "stream/"
 """Start of the keys of all rows."""
 
-MIXED_S = 120.0
-"""How long a pool counts as one of several versions after the last other one was listed:
-longer than any stream lasts."""
-
 KEEP_S = 60.0
 """How long a stream's version is kept after it began."""
 
@@ -53,9 +50,6 @@
 """For how long, and how often, a stream's row is looked for. One that has just begun at
 another VM is written by then."""
 
-SINGLE_VERSION_FIND_S = 0.2
-"""The same while one version is listed, when hardly any stream has a row."""
-
 
 class StreamIdentity(NamedTuple):
     """A caller's attempt at a stream, and the attempt that began it, if it takes one up."""
@@ -70,6 +64,7 @@
     version: str
     backend_id: BackendId
     began_at: float
+    pool: PoolName
 
 
 class ListedServer(NamedTuple):
@@ -84,19 +79,23 @@
     """Records the versions of streams that begin here, and finds those of others."""
 
     def __init__(
-        self, clock: Clock, table: Table, reader: Table, registry: CollectorRegistry
+        self,
+        clock: Clock,
+        table: Table,
+        reader: Table,
+        pools: PoolVersions,
+        registry: CollectorRegistry,
     ) -> None:
         self.clock = clock
+        self.pools = pools
         self.table = table
         self.reader = reader
         self.servers: dict[BackendId, ListedServer] = {}
-        self.listed_until: dict[PoolName, dict[str, float]] = {}
         self.known: dict[str, KnownStream] = {}
         self.pending: dict[str, str] = {}
         self.written: dict[str, float] = {}
         self.row_versions: dict[str, int] = {}
         """Versions of the rows in the table, where they are known; else there is none."""
-        self.started_at = clock.now()
         self.changed = anyio.Event()
         self.background = BackgroundTasks(self.run)
         self.lookups = Counter(
@@ -120,14 +119,24 @@
             if last is not None and last.incarnation != server.incarnation:
                 self.doubt_recent(backend_id, now)
         self.servers = servers
-        self.record_listed(now)
-
-    def record_listed(self, now: float) -> None:
-        """Extend the time for which the versions of listed servers count."""
-        for server in self.servers.values():
+        mixed_before = self.mixed_pools()
+        listed: dict[PoolName, set[str]] = {}
+        for server in servers.values():
             for pool in server.pools:
-                versions = self.listed_until.setdefault(PoolName(pool), {})
-                versions[server.version] = now + MIXED_S
+                listed.setdefault(PoolName(pool), set()).add(server.version)
+        self.pools.update({pool: frozenset(found) for pool, found in listed.items()})
+        self.write_open(self.mixed_pools() - mixed_before)
+
+    def mixed_pools(self) -> set[PoolName]:
+        return {pool for pool in self.pools.listed if self.pools.is_mixed(pool)}
+
+    def write_open(self, pools: set[PoolName]) -> None:
+        """Write the streams that began in pools before these had several versions."""
+        oldest = self.clock.now() - KEEP_S
+        for key, stream in self.known.items():
+            if stream.pool in pools and stream.began_at > oldest:
+                self.pending[key] = stream.version
+                self.changed.set()
 
     def doubt_recent(self, backend_id: BackendId, now: float) -> None:
         """Make streams unknown that either of two starts of a server may have begun."""
@@ -138,20 +147,6 @@
                 self.pending[key] = UNKNOWN_VERSION
                 self.changed.set()
 
-    def is_mixed(self, pool: PoolName) -> bool:
-        """Return whether several versions serve a pool, or did a while ago."""
-        now = self.clock.now()
-        self.record_listed(now)
-        versions = self.listed_until.get(pool, {})
-        return sum(until > now for until in versions.values()) > 1
-
-    def must_look_up(self, pool: PoolName) -> bool:
-        """Return whether a stream of the pool may be of a version of the past.
-
-        A VM that started a while ago has listed all servers that may have begun it.
-        """
-        return self.is_mixed(pool) or self.clock.now() < self.started_at + MIXED_S
-
     def record_begin(
         self, team: str, attempt_id: str, pool: PoolName, backend_id: BackendId
     ) -> None:
@@ -162,47 +157,54 @@
             return
         now = self.clock.now()
         key = stream_key(team, attempt_id)
-        stream = KnownStream(server.version, backend_id, now)
-        self.record(key, stream, pool)
+        stream = KnownStream(server.version, backend_id, now, pool)
+        self.record(key, stream)
 
     def record_resumed(
         self, team: str, attempt_id: str, pool: PoolName, version: str
     ) -> None:
         """Record the version of a stream that a caller took up."""
         key = stream_key(team, attempt_id)
-        stream = KnownStream(version, BackendId(""), self.clock.now())
-        self.record(key, stream, pool)
+        stream = KnownStream(version, BackendId(""), self.clock.now(), pool)
+        self.record(key, stream)
 
-    def record(self, key: str, stream: KnownStream, pool: PoolName) -> None:
+    def record(self, key: str, stream: KnownStream) -> None:
         self.known.pop(key, None)
         self.known[key] = stream
         while len(self.known) > MAX_KNOWN:
             del self.known[next(iter(self.known))]
-        if self.is_mixed(pool):
+        if self.pools.is_mixed(stream.pool):
             self.pending[key] = stream.version
             self.changed.set()
 
     async def find(self, team: str, attempt_id: str, pool: PoolName) -> str | None:
         """Return the version of the stream that an attempt began, None if unknown."""
         key = stream_key(team, attempt_id)
-        is_mixed = self.is_mixed(pool)
-        with anyio.move_on_after(FIND_S if is_mixed else SINGLE_VERSION_FIND_S):
-            version = await self.look_up(key)
-            while version is None and is_mixed:
+        with anyio.move_on_after(FIND_S):
+            while True:
+                version = await self.look_up(key, pool)
+                if version is not None:
+                    return version
                 await anyio.sleep(FIND_INTERVAL_S)
-                version = await self.look_up(key)
-            if version is not None:
-                return version
         self.lookups.labels("unknown").inc()
-        if is_mixed:
-            log_event("stream_version_unknown", attempt=attempt_id, team=team)
+        log_event(
+            "stream_version_unknown",
+            attempt=attempt_id,
+            team=team,
+            versions=",".join(sorted(self.pools.versions(pool))),
+            past_known=self.pools.is_known(pool),
+        )
         return None
 
-    async def look_up(self, key: str) -> str | None:
+    async def look_up(self, key: str, pool: PoolName) -> str | None:
         """Return the version of a stream that is known here, or to the table."""
         if key in self.known:
             self.lookups.labels("own").inc()
             return self.known[key].version
+        only = self.pools.only_version(pool)
+        if only is not None:
+            self.lookups.labels("only").inc()
+            return only
         version = await self.read(key)
         if version is not None:
             self.lookups.labels("table").inc()
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -28,6 +28,7 @@
     RequestForwarder,
     forwarding_load,
 )
+from godwitmast.entry.pool_versions import PoolVersions
 from godwitmast.entry.probes import ConnectionProbes
 from godwitmast.entry.refusals import send_json, send_response
 from godwitmast.entry.request_parsing import CallerGone
@@ -319,8 +320,22 @@
             self.app.metrics.registry,
         )
         self.app.forwarder = self.forwarder
+        self.pool_versions = PoolVersions(
+            self.agreed_clock,
+            self.relay.table,
+            self.store,
+            self.count_vms,
+            self.may_lack_rows,
+            self.first_start,
+            lambda: self.writer.journal.key,
+        )
+        self.store.epoch.listeners.append(self.pool_versions.table_restored)
         self.stream_versions = StreamVersions(
-            self.clock, self.relay.table, self.store, self.app.metrics.registry
+            self.clock,
+            self.relay.table,
+            self.store,
+            self.pool_versions,
+            self.app.metrics.registry,
         )
         self.app.stream_versions = self.stream_versions
         self.store.epoch.listeners.append(self.stream_versions.table_restored)
@@ -562,6 +577,7 @@
         for follower in self.followers:
             await follower.start(tasks)
         await self.crash_reports.start(tasks)
+        await self.pool_versions.start(tasks)
         await self.stream_versions.start(tasks)
         await self.measurements.start(tasks)
         tasks.start_soon(self.start_duties, tasks)
@@ -636,6 +652,7 @@
         await self.writer.close()
         await self.crash_reports.close()
         await self.stream_versions.close()
+        await self.pool_versions.close()
         for follower in self.followers:
             await follower.close()
         for server in (self.readiness_server, self.metrics_server):
--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -175,7 +175,7 @@
             answer = await self.get_rows(OWN_TABLE, start, end)
             epoch = same_epoch(epoch, answer)
             for row in answer.rows:
-                rows[row.key] = Row(msgspec.json.decode(decode_value(row)), row.ver)
+                rows[row.key] = Row(own_value(row), row.ver)
             if not answer.truncated:
                 return rows
             start = answer.rows[-1].key + "\0"
@@ -438,6 +438,15 @@
     return base64.b64decode(row.value)
 
 
+def own_value(row: StoredRow) -> Json:
+    """Return the value of one of the router's rows, None if it cannot be decoded."""
+    try:
+        return decode_json(decode_or_empty(row), object)
+    except Undecodable as error:
+        log_event("own_row_bad", level="WARNING", row=row.key, error=str(error))
+        return None
+
+
 def feed_row(row: StoredRow) -> FeedRow:
     return FeedRow(row.key, None if row.removed else decode_or_empty(row))
 
