--- a/src/godwitmast/entry/pool_versions.py
+++ b/src/godwitmast/entry/pool_versions.py
@@ -68,7 +68,6 @@
         self,
         clock: AgreedClock,
         table: Table,
-        reader: Table,
         vm_count: Callable[[], int],
         may_lack_rows: Callable[[], bool],
         first_start: bool,
@@ -76,7 +75,6 @@
     ) -> None:
         self.clock = clock
         self.table = table
-        self.reader = reader
         self.vm_count = vm_count
         self.may_lack_rows = may_lack_rows
         self.first_start = first_start
@@ -151,21 +149,26 @@
     async def synchronise(self) -> bool:
         """Learn from the rows, and write those that lack something; return whether the
         table holds all that is known here."""
-        listed = dict(self.listed)
         try:
-            rows = await self.reader.scan(POOL_PREFIX)
-            others = (
-                await self.others_ran() if self.is_row_missing(rows, listed) else True
-            )
-            writes = {
-                pool_key(pool): new
-                for pool, versions in listed.items()
-                if (new := self.merge(pool, versions, rows, others)) is not None
-            }
-            return await self.write(rows, writes)
+            # Another VM that was first has mostly written the same.
+            while not await self.learn_and_write():
+                pass
         except PlatformError as error:
             log_event("pool_versions_not_stored", level="WARNING", error=str(error))
             return False
+        return True
+
+    async def learn_and_write(self) -> bool:
+        """Return whether the rows held, or hold now, all that is known here."""
+        listed = dict(self.listed)
+        rows = await self.table.scan(POOL_PREFIX)
+        others_ran = self.is_row_missing(rows, listed) and await self.others_ran()
+        histories = {
+            pool_key(pool): new
+            for pool, versions in listed.items()
+            if (new := self.merge(pool, versions, rows, others_ran)) is not None
+        }
+        return await self.write(rows, histories)
 
     def is_row_missing(
         self, rows: Mapping[str, Row], pools: Iterable[PoolName]
@@ -178,7 +181,7 @@
             return True
         if self.first_start:
             return False
-        return bool((await self.reader.scan(NODE_PREFIX)).keys() - {self.own_key()})
+        return bool((await self.table.scan(NODE_PREFIX)).keys() - {self.own_key()})
 
     def merge(
         self,
@@ -223,7 +226,6 @@
             outcome = await self.table.transact(checks, writes)
             match outcome:
                 case Conflict():
-                    # Another VM was first; its row may say the same.
                     return False
                 case Written():
                     log_event("pool_versions_stored", rows=len(part))
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -322,7 +322,6 @@
         self.app.forwarder = self.forwarder
         self.pool_versions = PoolVersions(
             self.agreed_clock,
-            self.relay.table,
             self.store,
             self.count_vms,
             self.may_lack_rows,
