The router's own rows: bytes of another writer end no VM and are not taken for no row

A VM ended where the bytes under one of the router's own keys weren't JSON, or JSON of another shape: `read_range` decoded them without a handler, and the readers of leases, runs and usage take their fields as given.

Change: `platform/own_rows.py` has the shapes. A read of a key whose row isn't valid is a call of unknown outcome, which every protocol knows: a lease that can't be read is not free, a window that can't be read not unfrozen. A scan leaves such a row out and says so. Rows whose readers check them have no value then.

--- a/src/godwitmast/entry/pool_versions.py
+++ b/src/godwitmast/entry/pool_versions.py
@@ -32,6 +32,7 @@
 lasts."""
 
 RETRY_S = 0.5
+CONFLICT_WAIT_S = (0.02, 0.1)
 
 SPREAD_PER_VM_S = 0.02
 MAX_SPREAD_S = 1.0
@@ -152,7 +153,7 @@
         try:
             # Another VM that was first has mostly written the same.
             while not await self.learn_and_write():
-                pass
+                await anyio.sleep(random.uniform(*CONFLICT_WAIT_S))
         except PlatformError as error:
             log_event("pool_versions_not_stored", level="WARNING", error=str(error))
             return False
--- /dev/null
+++ b/src/godwitmast/platform/own_rows.py
@@ -0,0 +1,100 @@
+"""Shapes of the router's rows in the platform's table, which others may write too."""
+
+from typing import Any, NotRequired, TypedDict
+
+from godwitmast.decoding import decode_json
+from godwitmast.errors import Undecodable
+from godwitmast.platform_api.time_agreement import CLOCK_KEY
+from godwitmast.types import Json
+from godwitmast.usage.rows import HEAD_KEY, NODE_PREFIX, REPORTED_KEY, WINDOW_PREFIX
+
+LEASE_PREFIX = "lease/"
+BEAT_SUFFIX = "/beat"
+
+
+class LeaseFields(TypedDict):
+    """The row of a lease; other fields have a default where they are not valid."""
+
+    holder: str
+    fence: int
+    epoch: NotRequired[int]
+
+
+class BeatFields(TypedDict):
+    """The row of a lease's heartbeat."""
+
+    fence: int
+    beat: int
+    crowd: NotRequired[int]
+
+
+class ClockFields(TypedDict):
+    difference_s: float
+
+
+class UsageHeadFields(TypedDict):
+    frozen: int
+    marks: dict[str, int]
+    epoch: NotRequired[int | None]
+
+
+class ReportedFields(TypedDict):
+    start: int
+    digest: str
+    settled: NotRequired[bool]
+
+
+class WindowFields(TypedDict):
+    object: str
+    digest: str
+
+
+class NodeFields(TypedDict):
+    """The row of a VM's run; see `usage.rows.NodeRow`."""
+
+    node: str
+    zone: str
+    incarnation: str
+    sequence: int
+    config: int
+    window: int
+    segments: dict[int, list[tuple[str, str, str, int, int, int]]]
+    load: dict[str, Any]
+    ended: NotRequired[bool]
+    sealed: NotRequired[bool]
+    collected: NotRequired[int]
+
+
+READ_WHOLE = (NodeFields, UsageHeadFields)
+"""Shapes whose readers take each field of the row, and no other."""
+
+
+def shape_of(key: str) -> Any:
+    """Return the type of a row's value; None if its reader checks it."""
+    if key.startswith(LEASE_PREFIX):
+        return BeatFields if key.endswith(BEAT_SUFFIX) else LeaseFields
+    if key.startswith(NODE_PREFIX):
+        return NodeFields
+    if key.startswith(WINDOW_PREFIX):
+        return WindowFields
+    shapes = {CLOCK_KEY: ClockFields, HEAD_KEY: UsageHeadFields}
+    return {**shapes, REPORTED_KEY: ReportedFields}.get(key)
+
+
+def decode_own_row(key: str, content: bytes) -> Json:
+    """Return the value of one of the router's rows; raise Undecodable if not valid.
+
+    A row whose reader checks it has the value None then.
+    """
+    shape = shape_of(key)
+    try:
+        value: Json = decode_json(content, object)
+    except Undecodable:
+        if shape is None:
+            return None
+        raise
+    if shape is not None:
+        decode_json(content, shape)
+    if shape in READ_WHOLE and value.keys() - shape.__annotations__.keys():
+        raise Undecodable(f"unknown fields, of {sorted(value)!r:.200}")
+    return value
--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -18,6 +18,7 @@
 from godwitmast.entry.crash_reports import CRASH_PREFIX
 from godwitmast.errors import PlatformOutcomeUnknown, Undecodable
 from godwitmast.logs import log_event
+from godwitmast.platform.own_rows import decode_own_row
 from godwitmast.platform.settings import PlatformFile
 from godwitmast.platform.wire import (
     DUTY_HOLDER,
@@ -158,26 +159,41 @@
         """Return the rows among `keys` that exist, as of one moment.
 
         One call reads the range that spans them all, since the router reads rows whose
-        keys are adjacent.
+        keys are adjacent. A row that cannot be read is not one that is missing: raise
+        PlatformOutcomeUnknown.
         """
-        found = await self.read_range(min(keys), max(keys) + "\0")
+        found, unreadable = await self.read_range(min(keys), max(keys) + "\0")
+        if unreadable.intersection(keys):
+            raise PlatformOutcomeUnknown(f"{READ_ROWS}: unreadable rows {keys}")
         return {key: row for key, row in found.items() if key in set(keys)}
 
     async def scan(self, prefix: str, after: str = "") -> dict[str, Row]:
-        """Return every row whose key starts with `prefix` and is past `after`."""
+        """Return every row whose key starts with `prefix` and is past `after`, without
+        those that cannot be read."""
         start = after + "\0" if after else prefix
-        return await self.read_range(start, prefix + "\x7f")
+        found, _ = await self.read_range(start, prefix + "\x7f")
+        return found
 
-    async def read_range(self, start: str, end: str) -> dict[str, Row]:
+    async def read_range(self, start: str, end: str) -> tuple[dict[str, Row], set[str]]:
+        """Return the rows of a range of keys, and the keys of those that are unreadable."""
         rows: dict[str, Row] = {}
+        unreadable: set[str] = set()
         epoch: int | None = None
         while True:
             answer = await self.get_rows(OWN_TABLE, start, end)
             epoch = same_epoch(epoch, answer)
             for row in answer.rows:
-                rows[row.key] = Row(own_value(row), row.ver)
+                try:
+                    value = decode_own_row(row.key, decode_or_empty(row))
+                except Undecodable as error:
+                    log_event(
+                        "own_row_bad", level="WARNING", row=row.key, error=str(error)
+                    )
+                    unreadable.add(row.key)
+                else:
+                    rows[row.key] = Row(value, row.ver)
             if not answer.truncated:
-                return rows
+                return rows, unreadable
             start = answer.rows[-1].key + "\0"
 
     async def get_rows(
@@ -438,15 +454,6 @@
     return base64.b64decode(row.value)
 
 
-def own_value(row: StoredRow) -> Json:
-    """Return the value of one of the router's rows, None if it cannot be decoded."""
-    try:
-        return decode_json(decode_or_empty(row), object)
-    except Undecodable as error:
-        log_event("own_row_bad", level="WARNING", row=row.key, error=str(error))
-        return None
-
-
 def feed_row(row: StoredRow) -> FeedRow:
     return FeedRow(row.key, None if row.removed else decode_or_empty(row))
 
