Answers of the own interface's platform: malformed ones are of unknown outcome

A body that isn't JSON, or of another shape, raised ValueError, KeyError or TypeError in the loops of the control daemon and ended it; a refused order's body likewise.

--- a/src/godwitmast/capacity/duty.py
+++ b/src/godwitmast/capacity/duty.py
@@ -4,6 +4,7 @@
 from functools import partial
 
 import anyio
+import msgspec
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
 from godwitmast.backends.client import BackendClient, LoadDocument
@@ -29,7 +30,8 @@
 from godwitmast.clock import Clock
 from godwitmast.config.document import CapacityPolicy, Document
 from godwitmast.config.follower import ConfigFollower
-from godwitmast.errors import PlatformError, PlatformUnavailable
+from godwitmast.decoding import decode_json
+from godwitmast.errors import PlatformError, PlatformUnavailable, Undecodable
 from godwitmast.lease.calls import DutyCall
 from godwitmast.lease.intents import (
     Intent,
@@ -53,6 +55,12 @@
 LOAD_TIMEOUT_S = 0.8
 
 
+class OrderRefusal(msgspec.Struct):
+    """The body of a refused order."""
+
+    error: str
+
+
 class CapacityMetrics:
     """Fleet metrics of a control process; only the lease holder counts spend."""
 
@@ -289,7 +297,11 @@
             return OrderOutcome.UNKNOWN
         if answer.status_code == 200:
             return OrderOutcome.DONE
-        stale = answer.json().get("error") == "stale_fence"
+        try:
+            refusal = decode_json(answer.content, OrderRefusal)
+        except Undecodable:
+            return OrderOutcome.UNKNOWN
+        stale = refusal.error == "stale_fence"
         return OrderOutcome.STALE if stale else OrderOutcome.UNAVAILABLE
 
     async def publish(self, guard: Guard, row: FleetRow) -> bool:
--- a/src/godwitmast/platform_api/client.py
+++ b/src/godwitmast/platform_api/client.py
@@ -2,11 +2,13 @@
 
 import copy
 from types import TracebackType
-from typing import Self
+from typing import NotRequired, Self, TypedDict, TypeVar
 
 import httpx
 
 from godwitmast.backends.transport import BoundedTransport
+from godwitmast.decoding import decode_json
+from godwitmast.errors import PlatformOutcomeUnknown, Undecodable
 from godwitmast.platform_api.group_commit import GroupCommit
 from godwitmast.platform_api.http import HEAD_BYTES, PlatformHttp
 from godwitmast.platform_api.limits import Priority, RateBudget
@@ -22,9 +24,84 @@
 from godwitmast.settings import PlatformSettings
 from godwitmast.types import Json
 
+T = TypeVar("T")
+
 WRITE_PATHS = frozenset(["/table/transact", "/orders", "/usage"])
 
 
+class RowFields(TypedDict):
+    """A row in an answer."""
+
+    value: Json
+    version: int
+
+
+class RowsPage(TypedDict):
+    """The rows among the keys that were asked for."""
+
+    rows: dict[str, RowFields]
+
+
+class ScanPage(TypedDict):
+    """Some rows of a range, and whether there are more."""
+
+    rows: dict[str, RowFields]
+    more: bool
+
+
+class Versions(TypedDict):
+    """The versions of rows after a transaction."""
+
+    versions: dict[str, int]
+
+
+class ServerFields(TypedDict):
+    """An ordered backend server; see `FleetServer`."""
+
+    backend_id: str
+    url: str
+    zone: str
+    kind: str
+    pools: list[str]
+    order_id: str
+    state: str
+    leaves_in_s: NotRequired[float | None]
+
+
+class FleetPage(TypedDict):
+    """The backend servers that were ordered."""
+
+    servers: list[ServerFields]
+
+
+class VmFields(TypedDict):
+    """A VM on the platform's list; see `Vm`."""
+
+    node: str
+    zone: str
+    address: str
+    state: str
+
+
+class VmsPage(TypedDict):
+    """The platform's list of VMs."""
+
+    vms: list[VmFields]
+
+
+def read_answer(answer: httpx.Response, shape: type[T]) -> T:
+    """Return the decoded answer; raise PlatformOutcomeUnknown if malformed."""
+    try:
+        return decode_json(answer.content, shape)
+    except Undecodable as error:
+        path = answer.request.url.path
+        raise PlatformOutcomeUnknown(f"{path}: {error}") from None
+
+
+def make_rows(rows: dict[str, RowFields]) -> dict[str, Row]:
+    return {key: Row(row["value"], row["version"]) for key, row in rows.items()}
+
+
 class PlatformClient(PlatformHttp):
     """The platform's table, objects, orders, VM list and usage intake."""
 
@@ -72,7 +149,7 @@
     async def read(self, keys: list[str]) -> dict[str, Row]:
         """Return the rows among `keys` that exist, in one consistent read."""
         answer = await self.post("/table/read", {"keys": keys}, rows=len(keys))
-        return {key: Row(**row) for key, row in answer.json()["rows"].items()}
+        return make_rows(read_answer(answer, RowsPage)["rows"])
 
     async def scan(self, prefix: str, after: str = "") -> dict[str, Row]:
         """Return every row whose key starts with `prefix` and sorts after `after`.
@@ -82,9 +159,9 @@
         rows: dict[str, Row] = {}
         while True:
             answer = await self.post("/table/scan", {"prefix": prefix, "after": after})
-            page = answer.json()
-            rows |= {key: Row(**row) for key, row in page["rows"].items()}
-            if not page["more"]:
+            page = read_answer(answer, ScanPage)
+            rows |= make_rows(page["rows"])
+            if not page["more"] or not page["rows"]:
                 return rows
             after = max(page["rows"])
 
@@ -104,13 +181,15 @@
         answer = await self.post(
             "/table/transact", body, good=(200, 409), rows=len(writes)
         )
-        versions = answer.json()["versions"]
+        versions = read_answer(answer, Versions)["versions"]
         return Written(versions) if answer.status_code == 200 else Conflict(versions)
 
     async def fleet(self) -> list[FleetServer]:
         """Return the backend servers that were ordered from the platform."""
         answer = await self.send("GET", "/fleet")
-        return [FleetServer(**item) for item in answer.json()["servers"]]
+        return [
+            FleetServer(**item) for item in read_answer(answer, FleetPage)["servers"]
+        ]
 
     async def order(
         self, body: Json, timeout_s: float, before_write: WriteHook
@@ -128,7 +207,7 @@
     async def vms(self) -> list[Vm]:
         """Return the platform's list of VMs, which is updated with a delay."""
         answer = await self.send("GET", "/vms")
-        return [Vm(**item) for item in answer.json()["vms"]]
+        return [Vm(**item) for item in read_answer(answer, VmsPage)["vms"]]
 
     async def report_usage(self, report: Json, before_write: WriteHook) -> None:
         """Send a usage report to the intake; an identical one may be sent again."""
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import anyio
+import httpx
 import pytest
 
 from godwitmast.errors import PlatformOutcomeUnknown, PlatformUnavailable
@@ -21,6 +22,7 @@
 from godwitmast.standins.settings import PlatformStandinSettings
 from godwitmast.standins.table import Table
 from running import running
+from test_foreign_rows import UNREADABLE
 
 pytestmark = pytest.mark.anyio
 
@@ -143,3 +145,20 @@
         client.wait_for_budget = close_meanwhile
         with pytest.raises(PlatformUnavailable):
             await client.vms()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [*UNREADABLE.values(), b"{}", b'{"rows": 7}', b'{"rows": {"a": [1]}, "more": 1}'],
+)
+async def test_unreadable_answer_is_an_unknown_outcome(body: bytes) -> None:
+    """Guards against bytes of the platform that end a process, or count as no rows."""
+    client = PlatformClient(PlatformSettings("http://platform", 1.0), "entry-1")
+    await client.http.aclose()
+    transport = httpx.MockTransport(lambda request: httpx.Response(200, content=body))
+    client.http = httpx.AsyncClient(transport=transport, base_url="http://platform")
+    calls = (client.read(["a"]), client.scan("a"), client.transact({}, {"a": 1}))
+    for call in (*calls, client.fleet(), client.vms()):
+        with pytest.raises(PlatformOutcomeUnknown):
+            await call
+    await client.close()
