--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -27,6 +27,7 @@
 from godwitmast.ctl.session import Session, new_patch
 from godwitmast.dispatch.messages import UNKNOWN_VERSION
 from godwitmast.entry.outbound import AttemptRequest
+from godwitmast.entry.pool_versions import PoolVersions
 from godwitmast.entry.stream_versions import ListedServer, StreamVersions
 from godwitmast.errors import PlatformOutcomeUnknown, PlatformUnavailable
 from godwitmast.platform.frontend import RoutedRequest
@@ -40,6 +41,7 @@
 )
 from godwitmast.platform_api.port import WriteHook
 from godwitmast.platform_api.steps import Read, Result, Rows, Scan, Transact
+from godwitmast.platform_api.time_agreement import AgreedClock
 from godwitmast.types import BackendId, Json, PoolName, ZoneName
 from running import running
 
@@ -199,10 +201,20 @@
     """Guards against a stream that goes on at a version that did not begin it, as the
     version written first arrives after the row that says that it is not known."""
     table = LateTable()
+    clock = ManualClock(100.0)
+    pool_versions = PoolVersions(
+        AgreedClock(clock),
+        table,  # type: ignore[arg-type]
+        vm_count=lambda: 1,
+        may_lack_rows=lambda: False,
+        first_start=True,
+        own_key=lambda: "node/1",
+    )
     versions = StreamVersions(
-        ManualClock(100.0),
+        clock,
         table,  # type: ignore[arg-type]
         table,  # type: ignore[arg-type]
+        pool_versions,
         CollectorRegistry(),
     )
     pools = frozenset(["lm"])
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -23,7 +23,7 @@
 from godwitmast.platform_api.feed import OLDER_GRACE_S, RETURN_GRACE_S
 from godwitmast.platform_api.time_agreement import CLOCK_KEY
 from godwitmast.standins.store import StoreBackup
-from godwitmast.types import BackendId
+from godwitmast.types import BackendId, PoolName
 from godwitmast.usage.rows import NodeRow
 from running import running
 from usage_fleet import play_restores
@@ -337,7 +337,7 @@
     versions = fleet.node.stream_versions
     backup = fleet.store.backup()
     versions.known["stream/a"] = KnownStream(
-        "v1", BackendId("e1"), versions.clock.now()
+        "v1", BackendId("e1"), versions.clock.now(), PoolName("lm")
     )
     versions.pending["stream/a"] = "v1"
     versions.changed.set()
