Logs: the connection and exchange of each failure and each answer

From the record of the incident nobody could tell on which connection an answer came, how many requests that one had carried, which id the answer had, whether bytes followed the answer before, or why a connection was not used again.

attempt_failed and forward_failed now name the number of the connection, the exchange on it, its age and the id in the answer (at most 40 characters; empty if it had none). request_ended, the line of each success, names connection and exchange. A connection that is not used again for bytes found on it is logged (connection_dropped: where they were found), and godwit_connections_dropped_total{peer,reason} also counts those that ended. No line is added for sound requests; idle connections that just end are only counted.

AttemptFailed carries the exchange, noted when the head arrives: once an answer was read, its connection may already carry another request. Before a head, the pooled connection that took the request is found through the request's extensions.

--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -2,8 +2,8 @@
 
 import math
 import ssl
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from functools import lru_cache
 from typing import Annotated, Protocol, TypeVar
 
@@ -15,7 +15,12 @@
     BodiesInProgress,
     read_decoded,
 )
-from godwitmast.backends.transport import BoundedTransport, SocketOptions
+from godwitmast.backends.connection_use import ConnectionUse
+from godwitmast.backends.transport import (
+    BoundedTransport,
+    SocketOptions,
+    connection_use,
+)
 from godwitmast.config.document import AnswerLimits
 from godwitmast.decoding import decode_json, parse_whole_number
 from godwitmast.dispatch.messages import FailureKind, LoadReport, ServerStatement
@@ -64,6 +69,10 @@
         super().__init__(f"{kind.value}: {detail}")
         self.kind = kind
         self.detail = detail
+        self.use: ConnectionUse | None = None
+        """The exchange in which it failed; None if no connection was opened."""
+        self.answer: httpx.Response | None = None
+        """The answer that was received, whole or not, of which the headers are known."""
 
 
 class BackendHeaderParser(Protocol):
@@ -115,6 +124,7 @@
             tls or httpx.create_ssl_context(trust_env=False),
             socket_options,
         )
+        self.drop_listeners = self.transport.network.drop_listeners
         self.http = httpx.AsyncClient(
             timeout=httpx.Timeout(read_timeout_s, connect=CONNECT_TIMEOUT_S),
             transport=self.transport,
@@ -179,23 +189,38 @@
                 "target": base + target.encode("latin-1"),
             },
         )
+        use: ConnectionUse | None = None
+        answer: httpx.Response | None = None
+        try:
+            with self.classified_failures(server):
+                answer = await self.http.send(request, stream=True)
+                use = connection_use(request)
+                try:
+                    on_head(answer)
+                    # Before anything that it says of its request is used.
+                    if not belongs(answer):
+                        # The answer to this request may follow it, and the next request
+                        # on the connection would read that one.
+                        await answer.extensions["network_stream"].aclose()
+                        detail = "the answer belongs to another request"
+                        raise AttemptFailed(FailureKind.MALFORMED, detail)
+                    if self.header_parser.reports_not_run(answer):
+                        detail = f"status {answer.status_code}"
+                        raise AttemptFailed(FailureKind.REFUSED, detail)
+                    yield answer
+                finally:
+                    await answer.aclose()
+        except AttemptFailed as failure:
+            # Once an answer was read, its connection may already carry another request.
+            failure.use = use or connection_use(request)
+            failure.answer = answer
+            raise
+
+    @contextmanager
+    def classified_failures(self, server: str) -> Iterator[None]:
+        """Raise the failures of an exchange as AttemptFailed."""
         try:
-            answer = await self.http.send(request, stream=True)
-            try:
-                on_head(answer)
-                # Before anything that it says of its request is used.
-                if not belongs(answer):
-                    # The answer to this request may follow it, and the next request on
-                    # the connection would read that one.
-                    await answer.extensions["network_stream"].aclose()
-                    detail = "the answer belongs to another request"
-                    raise AttemptFailed(FailureKind.MALFORMED, detail)
-                if self.header_parser.reports_not_run(answer):
-                    detail = f"status {answer.status_code}"
-                    raise AttemptFailed(FailureKind.REFUSED, detail)
-                yield answer
-            finally:
-                await answer.aclose()
+            yield
         except AnswerTooLong as error:
             self.report_limit(server, error)
             raise AttemptFailed(FailureKind.ERROR, str(error)) from None
--- a/src/godwitmast/backends/transport.py
+++ b/src/godwitmast/backends/transport.py
@@ -4,21 +4,34 @@
 as a server sends. So the bytes are counted below it, at the connection.
 """
 
+import os
 import re
 import select
+import socket
 import ssl
-from collections.abc import AsyncIterator, Iterable, Iterator
+import time
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 from contextlib import contextmanager
+from itertools import count
 from typing import Any, TypeAlias
 
 import httpcore
 import httpx
 
 from godwitmast.backends.answer_limits import AnswerPart, check_length
+from godwitmast.backends.connection_use import (
+    ConnectionUse,
+    DroppedConnection,
+    DropReason,
+)
 from godwitmast.backends.framing import Framing, framing_of
+from godwitmast.logs import log_event
 
 SocketOptions: TypeAlias = Iterable[tuple[int, int, int]]
 
+CONNECTION = "reusable_connection"
+"""Extension of a request that holds the connection on which it was sent."""
+
 ENCODED_PIECE_BYTES = 4096
 """Encoded bodies are decoded in pieces of this size, which expand to 4 MB at most."""
 
@@ -73,6 +86,15 @@
     return not isinstance(connection, HeadCountingStream) or connection.exchanges == 1
 
 
+def connection_use(request: httpx.Request) -> ConnectionUse | None:
+    """Return which exchange of which connection a request is, once it has one."""
+    connection = request.extensions.get(CONNECTION)
+    if not isinstance(connection, ReusableConnection):
+        return None
+    stream = connection.network_stream
+    return stream.use if stream is not None else None
+
+
 class HeadCountingStream(httpcore.AsyncNetworkStream):
     """A connection that counts the bytes read before the final head of an answer.
 
@@ -81,10 +103,16 @@
     """
 
     def __init__(
-        self, stream: httpcore.AsyncNetworkStream, network: "HeadCountingNetwork"
+        self,
+        stream: httpcore.AsyncNetworkStream,
+        network: "HeadCountingNetwork",
+        server: str = "",
     ) -> None:
         self.stream = stream
         self.network = network
+        self.server = server
+        self.number = next(network.numbers)
+        self.opened_at = time.monotonic()
         self.awaits_head = True
         self.exchanges = 0
         """Requests that were sent, or begun."""
@@ -93,6 +121,13 @@
         """Whether the end of the connection is that of the answer."""
         self.socket: Any = None
         self.poll: select.poll | None = None
+        self.holds_decrypted_bytes = False
+
+    @property
+    def use(self) -> ConnectionUse:
+        """Return the exchange that is in progress, or was the last one."""
+        age_s = time.monotonic() - self.opened_at
+        return ConnectionUse(self.number, self.exchanges, age_s)
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         if not self.awaits_head:
@@ -116,6 +151,7 @@
         """
         if not self.awaits_head or self.exchanges == 0:
             if self.exchanges and self.is_readable():
+                self.report_unread()
                 raise httpcore.ConnectionNotAvailable
             self.exchanges += 1
         self.awaits_head = True
@@ -133,7 +169,7 @@
         timeout: float | None = None,
     ) -> httpcore.AsyncNetworkStream:
         secured = await self.stream.start_tls(ssl_context, server_hostname, timeout)
-        return HeadCountingStream(secured, self.network)
+        return HeadCountingStream(secured, self.network, self.server)
 
     def get_extra_info(self, info: str) -> Any:
         if info == "is_readable":
@@ -155,7 +191,23 @@
         # Once the socket is closed, its number may be that of another one.
         if self.socket.fileno() < 0 or self.poll.poll(0):
             return True
-        return self.has_decrypted_bytes()
+        self.holds_decrypted_bytes = self.has_decrypted_bytes()
+        return self.holds_decrypted_bytes
+
+    def report_unread(self) -> None:
+        """Report what was found on this connection between two requests, if anything."""
+        reason = self.unread_reason()
+        if reason is not None:
+            self.network.report_drop(self, reason)
+
+    def unread_reason(self) -> DropReason | None:
+        """Return what `is_readable` found."""
+        if self.poll is None or self.socket.fileno() < 0:
+            return DropReason.ENDED
+        if self.poll.poll(0):
+            is_end = is_at_end(self.socket.fileno())
+            return DropReason.ENDED if is_end else DropReason.SOCKET
+        return DropReason.TLS if self.holds_decrypted_bytes else None
 
     def has_decrypted_bytes(self) -> bool:
         """Return whether bytes that the socket no longer holds wait in the TLS layer."""
@@ -171,11 +223,22 @@
         return True
 
 
+def is_at_end(descriptor: int) -> bool:
+    """Return whether a readable socket holds the end of its connection and no bytes."""
+    try:
+        with socket.socket(fileno=os.dup(descriptor)) as copy:
+            return not copy.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except OSError:
+        return True
+
+
 class HeadCountingNetwork(httpcore.AsyncNetworkBackend):
     """Opens connections that allow `head_bytes` for the head of an answer."""
 
     def __init__(self, head_bytes: int) -> None:
         self.head_bytes = head_bytes
+        self.numbers = count(1)
+        self.drop_listeners: list[Callable[[DroppedConnection], None]] = []
         self.backend: httpcore.AsyncNetworkBackend = httpcore.AnyIOBackend()
 
     async def connect_tcp(
@@ -193,11 +256,27 @@
             local_address=local_address,
             socket_options=socket_options,
         )
-        return HeadCountingStream(stream, self)
+        return HeadCountingStream(stream, self, f"{host}:{port}")
 
     async def sleep(self, seconds: float) -> None:
         await self.backend.sleep(seconds)
 
+    def report_drop(self, stream: HeadCountingStream, reason: DropReason) -> None:
+        """Report a connection that isn't used again; its mere end isn't logged."""
+        dropped = DroppedConnection(stream.server, stream.use, reason)
+        if reason is not DropReason.ENDED:
+            log_event(
+                "connection_dropped",
+                level="WARNING",
+                server=dropped.server,
+                connection=dropped.last_use.connection,
+                exchanges=dropped.last_use.exchange,
+                age_s=dropped.last_use.age_s,
+                reason=reason.value,
+            )
+        for listener in self.drop_listeners:
+            listener(dropped)
+
 
 class ReusableConnection(httpcore.AsyncHTTPConnection):
     """A connection that is used again only if nothing followed its last answer.
@@ -205,8 +284,33 @@
     Bytes after the end of an answer would be read as the beginning of the next one.
     """
 
+    async def handle_async_request(
+        self, request: httpcore.Request
+    ) -> httpcore.Response:
+        request.extensions[CONNECTION] = self
+        return await super().handle_async_request(request)
+
+    @property
+    def network_stream(self) -> HeadCountingStream | None:
+        """Return the connection below the parser, once it is open."""
+        connection = self._connection
+        if not isinstance(connection, httpcore.AsyncHTTP11Connection):
+            return None
+        # The library gives it out only with an answer.
+        stream = connection._network_stream
+        return stream if isinstance(stream, HeadCountingStream) else None
+
     def has_expired(self) -> bool:
-        return super().has_expired() or (self.is_idle() and self.has_unread_bytes())
+        stream = self.network_stream
+        if super().has_expired():
+            if stream is not None:
+                stream.report_unread()
+            return True
+        if not self.is_idle() or not self.has_unread_bytes():
+            return False
+        if stream is not None:
+            stream.network.report_drop(stream, DropReason.PARSER)
+        return True
 
     def has_unread_bytes(self) -> bool:
         """Return whether the parser holds bytes that are no part of the last answer."""
--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -66,6 +66,8 @@
         self.metrics = EntryMetrics()
         count = partial(self.metrics.count_long_answer, "server")
         self.client.limit_listeners.append(count)
+        count_dropped = partial(self.metrics.count_dropped_connection, "server")
+        self.client.drop_listeners.append(count_dropped)
         add_memory_metrics(self.memory, self.metrics.registry)
         self.demand = DemandMeter()
         self.config: NumberedConfig | None = None
@@ -313,6 +315,8 @@
             may_have_run=exchange.may_have_run,
             framing=exchange.framing.value if exchange.framing else None,
             partial_bytes=exchange.partial_bytes,
+            connection=exchange.use.connection if exchange.use else None,
+            exchange=exchange.use.exchange if exchange.use else None,
             first_s=first_s,
             total_s=self.clock.now() - spec.arrived,
             tokens=tokens,
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -23,7 +23,9 @@
     read_raw,
 )
 from godwitmast.backends.client import AttemptFailed, BackendClient
+from godwitmast.backends.connection_use import ConnectionUse
 from godwitmast.backends.framing import Framing, framing_of
+from godwitmast.backends.transport import connection_use
 from godwitmast.claims.keeper import ClaimedCall
 from godwitmast.claims.machine import (
     Answer,
@@ -75,6 +77,9 @@
 from godwitmast.memory.budget import Holder
 from godwitmast.types import AttemptId, BackendId, TokenCount
 
+ANSWER_ID_CHARACTERS = 40
+"""Characters that are logged of an id in an answer, which may be anyone's."""
+
 REPLAYED = (b"godwit-replayed", b"true")
 
 MAY_HAVE_BEGUN = frozenset(
@@ -144,6 +149,8 @@
     """A server's error answer, sent to the caller if no other server succeeds."""
     framing: Framing | None = None
     """Framing of the last backend server's answer."""
+    use: ConnectionUse | None = None
+    """The exchange on a connection that carried the last attempt or forward."""
     partial_bytes: int = 0
     """Length of the incomplete event with which the last attempt at a stream ended."""
     head_sent: bool = False
@@ -304,6 +311,7 @@
                     peer=peer.name,
                     kind=failure.kind.value,
                     detail=failure.detail,
+                    **self.failure_source(failure),
                 )
                 self.forwarder.record_failure(peer, self.spec.pool, failure.kind)
                 if self.end_passed_on():
@@ -343,6 +351,7 @@
             terms.add_to(request.headers),
             request.content,
         ) as answer:
+            self.use = connection_use(answer.request)
             self.record_departure(answer)
             not_run = answer.headers.get(NOT_RUN_HEADER.decode())
             if not_run is not None:
@@ -475,6 +484,7 @@
                 detail=failure.detail,
                 framing=self.framing.value if self.framing else None,
                 partial_bytes=self.partial_bytes,
+                **self.failure_source(failure),
             )
             self.record_attempt_failure(start, failure.kind)
             return self.end_passed_on()
@@ -485,6 +495,19 @@
             self.driver.record_completion(self.spec.request_id, start.attempt_id)
         return True
 
+    def failure_source(self, failure: AttemptFailed) -> dict[str, Any]:
+        """Return the fields of a log line that say where a failure came from."""
+        use = self.use = failure.use
+        answer_id: str | None = None
+        if failure.answer is not None:
+            answer_id = self.outbound.answer_id(failure.answer)
+        return {
+            "connection": use.connection if use else None,
+            "exchange": use.exchange if use else None,
+            "age_s": use.age_s if use else None,
+            "answer_id": answer_id and answer_id[:ANSWER_ID_CHARACTERS],
+        }
+
     def end_passed_on(self) -> bool:
         """Return whether the caller has got a part of a whole answer, which then ends.
 
@@ -576,6 +599,7 @@
             lambda head: self.record_head(start.backend_id, head, sent),
             outbound.belongs_to_request,
         ) as answer:
+            self.use = connection_use(answer.request)
             self.reached_backend = True
             begins_with_event = outbound.streams and self.is_stream(answer)
             self.may_have_begun = self.may_have_begun or not begins_with_event
--- a/src/godwitmast/entry/metrics.py
+++ b/src/godwitmast/entry/metrics.py
@@ -16,6 +16,7 @@
 from prometheus_client.registry import Collector
 
 from godwitmast.backends.answer_limits import AnswerTooLong
+from godwitmast.backends.connection_use import DroppedConnection
 from godwitmast.config.document import NumberedConfig, RequestClass
 from godwitmast.entry.sending import EntryMemory
 from godwitmast.memory.budget import Holder
@@ -145,6 +146,13 @@
             ["sender", "limit"],
             registry=self.registry,
         )
+        self.dropped_connections = Counter(
+            "godwit_connections_dropped",
+            "Connections that were not used again for what was found on them between two "
+            "requests, by whom they lead to and what was found.",
+            ["peer", "reason"],
+            registry=self.registry,
+        )
         self.first_token = Histogram(
             "godwit_first_token_seconds",
             "From a request's arrival to its first token.",
@@ -240,6 +248,10 @@
         """Count an answer of a server, of another VM or of the store that was too long."""
         self.long_answers.labels(sender, error.part.value).inc()
 
+    def count_dropped_connection(self, peer: str, dropped: DroppedConnection) -> None:
+        """Count a connection to a server or another VM that is not used again."""
+        self.dropped_connections.labels(peer, dropped.reason.value).inc()
+
     def count_server_tokens(self, kind: str, tokens: int) -> None:
         """Count tokens by the kind of backend server that generated them."""
         self.server_tokens.labels(kind).inc(tokens)
--- a/src/godwitmast/entry/outbound.py
+++ b/src/godwitmast/entry/outbound.py
@@ -119,6 +119,12 @@
     def belongs_to_request(self, answer: httpx.Response) -> bool:
         """Return whether an answer belongs to this request."""
 
+    def answer_id(self, answer: httpx.Response) -> str | None:
+        """Return the id of a request that an answer names; empty if it names none.
+
+        None if answers of this interface have no ids.
+        """
+
     def stream_headers(self, answer: httpx.Response) -> RawHeaders:
         """Return the headers of a streamed answer to the caller."""
 
@@ -176,6 +182,9 @@
     def belongs_to_request(self, answer: httpx.Response) -> bool:
         return True
 
+    def answer_id(self, answer: httpx.Response) -> str | None:
+        return None
+
     def stream_headers(self, answer: httpx.Response) -> RawHeaders:
         return EVENT_STREAM_HEADERS
 
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -310,6 +310,8 @@
         )
         count = partial(self.app.metrics.count_long_answer, "vm")
         self.peer_client.limit_listeners.append(count)
+        count_dropped = partial(self.app.metrics.count_dropped_connection, "vm")
+        self.peer_client.drop_listeners.append(count_dropped)
         self.forwarder = RequestForwarder(
             self.driver,
             self.probes,
--- a/src/godwitmast/platform/frontend.py
+++ b/src/godwitmast/platform/frontend.py
@@ -161,6 +161,9 @@
         default = self.attempt_id if is_own else None
         return answer.headers.get(ATTEMPT_ID, default) == self.attempt_id
 
+    def answer_id(self, answer: httpx.Response) -> str | None:
+        return answer.headers.get(ATTEMPT_ID, "")
+
     def stream_headers(self, answer: httpx.Response) -> RawHeaders:
         return forwarded_headers(answer)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 
 import httpx
 import pytest
+from loguru import logger
 
 from godwitmast import check_times
 from godwitmast.dev.system import DevSystem
@@ -40,3 +41,12 @@
     started = Processes(tmp_path)
     yield started
     started.close()
+
+
+@pytest.fixture
+def log_lines() -> Iterator[list[str]]:
+    """Collect the log lines."""
+    lines: list[str] = []
+    sink = logger.add(lines.append, format="{message}")
+    yield lines
+    logger.remove(sink)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -169,6 +169,9 @@
     def nodes(self) -> list[Node]:
         return [self.node, *self.added]
 
+    def rows_of_vms(self) -> set[str]:
+        return {key for _, key in self.store.rows if key.startswith("node/")}
+
     @property
     def url(self) -> str:
         return self.node.caller_server.url
--- a/tests/test_peers_tls.py
+++ b/tests/test_peers_tls.py
@@ -1,14 +1,13 @@
 """Peer links: mutual TLS, and the effects of malformed frames and fast senders."""
 
 import ssl
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from pathlib import Path
 
 import anyio
 import httpx
 import pytest
 import trustme
-from loguru import logger
 from starlette.applications import Starlette
 from starlette.responses import PlainTextResponse
 from starlette.routing import Route
@@ -135,15 +134,6 @@
             assert (await http.get(server.url)).status_code == 404
 
 
-@pytest.fixture
-def log_lines() -> Iterator[list[str]]:
-    """Collect the log lines."""
-    lines: list[str] = []
-    sink = logger.add(lines.append, format="{message}")
-    yield lines
-    logger.remove(sink)
-
-
 GREETING = encode_frame(
     Frame(Beat(0, 0, 0), hello=Hello("bad", 1, Place("127.0.0.1:9", "z1", "r1")))
 )
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -13,6 +13,7 @@
 from godwitmast.platform.daemon import Node
 from godwitmast.platform.store import CRASHES_TABLE
 from godwitmast.types import BackendId, PoolName
+from log_fields import fields_of
 from partition import Cut, Partition
 from running import running
 
@@ -47,7 +48,7 @@
         self.store.put_config(config_of(2, routes=ROUTES))
         await self.wait_until(lambda: all(n.config_version() == 2 for n in self.nodes))
         self.partitions = [Partition(node) for node in self.nodes]
-        await self.wait_until(lambda: len(rows_of_vms(self)) == VMS)
+        await self.wait_until(lambda: len(self.rows_of_vms()) == VMS)
 
     def cut(self, cut: Cut, count: int) -> list[Node]:
         """Cut the first VMs off from all backend servers, and return them."""
@@ -66,10 +67,6 @@
             partition.set(Cut.NONE)
 
 
-def rows_of_vms(fleet: Fleet) -> set[str]:
-    return {key for _, key in fleet.store.rows if key.startswith("node/")}
-
-
 @pytest.fixture
 async def fleet() -> AsyncIterator[VmFleet]:
     async with running(VmFleet()) as started:
@@ -324,6 +321,26 @@
     assert forwards(node, "refused") > 0
 
 
+async def test_line_of_a_failed_forward_names_its_connection(
+    fleet: VmFleet, http: httpx.AsyncClient, log_lines: list[str]
+) -> None:
+    """Guards against a failure between VMs of which the connection isn't known."""
+    node, *others = fleet.nodes
+    await fleet.settle(Callers(fleet, http), fleet.cut(Cut.RESET, 1))
+    for other in others:
+        other.apply_config = lambda rows: None
+    await fleet.configure(3, routes=ROUTES)
+    log_lines.clear()
+    await Callers(fleet, http).send(node, "/pay/1")
+    lines = fields_of(log_lines, "forward_failed")
+    assert lines
+    for line in lines:
+        assert int(line["connection"]) >= 1
+        assert int(line["exchange"]) >= 1
+        assert float(line["age_s"]) >= 0
+        assert "answer_id" in line
+
+
 async def test_caller_cannot_set_the_terms_of_a_forwarded_request(
     fleet: VmFleet, http: httpx.AsyncClient
 ) -> None:
