Streams' versions: their rows no longer wait in the relay for rows of usage

Callers whose streams broke soon after they had begun were refused (503, stream_unknown) when they took them up at another VM, while servers of several versions served.

Cause: StreamVersions writes through the zone's relay, which gathered all writes for a fifth of a usage window, 1 s on the users' platform. With the 0.2 s before, a row was written 1.2 to 2.4 s after its stream began; it is looked for during 0.8 s. Tests have windows of 1 s and so gathered 0.2 s.

Change: a write may ask the relay for a shorter gathering (`gather_s` of TransactAsked; relays of the version before ignore it). What is pending is sent with it, so that the rows of usage cost no call of their own then. Streams' rows ask for 0.2 s.

--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -291,7 +291,8 @@
             self.app.metrics.registry,
             self.store.epoch,
         )
-        self.relay.table.on_failure = self.reissue_waits
+        for table in (self.relay.table, self.relay.urgent_table):
+            table.on_failure = self.reissue_waits
         self.measurements = MeasurementLinks(
             self.relay,
             self.clock,
@@ -333,7 +334,7 @@
         self.store.epoch.listeners.append(self.pool_versions.table_restored)
         self.stream_versions = StreamVersions(
             self.clock,
-            self.relay.table,
+            self.relay.urgent_table,
             self.store,
             self.pool_versions,
             self.app.metrics.registry,
--- a/src/godwitmast/platform_api/group_commit.py
+++ b/src/godwitmast/platform_api/group_commit.py
@@ -23,6 +23,8 @@
 
     checks: dict[str, int]
     writes: dict[str, Json]
+    due_at: float = 0.0
+    """When it is sent at the latest, with all that is pending then."""
     outcome: TransactOutcome | PlatformError | None = None
     completed: anyio.Event = field(default_factory=anyio.Event)
 
@@ -44,8 +46,9 @@
 
     A conflict in one transaction fails the batch: that one gets the conflict, and the
     others are sent again without it. If the outcome of a batch is unknown, it is
-    unknown for each of its transactions. `gather_s` is how long the first one waits for
-    others. There is no such wait after a failure, since a retried write is already late.
+    unknown for each of its transactions. `gather_s` is how long a transaction waits for
+    others, unless it asks for less. There is no such wait after a failure, since a
+    retried write is already late.
     """
 
     def __init__(
@@ -58,16 +61,20 @@
         self.arrived = anyio.Event()
         self.sent = 0
         self.last_failed = False
-        self.hurried = anyio.Event()
+        self.is_hurried = False
 
     async def start(self, tasks: TaskGroup) -> None:
         tasks.start_soon(self.run)
 
     async def transact(
-        self, checks: dict[str, int], writes: dict[str, Json]
+        self,
+        checks: dict[str, int],
+        writes: dict[str, Json],
+        gather_s: float | None = None,
     ) -> TransactOutcome:
         """Write like `PlatformClient.transact`, but in a batch with other transactions."""
-        pending = PendingTransaction(checks, writes)
+        wait_s = self.gather_s if gather_s is None else min(gather_s, self.gather_s)
+        pending = PendingTransaction(checks, writes, anyio.current_time() + wait_s)
         self.queue.append(pending)
         self.arrived.set()
         try:
@@ -83,18 +90,28 @@
 
     def stop_gathering(self) -> None:
         """Send pending and later transactions at once, as the process is about to end."""
-        self.hurried.set()
+        self.is_hurried = True
+        self.arrived.set()
 
     async def run(self) -> None:
         while True:
             await self.arrived.wait()
-            if self.gather_s and not self.last_failed:
-                with anyio.move_on_after(self.gather_s):
-                    await self.hurried.wait()
             self.arrived = anyio.Event()
+            if not self.last_failed:
+                await self.gather()
             while self.queue:
                 await self.commit(self.take_batch())
 
+    async def gather(self) -> None:
+        """Wait until a pending transaction is due."""
+        while self.queue and not self.is_hurried:
+            left_s = min(item.due_at for item in self.queue) - anyio.current_time()
+            if left_s <= 0:
+                return
+            with anyio.move_on_after(left_s):
+                await self.arrived.wait()
+            self.arrived = anyio.Event()
+
     def take_batch(self) -> list[PendingTransaction]:
         """Remove and return the first pending transactions that share no row."""
         batch: list[PendingTransaction] = []
--- a/src/godwitmast/relay/driver.py
+++ b/src/godwitmast/relay/driver.py
@@ -62,6 +62,9 @@
 """How long the others wait for a follower that does not read; a link of 10 Mbit/s
 transfers 600 KB in that time."""
 
+URGENT_GATHER_S = 0.2
+"""How long a relay gathers writes that other VMs soon look for."""
+
 CLOSE_TRY_AGAIN = 1013
 """Websocket close code for a follower of a VM that is not the relay."""
 
@@ -97,8 +100,10 @@
         self.shared = SharedReads(
             store, clock, MAX_READ_AGE_GATHERS * gather_s, self.epoch
         )
-        self.table = RelayTable(store, clock, self, gather_s)
-        self.table.on_answer = self.record_own_answer
+        self.table = RelayTable(store, clock, self)
+        self.urgent_table = RelayTable(store, clock, self, URGENT_GATHER_S)
+        for table in (self.table, self.urgent_table):
+            table.on_answer = self.record_own_answer
         self.server: Server | None = None
         self.links: set[ServerConnection] = set()
         self.large_frame_lock = anyio.Lock()
@@ -333,7 +338,9 @@
 
     async def transact_for(self, request: TransactAsked) -> TransactAnswered:
         try:
-            outcome = await self.group.transact(request.checks, request.writes)
+            outcome = await self.group.transact(
+                request.checks, request.writes, request.gather_s
+            )
         except PlatformUnavailable:
             return TransactAnswered(request.number, Outcome.NOT_DONE)
         except PlatformError:
--- a/src/godwitmast/relay/links.py
+++ b/src/godwitmast/relay/links.py
@@ -178,11 +178,15 @@
             return
 
     async def transact(
-        self, checks: dict[str, int], writes: dict[str, Json], timeout_s: float
+        self,
+        checks: dict[str, int],
+        writes: dict[str, Json],
+        timeout_s: float,
+        gather_s: float | None = None,
     ) -> TransactOutcome:
         """Write through the relay; raise PlatformError as the platform's client."""
         self.last_number += 1
-        message = TransactAsked(self.last_number, checks, writes)
+        message = TransactAsked(self.last_number, checks, writes, gather_s)
         answer = await self.request(message, timeout_s)
         match answer:
             case TransactAnswered(outcome=Outcome.WRITTEN):
--- a/src/godwitmast/relay/messages.py
+++ b/src/godwitmast/relay/messages.py
@@ -12,6 +12,7 @@
 from godwitmast.types import Json
 
 MAX_CHECKS = 100
+MAX_GATHER_S = 60.0
 MAX_VMS = 100_000
 
 Number = Annotated[int, Meta(ge=0, le=2**63 - 1)]
@@ -36,6 +37,8 @@
     number: Number
     checks: Versions
     writes: Annotated[dict[Key, Json], Meta(max_length=MAX_CHECKS)]
+    gather_s: Annotated[float, Meta(ge=0, le=MAX_GATHER_S)] | None = None
+    """Longest time for which the relay gathers other writes; None for its own."""
 
 
 class TransactAnswered(Struct, array_like=True, frozen=True, tag=2):
--- a/src/godwitmast/relay/table.py
+++ b/src/godwitmast/relay/table.py
@@ -72,12 +72,19 @@
     """
 
     def __init__(
-        self, store: Table, clock: Clock, relay: OwnRelay, gather_s: float
+        self,
+        store: Table,
+        clock: Clock,
+        relay: OwnRelay,
+        gather_s: float | None = None,
     ) -> None:
         self.store = store
         self.clock = clock
         self.relay = relay
-        self.timeout_s = gather_s + ANSWER_TIMEOUT_S
+        self.gather_s = gather_s
+        """Longest time for which the relay gathers other writes; None for its own."""
+        longest_s = relay.group.gather_s if gather_s is None else gather_s
+        self.timeout_s = longest_s + ANSWER_TIMEOUT_S
         self.direct_until = 0.0
         self.on_answer: Callable[[], None] = lambda: None
         self.on_failure: Callable[[], None] = lambda: None
@@ -96,11 +103,13 @@
         if len(msgspec.json.encode(writes)) > MAX_WRITE_BYTES:
             return await self.transact_directly(checks, writes)
         if self.relay.machine.serving:
-            return await self.relay.group.transact(checks, writes)
+            return await self.relay.group.transact(checks, writes, self.gather_s)
         if not self.through_link:
             return await self.transact_directly(checks, writes)
         try:
-            return await self.relay.link.transact(checks, writes, self.timeout_s)
+            return await self.relay.link.transact(
+                checks, writes, self.timeout_s, self.gather_s
+            )
         except PlatformUnavailable:
             self.record_failure()
         except PlatformError:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -321,6 +321,26 @@
     assert sent_at[1] - sent_at[0] < group.gather_s
 
 
+async def test_urgent_write_does_not_wait_for_others() -> None:
+    """Guards against rows that others look for before the relay has written them."""
+    sent: list[dict[str, Json]] = []
+
+    async def send(checks: dict[str, int], writes: dict[str, Json]) -> Written:
+        sent.append(writes)
+        return Written(dict.fromkeys(writes, 1))
+
+    group = GroupCommit(send, gather_s=5.0)
+    async with anyio.create_task_group() as tasks:
+        await group.start(tasks)
+        with anyio.fail_after(1.0):
+            async with anyio.create_task_group() as writers:
+                writers.start_soon(group.transact, {}, {"usage": 1})
+                await anyio.sleep(GATHER_S)
+                writers.start_soon(group.transact, {}, {"urgent": 1}, GATHER_S)
+        tasks.cancel_scope.cancel()
+    assert sent == [{"usage": 1, "urgent": 1}]
+
+
 async def test_relay_that_stops_writes_its_last_usage(http: httpx.AsyncClient) -> None:
     """Guards against usage that is lost as the last write waits for one being gathered."""
     async with running(Fleet()) as fleet:
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -217,6 +217,31 @@
     assert answer.status_code == 503
 
 
+@pytest.mark.parametrize("vm", [0, 1])
+async def test_stream_is_taken_up_soon_after_it_began_at_another_vm(
+    http: httpx.AsyncClient, vm: int
+) -> None:
+    """Guards against rows of streams that wait in a relay for rows of usage."""
+    async with running(MixedFleet({"windowS": 5})) as fleet:
+        await fleet.wait_until(
+            lambda: all(node.relay.batches_writes for node in fleet.nodes)
+        )
+        begins, other = fleet.nodes[vm], fleet.nodes[1 - vm]
+        for number in range(5):
+            for engine in fleet.engines:
+                engine.served.clear()
+                engine.event_s = 0.02
+            attempt = f"s{number}"
+            url = begins.caller_server.url + "/chat/1"
+            headers = fleet.headers(attempt)
+            async with http.stream("GET", url, headers=headers) as answer:
+                await anext(answer.aiter_raw())
+            [begun] = fleet.streams()
+            answer = await fleet.resume(http, other, "1", attempt)
+            assert answer.status_code == 200
+            assert {engine.version for engine in fleet.streams()} == {begun.version}
+
+
 async def test_rows_of_streams_are_removed_once_they_cannot_be_taken_up(
     fleet: MixedFleet, http: httpx.AsyncClient, monkeypatch: pytest.MonkeyPatch
 ) -> None:
