A request is not sent twice on one connection

What callers saw: a request that was sent again under its id got the late second answer to its first send: status 500 and its body where the server had answered the second send 200, or the reverse, with the server's seal. Answers cut after their head were completed with the bytes of the next one.

Cause: the id of an answer tells requests apart, not the sends of one request. The pool gave the connection of the first send to the second one (by the caller, or by the router after a failure), and the late answer there had the right id.

Why it works: a connection keeps the hashes of the ids that it carried, 8 bytes each, and is closed rather than carry one of them again; the pool then takes another one. It carries at most 1,000 requests, so that no id is forgotten.

--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -17,6 +17,7 @@
 )
 from godwitmast.backends.connection_use import ConnectionUse
 from godwitmast.backends.transport import (
+    ANSWER_ID,
     BoundedTransport,
     SocketOptions,
     connection_use,
@@ -163,11 +164,13 @@
         content: bytes,
         on_head: Callable[[httpx.Response], None] = lambda answer: None,
         belongs: Callable[[httpx.Response], bool] = lambda answer: True,
+        answer_id: str = "",
     ) -> AsyncIterator[httpx.Response]:
         """Send a request and yield the response once its headers have arrived.
 
         `on_head` gets every response, also one that fails the attempt. `belongs` tells
-        whether a response belongs to this request.
+        whether a response belongs to this request, or to an earlier one with another
+        `answer_id`: no connection carries two requests with the same one.
 
         Raise AttemptFailed on any failure. Only the given headers are sent, besides
         those of the connection, and the target is sent unchanged: the library's URL
@@ -187,6 +190,7 @@
                     "write": send_timeout_s(len(content)),
                 },
                 "target": base + target.encode("latin-1"),
+                ANSWER_ID: answer_id,
             },
         )
         use: ConnectionUse | None = None
--- a/src/godwitmast/backends/connection_use.py
+++ b/src/godwitmast/backends/connection_use.py
@@ -27,6 +27,8 @@
     """Decrypted bytes that arrived together with the last answer."""
     ENDED = "ended"
     """Its end, which is usual."""
+    RETIRED = "retired"
+    """Nothing: it had carried the next request before, or as many as it may."""
 
 
 class DroppedConnection(NamedTuple):
--- a/src/godwitmast/backends/transport.py
+++ b/src/godwitmast/backends/transport.py
@@ -39,6 +39,14 @@
 """Bytes of a head that are read at a time. The library parses the informational answers
 in them without a pause: 64 KiB of those take 40 ms, and more on a small VM."""
 
+ANSWER_ID = "answer_id"
+"""Extension of a request: the id that its answer bears."""
+
+MAX_EXCHANGES = 1000
+"""Requests that a connection carries at most, so that the hashes of their ids take 8 KB."""
+
+HASH_BYTES = 8
+
 ERRORS: dict[type[BaseException], type[httpx.TransportError]] = {
     httpcore.ConnectTimeout: httpx.ConnectTimeout,
     httpcore.ReadTimeout: httpx.ReadTimeout,
@@ -262,9 +270,9 @@
         await self.backend.sleep(seconds)
 
     def report_drop(self, stream: HeadCountingStream, reason: DropReason) -> None:
-        """Report a connection that isn't used again; its mere end isn't logged."""
+        """Report a connection that isn't used again; what is usual isn't logged."""
         dropped = DroppedConnection(stream.server, stream.use, reason)
-        if reason is not DropReason.ENDED:
+        if reason not in (DropReason.ENDED, DropReason.RETIRED):
             log_event(
                 "connection_dropped",
                 level="WARNING",
@@ -281,14 +289,31 @@
 class ReusableConnection(httpcore.AsyncHTTPConnection):
     """A connection that is used again only if nothing followed its last answer.
 
-    Bytes after the end of an answer would be read as the beginning of the next one.
+    Bytes after the end of an answer would be read as the beginning of the next one. A
+    request that it carried is not sent on it again: a late second answer to the first
+    send has the same id as the answer to the second.
     """
 
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self.answer_ids = bytearray()
+        """Hashes of the ids of the answers that were received."""
+        self.is_retired = False
+
     async def handle_async_request(
         self, request: httpcore.Request
     ) -> httpcore.Response:
+        """Send a request; the pool takes another connection for one that was carried."""
+        answer_id = request.extensions.get(ANSWER_ID, "")
+        digest = hash(answer_id).to_bytes(HASH_BYTES, "little", signed=True)
+        if answer_id and digest in self.answer_ids:
+            self.is_retired = True
+            raise httpcore.ConnectionNotAvailable
         request.extensions[CONNECTION] = self
-        return await super().handle_async_request(request)
+        answer = await super().handle_async_request(request)
+        self.answer_ids += digest
+        self.is_retired |= len(self.answer_ids) >= MAX_EXCHANGES * HASH_BYTES
+        return answer
 
     @property
     def network_stream(self) -> HeadCountingStream | None:
@@ -306,10 +331,16 @@
             if stream is not None:
                 stream.report_unread()
             return True
-        if not self.is_idle() or not self.has_unread_bytes():
+        if not self.is_idle():
+            return False
+        if self.has_unread_bytes():
+            reason = DropReason.PARSER
+        elif self.is_retired:
+            reason = DropReason.RETIRED
+        else:
             return False
         if stream is not None:
-            stream.network.report_drop(stream, DropReason.PARSER)
+            stream.network.report_drop(stream, reason)
         return True
 
     def has_unread_bytes(self) -> bool:
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -500,7 +500,7 @@
         use = self.use = failure.use
         answer_id: str | None = None
         if failure.answer is not None:
-            answer_id = self.outbound.answer_id(failure.answer)
+            answer_id = self.outbound.found_id(failure.answer)
         return {
             "connection": use.connection if use else None,
             "exchange": use.exchange if use else None,
@@ -598,6 +598,7 @@
             attempt_request.content,
             lambda head: self.record_head(start.backend_id, head, sent),
             outbound.belongs_to_request,
+            outbound.answer_id,
         ) as answer:
             self.use = connection_use(answer.request)
             self.reached_backend = True
--- a/src/godwitmast/entry/outbound.py
+++ b/src/godwitmast/entry/outbound.py
@@ -104,6 +104,10 @@
     def reader(self) -> StreamReader:
         """Return the reader of the answer's stream, which all attempts share."""
 
+    @property
+    def answer_id(self) -> str:
+        """Return the id that answers to this request bear, or none if they bear none."""
+
     def build_attempt(
         self, backend_id: BackendId, now: float, source: str | None = None
     ) -> AttemptRequest:
@@ -119,7 +123,7 @@
     def belongs_to_request(self, answer: httpx.Response) -> bool:
         """Return whether an answer belongs to this request."""
 
-    def answer_id(self, answer: httpx.Response) -> str | None:
+    def found_id(self, answer: httpx.Response) -> str | None:
         """Return the id of a request that an answer names; empty if it names none.
 
         None if answers of this interface have no ids.
@@ -170,6 +174,7 @@
     reports_load: bool = False
     reads_body: bool = False
     reader: StreamReader = field(default_factory=CompletionReader)
+    answer_id: str = ""
 
     def build_attempt(
         self, backend_id: BackendId, now: float, source: str | None = None
@@ -182,7 +187,7 @@
     def belongs_to_request(self, answer: httpx.Response) -> bool:
         return True
 
-    def answer_id(self, answer: httpx.Response) -> str | None:
+    def found_id(self, answer: httpx.Response) -> str | None:
         return None
 
     def stream_headers(self, answer: httpx.Response) -> RawHeaders:
--- a/src/godwitmast/platform/frontend.py
+++ b/src/godwitmast/platform/frontend.py
@@ -120,6 +120,10 @@
     def reader(self) -> StreamReader:
         return self.events
 
+    @property
+    def answer_id(self) -> str:
+        return self.attempt_id
+
     def build_attempt(
         self, backend_id: BackendId, now: float, source: str | None = None
     ) -> AttemptRequest:
@@ -161,7 +165,7 @@
         default = self.attempt_id if is_own else None
         return answer.headers.get(ATTEMPT_ID, default) == self.attempt_id
 
-    def answer_id(self, answer: httpx.Response) -> str | None:
+    def found_id(self, answer: httpx.Response) -> str | None:
         return answer.headers.get(ATTEMPT_ID, "")
 
     def stream_headers(self, answer: httpx.Response) -> RawHeaders:
--- a/src/godwitmast/standins/extra.py
+++ b/src/godwitmast/standins/extra.py
@@ -1,5 +1,6 @@
 """A TCP front of a stand-in that sends bytes after the answers of its server."""
 
+from collections.abc import Callable
 from enum import Enum
 
 import anyio
@@ -9,6 +10,8 @@
 from godwitmast.standins.unframed import READ_BYTES, receive
 
 LATE_S = 0.005
+PIECE_S = 0.002
+"""Pause after each piece of an answer that is repeated."""
 
 ENDS = (
     anyio.BrokenResourceError,
@@ -86,11 +89,15 @@
         data = b""
         while not isinstance(event := parser.next_event(), h11.EndOfMessage):
             if event is h11.NEED_DATA:
-                await caller.send(data)
+                await self.send_part(caller, data)
                 data = await server.receive(READ_BYTES)
                 parser.receive_data(data)
         return data
 
+    async def send_part(self, caller: SocketStream, data: bytes) -> None:
+        """Send bytes of an answer."""
+        await caller.send(data)
+
     async def end_answer(
         self, caller: SocketStream, server: SocketStream, data: bytes
     ) -> None:
@@ -118,3 +125,58 @@
         if request:
             await caller.send(extra)
             await self.relay_exchange(caller, server, request)
+
+
+class RepeatingFront(ExtraFront):
+    """Repeats the answer before on a connection, once the next request has arrived.
+
+    Of the answer's `bytes` only the first `kept(bytes)` are sent again, in `pieces` and
+    `ahead_s` before the next answer.
+    """
+
+    def __init__(
+        self,
+        server_port: int,
+        kept: Callable[[bytes], int] = len,
+        pieces: int = 1,
+        ahead_s: float = 0.0,
+        every: int = 1,
+    ) -> None:
+        super().__init__(server_port, b"", ExtraTime.TOGETHER, every)
+        self.kept = kept
+        self.pieces = pieces
+        self.ahead_s = ahead_s
+        self.sent: dict[SocketStream, bytes] = {}
+        """What was sent of the newest answer on each connection."""
+
+    async def relay(self, caller: SocketStream) -> None:
+        try:
+            await super().relay(caller)
+        finally:
+            self.sent.pop(caller, None)
+
+    async def send_part(self, caller: SocketStream, data: bytes) -> None:
+        self.sent[caller] = self.sent.get(caller, b"") + data
+        await super().send_part(caller, data)
+
+    async def end_answer(
+        self, caller: SocketStream, server: SocketStream, data: bytes
+    ) -> None:
+        self.answers += 1
+        await self.send_part(caller, data)
+
+    async def relay_answer(self, caller: SocketStream, server: SocketStream) -> bytes:
+        await self.repeat(caller, self.sent.pop(caller, b""))
+        return await super().relay_answer(caller, server)
+
+    async def repeat(self, caller: SocketStream, answer: bytes) -> None:
+        """Send an earlier answer again, if it is due."""
+        if not answer or self.every == 0 or self.answers % self.every:
+            return
+        self.added += 1
+        rest = answer[: self.kept(answer)]
+        size = max(1, -(-len(rest) // self.pieces))
+        for start in range(0, len(rest), size):
+            await caller.send(rest[start : start + size])
+            await anyio.sleep(PIECE_S)
+        await anyio.sleep(self.ahead_s)
