Numbers in headers of servers are bounded where they are read

What callers saw: nothing yet. A server that states Server-Limit or Server-Brittle of some 300 digits (or 1.7e308) ended each VM that was suspended for a few seconds afterwards: its callers' connections were cut.

Cause: parse_number took any finite number. The period of turns, routers over that rate, is then so short that the number of turns missed during the suspension is infinite, and math.ceil raised OverflowError in the router's tick. The background loop of the ticks, and so the process, ended.

A Retry-After of 1e308 kept a server out for ever, and a load of running requests was believed.

Digits of other scripts and underscores are no numbers. A load above 65,535 requests, the bound that VMs have among themselves, is no report, in headers and in /load. Turns have a shortest period.

--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -1,6 +1,5 @@
 """An HTTP client for backend servers that classifies every failure."""
 
-import math
 import ssl
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
@@ -23,8 +22,13 @@
     connection_use,
 )
 from godwitmast.config.document import AnswerLimits
-from godwitmast.decoding import decode_json, parse_whole_number
-from godwitmast.dispatch.messages import FailureKind, LoadReport, ServerStatement
+from godwitmast.decoding import decode_json, parse_number, parse_whole_number
+from godwitmast.dispatch.messages import (
+    MAX_SERVER_REQUESTS,
+    FailureKind,
+    LoadReport,
+    ServerStatement,
+)
 from godwitmast.errors import Undecodable
 from godwitmast.logs import log_event
 
@@ -52,15 +56,23 @@
 LEAVING_HEADER = "engine-leaving"
 
 
-NonNegative = msgspec.Meta(ge=0)
+MAX_RATE_PER_S = 1_000_000.0
+"""A server that states a higher rate has no limit that matters."""
+
+MAX_REST_S = 86_400.0
+"""A server that asks for a longer rest is asked again after a day."""
+
+MAX_REPORT_AGE_S = 86_400.0
+
+RequestCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_SERVER_REQUESTS)]
 
 
 class LoadDocument(msgspec.Struct):
     """What a backend server serves at `/load`; `age_s` is the age of its numbers."""
 
-    running: Annotated[int, NonNegative]
-    waiting: Annotated[int, NonNegative]
-    age_s: Annotated[float, NonNegative] = 0.0
+    running: RequestCount
+    waiting: RequestCount
+    age_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_REPORT_AGE_S)] = 0.0
 
 
 class AttemptFailed(Exception):
@@ -97,8 +109,8 @@
         headers = answer.headers
         return ServerStatement(
             parse_load(answer),
-            parse_number(headers.get(RATE_LIMIT_HEADER)),
-            parse_number(headers.get(REJECTION_LIMIT_HEADER)),
+            parse_rate(headers.get(RATE_LIMIT_HEADER)),
+            parse_rate(headers.get(REJECTION_LIMIT_HEADER)),
             LEAVING_HEADER in headers,
             # A plain service's own 503 may concern one request, not its server.
             parse_rest(answer) if self.reports_not_run(answer) else None,
@@ -270,28 +282,28 @@
     where it matters most: on the servers that get the requests.
     """
     running, _, waiting = answer.headers.get(LOAD_HEADER, "").partition(";")
-    numbers = parse_whole_number(running), parse_whole_number(waiting)
-    if numbers[0] is None or numbers[1] is None:
-        return None
-    return LoadReport(numbers[0], numbers[1])
+    return make_load(parse_whole_number(running), parse_whole_number(waiting))
 
 
-def parse_number(text: str | None) -> float | None:
-    """Return a number that is not negative; None without one, or if it is unusable."""
-    if text is None:
+def make_load(running: int | None, waiting: int | None) -> LoadReport | None:
+    """Return the load report with two numbers, None if one is missing or too large."""
+    if running is None or waiting is None:
         return None
-    try:
-        number = float(text)
-    except ValueError:
+    if max(running, waiting) > MAX_SERVER_REQUESTS:
         return None
-    return number if math.isfinite(number) and number >= 0 else None
+    return LoadReport(running, waiting)
 
 
 def parse_rest(answer: httpx.Response) -> float | None:
     """Return the seconds for which a server that is overloaded wants no requests."""
     if answer.status_code != 503:
         return None
-    return parse_number(answer.headers.get("retry-after")) or None
+    return parse_number(answer.headers.get("retry-after"), MAX_REST_S) or None
+
+
+def parse_rate(text: str | None) -> float | None:
+    """Return how many a second a server states, None if it states nothing usable."""
+    return parse_number(text, MAX_RATE_PER_S)
 
 
 def failure_kind(error: httpx.HTTPError) -> FailureKind:
--- a/src/godwitmast/decoding.py
+++ b/src/godwitmast/decoding.py
@@ -1,5 +1,6 @@
 """Decoding of bytes that other programs wrote, which may be any bytes."""
 
+import math
 from collections.abc import Hashable
 from functools import lru_cache
 from typing import Any, TypeVar, cast
@@ -42,6 +43,20 @@
     return int(digits) if usable else None
 
 
+def parse_number(text: str | None, most: float) -> float | None:
+    """Return a number that is not negative; None without one, or if it is unusable.
+
+    A number above `most` counts as `most`: callers divide by it and add it to times.
+    """
+    if text is None or not text.isascii() or "_" in text:
+        return None
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return min(number, most) if math.isfinite(number) and number >= 0 else None
+
+
 @lru_cache
 def decoder_of(shape: Hashable) -> msgspec.json.Decoder[Any]:
     return msgspec.json.Decoder(cast(Any, shape))
--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -85,6 +85,10 @@
         return self.leaving or self.evacuated
 
 
+MAX_SERVER_REQUESTS = 65_535
+"""Requests that one server can have, running or waiting; a report of more is no report."""
+
+
 class LoadReport(NamedTuple):
     """A backend server's report of its load; `age_s` is its age on arrival.
 
--- a/src/godwitmast/dispatch/turns.py
+++ b/src/godwitmast/dispatch/turns.py
@@ -10,6 +10,9 @@
 import random
 from dataclasses import dataclass
 
+MIN_PERIOD_S = 1e-6
+"""Shorter periods are all the same, as a turn may be used for far longer."""
+
 
 @dataclass(slots=True)
 class Turns:
@@ -31,6 +34,7 @@
             # There was no turn yet, or the router's share has grown.
             self.turn_at = now + rng.random() * period_s
         elif now >= self.turn_at + self.valid_s:
+            period_s = max(MIN_PERIOD_S, period_s)
             over = math.ceil((now - self.turn_at - self.valid_s) / period_s)
             self.turn_at += max(1, over) * period_s
 
--- a/src/godwitmast/platform/frontend.py
+++ b/src/godwitmast/platform/frontend.py
@@ -7,7 +7,7 @@
 import httpx
 import msgspec
 
-from godwitmast.backends.client import parse_number, parse_rest
+from godwitmast.backends.client import make_load, parse_rate, parse_rest
 from godwitmast.backends.transport import is_first_exchange
 from godwitmast.config.document import Document, NumberedConfig
 from godwitmast.decoding import parse_whole_number
@@ -196,8 +196,8 @@
         headers = answer.headers
         return ServerStatement(
             read_load(headers.get(SERVER_LOAD, "")),
-            parse_number(headers.get(SERVER_LIMIT)),
-            parse_number(headers.get(SERVER_BRITTLE)),
+            parse_rate(headers.get(SERVER_LIMIT)),
+            parse_rate(headers.get(SERVER_BRITTLE)),
             headers.get(SERVER_LEAVING) == "1",
             parse_rest(answer),
         )
@@ -398,11 +398,12 @@
     The third number is the batch size; servers that share no machine send no fourth.
     """
     numbers = [parse_whole_number(part) for part in text.split(",")]
-    if len(numbers) < 2 or numbers[0] is None or numbers[1] is None:
+    load = make_load(numbers[0], numbers[1]) if len(numbers) > 1 else None
+    if load is None:
         return None
     percent = numbers[3] if len(numbers) == 4 else None
     usable = percent is not None and 0 < percent <= MAX_PERCENT
-    return LoadReport(numbers[0], numbers[1], percent=percent if usable else None)
+    return load._replace(percent=percent if usable else None)
 
 
 def read_bearer(header: str) -> str | None:
