Take-ups: "one version only" is confirmed by the store after the caller asked

What callers saw: a VM that heard nothing of the servers for some seconds answered take-ups (Last-Event-Id and Resumes) of streams that had begun on a newer version with 200, and went on at a server of the older one. So did a VM whose relay heard nothing, one whose feed stood still, and a process that had been suspended, in its first moments.

Cause: look_up() answered "one version only" from a list of any age, before anything that had happened meanwhile was applied. The claim is about now, the list about the past.

Change: as a read index. A take-up that would be answered by "only" waits for an answer to a call for changes that began after it arrived, to the store itself and not a relay. The call doesn't wait for changes; its rows are applied by the follower before the take-up is decided. Whether an answer covers a take-up is an order of events, no age, so a suspension can't make it look fresh. The follower's own long poll stays open; whichever answer comes second is dropped if the first brought changes. An unconfirmed take-up is refused as not run after FIND_S, as an unknown version was before.

Cost of an outage of the whole store, weighed: while nobody can confirm, a stream that another VM began is refused with not_run and Retry-After 1 also where the service has one version. Until now it went on. The alternative, an age up to which a list counts, joins what began within that age, and every age is longer than the moment between a listing and a take-up. Streams that this VM began itself go on without a call, and streams that begin cost none: a silence costs those that change VM in it, nothing before or after.

One log line a take-up: stream_taken_up with source, version, age of the list, whether and for how long it was confirmed; stream_version_unknown stays.

--- a/src/godwitmast/entry/stream_versions.py
+++ b/src/godwitmast/entry/stream_versions.py
@@ -4,11 +4,15 @@
 Servers of several versions may serve side by side, and a stream can only go on at the
 version that began it. A caller names the attempt that brought the first event. While a
 pool has several versions (see `pool_versions`), the VM that began a stream writes its
-version to the platform's table, where any VM finds it though that one has ended. A VM
-that cannot learn the version refuses the request as not run.
+version to the platform's table, where any VM finds it though that one has ended. That a
+pool has one version holds only for what was heard of its servers: a VM may have stood
+still, or its relay or the platform. So the platform confirms the list of servers first,
+after the caller has asked. A VM that cannot learn the version refuses the request as not
+run.
 """
 
 import math
+from dataclasses import dataclass
 from typing import NamedTuple
 
 import anyio
@@ -22,6 +26,7 @@
 from godwitmast.entry.pool_versions import PoolVersions
 from godwitmast.errors import PlatformError
 from godwitmast.logs import log_event
+from godwitmast.platform_api.confirmation import Confirmation
 from godwitmast.platform_api.messages import Written
 from godwitmast.platform_api.port import Table
 from godwitmast.types import BackendId, Json, PoolName
@@ -75,6 +80,21 @@
     incarnation: int
 
 
+class FoundVersion(NamedTuple):
+    """The version of a stream, and where it was found."""
+
+    version: str
+    source: str
+
+
+@dataclass
+class ListCheck:
+    """Whether the list of servers was confirmed after a caller's request."""
+
+    confirmed: bool = False
+    took_s: float = 0.0
+
+
 class StreamVersions:
     """Records the versions of streams that begin here, and finds those of others."""
 
@@ -85,8 +105,11 @@
         reader: Table,
         pools: PoolVersions,
         registry: CollectorRegistry,
+        confirmation: Confirmation | None = None,
     ) -> None:
         self.clock = clock
+        self.confirmation = confirmation
+        """Without one, nothing confirms that a pool has one version only."""
         self.pools = pools
         self.table = table
         self.reader = reader
@@ -106,18 +129,21 @@
         )
 
     async def start(self, tasks: TaskGroup) -> None:
+        if self.confirmation is not None:
+            await self.confirmation.start(tasks)
         await self.background.start(tasks)
 
     async def close(self) -> None:
+        if self.confirmation is not None:
+            await self.confirmation.close()
         await self.background.close()
 
     def update_servers(self, servers: dict[BackendId, ListedServer]) -> None:
         """Record the listed servers; streams of one that started again are in doubt."""
-        now = self.clock.now()
         for backend_id, server in servers.items():
             last = self.servers.get(backend_id)
             if last is not None and last.incarnation != server.incarnation:
-                self.doubt_recent(backend_id, now)
+                self.doubt_recent(backend_id)
         self.servers = servers
         mixed_before = self.mixed_pools()
         listed: dict[PoolName, set[str]] = {}
@@ -127,6 +153,11 @@
         self.pools.update({pool: frozenset(found) for pool, found in listed.items()})
         self.write_open(self.mixed_pools() - mixed_before)
 
+    @property
+    def list_confirmed_at(self) -> float:
+        """Return the time up to which the list has all changes."""
+        return self.confirmation.confirmed_at if self.confirmation else -math.inf
+
     def mixed_pools(self) -> set[PoolName]:
         return {pool for pool in self.pools.listed if self.pools.is_mixed(pool)}
 
@@ -138,11 +169,11 @@
                 self.pending[key] = stream.version
                 self.changed.set()
 
-    def doubt_recent(self, backend_id: BackendId, now: float) -> None:
+    def doubt_recent(self, backend_id: BackendId) -> None:
         """Make streams unknown that either of two starts of a server may have begun."""
+        oldest = self.clock.now() - ROW_LAG_S
         for key, stream in self.known.items():
-            is_recent = now < stream.began_at + ROW_LAG_S
-            if stream.backend_id == backend_id and is_recent:
+            if stream.backend_id == backend_id and stream.began_at > oldest:
                 self.known[key] = stream._replace(version=UNKNOWN_VERSION)
                 self.pending[key] = UNKNOWN_VERSION
                 self.changed.set()
@@ -180,13 +211,24 @@
     async def find(self, team: str, attempt_id: str, pool: PoolName) -> str | None:
         """Return the version of the stream that an attempt began, None if unknown."""
         key = stream_key(team, attempt_id)
+        check = ListCheck()
+        found: FoundVersion | None = None
         with anyio.move_on_after(FIND_S):
-            while True:
-                version = await self.look_up(key, pool)
-                if version is not None:
-                    return version
+            while (found := await self.look_up(key, pool, check)) is None:
                 await anyio.sleep(FIND_INTERVAL_S)
-        self.lookups.labels("unknown").inc()
+        self.lookups.labels(found.source if found else "unknown").inc()
+        age_s = self.clock.now() - self.list_confirmed_at
+        log_event(
+            "stream_taken_up",
+            attempt=attempt_id,
+            source=found.source if found else "unknown",
+            version=found.version if found else None,
+            list_age_s=round(age_s, 3),
+            confirmed=check.confirmed,
+            confirm_s=round(check.took_s, 3),
+        )
+        if found is not None:
+            return found.version
         log_event(
             "stream_version_unknown",
             attempt=attempt_id,
@@ -196,19 +238,32 @@
         )
         return None
 
-    async def look_up(self, key: str, pool: PoolName) -> str | None:
+    async def look_up(
+        self, key: str, pool: PoolName, check: ListCheck
+    ) -> FoundVersion | None:
         """Return the version of a stream that is known here, or to the table."""
         if key in self.known:
-            self.lookups.labels("own").inc()
-            return self.known[key].version
-        only = self.pools.only_version(pool)
-        if only is not None:
-            self.lookups.labels("only").inc()
-            return only
+            return FoundVersion(self.known[key].version, "own")
+        if self.pools.only_version(pool) is not None:
+            if not await self.confirm_list(check):
+                return None
+            # A version that was heard of by that makes this one of several.
+            only = self.pools.only_version(pool)
+            if only is not None:
+                return FoundVersion(only, "only")
         version = await self.read(key)
-        if version is not None:
-            self.lookups.labels("table").inc()
-        return version
+        return FoundVersion(version, "table") if version is not None else None
+
+    async def confirm_list(self, check: ListCheck) -> bool:
+        """Have the platform confirm the list of servers, once for each request."""
+        if check.confirmed or self.confirmation is None:
+            return check.confirmed
+        began_at = self.clock.now()
+        try:
+            check.confirmed = await self.confirmation.up_to_now()
+        finally:
+            check.took_s += self.clock.now() - began_at
+        return check.confirmed
 
     async def read(self, key: str) -> str | None:
         """Return the version in a stream's row, None without one."""
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -17,6 +17,7 @@
 from godwitmast.capacity.zonal_duty import ZonalDuty, sum_open_requests
 from godwitmast.check_times import until_check_s
 from godwitmast.clock import SystemClock
+from godwitmast.config.document import Backend
 from godwitmast.dispatch.retries import SharedRetryBudgets
 from godwitmast.dispatch.router import Router
 from godwitmast.entry.app import EntryApp, with_connection_close
@@ -61,6 +62,7 @@
     READY_PATH,
     SERVERS_TABLE,
 )
+from godwitmast.platform_api.confirmation import Confirmation
 from godwitmast.platform_api.epoch import may_lack_rows, number_of
 from godwitmast.platform_api.feed import OLDER_GRACE_S, FeedFollower, long_poll_s
 from godwitmast.platform_api.runner import run_steps
@@ -182,6 +184,11 @@
         return b""
 
 
+def listed_server(server: Backend) -> ListedServer:
+    """Return what the versions of streams depend on."""
+    return ListedServer(server.pools, server.version, server.incarnation)
+
+
 class Node:
     """All components of one entry VM."""
 
@@ -260,6 +267,8 @@
                 sharing.wait_s,
                 lambda: self.feed.gather_s(gather_s),
                 server_row_order,
+                direct=self.feed.direct,
+                shared_age_s=sharing.fresh_s,
             ),
             FeedFollower(
                 self.feed,
@@ -332,12 +341,14 @@
             lambda: self.writer.journal.key,
         )
         self.store.epoch.listeners.append(self.pool_versions.table_restored)
+        [servers_follower] = (f for f in self.followers if f.table == SERVERS_TABLE)
         self.stream_versions = StreamVersions(
             self.clock,
             self.relay.urgent_table,
             self.store,
             self.pool_versions,
             self.app.metrics.registry,
+            Confirmation(self.clock, servers_follower),
         )
         self.app.stream_versions = self.stream_versions
         self.store.epoch.listeners.append(self.stream_versions.table_restored)
@@ -714,12 +725,7 @@
                 cold_s = server.cold_s if server is not None else None
                 log_event("server_listed", server=name, state=state, cold_s=cold_s)
         self.stream_versions.update_servers(
-            {
-                BackendId(name): ListedServer(
-                    item.pools, item.version, item.incarnation
-                )
-                for name, item in servers.items()
-            }
+            {BackendId(name): listed_server(item) for name, item in servers.items()}
         )
         self.servers_known = True
         self.driver.update_listed_backends(servers)
--- a/src/godwitmast/platform_api/feed.py
+++ b/src/godwitmast/platform_api/feed.py
@@ -1,5 +1,6 @@
 """The follower of an external table that has a change feed."""
 
+import math
 import random
 import traceback
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
@@ -32,6 +33,9 @@
 """First and longest backoff after a failed call, each with 50 % jitter. A
 change has to be in force within two seconds of the platform's recovery."""
 
+CONFIRM_CALLS = 3
+"""Calls that confirm a table; an answer is of no use if others were applied meanwhile."""
+
 RETURN_GRACE_S = 2.0
 """Within two seconds of the platform's recovery, servers that are up have rewritten their
 rows that expired during the outage."""
@@ -259,8 +263,14 @@
         gather_s: Callable[[], float] = lambda: 0.0,
         order: RowOrder = lambda key, content: None,
         lost_grace_s: float = RETURN_GRACE_S,
+        direct: Feed | None = None,
+        shared_age_s: float = 0.0,
     ) -> None:
         self.feed = feed
+        self.direct = direct or feed
+        """Answers from the table itself, where `feed` may answer from a relay's copy."""
+        self.shared_age_s = shared_age_s
+        """Greatest age of what is received without a call by this process."""
         self.clock = clock
         self.table = table
         self.listener = listener
@@ -271,6 +281,8 @@
         self.own_call = True
         self.rows_lapsed = anyio.Event()
         self.wait_scope: anyio.CancelScope | None = None
+        self.confirmed_at = -math.inf
+        """All changes up to this time are applied, by this process's clock."""
         self.background = BackgroundTasks(self.run, self.run_expiry)
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -289,37 +301,125 @@
             if self.pause_s > BACKOFF_S[0]:
                 log_event("feed_regained", table=self.table, version=self.view.version)
                 self.pause_s = BACKOFF_S[0]
-            if self.view.awaits_rows:
-                self.rows_lapsed.set()
             if changed:
-                self.notify_listener()
                 # Changes come in bursts. Without this pause every VM would make as
                 # many calls as there are changes.
                 await anyio.sleep(self.gather_s() if self.own_call else 0.0)
 
     async def fetch_changes(self) -> bool:
         """Make one call for the next changes; return whether anything changed."""
-        if self.view.version is None:
-            self.view.apply_snapshot(
-                await self.feed.snapshot(self.table), self.clock.now()
-            )
-            return True
+        version = self.view.version
+        began_at = self.clock.now()
+        if version is None:
+            snapshot = await self.feed.snapshot(self.table)
+            # Relays answer with what they were sent before.
+            return self.apply_snapshot(snapshot, began_at - self.shared_age_s)
         # After an outage the first call must not wait for changes: its answer marks
         # the end of the outage, and so separates rows that were removed during it from
         # those that are removed later.
         wait_s = self.wait_s if self.view.unreachable_since is None else 0.0
-        match await self.wait_for_changes(self.view.version, wait_s):
+        match await self.wait_for_changes(version, wait_s):
             case Changes() as changes:
                 self.own_call = not changes.shared
-                return self.view.apply_changes(changes, self.clock.now())
+                age_s = self.shared_age_s if changes.shared else 0.0
+                return self.apply_changes(version, changes, began_at - age_s)
             case HistoryLost():
-                log_event("feed_history_lost", table=self.table)
-                self.view.version = None
+                self.record_lost_history(version)
             case None:
                 log_event("feed_doubted", table=self.table)
                 self.view.record_failure(self.clock.now())
         return False
 
+    async def confirm(self) -> bool:
+        """Apply all changes up to now, by a call to the table itself that doesn't wait.
+
+        Return whether that succeeded. The loop's own call stays open: whichever of the
+        two is answered later is ignored if the other has applied changes meanwhile.
+        """
+        began_at = self.clock.now()
+        try:
+            for _ in range(CONFIRM_CALLS):
+                if await self.confirm_once(began_at):
+                    return True
+        except PlatformError as error:
+            log_event(
+                "feed_not_confirmed",
+                level="WARNING",
+                table=self.table,
+                error=str(error),
+            )
+        return False
+
+    async def confirm_once(self, began_at: float) -> bool:
+        version = self.view.version
+        if version is not None:
+            match await self.direct.changes(self.table, version, 0.0):
+                case Changes() as changes:
+                    self.confirm_changes(version, changes, began_at)
+                case HistoryLost():
+                    self.record_lost_history(version)
+        if self.view.version is None:
+            snapshot = await self.direct.snapshot(self.table)
+            self.apply_snapshot(snapshot, began_at)
+        return self.confirmed_at >= began_at
+
+    def confirm_changes(self, after: int, changes: Changes, began_at: float) -> None:
+        """Apply the answer to a call that confirms the table.
+
+        Without rows the version stays, so that the loop's open call is still used.
+        """
+        if changes.rows:
+            self.apply_changes(after, changes, began_at)
+        elif self.view.version == after:
+            self.view.record_answer(self.clock.now())
+            self.record_confirmed(began_at)
+        else:
+            self.record_discarded(changes.version, began_at)
+
+    def apply_changes(self, after: int, changes: Changes, as_of: float) -> bool:
+        """Apply the changes after a version, unless others were applied meanwhile.
+
+        Return whether anything changed. `as_of` is a time that the answer covers.
+        """
+        if self.view.version != after:
+            self.record_discarded(changes.version, as_of)
+            return False
+        changed = self.view.apply_changes(changes, self.clock.now())
+        self.record_applied(changed, as_of)
+        return changed
+
+    def apply_snapshot(self, snapshot: Snapshot, as_of: float) -> bool:
+        """Replace all rows by those of a snapshot, unless newer ones were applied."""
+        if self.view.version is not None and self.view.version >= snapshot.version:
+            self.record_confirmed(as_of)
+            return False
+        self.view.apply_snapshot(snapshot, self.clock.now())
+        self.record_applied(True, as_of)
+        return True
+
+    def record_applied(self, changed: bool, as_of: float) -> None:
+        """Notify the listener of a change, and record that all up to a time is applied."""
+        if self.view.awaits_rows:
+            self.rows_lapsed.set()
+        if changed:
+            self.notify_listener()
+        # The listener may ask up to when the rows of before were confirmed.
+        self.record_confirmed(as_of)
+
+    def record_discarded(self, version: int, as_of: float) -> None:
+        """Record an answer that came after others; these may cover it."""
+        if self.view.version is not None and self.view.version >= version:
+            self.record_confirmed(as_of)
+
+    def record_confirmed(self, as_of: float) -> None:
+        self.confirmed_at = max(self.confirmed_at, as_of)
+
+    def record_lost_history(self, after: int) -> None:
+        """Have all rows read again, unless changes were applied meanwhile."""
+        log_event("feed_history_lost", table=self.table)
+        if self.view.version == after:
+            self.view.version = None
+
     async def wait_for_changes(
         self, version: int, wait_s: float
     ) -> Changes | HistoryLost | None:
--- a/src/godwitmast/relay/feed.py
+++ b/src/godwitmast/relay/feed.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import anyio
 
@@ -26,6 +26,20 @@
     def store_now(self) -> float: ...
 
 
+class DirectFeed(NamedTuple):
+    """A `Feed` that asks the platform also while a relay's frames are fresh."""
+
+    shared: "SharedFeed"
+
+    async def snapshot(self, table: str) -> Snapshot:
+        return await self.shared.read_platform(table)
+
+    async def changes(
+        self, table: str, after: int, wait_s: float
+    ) -> Changes | HistoryLost:
+        return await self.shared.poll_platform(table, after, wait_s)
+
+
 class SharedFeed:
     """A `Feed` that is answered from a relay's frames as long as they are fresh.
 
@@ -41,6 +55,10 @@
         self.changed = anyio.Event()
         self.followers: Callable[[], int] = lambda: 0
 
+    @property
+    def direct(self) -> DirectFeed:
+        return DirectFeed(self)
+
     def copy_of(self, table: str) -> TableCopy:
         return self.copies.setdefault(table, TableCopy())
 
@@ -63,6 +81,11 @@
         # What a relay was sent before it became one may be what has no history now.
         if not self.serves_followers and self.fresh_left_s(copy) > 0:
             return copy.snapshot
+        return await self.read_platform(table)
+
+    async def read_platform(self, table: str) -> Snapshot:
+        """Return all rows from the platform itself."""
+        copy = self.copy_of(table)
         snapshot = await self.store.snapshot(table)
         if copy.apply_snapshot(snapshot):
             self.record_answer(copy)
