--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -148,10 +148,12 @@
         for replica in fleet.plain[1:]:
             fleet.store.remove_server(replica.server_id)
         await fleet.wait_until(lambda: len(fleet.node.driver.urls) == 3)
-        for _ in range(2):
-            assert (await fleet.request(http, "/peek/1")).status_code == 200
+        for attempt in ("a1", "a2"):
+            answer = await fleet.request(http, "/peek/1", Attempt_Id=attempt)
+            assert answer.status_code == 200
         fleet.plain[0].faults.wrong_id = True
-        assert (await fleet.request(http, "/pay/1", "POST")).status_code == 502
+        answer = await fleet.request(http, "/pay/1", "POST", Attempt_Id="a3")
+        assert answer.status_code == 502
     ended = fields_of(log_lines, "request_ended")
     assert [line["exchange"] for line in ended] == ["1", "2", "3"]
     assert len({line["connection"] for line in ended}) == 1
