Take-ups: versions that came and went unheard are counted

What callers saw: a newer version was listed and left again while a VM heard nothing. Streams that had begun on it were taken up at that VM, after the silence, and answered by the older version, for as long as callers tried.

Cause: the listener gets the rows as they are after an answer; a server whose row was written and removed within one answer is never listed, so its version never counts. If the store's history doesn't reach back (410), all rows are read again, and what came and went between is in no answer at all, but the pool's past still counted as known.

Change: the follower passes all rows of an answer to change_listeners before they are applied; versions in rows that others of the same answer replace or remove count as any listed version does. After a lost history gap_listeners are called, once the rows are read again: the past of all pools is unknown until the pools' rows (versions/) have been read after that. Other VMs wrote there which versions they listed.

Services of one version aren't refused for it: after a silence that outlasts the history 9 or more of 10 go on.

--- a/src/godwitmast/entry/pool_versions.py
+++ b/src/godwitmast/entry/pool_versions.py
@@ -85,6 +85,9 @@
         self.counted_until: dict[PoolName, dict[str, float]] = {}
         self.known_from: dict[PoolName, float] = {}
         """From when on the past of a pool is known, by this VM's clock."""
+        self.gaps = 0
+        self.gaps_covered = 0
+        """Gaps in what was heard of the servers, and those before the rows were read."""
         self.changed = anyio.Event()
         self.background = BackgroundTasks(self.run)
 
@@ -104,6 +107,16 @@
             self.changed.set()
         self.record_listed()
 
+    def record_replaced(self, pool: PoolName, version: str) -> None:
+        """Record a version whose row was replaced before it was listed here."""
+        until = self.clock.now() + MIXED_S
+        self.counted_until.setdefault(pool, {})[version] = until
+
+    def record_gap(self) -> None:
+        """Read the rows again, as versions may have come and gone unheard."""
+        self.gaps += 1
+        self.changed.set()
+
     def record_listed(self) -> None:
         """Extend the time for which the versions of listed servers count."""
         until = self.clock.now() + MIXED_S
@@ -121,6 +134,8 @@
 
     def is_known(self, pool: PoolName) -> bool:
         """Return whether no other version may have begun a pool's open streams."""
+        if self.gaps_covered < self.gaps:
+            return False
         return self.clock.now() >= self.known_from.get(pool, math.inf)
 
     def is_mixed(self, pool: PoolName) -> bool:
@@ -142,7 +157,7 @@
             await self.changed.wait()
             self.changed = anyio.Event()
             spread_s = min(MAX_SPREAD_S, SPREAD_PER_VM_S * self.vm_count())
-            if self.known_from:
+            if self.known_from and self.gaps_covered == self.gaps:
                 await anyio.sleep(random.uniform(0, spread_s))
             while not await self.synchronise():
                 await anyio.sleep(random.uniform(0.5, 1.5) * RETRY_S)
@@ -162,6 +177,7 @@
     async def learn_and_write(self) -> bool:
         """Return whether the rows held, or hold now, all that is known here."""
         listed = dict(self.listed)
+        gaps = self.gaps
         rows = await self.table.scan(POOL_PREFIX)
         others_ran = self.is_row_missing(rows, listed) and await self.others_ran()
         histories = {
@@ -169,6 +185,7 @@
             for pool, versions in listed.items()
             if (new := self.merge(pool, versions, rows, others_ran)) is not None
         }
+        self.gaps_covered = gaps
         return await self.write(rows, histories)
 
     def is_row_missing(
--- a/src/godwitmast/entry/stream_versions.py
+++ b/src/godwitmast/entry/stream_versions.py
@@ -12,6 +12,7 @@
 """
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -153,6 +154,14 @@
         self.pools.update({pool: frozenset(found) for pool, found in listed.items()})
         self.write_open(self.mixed_pools() - mixed_before)
 
+    def record_replaced(self, servers: Iterable[ListedServer]) -> None:
+        """Record what servers were before rows that arrived together with theirs."""
+        mixed_before = self.mixed_pools()
+        for server in servers:
+            for pool in server.pools:
+                self.pools.record_replaced(PoolName(pool), server.version)
+        self.write_open(self.mixed_pools() - mixed_before)
+
     @property
     def list_confirmed_at(self) -> float:
         """Return the time up to which the list has all changes."""
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -1,5 +1,6 @@
 """The process of one VM: entry and control duties, on the platform's ports."""
 
+from collections.abc import Sequence
 from functools import partial
 from pathlib import Path
 
@@ -50,6 +51,7 @@
     operator_row_order,
     read_config,
     read_evacuations,
+    read_server,
     read_servers,
     server_row_order,
 )
@@ -65,6 +67,7 @@
 from godwitmast.platform_api.confirmation import Confirmation
 from godwitmast.platform_api.epoch import may_lack_rows, number_of
 from godwitmast.platform_api.feed import OLDER_GRACE_S, FeedFollower, long_poll_s
+from godwitmast.platform_api.port import FeedRow
 from godwitmast.platform_api.runner import run_steps
 from godwitmast.platform_api.time_agreement import (
     CLOCK_KEY,
@@ -350,6 +353,8 @@
             self.app.metrics.registry,
             Confirmation(self.clock, servers_follower),
         )
+        servers_follower.change_listeners.append(self.record_replaced_servers)
+        servers_follower.gap_listeners.append(self.pool_versions.record_gap)
         self.app.stream_versions = self.stream_versions
         self.store.epoch.listeners.append(self.stream_versions.table_restored)
         epoch = self.store.epoch
@@ -730,6 +735,18 @@
         self.servers_known = True
         self.driver.update_listed_backends(servers)
 
+    def record_replaced_servers(self, rows: Sequence[FeedRow]) -> None:
+        """Record the servers of rows that others in the same answer replace or remove."""
+        last = {row.key: row.content for row in rows}
+        replaced = [
+            read_server(row.key, row.content)
+            for row in rows
+            if row.content is not None and row.content != last[row.key]
+        ]
+        self.stream_versions.record_replaced(
+            listed_server(server) for server in replaced if server is not None
+        )
+
     async def serve_caller(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve requests on the callers' address."""
         if scope["type"] != "http":
--- a/src/godwitmast/platform_api/feed.py
+++ b/src/godwitmast/platform_api/feed.py
@@ -283,6 +283,11 @@
         self.wait_scope: anyio.CancelScope | None = None
         self.confirmed_at = -math.inf
         """All changes up to this time are applied, by this process's clock."""
+        self.change_listeners: list[Callable[[Sequence[FeedRow]], None]] = []
+        """Get all changed rows, also those that changed again in the same answer."""
+        self.gap_listeners: list[Callable[[], None]] = []
+        """Called when changes were missed, as the table no longer had their history."""
+        self.has_gap = False
         self.background = BackgroundTasks(self.run, self.run_expiry)
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -384,6 +389,7 @@
         if self.view.version != after:
             self.record_discarded(changes.version, as_of)
             return False
+        self.pass_on(changes.rows)
         changed = self.view.apply_changes(changes, self.clock.now())
         self.record_applied(changed, as_of)
         return changed
@@ -393,7 +399,12 @@
         if self.view.version is not None and self.view.version >= snapshot.version:
             self.record_confirmed(as_of)
             return False
+        self.pass_on(snapshot.rows)
         self.view.apply_snapshot(snapshot, self.clock.now())
+        if self.has_gap:
+            self.has_gap = False
+            for listener in self.gap_listeners:
+                listener()
         self.record_applied(True, as_of)
         return True
 
@@ -419,6 +430,7 @@
         log_event("feed_history_lost", table=self.table)
         if self.view.version == after:
             self.view.version = None
+            self.has_gap = True
 
     async def wait_for_changes(
         self, version: int, wait_s: float
@@ -461,12 +473,23 @@
         try:
             self.listener(self.view.rows)
         except Exception as error:
-            log_event(
-                "feed_rows_not_applied",
-                level="ERROR",
-                table=self.table,
-                version=self.view.version,
-                rows=len(self.view.rows),
-                error=repr(error),
-                trace=traceback.format_exc(),
-            )
+            self.log_not_applied(error)
+
+    def pass_on(self, rows: Sequence[FeedRow]) -> None:
+        """Pass changed rows on, before they are applied."""
+        try:
+            for listener in self.change_listeners:
+                listener(rows)
+        except Exception as error:
+            self.log_not_applied(error)
+
+    def log_not_applied(self, error: Exception) -> None:
+        log_event(
+            "feed_rows_not_applied",
+            level="ERROR",
+            table=self.table,
+            version=self.view.version,
+            rows=len(self.view.rows),
+            error=repr(error),
+            trace="".join(traceback.format_exception(error)),
+        )
--- a/tests/test_vm_out_of_step.py
+++ b/tests/test_vm_out_of_step.py
@@ -193,8 +193,45 @@
     await fleet.release()
     attempts = await fleet.begin(http, fleet.url, "new")
     outcomes = await fleet.take_up(http, url_of(fleet.late), attempts)
-    assert outcomes[NEW] >= MOST
     assert not outcomes[OLD]
+    assert outcomes[NEW] >= MOST
+
+
+@pytest.mark.parametrize("history_lost", [False, True])
+async def test_version_that_came_and_went_in_a_silence_is_joined_with_no_other(
+    fleet: OutOfStepFleet, http: httpx.AsyncClient, history_lost: bool
+) -> None:
+    """Guards against versions that the list never showed, as they left again."""
+    fleet.store_front.be_silent(Silence.BOTH_WAYS)
+    await fleet.release()
+    attempts = await fleet.begin(http, fleet.url, "new")
+    for engine in fleet.engines[:2]:
+        engine.publish_row(READY)
+    for engine in fleet.engines[2:]:
+        fleet.store.remove_server(engine.server_id)
+    await fleet.wait_until(lambda: engines_of(fleet.node) == {"e1", "e2"})
+    await anyio.sleep(3.0)
+    if history_lost:
+        fleet.store.compact_history()
+    fleet.store_front.be_silent(None)
+    for _ in range(3):
+        outcomes = await fleet.take_up(http, url_of(fleet.late), attempts)
+        assert outcomes == {REFUSED: STREAMS}
+
+
+async def test_streams_go_on_after_a_silence_that_outlasts_the_history(
+    fleet: OutOfStepFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against a lost history that makes streams of one version unknown."""
+    fleet.store_front.be_silent(Silence.BOTH_WAYS)
+    await anyio.sleep(2.5)
+    fleet.engines[0].publish_row(READY)
+    fleet.store.compact_history()
+    fleet.store_front.be_silent(None)
+    attempts = await fleet.begin(http, fleet.url, "one")
+    await anyio.sleep(1.0)
+    outcomes = await fleet.take_up(http, url_of(fleet.late), attempts)
+    assert outcomes[OLD] >= MOST
 
 
 async def test_vm_whose_relay_hears_nothing_joins_no_versions(
