Streams of a server that starts again are in doubt since the list was confirmed

What callers saw: a server started again under its id with a newer version while a VM heard nothing. Streams that this VM began there in the silence counted as of the older version, and were taken up at another server of that one.

Cause: doubt_recent() reached back ROW_LAG_S from when the new start was heard of. During a silence the start may be older than that by the whole silence.

After: none goes on at the old version.

--- a/src/godwitmast/entry/stream_versions.py
+++ b/src/godwitmast/entry/stream_versions.py
@@ -179,8 +179,12 @@
                 self.changed.set()
 
     def doubt_recent(self, backend_id: BackendId) -> None:
-        """Make streams unknown that either of two starts of a server may have begun."""
-        oldest = self.clock.now() - ROW_LAG_S
+        """Make streams unknown that either of two starts of a server may have begun.
+
+        The server may have started again at any time since the list was confirmed.
+        """
+        now = self.clock.now()
+        oldest = min(now, self.list_confirmed_at) - ROW_LAG_S
         for key, stream in self.known.items():
             if stream.backend_id == backend_id and stream.began_at > oldest:
                 self.known[key] = stream._replace(version=UNKNOWN_VERSION)
--- a/tests/test_vm_out_of_step.py
+++ b/tests/test_vm_out_of_step.py
@@ -234,6 +234,27 @@
     assert outcomes[OLD] >= MOST
 
 
+async def test_server_that_starts_again_in_a_silence_makes_its_streams_unknown(
+    fleet: OutOfStepFleet, http: httpx.AsyncClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against streams of its successor that count as its own, as their VM heard
+    of the new start long after it."""
+    monkeypatch.setattr("godwitmast.entry.stream_versions.ROW_LAG_S", 0.2)
+    first, other = fleet.engines
+    fleet.store_front.be_silent(Silence.BOTH_WAYS)
+    first.version = NEW
+    first.publish_row(READY, born=7)
+    await fleet.begin(http, url_of(fleet.late), "s", 2 * STREAMS)
+    attempts = [request.headers["attempt-id"] for request in first.served]
+    assert attempts
+    await anyio.sleep(1.0)
+    fleet.store_front.be_silent(None)
+    listed = fleet.late.driver
+    await fleet.wait_until(lambda: listed.listed_backends["e1"].version == NEW)
+    outcomes = await fleet.take_up(http, url_of(fleet.late), attempts)
+    assert not outcomes[OLD]
+
+
 async def test_vm_whose_relay_hears_nothing_joins_no_versions(
     fleet: OutOfStepFleet, http: httpx.AsyncClient
 ) -> None:
