Take-ups: the list is confirmed also where the table knows the version

What callers saw: streams whose version the table told went on at a server that was of that version no more: it had started again under its id with a newer one, and the VM that took them up had not heard of it.

Cause: the version was bound rightly, but the servers of that version were chosen from a list of any age.

Change: each take-up of a stream that another VM began waits for the confirmed list, not only one that would be answered by "only". The calls are shared as before.

--- a/src/godwitmast/entry/stream_versions.py
+++ b/src/godwitmast/entry/stream_versions.py
@@ -257,13 +257,12 @@
         """Return the version of a stream that is known here, or to the table."""
         if key in self.known:
             return FoundVersion(self.known[key].version, "own")
-        if self.pools.only_version(pool) is not None:
-            if not await self.confirm_list(check):
-                return None
-            # A version that was heard of by that makes this one of several.
-            only = self.pools.only_version(pool)
-            if only is not None:
-                return FoundVersion(only, "only")
+        # The list tells of one version only, or at which servers a version goes on.
+        if not await self.confirm_list(check):
+            return None
+        only = self.pools.only_version(pool)
+        if only is not None:
+            return FoundVersion(only, "only")
         version = await self.read(key)
         return FoundVersion(version, "table") if version is not None else None
 
--- a/tests/test_vm_out_of_step.py
+++ b/tests/test_vm_out_of_step.py
@@ -255,6 +255,28 @@
     assert not outcomes[OLD]
 
 
+async def test_server_that_started_again_unheard_goes_on_with_no_older_stream(
+    fleet: OutOfStepFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against a version that is known, and servers that are not of it any more."""
+    first, other = fleet.engines
+    await fleet.add_engines(NEW, "e3")
+    await fleet.wait_until(lambda: all("e3" in engines_of(n) for n in fleet.nodes))
+    await fleet.begin(http, fleet.url, "s", 3 * STREAMS)
+    attempts = [request.headers["attempt-id"] for request in other.served]
+    assert attempts
+    await fleet.wait_until(lambda: not fleet.node.stream_versions.pending)
+    for follower in fleet.late.followers:
+        await follower.close()
+    first.version = NEW
+    first.publish_row(READY, born=7)
+    listed = fleet.node.driver
+    await fleet.wait_until(lambda: listed.listed_backends["e1"].version == NEW)
+    outcomes = await fleet.take_up(http, url_of(fleet.late), attempts)
+    assert not outcomes[NEW]
+    assert outcomes[OLD] >= 0.9 * len(attempts)
+
+
 async def test_vm_whose_relay_hears_nothing_joins_no_versions(
     fleet: OutOfStepFleet, http: httpx.AsyncClient
 ) -> None:
