Pools' rows: versions that a restore of the store lost are written again

What callers saw: a version came and went while a VM heard nothing, and the store was then restored from a backup of before. Streams of that version went on at the older one at that VM.

Cause: after a restore the other VMs wrote again which versions they list, not those that are gone but may have begun open streams. The VM read the pool's row and took the backup's content for the whole past.

Change: a VM adds to a pool's row the versions that count here and that the row lacks, with the time since which they are gone.

Not covered: a VM that is back before another one has written the row again (it does within about a second of hearing of the restore).

--- a/src/godwitmast/entry/pool_versions.py
+++ b/src/godwitmast/entry/pool_versions.py
@@ -229,7 +229,13 @@
             for version, gone_at in history.versions.items()
             if gone_at is None or now < gone_at + MIXED_S
         }
-        new = history._replace(versions=versions | dict.fromkeys(listed))
+        # After a restore, the row may lack versions that are gone but still count.
+        missing = {
+            version: now - (at + MIXED_S - until)
+            for version, until in counted.items()
+            if version not in history.versions and at < until
+        }
+        new = history._replace(versions=missing | versions | dict.fromkeys(listed))
         return None if new.versions == history.versions and stored else new
 
     async def write(
--- a/tests/test_vm_out_of_step.py
+++ b/tests/test_vm_out_of_step.py
@@ -277,6 +277,31 @@
     assert outcomes[OLD] >= 0.9 * len(attempts)
 
 
+async def test_version_that_a_restore_of_the_store_lost_is_joined_with_no_other(
+    fleet: OutOfStepFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against a pool's row from a backup, which lacks what came and went since."""
+    fleet.store.epoch = 1
+    fleet.engines[0].publish_row(READY, coldLeftMs=1)
+    await fleet.wait_until(lambda: all(n.store.epoch.known for n in fleet.nodes))
+    await anyio.sleep(1.0)
+    backup = fleet.store.backup()
+    fleet.store_front.be_silent(Silence.BOTH_WAYS)
+    await fleet.release()
+    attempts = await fleet.begin(http, fleet.url, "new")
+    for engine in fleet.engines[:2]:
+        engine.publish_row(READY)
+    for engine in fleet.engines[2:]:
+        fleet.store.remove_server(engine.server_id)
+    await fleet.wait_until(lambda: engines_of(fleet.node) == {"e1", "e2"})
+    fleet.store.restore(backup)
+    await anyio.sleep(3.0)
+    fleet.store_front.be_silent(None)
+    for _ in range(3):
+        outcomes = await fleet.take_up(http, url_of(fleet.late), attempts)
+        assert not outcomes[OLD]
+
+
 async def test_vm_whose_relay_hears_nothing_joins_no_versions(
     fleet: OutOfStepFleet, http: httpx.AsyncClient
 ) -> None:
