A malformed answer speaks against its connection before it does against its server

Callers of a service with a single server whose answers are followed by copies were refused as "not run" for seconds at a time, while the server lived and was idle.

FailureKind.MALFORMED counted as an error of the server's work. Three errors in a row eject a server, also the last one of its pool, own failures and malformed answers added up, and each further one of a request that was already in flight doubled the ejection.

Malformed answers have a count of their own, which any answer of the server to a request ends, also an error or the beginning of a stream. The third in a row ejects, but never the last server of a pool in rotation; a request sent before an ejection doesn't extend it. Other VMs hear of it only then; once one of them says so, a single malformed answer is enough on the others. Attempts, backoff and budgets of retries are unchanged.

--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -879,6 +879,13 @@
         if not state.health.is_in_rotation() or state.health.record_error():
             self.eject(state, Condition.DOWN, now)
 
+    def is_last_in_rotation(self, state: BackendState) -> bool:
+        """Return whether a pool of a server has no other one in rotation."""
+        return any(
+            all(member is state for member in cell.pool.members())
+            for cell in state.cells
+        )
+
     def record_refusal(self, backend_id: BackendId, now: float) -> None:
         """Record that a server refused to run a request: its limit is lower than
         assumed."""
--- a/src/godwitmast/dispatch/health.py
+++ b/src/godwitmast/dispatch/health.py
@@ -6,6 +6,9 @@
 left.
 
 - A refused or broken connection ejects at once, as there is nothing to average.
+- A malformed answer speaks against its connection, on which bytes may have been left
+  over. Three in a row, without an answer of the server's own in between, eject it too,
+  but not the last server of a pool in rotation.
 - Three errors in a row, or two slow windows or time-outs in a row, eject as well.
 - A server that is ejected as slow must be `SLOW_FACTOR` times slower than the pool's
   median, and no more than `MAX_SLOW_SHARE` of a pool is ejected as slow: if more are
@@ -16,6 +19,7 @@
   the half-open state of circuit breakers work alike.
 """
 
+import math
 import random
 from dataclasses import dataclass
 from enum import Enum
@@ -27,6 +31,7 @@
 HEALTHY_FACTOR = 2.5
 SLOW_TO_EJECT = 2
 ERRORS_TO_EJECT = 3
+MALFORMED_TO_EJECT = 3
 MAX_SLOW_SHARE = 0.34
 
 FIRST_EJECTION_S = {"down": 0.5, "slow": 5.0}
@@ -47,10 +52,12 @@
     """The ejection state of one server."""
 
     condition: Condition = Condition.IN
+    ejected_at: float = -math.inf
     ejected_until: float = 0.0
     ejection_count: int = 0
     consecutive_slow: int = 0
     consecutive_errors: int = 0
+    consecutive_malformed: int = 0
 
     def is_in_rotation(self) -> bool:
         return self.condition is Condition.IN
@@ -64,14 +71,19 @@
         seconds = min(MAX_EJECTION_S, first * 2.0**self.ejection_count)
         self.ejection_count = min(self.ejection_count + 1, 10)
         self.condition = condition
+        self.ejected_at = now
         self.ejected_until = now + seconds * rng.uniform(
             1 - JITTER_SHARE, 1 + JITTER_SHARE
         )
-        self.consecutive_slow = self.consecutive_errors = 0
+        self.reset_counts()
 
     def readmit(self) -> None:
         self.condition = Condition.IN
+        self.reset_counts()
+
+    def reset_counts(self) -> None:
         self.consecutive_slow = self.consecutive_errors = 0
+        self.consecutive_malformed = 0
 
     def record_slow(self) -> bool:
         """Count a slow window or a time-out; return whether the server is to be
@@ -81,11 +93,28 @@
 
     def record_error(self) -> bool:
         """Count an error; return whether the server is to be ejected."""
+        self.record_answer()
         self.consecutive_errors += 1
         return self.consecutive_errors >= ERRORS_TO_EJECT
 
+    def record_malformed(self, started_at: float) -> bool:
+        """Count a malformed answer to a request that was sent at `started_at`.
+
+        Return whether the server is to be ejected, or its ejection extended: requests
+        that were sent before that tell nothing new.
+        """
+        if not self.is_in_rotation():
+            return started_at > self.ejected_at
+        self.consecutive_malformed += 1
+        return self.consecutive_malformed >= MALFORMED_TO_EJECT
+
+    def record_answer(self) -> None:
+        """Record the server's own answer to a request, which may be an error."""
+        self.consecutive_malformed = 0
+
     def record_success(self) -> None:
         """Record a complete answer."""
+        self.record_answer()
         self.consecutive_errors = 0
         if self.condition is Condition.IN:
             self.ejection_count = max(0, self.ejection_count - 1)
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -378,8 +378,10 @@
                 self.shared_health.record_unreachable(active, now)
             case FailureKind.REFUSED:
                 self.backends.record_refusal(backend_id, now)
-            case FailureKind.ERROR | FailureKind.MALFORMED:
+            case FailureKind.ERROR:
                 self.shared_health.record_error(active, now)
+            case FailureKind.MALFORMED:
+                self.shared_health.record_malformed(active, now)
             case FailureKind.TIMEOUT:
                 if self.backends.record_timeout(backend_id, now):
                     return self.move_streams_off(
--- a/src/godwitmast/dispatch/shared_health.py
+++ b/src/godwitmast/dispatch/shared_health.py
@@ -57,6 +57,8 @@
 
     def record_answer(self, active: ActiveRequest, now: float) -> None:
         """Record that a server began its answer to a request."""
+        if active.backend_id in self.table.states:
+            self.table.states[active.backend_id].health.record_answer()
         if self.outliers.use == "off":
             return
         server = self.start_of(active)
@@ -85,19 +87,48 @@
         if self.outliers.use == "off" or server is None or state is None:
             self.table.record_error(active.backend_id, now)
             return
-        pool = active.request.pool
-        failed = Failed(
-            active.request.fingerprint,
-            active.started_at,
-            self.outliers.is_soon(pool, now - active.started_at),
-            active.failures > 0,
-        )
+        failed = self.failure_of(active, now)
         if not self.outliers.is_used(state.spec.pools):
             self.outliers.log.record_failure(server, failed, now)
             self.table.record_error(active.backend_id, now)
             return
         self.judge_error(state, server, failed, now)
 
+    def record_malformed(self, active: ActiveRequest, now: float) -> None:
+        """Record that what arrived was no answer to a request.
+
+        Other VMs hear of it only once it speaks against the server.
+        """
+        assert active.backend_id is not None, "only running attempts fail"
+        server = self.start_of(active)
+        state = self.table.states.get(active.backend_id)
+        if state is None or server is None:
+            return
+        speaks_against = state.health.record_malformed(active.started_at)
+        is_shared = self.outliers.is_used(state.spec.pools)
+        if is_shared and state.health.is_in_rotation():
+            speaks_against |= self.outliers.fails_elsewhere(server, now)
+        if not speaks_against or self.table.is_last_in_rotation(state):
+            return
+        if self.outliers.use != "off":
+            self.outliers.log.record_failure(server, self.failure_of(active, now), now)
+        if not is_shared:
+            self.table.eject(state, Condition.DOWN, now)
+            return
+        peers = self.peers_of(state)
+        if server in self.outliers.out or self.may_be_out(state, server, peers, now):
+            self.eject(state, server, now)
+
+    def failure_of(self, active: ActiveRequest, now: float) -> Failed:
+        """Return a failed attempt as the log of outcomes counts it."""
+        waited_s = now - active.started_at
+        return Failed(
+            active.request.fingerprint,
+            active.started_at,
+            self.outliers.is_soon(active.request.pool, waited_s),
+            active.failures > 0,
+        )
+
     def judge_error(
         self, state: BackendState, server: Start, failed: Failed, now: float
     ) -> None:
--- a/src/godwitmast/outliers/sharing.py
+++ b/src/godwitmast/outliers/sharing.py
@@ -186,6 +186,11 @@
         known = self.view.outcomes_of(*server, now)
         return known is not None and known.vms_failing >= MIN_VMS_FOR_ALL
 
+    def fails_elsewhere(self, server: Start, now: float) -> bool:
+        """Return whether some VM saw a server fail, without a later success here."""
+        known = self.known(server, self.log.servers.get(server), now)
+        return known is not None and known.vms_failing > 0
+
     def known(
         self, server: Start, log: ServerLog | None, now: float
     ) -> FleetOutcomes | None:
--- a/tests/failing_engines.py
+++ b/tests/failing_engines.py
@@ -128,6 +128,10 @@
         super().__init__(seed)
         self.percent: int | None = 100
         self.failing_vms: set[int] = set()
+        self.failure = FailureKind.ERROR
+        """How requests fail at engines that fail."""
+        self.failing_share: dict[BackendId, float] = {}
+        """Share of requests that fail at an engine that answers the others."""
         """VMs whose requests fail on each engine."""
         self.calls: list[Call] = []
         self.open: dict[tuple[int, RequestId], Call] = {}
@@ -262,10 +266,14 @@
         engine.sent += 1
         if engine.lost:
             self.schedule(LINK_S, self.fail, vm, start, FailureKind.CONNECT)
-        elif engine.fails or vm.number in self.failing_vms:
+        elif (
+            engine.fails
+            or vm.number in self.failing_vms
+            or self.fails_by_chance(start.backend_id)
+        ):
             engine.errors += 1
             wait_s = ERROR_S + LINK_S
-            self.schedule(wait_s, self.fail, vm, start, FailureKind.ERROR)
+            self.schedule(wait_s, self.fail, vm, start, self.failure)
         elif call.is_bad:
             wait_s = self.first_s(engine, call.kind)
             self.schedule(wait_s, self.fail, vm, start, FailureKind.ERROR)
@@ -274,6 +282,10 @@
             wait_s = self.first_s(engine, call.kind)
             self.schedule(wait_s, self.write, vm, start, engine, call.kind.events)
 
+    def fails_by_chance(self, backend_id: BackendId) -> bool:
+        share = self.failing_share.get(backend_id)
+        return share is not None and self.random.random() < share
+
     def first_s(self, engine: Engine, kind: Kind) -> float:
         """Return the time to a first token, longer the more the engine runs."""
         return kind.first_s * (1 + len(engine.running) / 16) + LINK_S
--- a/tests/test_extra_bytes.py
+++ b/tests/test_extra_bytes.py
@@ -15,6 +15,7 @@
 from godwitmast.platform.wire import ATTEMPT_ID
 from godwitmast.standins.extra import ExtraFront, ExtraTime
 from godwitmast.standins.replica import SEAL_HEADER, ReplicaStandin
+from godwitmast.types import BackendId
 from running import running
 
 pytestmark = pytest.mark.anyio
@@ -48,12 +49,14 @@
     """A replica whose answers repeat their status and id, and of which some fail."""
 
     runs: Counter[str] = field(default_factory=Counter)
+    fails: bool = True
 
     async def answer(self, headers: dict[str, str], send: Send) -> None:
         attempt = headers[ATTEMPT_ID]
         self.runs[attempt] += 1
         await anyio.sleep(0.002)
-        status = 500 if sum(self.runs.values()) % FAILING == 0 else 200
+        is_failure = self.fails and sum(self.runs.values()) % FAILING == 0
+        status = 500 if is_failure else 200
         fields = [(ATTEMPT_ID.encode(), attempt.encode()), (SEAL_HEADER, b"x")]
         await send_response(send, status, fields, f"{status} {attempt}".encode())
 
@@ -69,13 +72,19 @@
         for replica in self.plain:
             await replica.server.start(tasks)
 
-    async def add_fronts(self, extra: bytes, at: ExtraTime, every: int) -> None:
-        for replica in self.plain:
+    async def add_fronts(
+        self, extra: bytes, at: ExtraTime, every: int, servers: int = 2
+    ) -> None:
+        for replica in self.plain[:servers]:
             front = ExtraFront(replica.server.port, extra, at, every)
             await front.start(self.tasks)
             self.fronts.append(front)
             replica.port = front.port
             replica.publish_row("ready")
+        removed = {BackendId(replica.server_id) for replica in self.plain[servers:]}
+        for name in removed:
+            self.store.remove_server(name)
+        await self.wait_until(lambda: not removed & self.node.driver.urls.keys())
         ports = {front.port for front in self.fronts}
         await self.wait_until(lambda: ports <= self.known_ports())
 
@@ -149,6 +158,20 @@
     assert fleet.node.driver.count_suspects() == 0
 
 
+@pytest.mark.parametrize("path", ["/pay/1", "/peek/1"])
+async def test_only_server_that_sends_extra_bytes_goes_on_getting_requests(
+    fleet: ExtraFleet, path: str
+) -> None:
+    """Guards against requests that wait or are refused while their server is idle."""
+    fleet.plain[0].fails = False
+    await fleet.add_fronts(EXTRA["second answer"], ExtraTime.NEXT, 1, servers=1)
+    answers = await fleet.call_often(path)
+    [front] = fleet.fronts
+    assert front.added > 0
+    # The others ran, even if their answers did not arrive.
+    assert not any(answer.status_code == 503 for answer in answers.values())
+
+
 @pytest.mark.parametrize("path", ["/pay/1", "/peek/1"])
 async def test_connections_of_sound_servers_are_used_again(
     fleet: ExtraFleet, path: str
