Late second answers to earlier requests are dropped, and the awaited one is read

What callers saw: a server that answers twice cost them every other request. The late answer stood where that of the next request was expected; its id told that it was another's, and the request failed as malformed: a payment with 502, outcome unknown, though the server's answer to it followed.

Change: below the parser, LateAnswerFilter drops a whole answer whose id is that of an earlier request on the connection, and reads on. The id is read from the request's own head as it is written, so that two requests that the pool assigns to one connection can't be confused.

Why it is safe: what follows a dropped answer is judged by its id as before, and no connection carries an id twice. A late answer that was broken off in its body swallows the head of the next one, whose id is then found in the body: malformed.

--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -91,6 +91,10 @@
 class BackendHeaderParser(Protocol):
     """Parses what backend servers report in response headers."""
 
+    @property
+    def id_header(self) -> str:
+        """Return the header by which an answer names its request, or none."""
+
     def reports_not_run(self, answer: httpx.Response) -> bool:
         """Return whether the server reported that it did not run the request, and will
         not."""
@@ -102,6 +106,8 @@
 class EngineHeaderParser:
     """Parses the response headers of this project's own backend server interface."""
 
+    id_header = ""
+
     def reports_not_run(self, answer: httpx.Response) -> bool:
         return NOT_RUN_HEADER in answer.headers
 
@@ -136,6 +142,7 @@
             httpx.Limits(max_connections=None, max_keepalive_connections=512),
             tls or httpx.create_ssl_context(trust_env=False),
             socket_options,
+            self.header_parser.id_header,
         )
         self.drop_listeners = self.transport.network.drop_listeners
         self.http = httpx.AsyncClient(
--- a/src/godwitmast/backends/transport.py
+++ b/src/godwitmast/backends/transport.py
@@ -25,6 +25,7 @@
     DropReason,
 )
 from godwitmast.backends.framing import Framing, framing_of
+from godwitmast.backends.late_answers import LateAnswerFilter, expected_id
 from godwitmast.logs import log_event
 
 SocketOptions: TypeAlias = Iterable[tuple[int, int, int]]
@@ -107,7 +108,8 @@
     """A connection that counts the bytes read before the final head of an answer.
 
     Bytes that arrive between two exchanges belong to neither: the next request is not
-    sent on such a connection.
+    sent on such a connection. Whole answers to earlier requests that arrive after it was
+    sent are dropped.
     """
 
     def __init__(
@@ -130,6 +132,12 @@
         self.socket: Any = None
         self.poll: select.poll | None = None
         self.holds_decrypted_bytes = False
+        self.late_answers: LateAnswerFilter | None = None
+        """Passes on the bytes of the exchange; None if there can't be a late answer."""
+        self.sent_ids: bytes | bytearray = b""
+        """Hashes of the ids of earlier requests, as `ReusableConnection` keeps them."""
+        self.may_tell_length = True
+        """Whether the head of a late answer tells its length, as to a HEAD it doesn't."""
 
     @property
     def use(self) -> ConnectionUse:
@@ -143,6 +151,13 @@
             if not data and not self.may_end:
                 raise httpcore.ReadError("the connection ended within the body")
             return data
+        passed_on = b""
+        while not passed_on:
+            data = await self.read_head(max_bytes, timeout)
+            passed_on = self.without_late_answers(data)
+        return passed_on
+
+    async def read_head(self, max_bytes: int, timeout: float | None) -> bytes:
         # All bytes so far belong to the head, as more of it is needed.
         check_length(AnswerPart.HEAD, self.network.head_bytes, self.received)
         data = await self.stream.read(min(max_bytes, HEAD_READ_BYTES), timeout)
@@ -152,6 +167,26 @@
         self.received += len(data)
         return data
 
+    def without_late_answers(self, data: bytes) -> bytes:
+        """Return the received bytes that are no part of a late answer."""
+        late = self.late_answers
+        if late is None:
+            return data
+        dropped, dropped_bytes = late.dropped, late.dropped_bytes
+        passed_on = late.feed(data)
+        self.received -= late.dropped_bytes - dropped_bytes
+        if late.dropped > dropped:
+            log_event(
+                "late_answers_dropped",
+                level="WARNING",
+                server=self.server,
+                connection=self.number,
+                exchange=self.exchanges,
+                answers=late.dropped,
+                bytes=late.dropped_bytes,
+            )
+        return passed_on
+
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write a part of a request, whose answer is read only after all of it.
 
@@ -161,12 +196,27 @@
             if self.exchanges and self.is_readable():
                 self.report_unread()
                 raise httpcore.ConnectionNotAvailable
-            self.exchanges += 1
+            self.begin_exchange(buffer)
         self.awaits_head = True
         self.may_end = False
         self.received = 0
         await self.stream.write(buffer, timeout)
 
+    def begin_exchange(self, request_head: bytes) -> None:
+        self.exchanges += 1
+        self.late_answers = None
+        header = self.network.id_header
+        if header and self.exchanges > 1 and self.may_tell_length:
+            expected = expected_id(header, request_head)
+            if expected is not None:
+                self.late_answers = LateAnswerFilter(expected, self.was_sent)
+        if request_head.startswith(b"HEAD "):
+            self.may_tell_length = False
+
+    def was_sent(self, answer_id: bytes) -> bool:
+        """Return whether an earlier request was sent that has this id."""
+        return id_digest(answer_id.decode("latin-1")) in self.sent_ids
+
     async def aclose(self) -> None:
         await self.stream.aclose()
 
@@ -231,6 +281,10 @@
         return True
 
 
+def id_digest(answer_id: str) -> bytes:
+    return hash(answer_id).to_bytes(HASH_BYTES, "little", signed=True)
+
+
 def is_at_end(descriptor: int) -> bool:
     """Return whether a readable socket holds the end of its connection and no bytes."""
     try:
@@ -241,10 +295,14 @@
 
 
 class HeadCountingNetwork(httpcore.AsyncNetworkBackend):
-    """Opens connections that allow `head_bytes` for the head of an answer."""
+    """Opens connections that allow `head_bytes` for the head of an answer.
+
+    `id_header` is the header by which an answer names its request; empty without one.
+    """
 
-    def __init__(self, head_bytes: int) -> None:
+    def __init__(self, head_bytes: int, id_header: str = "") -> None:
         self.head_bytes = head_bytes
+        self.id_header = id_header.encode()
         self.numbers = count(1)
         self.drop_listeners: list[Callable[[DroppedConnection], None]] = []
         self.backend: httpcore.AsyncNetworkBackend = httpcore.AnyIOBackend()
@@ -305,13 +363,15 @@
     ) -> httpcore.Response:
         """Send a request; the pool takes another connection for one that was carried."""
         answer_id = request.extensions.get(ANSWER_ID, "")
-        digest = hash(answer_id).to_bytes(HASH_BYTES, "little", signed=True)
+        digest = id_digest(answer_id)
         if answer_id and digest in self.answer_ids:
             self.is_retired = True
             raise httpcore.ConnectionNotAvailable
         request.extensions[CONNECTION] = self
         answer = await super().handle_async_request(request)
         self.answer_ids += digest
+        if self.network_stream is not None:
+            self.network_stream.sent_ids = self.answer_ids
         self.is_retired |= len(self.answer_ids) >= MAX_EXCHANGES * HASH_BYTES
         return answer
 
@@ -400,8 +460,9 @@
         limits: httpx.Limits,
         tls: ssl.SSLContext,
         socket_options: SocketOptions = (),
+        id_header: str = "",
     ) -> None:
-        self.network = HeadCountingNetwork(head_bytes)
+        self.network = HeadCountingNetwork(head_bytes, id_header)
         self.pool = ConnectionPool(
             ssl_context=tls,
             max_connections=limits.max_connections,
--- a/src/godwitmast/entry/forwarding.py
+++ b/src/godwitmast/entry/forwarding.py
@@ -49,6 +49,8 @@
 class PeerHeaderParser:
     """Parses the response headers of other VMs."""
 
+    id_header = ""
+
     def reports_not_run(self, answer: httpx.Response) -> bool:
         return answer.status_code == MISDIRECTED
 
--- a/src/godwitmast/platform/frontend.py
+++ b/src/godwitmast/platform/frontend.py
@@ -184,6 +184,8 @@
 class ReplicaHeaderParser:
     """Parser for the response headers of the platform's backend servers."""
 
+    id_header = ATTEMPT_ID
+
     def reports_not_run(self, answer: httpx.Response) -> bool:
         """Return whether the server did not run the request, and never will.
 
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -54,6 +54,7 @@
     """A replica whose answers name their run, and of which some are failures."""
 
     seed: int = 0
+    statuses: tuple[int, ...] = STATUSES
     runs: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
     """The status of each run, by the send that it belongs to."""
 
@@ -63,7 +64,7 @@
 
     async def answer(self, headers: dict[str, str], send: Send) -> None:
         attempt, send_id = headers[ATTEMPT_ID], headers[SEND_ID]
-        status = self.random.choice(STATUSES)
+        status = self.random.choice(self.statuses)
         runs = self.runs[send_id]
         runs.append(status)
         text = f"{self.server_id} {send_id} {len(runs)}"
@@ -215,6 +216,25 @@
     assert any("server-seal" in answer.headers for _, answer in called)
 
 
+@pytest.mark.parametrize("path", ["/peek/1", "/pay/1", "/chat/1"])
+@pytest.mark.parametrize("pieces, ahead_s", [(1, 0.0), (3, 0.03)])
+async def test_late_answers_to_other_requests_lose_no_request(
+    fleet: LateFleet, pieces: int, ahead_s: float, path: str
+) -> None:
+    """Guards against payments of unknown outcome for a late answer to another one."""
+    await fleet.put_behind_fronts(len, pieces, ahead_s, servers=1)
+    for replica in fleet.mixed:
+        # Its own failures would take a server out of rotation.
+        replica.statuses = (200,)
+    called = await call_again(fleet, path, sends=1)
+    assert_own_answers(fleet, called, path)
+    assert all("server-seal" in answer.headers for _, answer in called)
+    assert sum(front.added for front in fleet.fronts) > REQUESTS
+    # One for each caller, and one for each repeated send.
+    repeated = sum(len(runs) - 1 for r in fleet.mixed for runs in r.runs.values())
+    assert sum(front.connections for front in fleet.fronts) <= CALLERS + repeated
+
+
 @pytest.mark.parametrize("cut", ["status line", "reason", "value"])
 async def test_part_of_a_late_answer_is_not_joined_with_the_next_one(
     fleet: LateFleet, cut: str
