Tests: copies of an earlier answer, cut, before the next one on its connection

The likely cause of the record's successes where a server failed, and of streams that end as complete without a piece: on the head of a copy that is cut within its reason or within a value before the id is joined with the head of the next answer, whose id and body then stand under the copy's status. A 500 without a body becomes a stream of status 200 that is complete and has no event.

The stand-in's front can make its bytes from the answer that they follow.

--- a/src/godwitmast/standins/extra.py
+++ b/src/godwitmast/standins/extra.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from enum import Enum
+from typing import TypeAlias
 
 import anyio
 import h11
@@ -13,6 +14,9 @@
 PIECE_S = 0.002
 """Pause after each piece of an answer that is repeated."""
 
+Extra: TypeAlias = bytes | Callable[[bytes], bytes]
+"""Bytes that are added, or what makes them from the answer that they follow."""
+
 ENDS = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -37,7 +41,7 @@
     """Passes requests and answers on, and adds bytes after every `every`-th answer."""
 
     def __init__(
-        self, server_port: int, extra: bytes, at: ExtraTime, every: int = 2
+        self, server_port: int, extra: Extra, at: ExtraTime, every: int = 2
     ) -> None:
         self.server_port = server_port
         self.extra = extra
@@ -68,9 +72,9 @@
         """Pass on one request, of which the first bytes have arrived, and its answer."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.relay_request, caller, server, request)
-            last = await self.relay_answer(caller, server)
+            answer, last = await self.relay_answer(caller, server)
             tasks.cancel_scope.cancel()
-        await self.end_answer(caller, server, last)
+        await self.end_answer(caller, server, answer, last)
 
     async def relay_request(
         self, caller: SocketStream, server: SocketStream, data: bytes
@@ -80,31 +84,34 @@
             data = await receive(caller)
         await server.aclose()
 
-    async def relay_answer(self, caller: SocketStream, server: SocketStream) -> bytes:
-        """Pass on an answer but for its last bytes, which are returned."""
+    async def relay_answer(
+        self, caller: SocketStream, server: SocketStream
+    ) -> tuple[bytes, bytes]:
+        """Pass on an answer but for its last bytes; return all of it, and these."""
         parser = h11.Connection(h11.CLIENT)
         # The parser accepts an answer only after a request.
         parser.send(h11.Request(method="POST", target="/", headers=[("host", "front")]))
         parser.send(h11.EndOfMessage())
-        data = b""
+        answer = data = b""
         while not isinstance(event := parser.next_event(), h11.EndOfMessage):
             if event is h11.NEED_DATA:
                 await self.send_part(caller, data)
                 data = await server.receive(READ_BYTES)
                 parser.receive_data(data)
-        return data
+                answer += data
+        return answer, data
 
     async def send_part(self, caller: SocketStream, data: bytes) -> None:
         """Send bytes of an answer."""
         await caller.send(data)
 
     async def end_answer(
-        self, caller: SocketStream, server: SocketStream, data: bytes
+        self, caller: SocketStream, server: SocketStream, answer: bytes, data: bytes
     ) -> None:
         """Send the last bytes of an answer, and the bytes that follow it if any do."""
         self.answers += 1
         is_due = self.every > 0 and self.answers % self.every == 0
-        extra = self.extra if is_due else b""
+        extra = self.make_extra(answer) if is_due else b""
         self.added += is_due
         match self.at:
             case ExtraTime.TOGETHER:
@@ -118,6 +125,9 @@
                 if extra:
                     await self.send_before_next(caller, server, extra)
 
+    def make_extra(self, answer: bytes) -> bytes:
+        return self.extra if isinstance(self.extra, bytes) else self.extra(answer)
+
     async def send_before_next(
         self, caller: SocketStream, server: SocketStream, extra: bytes
     ) -> None:
