Transport: look up a connection's socket only once it is dropped

The pool asks each idle connection twice a request whether it has expired; the stream below the parser is needed only for the report of one that has.

--- a/src/godwitmast/backends/transport.py
+++ b/src/godwitmast/backends/transport.py
@@ -386,23 +386,26 @@
         return stream if isinstance(stream, HeadCountingStream) else None
 
     def has_expired(self) -> bool:
+        reason: DropReason | None = None
+        if not super().has_expired():
+            if not self.is_idle():
+                return False
+            reason = self.drop_reason()
+            if reason is None:
+                return False
         stream = self.network_stream
-        if super().has_expired():
-            if stream is not None:
-                stream.report_unread()
-            return True
-        if not self.is_idle():
-            return False
-        if self.has_unread_bytes():
-            reason = DropReason.PARSER
-        elif self.is_retired:
-            reason = DropReason.RETIRED
-        else:
-            return False
-        if stream is not None:
+        if stream is not None and reason is None:
+            stream.report_unread()
+        elif stream is not None and reason is not None:
             stream.network.report_drop(stream, reason)
         return True
 
+    def drop_reason(self) -> DropReason | None:
+        """Return why this connection is not used again, whatever its socket holds."""
+        if self.has_unread_bytes():
+            return DropReason.PARSER
+        return DropReason.RETIRED if self.is_retired else None
+
     def has_unread_bytes(self) -> bool:
         """Return whether the parser holds bytes that are no part of the last answer."""
         connection = self._connection
