Numbers in the router's own rows are bounded

What callers would see: VMs end one after the other, and again at each start: each that contends for the lease, holds it or agrees on the time.

Cause: the shapes of own rows took integers of any size. JSON has some of 400 digits, and a product or a difference of one and a float raises OverflowError: the count of VMs in a heartbeat (LeaseMachine.is_candidate), the time of a proposed clock difference (AgreedClock.age_of), the last frozen window (freeze_next), the window of a run (is_silent). The object of a window was read as given: other JSON raised ValidationError, and a window without length would divide by 0. A run's row under another run's key could neither be sealed nor removed, so that no window was ever frozen.

Change: godwitmast.bounds has the bounded numbers, the shapes use them; such a row is unreadable, as one of another type is. A window's object is decoded by the one decoder, and one that isn't valid is no answer. The key of a run's row must be that of its run.

--- a/src/godwitmast/platform/own_rows.py
+++ b/src/godwitmast/platform/own_rows.py
@@ -2,11 +2,26 @@
 
 from typing import Any, NotRequired, TypedDict
 
+from godwitmast.bounds import (
+    ClockSeconds,
+    Fence,
+    Name,
+    Sum,
+    UnixSeconds,
+    VmCount,
+    WholeNumber,
+)
 from godwitmast.decoding import decode_json
 from godwitmast.errors import Undecodable
 from godwitmast.platform_api.time_agreement import CLOCK_KEY
 from godwitmast.types import Json
-from godwitmast.usage.rows import HEAD_KEY, NODE_PREFIX, REPORTED_KEY, WINDOW_PREFIX
+from godwitmast.usage.rows import (
+    HEAD_KEY,
+    NODE_PREFIX,
+    REPORTED_KEY,
+    WINDOW_PREFIX,
+    node_key,
+)
 
 LEASE_PREFIX = "lease/"
 BEAT_SUFFIX = "/beat"
@@ -16,36 +31,37 @@
     """The row of a lease; other fields have a default where they are not valid."""
 
     holder: str
-    fence: int
-    epoch: NotRequired[int]
+    fence: Fence
+    epoch: NotRequired[WholeNumber]
 
 
 class BeatFields(TypedDict):
     """The row of a lease's heartbeat."""
 
-    fence: int
-    beat: int
-    crowd: NotRequired[int]
+    fence: Fence
+    beat: WholeNumber
+    crowd: NotRequired[VmCount]
 
 
 class ClockFields(TypedDict):
-    difference_s: float
+    difference_s: ClockSeconds
+    proposed_s: NotRequired[ClockSeconds]
 
 
 class UsageHeadFields(TypedDict):
-    frozen: int
-    marks: dict[str, int]
-    epoch: NotRequired[int | None]
+    frozen: UnixSeconds
+    marks: dict[str, UnixSeconds]
+    epoch: NotRequired[WholeNumber | None]
 
 
 class ReportedFields(TypedDict):
-    start: int
+    start: UnixSeconds
     digest: str
     settled: NotRequired[bool]
 
 
 class WindowFields(TypedDict):
-    object: str
+    object: Name
     digest: str
 
 
@@ -55,14 +71,14 @@
     node: str
     zone: str
     incarnation: str
-    sequence: int
-    config: int
-    window: int
-    segments: dict[int, list[tuple[str, str, str, int, int, int]]]
+    sequence: WholeNumber
+    config: WholeNumber
+    window: UnixSeconds
+    segments: dict[UnixSeconds, list[tuple[str, str, str, Sum, Sum, Sum]]]
     load: dict[str, Any]
     ended: NotRequired[bool]
     sealed: NotRequired[bool]
-    collected: NotRequired[int]
+    collected: NotRequired[UnixSeconds]
 
 
 READ_WHOLE = (NodeFields, UsageHeadFields)
@@ -97,4 +113,7 @@
         decode_json(content, shape)
     if shape in READ_WHOLE and value.keys() - shape.__annotations__.keys():
         raise Undecodable(f"unknown fields, of {sorted(value)!r:.200}")
+    if shape is NodeFields and key != node_key(value["incarnation"]):
+        # It could neither be sealed nor removed, and would hold all usage back.
+        raise Undecodable(f"row of another run, {value['incarnation']!r:.200}")
     return value
--- a/src/godwitmast/usage/rows.py
+++ b/src/godwitmast/usage/rows.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from godwitmast.bounds import Sum, UnixSeconds
+from godwitmast.decoding import decode_json
+from godwitmast.errors import Undecodable
 from godwitmast.types import Json
 from godwitmast.usage.meter import Sums, UsageKey, UsageSum
 
@@ -112,5 +115,18 @@
     return msgspec.json.encode(window)
 
 
+class StoredWindow(NamedTuple):
+    """A `FrozenWindow` as its object has it."""
+
+    start: UnixSeconds
+    end: UnixSeconds
+    figures: list[tuple[str, str, str, Sum, Sum, Sum]]
+    late: list[tuple[str, str, str, Sum, Sum, Sum]]
+
+
 def decode_window(content: bytes) -> FrozenWindow:
-    return msgspec.json.decode(content, type=FrozenWindow)
+    """Return the window in an object; raise Undecodable if it is not valid."""
+    stored = decode_json(content, StoredWindow)
+    if stored.end <= stored.start:
+        raise Undecodable(f"a window from {stored.start} to {stored.end}")
+    return decode_json(content, FrozenWindow)
--- a/src/godwitmast/usage/windows.py
+++ b/src/godwitmast/usage/windows.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from godwitmast.errors import Undecodable
 from godwitmast.platform_api.epoch import epoch_of
 from godwitmast.platform_api.messages import Conflict, Written
 from godwitmast.platform_api.steps import (
@@ -352,9 +353,13 @@
     content = yield GetObject(row["object"])
     if not isinstance(content, ObjectRead) or content.content is None:
         return Failure.NOT_DONE
+    try:
+        window = decode_window(content.content)
+    except Undecodable:
+        return Failure.NOT_DONE
     # A holder of a version before this field may have left a report.
     settled = reported is None or reported.get("settled") is True
-    return DueReport(decode_window(content.content), row["digest"], version, settled)
+    return DueReport(window, row["digest"], version, settled)
 
 
 def mark_reported(
