Windows held back after a restore are listed in bounded memory

What callers would see: the VM that holds the duties runs out of memory after a restore of the table, and the next holder after it.

Cause: restore_windows listed every window since the last frozen one of the row, which may be of any age: 178 million from 1970 at ten seconds each.

Evidence: a row with frozen 0, on: MemoryError at a limit of 2 GB.

Change: the latest 100 are counted and logged.

--- a/src/godwitmast/usage/ledger.py
+++ b/src/godwitmast/usage/ledger.py
@@ -41,6 +41,9 @@
 
 MIN_KEPT_WINDOWS = 2
 
+MAX_HELD_BACK = 100
+"""Latest windows that are counted and logged as held back after a restore."""
+
 
 class KnownWindow(NamedTuple):
     """A frozen window, and the digest of its object."""
@@ -133,7 +136,9 @@
     if not isinstance(result, Written):
         return None
     first = (frozen if value is None else stored.frozen) + width
-    held_back = [at for at in range(first, frozen + width, width) if at not in lost]
+    # The row may be of any age: a list of all windows since then may fill the memory.
+    latest = range(first, frozen + width, width)[-MAX_HELD_BACK:]
+    held_back = [at for at in latest if at not in lost]
     return RestoredWindows(stored.frozen, frozen, sorted(lost), held_back)
 
 
