Open requests in another VM's row are read with their type

What callers would see: where servers may be ordered, the VM that holds the duties ends, and the next one after it.

Cause: sum_open_requests took the value of another writer's row as given. Change: a report that isn't valid is none.

--- a/src/godwitmast/capacity/zonal_duty.py
+++ b/src/godwitmast/capacity/zonal_duty.py
@@ -7,6 +7,7 @@
 import anyio
 from prometheus_client import CollectorRegistry, Counter
 
+from godwitmast.bounds import RequestCount
 from godwitmast.capacity.demand import OPEN_REQUESTS_KEY
 from godwitmast.capacity.messages import OrderOutcome
 from godwitmast.capacity.zonal import (
@@ -17,7 +18,8 @@
 )
 from godwitmast.clock import Clock
 from godwitmast.config.document import Backend
-from godwitmast.errors import PlatformError, PlatformOutcomeUnknown
+from godwitmast.decoding import convert
+from godwitmast.errors import PlatformError, PlatformOutcomeUnknown, Undecodable
 from godwitmast.lease.calls import DutyCall
 from godwitmast.lease.machine import Guard
 from godwitmast.logs import log_event
@@ -45,8 +47,18 @@
     loads: Iterable[Mapping[str, Any]], pool: PoolName
 ) -> float | None:
     """Return a pool's open requests over all entries; None if no entry reported any."""
-    reports = [load[OPEN_REQUESTS_KEY] for load in loads if OPEN_REQUESTS_KEY in load]
-    return sum(row.get(pool, 0) for row in reports) if reports else None
+    reports = [
+        report for load in loads if (report := read_open_requests(load)) is not None
+    ]
+    return sum(report.get(pool, 0) for report in reports) if reports else None
+
+
+def read_open_requests(load: Mapping[str, Any]) -> dict[str, int] | None:
+    """Return an entry's open requests by pool, None if it reported none that are valid."""
+    try:
+        return convert(load.get(OPEN_REQUESTS_KEY), dict[str, RequestCount])
+    except Undecodable:
+        return None
 
 
 @dataclass
