A VM whose row has an odd address is no peer

What callers would see: a VM that reaches no server ends, as it asks a peer at an address like '[::1' or one of 70,000 characters.

Cause: read_peer took any text, and httpx raises InvalidURL, which is none of the errors of its connections. Change: the check of the servers' addresses is in decoding, for both.

--- a/src/godwitmast/decoding.py
+++ b/src/godwitmast/decoding.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Hashable
 from functools import lru_cache
+from ipaddress import IPv4Address
 from typing import Any, TypeVar, cast
 
 import msgspec
@@ -14,6 +15,9 @@
 MAX_DIGITS = 9
 """Longest number that is read from a header."""
 
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+
 
 def decode_json(content: bytes | str, shape: type[T]) -> T:
     """Return the value; raise Undecodable for anything that is not a valid `shape`."""
@@ -57,6 +61,19 @@
     return min(number, most) if math.isfinite(number) and number >= 0 else None
 
 
+def is_socket_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address with a port."""
+    host, _, port_text = text.rpartition(":")
+    port = parse_whole_number(port_text, MAX_PORT_DIGITS)
+    if port is None or str(port) != port_text or not 0 < port <= MAX_PORT:
+        return False
+    try:
+        IPv4Address(host)
+    except ValueError:
+        return False
+    return True
+
+
 @lru_cache
 def decoder_of(shape: Hashable) -> msgspec.json.Decoder[Any]:
     return msgspec.json.Decoder(cast(Any, shape))
--- a/src/godwitmast/entry/forwarding.py
+++ b/src/godwitmast/entry/forwarding.py
@@ -11,6 +11,7 @@
 from godwitmast.backends.answer_limits import read_raw
 from godwitmast.backends.client import AttemptFailed, BackendClient
 from godwitmast.background import BackgroundTasks
+from godwitmast.decoding import is_socket_address
 from godwitmast.dispatch.messages import FailureKind, RequestSpec, ServerStatement
 from godwitmast.entry.app import FORWARD_TERMS, EntryApp
 from godwitmast.entry.driver import RouterDriver
@@ -225,7 +226,7 @@
                     "unreachable_pools": list(pools),
                 }
             },
-        } if address:
+        } if is_socket_address(address):
             unreachable = frozenset(str(pool) for pool in pools)
             return Peer(name, zone, region, address, unreachable, row.version)
     return None
--- a/src/godwitmast/platform/catalog.py
+++ b/src/godwitmast/platform/catalog.py
@@ -1,7 +1,6 @@
 """Conversion of the platform's configuration and server rows to the router's types."""
 
 from collections.abc import Collection, Mapping
-from ipaddress import IPv4Address
 from typing import NamedTuple
 
 from godwitmast.capacity.zonal import ZonalLimits
@@ -17,7 +16,7 @@
     Service,
     Team,
 )
-from godwitmast.decoding import decode_json, parse_whole_number
+from godwitmast.decoding import decode_json, is_socket_address
 from godwitmast.errors import ConfigInvalid, Undecodable
 from godwitmast.keys.hashing import hash_key
 from godwitmast.logs import log_event
@@ -40,9 +39,6 @@
 from godwitmast.routes.table import Route, RouteTable, Split
 from godwitmast.types import ClassName, PoolName, ZoneName
 
-MAX_PORT = 65_535
-MAX_PORT_DIGITS = 5
-
 MAX_ENGINE_PRIORITY = 9
 """Largest priority number that engines accept; 0 is the most urgent."""
 
@@ -352,16 +348,3 @@
 
 def is_header_value(text: str) -> bool:
     return text.isascii() and text.isprintable() and text == text.strip() != ""
-
-
-def is_socket_address(text: str) -> bool:
-    """Return whether a text is an IPv4 address with a port."""
-    host, _, port_text = text.rpartition(":")
-    port = parse_whole_number(port_text, MAX_PORT_DIGITS)
-    if port is None or str(port) != port_text or not 0 < port <= MAX_PORT:
-        return False
-    try:
-        IPv4Address(host)
-    except ValueError:
-        return False
-    return True
