Numbers in the operators' configuration are bounded

What callers would see: after a version of 401 digits, metrics and the configuration are not applied, and no later version is newer; after a coldPerS of 1e308 each VM stops answering, as it adds up the terms of a distribution one by one.

Change: bounds far from any usual value; outside of them the configuration is rejected with the field's name, and the one in force stays.

--- a/src/godwitmast/platform/wire.py
+++ b/src/godwitmast/platform/wire.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from godwitmast.bounds import Count, Millis, Rank, Ratio, Seconds, WholeNumber
+
 ATTEMPT_ID = "attempt-id"
 """The caller's id of a request; a server repeats it in its answer."""
 DEADLINE_MS = "deadline-ms"
@@ -105,7 +107,7 @@
     """A part of a route's traffic."""
 
     service: str
-    weight: float = 1.0
+    weight: Ratio = 1.0
 
 
 class WireRoute(PlatformJson):
@@ -115,33 +117,37 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: float
-    slo_ms: float
-    priority: int = 5
+    timeout_ms: Millis
+    slo_ms: Millis
+    priority: Rank = 5
     service: str | None = None
     split: list[ServiceShare] = []
-    attempts: int = 1
+    attempts: Count = 1
     public: bool = False
     resumable: bool = False
-    gap_aim_ms: float | None = None
+    gap_aim_ms: Millis | None = None
 
 
 class WireScale(PlatformJson):
     """Number of servers of a service that may be ordered; both bounds are per zone."""
 
-    min: int
-    max: int
-    boot_time_s: float = msgspec.field(name="bootTimeS")
-    spot_price: float = 1.0
+    min: Count
+    max: Count
+    boot_time_s: Seconds = msgspec.field(name="bootTimeS")
+    spot_price: Ratio = 1.0
     """As a fraction of the price of a server that cannot be reclaimed."""
-    zone_prices: dict[str, float] = {}
+    zone_prices: dict[str, Ratio] = {}
 
 
 class WireEngine(PlatformJson):
     """Engines of a service; `link_mbps` is the rate of copying cached prompts."""
 
-    kv_token_bytes: float = 0.0
-    link_mbps: float = 0.0
+    kv_token_bytes: Ratio = 0.0
+    link_mbps: Ratio = 0.0
+
+
+ColdRate = Annotated[float, msgspec.Meta(ge=0, le=10_000)]
+"""Higher rates take the router too long to calculate with."""
 
 
 class WireService(PlatformJson):
@@ -149,8 +155,8 @@
 
     name: str
     engine: WireEngine | None = None
-    cold_start_s: float = msgspec.field(name="coldStartS", default=0.0)
-    cold_per_s: float = msgspec.field(name="coldPerS", default=0.0)
+    cold_start_s: Seconds = msgspec.field(name="coldStartS", default=0.0)
+    cold_per_s: ColdRate = msgspec.field(name="coldPerS", default=0.0)
     """Requests a second that a server can handle while it is cold."""
     scale_limits: WireScale | None = None
 
@@ -160,22 +166,22 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Rank | None = None
 
 
 class WireLimits(PlatformJson):
     """Limits on the size and duration of a caller's request."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 4_194_304
+    header_timeout_ms: Millis = 3_000
+    idle_timeout_ms: Millis = 15_000
 
 
 class WireConfig(PlatformJson):
     """The newest configuration, in full."""
 
-    version: int
+    version: WholeNumber
     routes: list[WireRoute] = []
     services: list[WireService] = []
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
@@ -186,15 +192,14 @@
     """What orders the contents of a row: the number of a configuration, or the start of a
     server and its count of writes since."""
 
-    version: int | str | None = None
-    born: int = 0
-    sequence: int | None = None
+    version: WholeNumber | str | None = None
+    born: WholeNumber = 0
+    sequence: WholeNumber | None = None
 
 
 MAX_BATCH_SLOTS = 1_000_000
 
 BatchSlots = Annotated[int, msgspec.Meta(ge=1, le=MAX_BATCH_SLOTS)]
-WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
 class WireServer(PlatformJson):
@@ -210,7 +215,7 @@
     """Version of its software, not of the weights of its models."""
     state: str
     batch_slots: BatchSlots
-    cold_left_ms: float
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
     sequence: WholeNumber
     spot: bool = False
     born: WholeNumber = 0
