--- a/src/godwitmast/platform/wire.py
+++ b/src/godwitmast/platform/wire.py
@@ -8,7 +8,15 @@
 
 import msgspec
 
-from godwitmast.bounds import Count, Millis, Rank, Ratio, Seconds, WholeNumber
+from godwitmast.bounds import (
+    ClockSeconds,
+    Count,
+    Millis,
+    Rank,
+    Ratio,
+    Seconds,
+    WholeNumber,
+)
 
 ATTEMPT_ID = "attempt-id"
 """The caller's id of a request; a server repeats it in its answer."""
@@ -146,7 +154,7 @@
     link_mbps: Ratio = 0.0
 
 
-ColdRate = Annotated[float, msgspec.Meta(ge=0, le=10_000)]
+ColdRate = Annotated[float, msgspec.Meta(ge=-10_000, le=10_000)]
 """Higher rates take the router too long to calculate with."""
 
 
@@ -155,7 +163,7 @@
 
     name: str
     engine: WireEngine | None = None
-    cold_start_s: Seconds = msgspec.field(name="coldStartS", default=0.0)
+    cold_start_s: ClockSeconds = msgspec.field(name="coldStartS", default=0.0)
     cold_per_s: ColdRate = msgspec.field(name="coldPerS", default=0.0)
     """Requests a second that a server can handle while it is cold."""
     scale_limits: WireScale | None = None
