An odd row is logged once for each of its contents

What the log showed: a line for each odd row of the servers, and for a configuration that is rejected, whenever any other row of their table changed: some lines a second while servers write, for as long as the row is there. Own rows that can't be read: a line with each read.

Change: RowLog keeps which content, or version, of a row it has logged, for 1,000 rows at most; the line names the row and what is wrong with it.

--- a/src/godwitmast/entry/pool_versions.py
+++ b/src/godwitmast/entry/pool_versions.py
@@ -17,7 +17,7 @@
 from godwitmast.background import BackgroundTasks
 from godwitmast.decoding import convert
 from godwitmast.errors import PlatformError, Undecodable
-from godwitmast.logs import log_event
+from godwitmast.logs import RowLog, log_event
 from godwitmast.platform_api.messages import Conflict, Row, Written
 from godwitmast.platform_api.port import Table
 from godwitmast.platform_api.time_agreement import AgreedClock
@@ -88,6 +88,7 @@
         self.gaps = 0
         self.gaps_covered = 0
         """Gaps in what was heard of the servers, and those before the rows were read."""
+        self.row_log = RowLog("pool_versions_bad")
         self.changed = anyio.Event()
         self.background = BackgroundTasks(self.run)
 
@@ -211,7 +212,7 @@
         """Learn from a pool's row; return the one to write, None if it is up to date."""
         now, at = self.clock.store_now(), self.clock.now()
         row = rows.get(pool_key(pool))
-        stored = read_history(row)
+        stored = read_history(pool_key(pool), row, self.row_log)
         history = stored
         if history is None:
             is_new = row is None and not others_ran
@@ -256,7 +257,7 @@
         return True
 
 
-def read_history(row: Row | None) -> PoolHistory | None:
+def read_history(key: str, row: Row | None, log: RowLog) -> PoolHistory | None:
     """Return what a row holds, None without one or if it cannot be read."""
     if row is None:
         return None
@@ -264,7 +265,7 @@
         fields = convert(row.value, StoredHistory)
         return PoolHistory(fields["versions"], fields["since"])
     except Undecodable as error:
-        log_event("pool_versions_bad", level="WARNING", error=str(error))
+        log.record(key, row.version, error)
         return None
 
 
--- a/src/godwitmast/logs.py
+++ b/src/godwitmast/logs.py
@@ -4,6 +4,7 @@
 import os
 import sys
 import time
+from collections.abc import Hashable
 from enum import Enum
 from typing import Any
 
@@ -20,6 +21,10 @@
 """Enough to log a configuration of some hundred routes, or a fleet of servers, at once."""
 
 
+MAX_LOGGED_ROWS = 1000
+"""Rows of which one reader remembers that they were logged."""
+
+
 class LogTarget(Enum):
     """The output of a program's log lines; the value is the file descriptor."""
 
@@ -126,6 +131,27 @@
     return '"' + text.encode("unicode_escape").decode().replace('"', r"\"") + '"'
 
 
+class RowLog:
+    """Logs rows that cannot be used, each once for each of its contents.
+
+    Rows are read whenever any other one of their table changes.
+    """
+
+    def __init__(self, event: str, level: str = "WARNING") -> None:
+        self.event = event
+        self.level = level
+        self.logged: dict[str, Hashable] = {}
+
+    def record(self, row: str, content: Hashable, error: object) -> None:
+        """Log a row whose content, or the version of it, was not logged yet."""
+        if row in self.logged and self.logged[row] == content:
+            return
+        if len(self.logged) >= MAX_LOGGED_ROWS:
+            self.logged.clear()
+        self.logged[row] = content
+        log_event(self.event, self.level, row=row, error=str(error))
+
+
 def silent_logger(name: str) -> logging.Logger:
     """Return a logger that discards a library's lines about failed handshakes.
 
--- a/src/godwitmast/platform/catalog.py
+++ b/src/godwitmast/platform/catalog.py
@@ -19,7 +19,7 @@
 from godwitmast.decoding import decode_json, is_socket_address
 from godwitmast.errors import ConfigInvalid, Undecodable
 from godwitmast.keys.hashing import hash_key
-from godwitmast.logs import log_event
+from godwitmast.logs import RowLog
 from godwitmast.platform.wire import (
     CONFIG_KEY,
     DRAINING,
@@ -302,25 +302,30 @@
         return None
 
 
-def read_servers(rows: Mapping[str, bytes]) -> dict[str, Backend]:
+SERVER_ROW_LOG = RowLog("server_row_bad")
+
+
+def read_servers(
+    rows: Mapping[str, bytes], log: RowLog = SERVER_ROW_LOG
+) -> dict[str, Backend]:
     """Return the registered servers by id, without those whose row cannot be read."""
     servers: dict[str, Backend] = {}
     for server_id, content in rows.items():
-        server = read_server(server_id, content)
+        server = read_server(server_id, content, log)
         if server is not None:
             servers[server_id] = server
     return servers
 
 
-def read_server(server_id: str, content: bytes) -> Backend | None:
+def read_server(server_id: str, content: bytes, log: RowLog) -> Backend | None:
     try:
         wire = decode_json(content, WireServer)
     except Undecodable as error:
-        log_event("server_row_bad", server=server_id, error=str(error))
+        log.record(server_id, content, error)
         return None
     problem = find_problem(server_id, wire)
     if problem is not None:
-        log_event("server_row_bad", server=server_id, error=problem)
+        log.record(server_id, content, problem)
         return None
     return Backend(
         f"http://{wire.address}",
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -41,7 +41,7 @@
 from godwitmast.http_server import HttpServer, Receive, Scope, Send
 from godwitmast.lease.driver import DutyGroup, LeaseDriver
 from godwitmast.lease.machine import LeaseTiming
-from godwitmast.logs import log_event
+from godwitmast.logs import RowLog, log_event
 from godwitmast.memory.budget import MemoryBudget, limit_of
 from godwitmast.outliers.sharing import OutlierSharing
 from godwitmast.peers.rendezvous import short_hash
@@ -244,6 +244,8 @@
         self.app.ends_withdrawn_streams = bounds.strict_revoke
         self.probes = ConnectionProbes(self.driver, self.app.metrics.registry)
         self.servers_known = False
+        self.server_row_log = RowLog("server_row_bad")
+        self.config_log = RowLog("config_rejected", "ERROR")
         self.reported_ready = False
         self.app.ready_checks.append(lambda: self.servers_known)
         self.crash_reports = CrashReports(
@@ -704,7 +706,7 @@
                 fleet_policy(self.settings.invariants),
             )
         except ConfigInvalid as error:
-            log_event("config_rejected", level="ERROR", error=str(error))
+            self.config_log.record(CONFIG_KEY, content, error)
             return
         if catalog.config.version <= self.config_version():
             return
@@ -719,7 +721,7 @@
 
     def apply_server_rows(self, rows: dict[str, bytes]) -> None:
         """Apply the rows by which backend servers register themselves in the store."""
-        servers = read_servers(rows)
+        servers = read_servers(rows, self.server_row_log)
         known = self.driver.listed_backends
         for name in servers.keys() | known.keys():
             if servers.get(name) != known.get(name):
--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -17,7 +17,7 @@
 from godwitmast.decoding import decode_json, parse_whole_number
 from godwitmast.entry.crash_reports import CRASH_PREFIX
 from godwitmast.errors import PlatformOutcomeUnknown, Undecodable
-from godwitmast.logs import log_event
+from godwitmast.logs import RowLog, log_event
 from godwitmast.platform.own_rows import decode_own_row
 from godwitmast.platform.settings import PlatformFile
 from godwitmast.platform.wire import (
@@ -128,6 +128,7 @@
         self.on_store_time = on_store_time
         self.epoch = TableEpoch(clock or SystemClock())
         self.recorded_epoch = 0
+        self.row_log = RowLog("own_row_bad")
         self.record_lock = anyio.Lock()
         address = settings.platform.address
         limits = PlatformSettings(url_of(address), CALL_TIMEOUT_S)
@@ -186,9 +187,7 @@
                 try:
                     value = decode_own_row(row.key, decode_or_empty(row))
                 except Undecodable as error:
-                    log_event(
-                        "own_row_bad", level="WARNING", row=row.key, error=str(error)
-                    )
+                    self.row_log.record(row.key, row.ver, error)
                     unreadable.add(row.key)
                 else:
                     rows[row.key] = Row(value, row.ver)
