Take-ups: a VM that stood still has the list confirmed for its own streams too

What callers saw: a VM whose feed had stood still took up streams that it had begun itself, and of its version, at a server that had meanwhile started again under its id with a newer one.

Cause: the version of an own stream is known, but the servers of that version were chosen from a list of any age.

Change: if the follower had no answer for longer than two of its calls may take, an own take-up asks for a confirmation too, and waits 0.4 s for it. Where nobody answers, own streams go on as before: a store that is away would otherwise cost all of them, and only a server that started again under its id with another version makes a difference.

--- a/src/godwitmast/entry/stream_versions.py
+++ b/src/godwitmast/entry/stream_versions.py
@@ -56,6 +56,10 @@
 """For how long, and how often, a stream's row is looked for. One that has just begun at
 another VM is written by then."""
 
+OWN_CONFIRM_S = 0.4
+"""For how long a stream that began here waits for the list to be confirmed: a call and
+the time until it may be made, with a store that is slow."""
+
 
 class StreamIdentity(NamedTuple):
     """A caller's attempt at a stream, and the attempt that began it, if it takes one up."""
@@ -255,6 +259,8 @@
         self, key: str, pool: PoolName, check: ListCheck
     ) -> FoundVersion | None:
         """Return the version of a stream that is known here, or to the table."""
+        if key in self.known:
+            await self.confirm_overdue_list(check)
         if key in self.known:
             return FoundVersion(self.known[key].version, "own")
         # The list tells of one version only, or at which servers a version goes on.
@@ -266,6 +272,16 @@
         version = await self.read(key)
         return FoundVersion(version, "table") if version is not None else None
 
+    async def confirm_overdue_list(self, check: ListCheck) -> None:
+        """Try to have a list confirmed that should have been confirmed long ago.
+
+        A stream that began here goes on also where that fails: only servers that started
+        again under their ids with another version make a difference to it.
+        """
+        if self.confirmation is not None and self.confirmation.is_overdue:
+            with anyio.move_on_after(OWN_CONFIRM_S):
+                await self.confirm_list(check)
+
     async def confirm_list(self, check: ListCheck) -> bool:
         """Have the platform confirm the list of servers, once for each request."""
         if check.confirmed or self.confirmation is None:
--- a/src/godwitmast/platform_api/confirmation.py
+++ b/src/godwitmast/platform_api/confirmation.py
@@ -53,6 +53,11 @@
         """Return the time up to which all changes are applied."""
         return self.follower.confirmed_at
 
+    @property
+    def is_overdue(self) -> bool:
+        """Return whether the follower hears nothing, or stood still."""
+        return self.follower.is_overdue
+
     async def up_to_now(self) -> bool:
         """Return whether all changes up to the time of this call are applied."""
         joined = self.next_round
--- a/src/godwitmast/platform_api/feed.py
+++ b/src/godwitmast/platform_api/feed.py
@@ -296,6 +296,12 @@
     async def close(self) -> None:
         await self.background.close()
 
+    @property
+    def is_overdue(self) -> bool:
+        """Return whether no call was answered for longer than two of them may take."""
+        overdue_s = 2 * self.wait_s + ANSWER_MARGIN_S
+        return self.clock.now() > self.confirmed_at + overdue_s
+
     async def run(self) -> None:
         while True:
             try:
--- a/tests/test_vm_out_of_step.py
+++ b/tests/test_vm_out_of_step.py
@@ -277,6 +277,36 @@
     assert outcomes[OLD] >= 0.9 * len(attempts)
 
 
+async def test_vm_that_stood_still_knows_the_servers_of_its_own_streams(
+    fleet: OutOfStepFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against own streams that go on at a server that started again meanwhile."""
+    first, other = fleet.engines
+    for follower in fleet.late.followers:
+        await follower.close()
+    await fleet.begin(http, url_of(fleet.late), "s", 3 * STREAMS)
+    attempts = [request.headers["attempt-id"] for request in other.served]
+    assert attempts
+    first.version = NEW
+    first.publish_row(READY, born=7)
+    [servers] = (f for f in fleet.late.followers if f.table == "servers")
+    await anyio.sleep(2 * servers.wait_s + 1.5)
+    outcomes = await fleet.take_up(http, url_of(fleet.late), attempts)
+    assert not outcomes[NEW]
+    assert outcomes[OLD] >= 0.9 * len(attempts)
+
+
+async def test_own_streams_go_on_while_the_store_is_silent(
+    fleet: OutOfStepFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against a silence that costs the streams that a VM began itself."""
+    fleet.store_front.be_silent(Silence.BOTH_WAYS)
+    await anyio.sleep(5.0)
+    attempts = await fleet.begin(http, url_of(fleet.late), "own")
+    outcomes = await fleet.take_up(http, url_of(fleet.late), attempts)
+    assert outcomes[OLD] >= MOST
+
+
 async def test_version_that_a_restore_of_the_store_lost_is_joined_with_no_other(
     fleet: OutOfStepFleet, http: httpx.AsyncClient
 ) -> None:
