An answer of another VM is taken only for the send that it answers

What callers saw: while a VM reached no server and had another VM serve its requests, a late second answer of that VM was given to the next request on the connection, whatever its id: status and body of another caller's request, with its server's seal.

Cause: nothing tied an answer of another VM to its request; the id in it wasn't compared, and refusals and answers to questions bear none.

Change: each send to another VM, a question too, has a nonce of its own, which the other VM repeats in every answer, refusals too, and without which no answer is taken. VMs of the version before repeat none: their answer is taken on a connection's first exchange, and the connection ends with it.

Connections between VMs are used again as before (test of the same name).

--- a/src/godwitmast/backends/transport.py
+++ b/src/godwitmast/backends/transport.py
@@ -104,6 +104,13 @@
     return stream.use if stream is not None else None
 
 
+def end_connection(answer: httpx.Response) -> None:
+    """Have the connection of an answer closed once that has been read."""
+    connection = answer.extensions.get("network_stream")
+    if isinstance(connection, HeadCountingStream):
+        connection.is_ending = True
+
+
 class HeadCountingStream(httpcore.AsyncNetworkStream):
     """A connection that counts the bytes read before the final head of an answer.
 
@@ -127,6 +134,8 @@
         self.exchanges = 0
         """Requests that were sent, or begun."""
         self.received = 0
+        self.is_ending = False
+        """Whether no further request may be sent."""
         self.may_end = False
         """Whether the end of the connection is that of the answer."""
         self.socket: Any = None
@@ -237,9 +246,12 @@
     def is_readable(self) -> bool:
         """Return whether bytes, or the end of the connection, wait to be read.
 
-        The pool asks this of all idle connections at the start and at the end of each
-        request, so that the socket is looked up only once.
+        One that is to end counts as such. The pool asks this of all idle connections at
+        the start and at the end of each request, so that the socket is looked up only
+        once.
         """
+        if self.is_ending:
+            return True
         if self.poll is None:
             self.socket = self.stream.get_extra_info("socket")
             if self.socket is None or self.socket.fileno() < 0:
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Any
 
 import anyio
@@ -49,7 +50,7 @@
 from godwitmast.entry.attempt_scope import AttemptScope
 from godwitmast.entry.claim_answers import OUTCOME_UNKNOWN, answer_claim
 from godwitmast.entry.driver import Mailbox, RouterDriver, Sent
-from godwitmast.entry.forwarder import Forwarder
+from godwitmast.entry.forwarder import Forwarder, answers_send
 from godwitmast.entry.frontend import Frontend
 from godwitmast.entry.metrics import Timing, TokenTimes
 from godwitmast.entry.outbound import (
@@ -70,7 +71,7 @@
 from godwitmast.entry.sending import EntryMemory, HeldBytes, Outgoing
 from godwitmast.entry.stream_versions import StreamIdentity, StreamVersions
 from godwitmast.forwarding.peers import Peer
-from godwitmast.forwarding.terms import SERVED_BY_HEADER, ForwardTerms
+from godwitmast.forwarding.terms import SERVED_BY_HEADER, ForwardTerms, make_nonce
 from godwitmast.http_server import Receive, Send
 from godwitmast.keys.authorizer import Caller
 from godwitmast.logs import log_event
@@ -342,7 +343,13 @@
         assert self.forwarder is not None
         request = self.outbound.build_forwarded(self.driver.clock.now())
         version = self.forwarder.config_version()
-        terms = ForwardTerms(version, self.spec.pool, attempts, self.backend_started)
+        terms = ForwardTerms(
+            version,
+            self.spec.pool,
+            attempts,
+            self.backend_started,
+            nonce=make_nonce(),
+        )
         self.may_have_run = True
         async with self.forwarder.client.exchange(
             self.outbound.method,
@@ -350,6 +357,7 @@
             self.outbound.path,
             terms.add_to(request.headers),
             request.content,
+            belongs=partial(answers_send, terms),
         ) as answer:
             self.use = connection_use(answer.request)
             self.record_departure(answer)
--- a/src/godwitmast/entry/forwarding.py
+++ b/src/godwitmast/entry/forwarding.py
@@ -1,6 +1,7 @@
 """Forwards requests to other VMs while this VM reaches no server, and serves theirs."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import anyio
@@ -15,6 +16,7 @@
 from godwitmast.dispatch.messages import FailureKind, RequestSpec, ServerStatement
 from godwitmast.entry.app import FORWARD_TERMS, EntryApp
 from godwitmast.entry.driver import RouterDriver
+from godwitmast.entry.forwarder import answers_send
 from godwitmast.entry.probes import ConnectionProbes
 from godwitmast.entry.refusals import (
     MISDIRECTED,
@@ -25,7 +27,12 @@
 from godwitmast.entry.request_parsing import CallerGone, read_body
 from godwitmast.errors import PlatformError
 from godwitmast.forwarding.peers import Peer, PeerChoice
-from godwitmast.forwarding.terms import ForwardTerms, split_terms
+from godwitmast.forwarding.terms import (
+    NONCE_HEADER,
+    ForwardTerms,
+    make_nonce,
+    split_terms,
+)
 from godwitmast.http_server import Receive, Scope, Send
 from godwitmast.logs import log_event
 from godwitmast.platform_api.messages import Row
@@ -159,10 +166,17 @@
 
     async def ask(self, peer: Peer, pool: PoolName) -> None:
         """Ask one peer; raise AttemptFailed unless it takes requests for the pool."""
-        terms = ForwardTerms(self.config_version(), pool, is_question=True)
+        terms = ForwardTerms(
+            self.config_version(), pool, is_question=True, nonce=make_nonce()
+        )
         with anyio.move_on_after(ASK_TIMEOUT_S) as scope:
             async with self.client.exchange(
-                "GET", f"http://{peer.address}", "/", terms.encode(), b""
+                "GET",
+                f"http://{peer.address}",
+                "/",
+                terms.encode(),
+                b"",
+                belongs=partial(answers_send, terms),
             ) as answer:
                 limits = self.client.limits
                 await read_raw(answer, limits.body_bytes, self.client.bodies)
@@ -251,6 +265,7 @@
         if scope["type"] != "http":
             return
         terms, headers = split_terms(scope["headers"])
+        send = with_nonce(send, dict(scope["headers"]).get(NONCE_HEADER))
         taken = terms is not None and await self.may_take(terms)
         if taken and terms is not None and terms.is_question:
             await send_json(send, 200, {"taken": True})
@@ -280,6 +295,20 @@
         await send_error(send, NOT_TAKEN)
 
 
+def with_nonce(send: Send, nonce: bytes | None) -> Send:
+    """Return a `send` that repeats the nonce of a request in the answer to it."""
+    if nonce is None:
+        return send
+
+    async def send_with_nonce(message: dict[str, Any]) -> None:
+        if message["type"] == "http.response.start":
+            headers = [*message["headers"], (NONCE_HEADER, nonce)]
+            message = {**message, "headers": headers}
+        await send(message)
+
+    return send_with_nonce
+
+
 def forwarding_load(
     load: Callable[[], dict[str, Any]], forwarder: RequestForwarder
 ) -> dict[str, Any]:
--- a/src/godwitmast/entry/outbound.py
+++ b/src/godwitmast/entry/outbound.py
@@ -11,7 +11,7 @@
 from godwitmast.decoding import decode_json
 from godwitmast.entry.events import CompletionReader, read_usage
 from godwitmast.errors import Undecodable
-from godwitmast.forwarding.terms import SERVED_BY_HEADER
+from godwitmast.forwarding.terms import NONCE_HEADER, SERVED_BY_HEADER
 from godwitmast.types import BackendId, TokenCount
 
 Headers = list[tuple[str, str]]
@@ -24,6 +24,7 @@
         "date",
         "keep-alive",
         "transfer-encoding",
+        NONCE_HEADER.decode(),
         SERVED_BY_HEADER.decode(),
     ]
 )
--- a/src/godwitmast/forwarding/terms.py
+++ b/src/godwitmast/forwarding/terms.py
@@ -1,6 +1,7 @@
 """What a VM states about a request that it forwards to another VM."""
 
 import base64
+import secrets
 from typing import NamedTuple
 
 from godwitmast.decoding import parse_whole_number
@@ -14,14 +15,25 @@
 METERED_HEADER = b"godwit-forward-metered"
 POOL_HEADER = b"godwit-forward-pool"
 QUESTION_HEADER = b"godwit-forward-question"
+NONCE_HEADER = b"godwit-forward-nonce"
+"""Names one send of a request; each answer to it repeats the value."""
 SERVED_BY_HEADER = b"godwit-served-by"
 """Names the backend server of an answer that one VM sends to another."""
 
 MAX_CONFIG_DIGITS = 19
 """Digits of the largest number of a configuration, which has 64 bits."""
 
+NONCE_BYTES = 8
+
 HEADERS = frozenset(
-    [CONFIG_HEADER, POOL_HEADER, ATTEMPTS_HEADER, METERED_HEADER, QUESTION_HEADER]
+    [
+        CONFIG_HEADER,
+        POOL_HEADER,
+        ATTEMPTS_HEADER,
+        METERED_HEADER,
+        QUESTION_HEADER,
+        NONCE_HEADER,
+    ]
 )
 
 
@@ -31,7 +43,7 @@
     `config` is the configuration by which it was accepted, and the oldest that may
     serve it. `pool` is the one whose servers could not be reached. `attempts` is how many servers may still run it, if that is bounded.
     `metered` says that its start has been counted as usage. If `is_question`, there is
-    no request yet: the VM is asked whether it would take one.
+    no request yet: the VM is asked whether it would take one. `nonce` is of one send.
     """
 
     config: int
@@ -39,6 +51,7 @@
     attempts: int | None = None
     metered: bool = False
     is_question: bool = False
+    nonce: str = ""
 
     def add_to(self, headers: Headers) -> Headers:
         """Return a caller's headers with the terms, in place of any that it sent."""
@@ -57,6 +70,8 @@
             pairs[METERED_HEADER] = "1"
         if self.is_question:
             pairs[QUESTION_HEADER] = "1"
+        if self.nonce:
+            pairs[NONCE_HEADER] = self.nonce
         return [(name.decode(), value) for name, value in pairs.items()]
 
 
@@ -73,7 +88,12 @@
     if attempts is not None and allowed is None:
         return None, rest
     flags = METERED_HEADER in found, QUESTION_HEADER in found
-    return ForwardTerms(config, pool, allowed, *flags), rest
+    nonce = found.get(NONCE_HEADER, "")
+    return ForwardTerms(config, pool, allowed, *flags, nonce), rest
+
+
+def make_nonce() -> str:
+    return secrets.token_hex(NONCE_BYTES)
 
 
 def decode_pool(text: str) -> PoolName | None:
--- a/src/godwitmast/standins/extra.py
+++ b/src/godwitmast/standins/extra.py
@@ -157,7 +157,7 @@
         self.pieces = pieces
         self.ahead_s = ahead_s
         self.sent: dict[SocketStream, bytes] = {}
-        """What was sent of the newest answer on each connection."""
+        """What was sent of the newest answer on each connection, if it is repeated."""
 
     async def relay(self, caller: SocketStream) -> None:
         try:
@@ -172,16 +172,18 @@
     async def end_answer(
         self, caller: SocketStream, server: SocketStream, data: bytes
     ) -> None:
-        self.answers += 1
         await self.send_part(caller, data)
+        self.answers += 1
+        if self.every == 0 or self.answers % self.every:
+            del self.sent[caller]
 
     async def relay_answer(self, caller: SocketStream, server: SocketStream) -> bytes:
         await self.repeat(caller, self.sent.pop(caller, b""))
         return await super().relay_answer(caller, server)
 
     async def repeat(self, caller: SocketStream, answer: bytes) -> None:
-        """Send an earlier answer again, if it is due."""
-        if not answer or self.every == 0 or self.answers % self.every:
+        """Send an earlier answer again, if there is one."""
+        if not answer:
             return
         self.added += 1
         rest = answer[: self.kept(answer)]
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -1,5 +1,6 @@
 """Answers that arrive again, late, where that of the next request is expected."""
 
+import base64
 import random
 from collections import defaultdict
 from collections.abc import AsyncIterator, Callable
@@ -14,12 +15,15 @@
 from fleet import Fleet, request_headers
 from godwitmast.backends.client import BackendClient
 from godwitmast.backends.transport import MAX_EXCHANGES
+from godwitmast.entry import forwarding
 from godwitmast.entry.outbound import EVENT_STREAM
 from godwitmast.entry.refusals import send_response
 from godwitmast.http_server import Send
-from godwitmast.platform.wire import ATTEMPT_ID, LAST_EVENT_ID
+from godwitmast.platform.wire import ATTEMPT_ID, LAST_EVENT_ID, StoredRow
 from godwitmast.standins.extra import RepeatingFront
 from godwitmast.standins.replica import SEAL_HEADER, ReplicaStandin
+from godwitmast.types import PoolName
+from partition import Cut, Partition
 from running import running
 
 pytestmark = pytest.mark.anyio
@@ -31,6 +35,7 @@
 
 STATUSES = (200, 200, 500, 503)
 EVENTS = 3
+PATHS = ["/peek/1", "/pay/1", "/chat/1"]
 SHORT = {"Deadline-Ms": "1000"}
 SEND_ID = "x-send"
 """Header that tells the sends of one request apart."""
@@ -200,7 +205,7 @@
         yield started
 
 
-@pytest.mark.parametrize("path", ["/peek/1", "/pay/1", "/chat/1"])
+@pytest.mark.parametrize("path", PATHS)
 @pytest.mark.parametrize(
     "cut, ahead_s",
     [("whole", 0.0), ("whole", 0.03), ("head", 0.0), ("half the body", 0.03)],
@@ -235,6 +240,88 @@
     assert sum(front.connections for front in fleet.fronts) <= CALLERS + repeated
 
 
+@pytest.fixture
+async def cut_off(fleet: LateFleet) -> LateFleet:
+    """Return a fleet whose first VM reaches no server, but another VM through a front."""
+    await fleet.put_behind_fronts(len, 1, 0.0, every=0)
+    other = await fleet.add_vm("front-2")
+    front = RepeatingFront(other.forwarded_server.port, every=0)
+    await front.start(fleet.tasks)
+    fleet.fronts = [front]
+    address = other.forwarder.address = f"127.0.0.1:{front.port}"
+    other.forwarder.on_change()
+    rows = fleet.store.rows
+    await fleet.wait_until(lambda: any(holds(row, address) for row in rows.values()))
+    Partition(fleet.node).set(Cut.RESET)
+    async with anyio.create_task_group() as sends:
+        for path in PATHS:
+            sends.start_soon(call_again, fleet, path)
+    for pool in ("app", "lm"):
+        await fleet.wait_until(lambda p=PoolName(pool): is_available(fleet, p))
+    for replica in fleet.mixed:
+        replica.runs.clear()
+    front.every, front.connections = 3, 0
+    return fleet
+
+
+def is_available(fleet: LateFleet, pool: PoolName) -> bool:
+    forwarder = fleet.node.forwarder
+    return forwarder.choice.is_available(pool, fleet.node.clock.now())
+
+
+def holds(row: StoredRow, address: str) -> bool:
+    return address.encode() in base64.b64decode(row.value)
+
+
+@pytest.mark.parametrize(
+    "path, cut, sends",
+    [
+        ("/peek/1", "whole", 1),
+        ("/peek/1", "half the body", SENDS),
+        ("/pay/1", "whole", SENDS),
+        ("/chat/1", "whole", 1),
+        ("/chat/1", "half the body", 1),
+    ],
+)
+async def test_late_answer_of_another_vm_is_not_taken(
+    cut_off: LateFleet, path: str, cut: str, sends: int
+) -> None:
+    """Guards against the answer to another request that another VM sends late."""
+    [front] = cut_off.fronts
+    front.kept = KEPT[cut]
+    called = await call_again(cut_off, path, sends)
+    assert_own_answers(cut_off, called, path)
+    assert front.added > 0
+    assert any("server-seal" in answer.headers for _, answer in called)
+
+
+@pytest.fixture
+def older_version(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have VMs repeat no nonce in their answers."""
+    monkeypatch.setattr(forwarding, "with_nonce", lambda send, nonce: send)
+
+
+async def test_vm_that_repeats_no_nonce_is_forwarded_to(
+    older_version: None, cut_off: LateFleet
+) -> None:
+    """Guards against requests that VMs of the version before cannot take."""
+    [front] = cut_off.fronts
+    front.every = 1
+    called = await call_again(cut_off, "/pay/1")
+    assert_own_answers(cut_off, called, "/pay/1")
+    assert all("server-seal" in answer.headers for _, answer in called)
+    assert front.connections >= len(called)
+
+
+async def test_connections_to_another_vm_are_used_again(cut_off: LateFleet) -> None:
+    """Guards against a new connection for each request that is forwarded."""
+    [front] = cut_off.fronts
+    front.every = 0
+    called = await call_again(cut_off, "/pay/1", 1)
+    assert_own_answers(cut_off, called, "/pay/1")
+    assert front.connections <= 4 * CALLERS
+
+
 @pytest.mark.parametrize("cut", ["status line", "reason", "value"])
 async def test_part_of_a_late_answer_is_not_joined_with_the_next_one(
     fleet: LateFleet, cut: str
