--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -741,7 +741,7 @@
         """Record the servers of rows that others in the same answer replace or remove."""
         last = {row.key: row.content for row in rows}
         replaced = [
-            read_server(row.key, row.content)
+            read_server(row.key, row.content, self.server_row_log)
             for row in rows
             if row.content is not None and row.content != last[row.key]
         ]
--- a/src/godwitmast/standins/extra.py
+++ b/src/godwitmast/standins/extra.py
@@ -95,16 +95,12 @@
         answer = data = b""
         while not isinstance(event := parser.next_event(), h11.EndOfMessage):
             if event is h11.NEED_DATA:
-                await self.send_part(caller, data)
+                await caller.send(data)
                 data = await server.receive(READ_BYTES)
                 parser.receive_data(data)
                 answer += data
         return answer, data
 
-    async def send_part(self, caller: SocketStream, data: bytes) -> None:
-        """Send bytes of an answer."""
-        await caller.send(data)
-
     async def end_answer(
         self, caller: SocketStream, server: SocketStream, answer: bytes, data: bytes
     ) -> None:
@@ -157,7 +153,7 @@
         self.pieces = pieces
         self.ahead_s = ahead_s
         self.sent: dict[SocketStream, bytes] = {}
-        """What was sent of the newest answer on each connection, if it is repeated."""
+        """The newest answer on each connection, if it is repeated."""
 
     async def relay(self, caller: SocketStream) -> None:
         try:
@@ -165,19 +161,17 @@
         finally:
             self.sent.pop(caller, None)
 
-    async def send_part(self, caller: SocketStream, data: bytes) -> None:
-        self.sent[caller] = self.sent.get(caller, b"") + data
-        await super().send_part(caller, data)
-
     async def end_answer(
-        self, caller: SocketStream, server: SocketStream, data: bytes
+        self, caller: SocketStream, server: SocketStream, answer: bytes, data: bytes
     ) -> None:
-        await self.send_part(caller, data)
         self.answers += 1
-        if self.every == 0 or self.answers % self.every:
-            del self.sent[caller]
+        if self.every and self.answers % self.every == 0:
+            self.sent[caller] = answer
+        await caller.send(data)
 
-    async def relay_answer(self, caller: SocketStream, server: SocketStream) -> bytes:
+    async def relay_answer(
+        self, caller: SocketStream, server: SocketStream
+    ) -> tuple[bytes, bytes]:
         await self.repeat(caller, self.sent.pop(caller, b""))
         return await super().relay_answer(caller, server)
 
