Load documents are read on connections of their own

What callers saw: with servers that repeat an answer late, the load document of a server was given to a caller as the answer to its request (status 200, the document's body); the reverse would have been read as a load.

Cause: load documents are read on the connections that carry requests, and on the project's own interface no answer bears an id.

Evidence: a front that repeats each answer once the next request has arrived; reads of `/load` and requests in turn on one client. On the first request got the document; after, ten rounds of both without one.

Change: requests with the extension `single_use` go to a pool that keeps no idle connections. Reading loads costs a connection a poll, one a second for each server that an entry polls; the adapter of the users' platform polls none.

--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -17,6 +17,7 @@
 from godwitmast.backends.connection_use import ConnectionUse
 from godwitmast.backends.transport import (
     ANSWER_ID,
+    SINGLE_USE,
     BoundedTransport,
     SocketOptions,
     connection_use,
@@ -252,12 +253,17 @@
 
     async def get_json(self, url: str, shape: type[T], timeout_s: float) -> T | None:
         """Return the JSON document that a backend server serves at `url`, or None if it
-        serves none that is a valid `shape`."""
+        serves none that is a valid `shape`.
+
+        It bears no id: only a connection of its own tells it from a late answer.
+        """
         if self.http.is_closed:
             # A poll may come due while its entry closes, which is no error.
             return None
         try:
-            async with self.http.stream("GET", url, timeout=timeout_s) as answer:
+            async with self.http.stream(
+                "GET", url, timeout=timeout_s, extensions={SINGLE_USE: True}
+            ) as answer:
                 body = await read_decoded(answer, self.limits.body_bytes, self.bodies)
             return decode_json(body, shape) if answer.status_code == 200 else None
         except AnswerTooLong as error:
--- a/src/godwitmast/backends/transport.py
+++ b/src/godwitmast/backends/transport.py
@@ -43,6 +43,9 @@
 ANSWER_ID = "answer_id"
 """Extension of a request: the id that its answer bears."""
 
+SINGLE_USE = "single_use"
+"""Extension of a request: its connection carries no other one."""
+
 MAX_EXCHANGES = 1000
 """Requests that a connection carries at most, so that the hashes of their ids take 8 KB."""
 
@@ -478,12 +481,20 @@
         id_header: str = "",
     ) -> None:
         self.network = HeadCountingNetwork(head_bytes, id_header)
-        self.pool = ConnectionPool(
-            ssl_context=tls,
-            max_connections=limits.max_connections,
-            max_keepalive_connections=limits.max_keepalive_connections,
-            keepalive_expiry=limits.keepalive_expiry,
-            socket_options=list(socket_options),
+        self.tls = tls
+        self.limits = limits
+        self.socket_options = list(socket_options)
+        self.pool = self.make_pool(limits.max_keepalive_connections)
+        self.single_use_pool = self.make_pool(0)
+
+    def make_pool(self, kept: int | None) -> ConnectionPool:
+        """Return a pool that keeps so many idle connections, or all of them."""
+        return ConnectionPool(
+            ssl_context=self.tls,
+            max_connections=self.limits.max_connections,
+            max_keepalive_connections=kept,
+            keepalive_expiry=self.limits.keepalive_expiry,
+            socket_options=self.socket_options,
             network_backend=self.network,
         )
 
@@ -501,8 +512,10 @@
             content=request.stream,
             extensions=request.extensions,
         )
+        is_single = request.extensions.get(SINGLE_USE, False)
+        pool = self.single_use_pool if is_single else self.pool
         with translated_errors():
-            answer = await self.pool.handle_async_request(sent)
+            answer = await pool.handle_async_request(sent)
         response = httpx.Response(
             answer.status,
             headers=answer.headers,
@@ -523,3 +536,4 @@
 
     async def aclose(self) -> None:
         await self.pool.aclose()
+        await self.single_use_pool.aclose()
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -13,7 +13,7 @@
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
 from fleet import Fleet, request_headers
-from godwitmast.backends.client import BackendClient
+from godwitmast.backends.client import BackendClient, LoadDocument
 from godwitmast.backends.transport import MAX_EXCHANGES
 from godwitmast.entry import forwarding
 from godwitmast.entry.outbound import EVENT_STREAM
@@ -22,6 +22,7 @@
 from godwitmast.platform.wire import ATTEMPT_ID, LAST_EVENT_ID, StoredRow
 from godwitmast.standins.extra import RepeatingFront
 from godwitmast.standins.replica import SEAL_HEADER, ReplicaStandin
+from godwitmast.standins.unframed import receive
 from godwitmast.types import PoolName
 from partition import Cut, Partition
 from running import running
@@ -369,11 +370,29 @@
     await client.close()
 
 
+async def test_late_answer_is_not_read_as_a_load_nor_a_load_as_an_answer(
+    tasks: TaskGroup,
+) -> None:
+    """Guards against answers without an id that are taken from another request."""
+    server = AnsweringServer()
+    await server.start(tasks)
+    front = RepeatingFront(httpx.URL(server.url).port or 0)
+    await front.start(tasks)
+    client, url = BackendClient(), f"http://127.0.0.1:{front.port}"
+    for number in range(1, 11):
+        document = await client.get_json(f"{url}/load", LoadDocument, 1.0)
+        assert document == LoadDocument(2 * number - 1, 0)
+        async with client.exchange("GET", url, "/", [("host", "x")], b"") as answer:
+            assert (await answer.aread())[:1] != b"{"
+    await client.close()
+
+
 class AnsweringServer:
-    """Answers each request with the id that it bears."""
+    """Answers each request with the id that it bears, and `/load` with their count."""
 
     def __init__(self) -> None:
         self.connections = 0
+        self.requests = 0
         self.url = ""
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -384,10 +403,16 @@
     async def serve(self, stream: SocketStream) -> None:
         self.connections += 1
         async with stream:
-            async for data in stream:
-                name = data.partition(b"attempt-id: ")[2].partition(b"\r\n")[0]
-                head = b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: 2\r\n\r\n"
-                await stream.send(head % name + b"ok")
+            while data := await receive(stream):
+                await stream.send(self.answer(data))
+
+    def answer(self, request: bytes) -> bytes:
+        self.requests += 1
+        name = request.partition(b"attempt-id: ")[2].partition(b"\r\n")[0].decode()
+        is_load = request.startswith(b"GET /load")
+        body = f'{{"running": {self.requests}, "waiting": 0}}' if is_load else "ok"
+        head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {name}\r\n"
+        return f"{head}Content-Length: {len(body)}\r\n\r\n{body}".encode()
 
 
 async def call_server(
