Rows of the configuration and of claims are read with their types

The outcome of a call whose claim can't be read is unknown: it isn't run, and its release is over, so that it doesn't hold back other settlements.

--- a/src/godwitmast/claims/machine.py
+++ b/src/godwitmast/claims/machine.py
@@ -8,8 +8,14 @@
 
 import hashlib
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Annotated, NamedTuple, TypedDict
 
+from msgspec import Meta
+
+from godwitmast.bounds import ClockSeconds
+from godwitmast.decoding import convert
+from godwitmast.errors import Undecodable
+from godwitmast.logs import log_event
 from godwitmast.platform_api.messages import Row, Written
 from godwitmast.platform_api.steps import (
     Failure,
@@ -120,6 +126,47 @@
 ClaimOutcome = ClaimGranted | Stored | BodyMismatch | InDoubt | TableUnavailable
 
 
+class StoredAnswer(TypedDict):
+    """An answer in the row of a claim: as text, or in an object."""
+
+    status: Annotated[int, Meta(ge=100, le=599)]
+    headers: list[tuple[str, str]]
+    text: str | None
+    object: str | None
+
+
+class StoredClaim(TypedDict):
+    """The row of a claim."""
+
+    body: str
+    attempt: str
+    at: ClockSeconds
+    state: str
+    answer: StoredAnswer | None
+
+
+UNREADABLE: StoredClaim = {
+    "body": "",
+    "attempt": "",
+    "at": 0.0,
+    "state": UNKNOWN,
+    "answer": None,
+}
+"""Stands for a row that another program wrote: nobody knows whether the call ran."""
+
+
+def read_claim(row: Row) -> StoredClaim:
+    try:
+        claim = convert(row.value, StoredClaim)
+    except Undecodable as error:
+        log_event("claim_row_bad", level="WARNING", error=str(error))
+        return UNREADABLE
+    answer = claim["answer"]
+    if answer is not None and (answer["text"] is None) == (answer["object"] is None):
+        return UNREADABLE
+    return claim
+
+
 def look_up(call: Call) -> Steps[LookupOutcome]:
     """Return what the table says of a call, before the call queues."""
     found = yield Read([call.row_key])
@@ -133,7 +180,9 @@
 
 def interpret_row(call: Call, row: Row) -> Steps[LookupOutcome]:
     """Return what the row of a claim means for a call."""
-    value = row.value
+    value = read_claim(row)
+    if value is UNREADABLE:
+        return InDoubt(False, value["at"])
     if value["state"] == RELEASED:
         return Unclaimed(row.version)
     if value["body"] != call.body_hash:
@@ -143,12 +192,15 @@
     return (yield from load_answer(value["answer"]))
 
 
-def load_answer(stored: Json) -> Steps[Stored | TableUnavailable]:
+def load_answer(
+    stored: StoredAnswer | None,
+) -> Steps[Stored | TableUnavailable]:
     if stored is None:
         return Stored(None)
     headers = [(name, value) for name, value in stored["headers"]]
     if stored["object"] is None:
-        return Stored(Answer(stored["status"], headers, stored["text"].encode()))
+        text = stored["text"] or ""
+        return Stored(Answer(stored["status"], headers, text.encode()))
     content = yield GetObject(stored["object"])
     if not isinstance(content, ObjectRead):
         return TableUnavailable()
@@ -178,7 +230,7 @@
         if not isinstance(found, Rows):
             continue
         row = found.rows.get(call.row_key)
-        if row is not None and row.value["attempt"] == call.attempt_id:
+        if row is not None and read_claim(row)["attempt"] == call.attempt_id:
             return ClaimGranted(row.version)
         if found.version(call.row_key) != unclaimed.version:
             outcome = yield from interpret_conflict(call, row)
@@ -258,10 +310,11 @@
         return False
     row = found.rows.get(call.row_key)
     if row is not None:
-        ours = row.value["attempt"] == call.attempt_id
-        if ours and row.value["state"] == RELEASED:
+        stored = read_claim(row)
+        ours = stored["attempt"] == call.attempt_id
+        if ours and stored["state"] == RELEASED:
             return True
-        if not ours and row.value["state"] != RELEASED:
+        if not ours and stored["state"] != RELEASED:
             return True
     result = yield Transact(
         {call.row_key: found.version(call.row_key)},
--- a/src/godwitmast/config/change.py
+++ b/src/godwitmast/config/change.py
@@ -9,12 +9,14 @@
 from godwitmast.config.rows import (
     DELTA_PREFIX,
     HEAD_KEY,
+    AcceptedPatch,
     Delta,
     Head,
     Snapshot,
     delta_key,
     encode_snapshot,
     patch_key,
+    read_row,
     snapshot_name,
 )
 from godwitmast.errors import ConfigInvalid
@@ -114,10 +116,10 @@
             continue
         known = found.value(patch_key(patch.patch_id))
         if known is not None:
-            return Accepted(known["number"])
+            return Accepted(read_row(known, AcceptedPatch).number)
         if found.value(HEAD_KEY) is None:
             return Invalid("there is no first configuration yet")
-        base = HeadRow(Head(**found.value(HEAD_KEY)), found.version(HEAD_KEY))
+        base = HeadRow(read_row(found.value(HEAD_KEY), Head), found.version(HEAD_KEY))
         if base.head.number != patch.against:
             return (yield from describe_conflict(patch, base.head.number))
         yield from catch_up(state)
@@ -171,7 +173,7 @@
     found = yield Scan(DELTA_PREFIX, delta_key(patch.against))
     if not isinstance(found, Rows):
         return Stale(patch.against, current)
-    changes = [Delta(**row.value) for row in found.rows.values()]
+    changes = [read_row(row.value, Delta) for row in found.rows.values()]
     conflicting: set[str] = set()
     for change in changes:
         conflicting |= changed_paths(change.patch)
@@ -184,7 +186,7 @@
     found = yield Scan(DELTA_PREFIX, delta_key(first - 1))
     if not isinstance(found, Rows):
         return None
-    return [Delta(**row.value) for row in found.rows.values()]
+    return [read_row(row.value, Delta) for row in found.rows.values()]
 
 
 def document_at(number: int) -> Steps[Json | None]:
--- a/src/godwitmast/config/rows.py
+++ b/src/godwitmast/config/rows.py
@@ -8,7 +8,9 @@
 
 import msgspec
 
-from godwitmast.errors import ConfigInvalid
+from godwitmast.bounds import ClockSeconds, WholeNumber
+from godwitmast.decoding import convert, decode_json
+from godwitmast.errors import ConfigInvalid, Undecodable
 from godwitmast.types import Json
 
 T = TypeVar("T")
@@ -26,29 +28,35 @@
 class Head(NamedTuple):
     """The version in force, and the newest snapshot at or below it."""
 
-    number: int
+    number: WholeNumber
     snapshot: str
-    snapshot_number: int
+    snapshot_number: WholeNumber
 
 
 class Delta(NamedTuple):
     """An accepted change: the merge patch from `number - 1` to `number`."""
 
-    number: int
+    number: WholeNumber
     patch: Json
     patch_id: str = ""
     author: str = ""
-    at: float = 0.0
+    at: ClockSeconds = 0.0
     reason: str = ""
 
 
 class Snapshot(NamedTuple):
     """A whole document with its version."""
 
-    number: int
+    number: WholeNumber
     document: Json
 
 
+class AcceptedPatch(NamedTuple):
+    """The version that a patch was accepted as."""
+
+    number: WholeNumber
+
+
 def delta_key(number: int) -> str:
     """Return the key of a change's row; keys sort by number."""
     return f"{DELTA_PREFIX}{number:0{NUMBER_DIGITS}}"
@@ -67,8 +75,8 @@
 def read_row(value: Json, shape: type[T]) -> T:
     """Return a row's value as `shape`, or raise ConfigInvalid if fields differ."""
     try:
-        return shape(**value)
-    except TypeError as error:
+        return convert(list(shape(**value)), shape)  # type: ignore[call-overload]
+    except (TypeError, Undecodable) as error:
         raise ConfigInvalid(f"row is not a valid {shape.__name__}: {error}") from None
 
 
@@ -77,7 +85,11 @@
 
 
 def decode_snapshot(content: bytes) -> Snapshot:
-    return msgspec.json.decode(content, type=Snapshot)
+    """Return the snapshot in an object, or raise ConfigInvalid."""
+    try:
+        return decode_json(content, Snapshot)
+    except Undecodable as error:
+        raise ConfigInvalid(f"object is not a valid Snapshot: {error}") from None
 
 
 def first_objects(document: Json) -> dict[str, bytes]:
