--- a/src/godwitmast/relay/codec.py
+++ b/src/godwitmast/relay/codec.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from godwitmast.errors import PeerError
-from godwitmast.relay.messages import Frame, TransactAsked
+from godwitmast.relay.messages import Frame, ReadAnswered, TransactAsked
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 """A configuration snapshot of 6,300 teams with their keys is about 2 MB."""
@@ -44,9 +44,10 @@
         if data.startswith(ZLIB_START):
             data = decompress(data)
         frame: Frame = msgspec.convert(cbor2.loads(data), Frame)
-        if isinstance(frame, TransactAsked):
+        match frame:
             # CBOR has values that the platform's JSON cannot hold.
-            msgspec.json.encode(frame.writes)
+            case TransactAsked(writes=values) | ReadAnswered(rows=values):
+                msgspec.json.encode(values)
         return frame
     except Exception as error:
         # Hostile input makes the codec raise a dozen kinds of errors.
