An answer of the store is read without the rows that can't be decoded

What callers would see: servers that start are not used, and those that left still are, for as long as one row is in the table whose key is no Unicode text, at all VMs.

Cause: the answer to a call about rows was decoded as a whole, and refused for one row. It was retried for ever. Versions of any size were accepted, though they share an integer with the epoch.

Change: decode_rows falls back to rows one by one; those that aren't valid are left out. Versions and the store's clock are bounded.

--- a/src/godwitmast/decoding.py
+++ b/src/godwitmast/decoding.py
@@ -1,5 +1,6 @@
 """Decoding of bytes that other programs wrote, which may be any bytes."""
 
+import json
 import math
 from collections.abc import Hashable
 from functools import lru_cache
@@ -29,6 +30,19 @@
     return value
 
 
+def parse_any_json(content: bytes) -> Any:
+    """Return JSON whose texts need not be valid Unicode; raise Undecodable otherwise."""
+    try:
+        text = content.decode("utf-8", "surrogateescape")
+        return json.loads(text, parse_constant=reject_constant)
+    except Exception as error:
+        raise Undecodable(f"{error!r:.200}") from None
+
+
+def reject_constant(name: str) -> None:
+    raise ValueError(f"{name} is not JSON")
+
+
 def convert(value: Any, shape: type[T]) -> T:
     """Return a decoded value as `shape`; raise Undecodable if it is not valid."""
     try:
--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -14,7 +14,7 @@
 from godwitmast.capacity.messages import OrderOutcome
 from godwitmast.capacity.zonal import DesiredServers
 from godwitmast.clock import Clock, SystemClock
-from godwitmast.decoding import decode_json, parse_whole_number
+from godwitmast.decoding import parse_whole_number
 from godwitmast.entry.crash_reports import CRASH_PREFIX
 from godwitmast.errors import PlatformOutcomeUnknown, Undecodable
 from godwitmast.logs import RowLog, log_event
@@ -33,6 +33,7 @@
     TRANSACT,
     RowsAnswer,
     StoredRow,
+    decode_rows,
 )
 from godwitmast.platform_api.epoch import (
     MAX_EPOCH,
@@ -338,7 +339,7 @@
     def parse(self, response: httpx.Response) -> RowsAnswer:
         """Return the decoded answer; raise PlatformOutcomeUnknown if malformed."""
         try:
-            answer = decode_json(response.content, RowsAnswer)
+            answer = decode_rows(response.content)
         except Undecodable as error:
             raise PlatformOutcomeUnknown(f"{response.url.path}: {error}") from None
         if self.on_store_time is not None and answer.now_ms is not None:
--- a/src/godwitmast/platform/wire.py
+++ b/src/godwitmast/platform/wire.py
@@ -4,6 +4,7 @@
 unknown fields are ignored, since the platform may add some.
 """
 
+from contextlib import suppress
 from typing import Annotated, Final
 
 import msgspec
@@ -17,6 +18,9 @@
     Seconds,
     WholeNumber,
 )
+from godwitmast.decoding import convert, decode_json, parse_any_json
+from godwitmast.errors import Undecodable
+from godwitmast.platform_api.epoch import NUMBER_BITS
 
 ATTEMPT_ID = "attempt-id"
 """The caller's id of a request; a server repeats it in its answer."""
@@ -90,6 +94,10 @@
     """A JSON structure of the platform, with names in camel case."""
 
 
+StoreVersion = Annotated[int, msgspec.Meta(ge=0, le=2**NUMBER_BITS - 1)]
+StoreMillis = Annotated[float, msgspec.Meta(ge=-1e15, le=1e15)]
+
+
 class StoredRow(PlatformJson):
     """A row of the store; `value` is base64, and `ver` counts the writes of all rows."""
 
@@ -97,7 +105,7 @@
     table: str = ""
     part: str = ""
     value: str = ""
-    ver: int = 0
+    ver: StoreVersion = 0
     removed: bool = False
 
 
@@ -106,11 +114,37 @@
 
     rows: list[StoredRow] = []
     truncated: bool = False
-    ver: int = 0
-    now_ms: float | None = None
+    ver: StoreVersion = 0
+    now_ms: StoreMillis | None = None
     """The store's own clock, which never jumps and counts from an unknown origin."""
 
 
+def decode_rows(content: bytes) -> RowsAnswer:
+    """Return the answer of a call about rows, without those that cannot be decoded.
+
+    A key may be a text that is not Unicode, for which the decoder refuses the whole
+    answer. Raise Undecodable if the rest is not valid either.
+    """
+    try:
+        return decode_json(content, RowsAnswer)
+    except Undecodable as error:
+        fields = parse_any_json(content)
+        if not isinstance(fields, dict) or not isinstance(fields.get("rows"), list):
+            raise
+        first_error = error
+    rows = fields.pop("rows")
+    answer = convert(fields, RowsAnswer)
+    for row in rows:
+        with suppress(Undecodable, UnicodeEncodeError):
+            stored = convert(row, StoredRow)
+            stored.key.encode()
+            answer.rows.append(stored)
+    if not answer.rows and answer.truncated:
+        # The next page follows the last key.
+        raise first_error
+    return answer
+
+
 class ServiceShare(PlatformJson):
     """A part of a route's traffic."""
 
--- a/tests/test_drawn_rows.py
+++ b/tests/test_drawn_rows.py
@@ -36,7 +36,13 @@
     decode_own_row,
 )
 from godwitmast.platform.settings import PlatformFile
-from godwitmast.platform.wire import RowsAnswer, WireConfig, WireRowAge, WireServer
+from godwitmast.platform.wire import (
+    RowsAnswer,
+    WireConfig,
+    WireRowAge,
+    WireServer,
+    decode_rows,
+)
 from godwitmast.platform_api.messages import Row
 from godwitmast.platform_api.steps import Rows, Scan
 from godwitmast.platform_api.time_agreement import (
@@ -436,3 +442,36 @@
     with pytest.raises(Undecodable):
         decode_own_row("node/other", NODE_ROW)
     assert decode_own_row("node/a.1", NODE_ROW)["incarnation"] == "a.1"
+
+
+SOUND_ROW = b'{"key": "a", "table": "servers", "value": "e30=", "ver": 2}'
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        rb'{"key": "\ud800", "value": "e30=", "ver": 3}',
+        b'{"key": 7}',
+        b'{"key": "b", "ver": %s}' % HUGE,
+        b'{"key": "b", "value": null}',
+        b'{"key": "\xff", "ver": 3}',
+        b"null",
+        b"[[]]",
+    ],
+)
+def test_odd_row_of_an_answer_holds_back_no_other_row(odd: bytes) -> None:
+    """Guards against a row for which the whole list of servers is not read."""
+    content = b'{"rows": [%s, %s], "ver": 5, "nowMs": 3.0}' % (odd, SOUND_ROW)
+    answer = decode_rows(content)
+    assert [row.key for row in answer.rows] == ["a"]
+    assert (answer.ver, answer.now_ms) == (5, 3.0)
+
+
+@pytest.mark.parametrize(
+    "content",
+    [b'{"rows": 7, "ver": 5}', b'{"rows": [{"key": 7}], "ver": -1}', b"[]", b""],
+)
+def test_answer_that_is_not_valid_is_refused(content: bytes) -> None:
+    """Guards against an answer that is taken for one without rows."""
+    with pytest.raises(Undecodable):
+        decode_rows(content)
