Ages in updates on crashes are bounded

What callers would see: a request that crashes servers is never refused, as a row says that it completed at a time to come; or it is suspected for ever.

Cause: ages of any size were accepted, also negative ones. What a router then does with the request was not played. Change: ages from -1 s (rounding) to 1e9 s; such an update is skipped and logged, the others of its row hold.

--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from godwitmast.bounds import AgeSeconds
 from godwitmast.dispatch.placement import Prompt, PromptPart
 from godwitmast.types import (
     AttemptId,
@@ -229,7 +230,7 @@
     """
 
     backend_id: BackendId
-    age_s: float
+    age_s: AgeSeconds
     sole: bool = True
     doubtful: bool = False
 
@@ -264,7 +265,7 @@
     """A suspect completed `age_s` seconds ago, so that it crashes no server."""
 
     fingerprint: str
-    age_s: float
+    age_s: AgeSeconds
 
 
 PoisonUpdate = Suspicion | Placement | Quarantine | Clearance
--- a/tests/test_drawn_rows.py
+++ b/tests/test_drawn_rows.py
@@ -16,8 +16,8 @@
 from godwitmast.capacity.zonal_duty import sum_open_requests
 from godwitmast.clock import SystemClock
 from godwitmast.decoding import decode_json
-from godwitmast.dispatch.messages import LoadReport
-from godwitmast.entry.crash_reports import Report
+from godwitmast.dispatch.messages import Clearance, LoadReport
+from godwitmast.entry.crash_reports import Report, read_updates
 from godwitmast.entry.events import Chunk, CompletionReader, read_usage
 from godwitmast.entry.forwarding import read_peer
 from godwitmast.entry.pool_versions import StoredHistory, pool_key
@@ -475,3 +475,15 @@
     """Guards against an answer that is taken for one without rows."""
     with pytest.raises(Undecodable):
         decode_rows(content)
+
+
+@pytest.mark.parametrize("age", [-1e308, -3600.0, 1e308])
+def test_update_on_a_crash_has_an_age(age: float) -> None:
+    """Guards against a clearance or a crash in the future, which would hold for ever."""
+    updates: list[tuple[str, float, Any]] = [
+        ("clearance", 10.0, ["f", age]),
+        ("suspicion", 10.0, ["f", [["sound", age]]]),
+        ("clearance", 10.0, ["g", 1.0]),
+    ]
+    report = Report(updates, 100.0)
+    assert list(read_updates(report, 10.0)) == [Clearance("g", 1.0)]
