Late answers of another VM are dropped, and the awaited one is read

What callers saw: a VM that reaches no server has another one serve its requests; where that one's answers come twice, the late one failed the next request, and its VM became the last choice for 5 s: with a single other VM nothing was served.

Change: the nonce of each send to a VM is the id by which the transport ties answers to requests, as the caller's id is with servers.

test_late_answers_of_another_vm_lose_no_request, each answer repeated before the next one, payments and streams: 2 of 2 cases failed before, pass now.

--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -358,6 +358,7 @@
             terms.add_to(request.headers),
             request.content,
             belongs=partial(answers_send, terms),
+            answer_id=terms.nonce,
         ) as answer:
             self.use = connection_use(answer.request)
             self.record_departure(answer)
--- a/src/godwitmast/entry/forwarding.py
+++ b/src/godwitmast/entry/forwarding.py
@@ -57,7 +57,7 @@
 class PeerHeaderParser:
     """Parses the response headers of other VMs."""
 
-    id_header = ""
+    id_header = NONCE_HEADER.decode()
 
     def reports_not_run(self, answer: httpx.Response) -> bool:
         return answer.status_code == MISDIRECTED
@@ -177,6 +177,7 @@
                 terms.encode(),
                 b"",
                 belongs=partial(answers_send, terms),
+                answer_id=terms.nonce,
             ) as answer:
                 limits = self.client.limits
                 await read_raw(answer, limits.body_bytes, self.client.bodies)
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -314,6 +314,21 @@
     assert front.connections >= len(called)
 
 
+@pytest.mark.parametrize("path", ["/pay/1", "/chat/1"])
+async def test_late_answers_of_another_vm_lose_no_request(
+    cut_off: LateFleet, path: str
+) -> None:
+    """Guards against a VM that counts as lost as it answers twice."""
+    [front] = cut_off.fronts
+    front.every = 1
+    for replica in cut_off.mixed:
+        replica.statuses = (200,)
+    called = await call_again(cut_off, path, 1)
+    assert_own_answers(cut_off, called, path)
+    assert all("server-seal" in answer.headers for _, answer in called)
+    assert front.added > 0
+
+
 async def test_connections_to_another_vm_are_used_again(cut_off: LateFleet) -> None:
     """Guards against a new connection for each request that is forwarded."""
     [front] = cut_off.fronts
