--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -82,12 +82,12 @@
 """Characters that are logged of an id in an answer, which may be anyone's."""
 
 REPLAYED = (b"godwit-replayed", b"true")
+"""Marks the stored answer of an earlier call with the same idempotency key."""
 
 MAY_HAVE_BEGUN = frozenset(
     [FailureKind.CUT, FailureKind.MALFORMED, FailureKind.TIMEOUT]
 )
 """Failures after which a plain service may be running what it accepted."""
-"""Marks the stored answer of an earlier call with the same idempotency key."""
 
 STREAM_UNKNOWN = ErrorAnswer(
     503,
