Each duty call has a connection of its own

What would be seen: a late second answer to a duty call was taken for the answer to the next one: a report of usage that was answered 503 counted as accepted.

Cause: nothing in an answer names its call, and calls shared connections.

Evidence: a front that repeats each answer once the next request has arrived: answers 200 and then 503 are read as 200 and 200, 503 and then 200 as 503 and 503, on and on. After: as they were given.

Change: the client of duty calls keeps no idle connections; there are a few calls a minute. The platform that breaks the connection of the second call in test_late_duty_stalls.py counts calls, not connections: the test asks as before that the call is sent once, is of unknown outcome and not settled, and now that it has a connection of its own, where it asked for the one of the call before.

--- a/src/godwitmast/platform/store.py
+++ b/src/godwitmast/platform/store.py
@@ -104,8 +104,13 @@
     return f"http://{address.host}:{address.port}"
 
 
-def make_http(address: Listen, timeout_s: float) -> httpx.AsyncClient:
-    limits = httpx.Limits(max_connections=None, keepalive_expiry=60)
+def make_http(
+    address: Listen, timeout_s: float, kept: int | None = None
+) -> httpx.AsyncClient:
+    """Return an HTTP client that keeps so many idle connections, or all of them."""
+    limits = httpx.Limits(
+        max_connections=None, max_keepalive_connections=kept, keepalive_expiry=60
+    )
     transport = BoundedTransport(
         HEAD_BYTES, limits, tls_without_authorities(), DEAD_PEER_OPTIONS
     )
@@ -357,7 +362,11 @@
 
 
 class DutyClient(PlatformHttp):
-    """Client for the calls that only the holder of a duty makes."""
+    """Client for the calls that only the holder of a duty makes.
+
+    Nothing in an answer names its call, and nothing can be read back. So each call has a
+    connection of its own, on which no late answer to another one arrives.
+    """
 
     def call_name(self, path: str) -> str:
         return call_label(path)
@@ -365,7 +374,7 @@
     def __init__(self, settings: PlatformFile) -> None:
         address = settings.cloud_api.address
         limits = PlatformSettings(url_of(address), CALL_TIMEOUT_S)
-        super().__init__(limits, make_http(address, CALL_TIMEOUT_S))
+        super().__init__(limits, make_http(address, CALL_TIMEOUT_S, kept=0))
         self.node = settings.node
 
     def duty_headers(self, fence: int) -> dict[str, str]:
