Bytes behind the last read of an answer are found before a connection is used again

What callers saw: where a server's answer ends exactly where a read ends (8,192 bytes, or 64 KiB more) and more bytes follow in the same segment, these were read as the answer to the next request: another answer with status 200, where servers send no ids.

Cause: the event loop takes up to 256 KiB from the socket, and the library's stream keeps what a read of fewer bytes leaves over. Neither the parser nor the socket holds that, so the connection counted as clean.

Change: the connection takes all that the loop has received and keeps the rest itself, where it is seen before the next use. Not for TLS, where the layer above decides how much is taken of the socket's bytes.

--- a/src/godwitmast/backends/transport.py
+++ b/src/godwitmast/backends/transport.py
@@ -15,6 +15,7 @@
 from itertools import count
 from typing import Any, TypeAlias
 
+import anyio.lowlevel
 import httpcore
 import httpx
 
@@ -40,6 +41,10 @@
 """Bytes of a head that are read at a time. The library parses the informational answers
 in them without a pause: 64 KiB of those take 40 ms, and more on a small VM."""
 
+RECEIVE_BYTES = 256 * 1024
+"""Bytes that the event loop takes from a socket at a time. Of a read of fewer, the rest would
+wait in the library's stream, where `is_readable` can't see it."""
+
 ANSWER_ID = "answer_id"
 """Extension of a request: the id that its answer bears."""
 
@@ -137,6 +142,9 @@
         self.exchanges = 0
         """Requests that were sent, or begun."""
         self.received = 0
+        self.unread = b""
+        """Bytes that were received, and not read yet."""
+        self.is_secured = False
         self.is_ending = False
         """Whether no further request may be sent."""
         self.may_end = False
@@ -159,7 +167,7 @@
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         if not self.awaits_head:
-            data = await self.stream.read(max_bytes, timeout)
+            data = await self.receive(max_bytes, timeout)
             if not data and not self.may_end:
                 raise httpcore.ReadError("the connection ended within the body")
             return data
@@ -169,10 +177,22 @@
             passed_on = self.without_late_answers(data)
         return passed_on
 
+    async def receive(self, max_bytes: int, timeout: float | None) -> bytes:
+        """Return bytes of the connection, b"" at its end."""
+        if self.unread:
+            await anyio.lowlevel.checkpoint()
+        elif self.is_secured:
+            # What is left of a record is found by `has_decrypted_bytes`.
+            return await self.stream.read(max_bytes, timeout)
+        else:
+            self.unread = await self.stream.read(RECEIVE_BYTES, timeout)
+        data, self.unread = self.unread[:max_bytes], self.unread[max_bytes:]
+        return data
+
     async def read_head(self, max_bytes: int, timeout: float | None) -> bytes:
         # All bytes so far belong to the head, as more of it is needed.
         check_length(AnswerPart.HEAD, self.network.head_bytes, self.received)
-        data = await self.stream.read(min(max_bytes, HEAD_READ_BYTES), timeout)
+        data = await self.receive(min(max_bytes, HEAD_READ_BYTES), timeout)
         if not data:
             where = "within the head" if self.received else "without an answer"
             raise httpcore.ReadError(f"the connection ended {where}")
@@ -239,7 +259,9 @@
         timeout: float | None = None,
     ) -> httpcore.AsyncNetworkStream:
         secured = await self.stream.start_tls(ssl_context, server_hostname, timeout)
-        return HeadCountingStream(secured, self.network, self.server)
+        connection = HeadCountingStream(secured, self.network, self.server)
+        connection.is_secured = True
+        return connection
 
     def get_extra_info(self, info: str) -> Any:
         if info == "is_readable":
@@ -253,7 +275,7 @@
         the start and at the end of each request, so that the socket is looked up only
         once.
         """
-        if self.is_ending:
+        if self.is_ending or self.unread:
             return True
         if self.poll is None:
             self.socket = self.stream.get_extra_info("socket")
@@ -275,6 +297,8 @@
 
     def unread_reason(self) -> DropReason | None:
         """Return what `is_readable` found."""
+        if self.unread:
+            return DropReason.PARSER
         if self.poll is None or self.socket.fileno() < 0:
             return DropReason.ENDED
         if self.poll.poll(0):
