Answers that are malformed after they began speak against their server too

What callers saw: an engine that begins each answer soundly and is malformed further on was never ejected: each beginning ended the count of malformed answers. As it fails soon, it got twice the requests of the others.

Change: answers that are malformed after their beginning have a count of their own, which only a complete answer or an error of the server ends. A stuttering server completes others in between.

--- a/src/godwitmast/dispatch/health.py
+++ b/src/godwitmast/dispatch/health.py
@@ -8,7 +8,8 @@
 - A refused or broken connection ejects at once, as there is nothing to average.
 - A malformed answer speaks against its connection, on which bytes may have been left
   over. Three in a row, without an answer of the server's own in between, eject it too,
-  but not the last server of a pool in rotation.
+  but not the last server of a pool in rotation. So do three answers in a row that are
+  malformed after they began, whatever else begins in between.
 - Three errors in a row, or two slow windows or time-outs in a row, eject as well.
 - A server that is ejected as slow must be `SLOW_FACTOR` times slower than the pool's
   median, and no more than `MAX_SLOW_SHARE` of a pool is ejected as slow: if more are
@@ -58,6 +59,8 @@
     consecutive_slow: int = 0
     consecutive_errors: int = 0
     consecutive_malformed: int = 0
+    consecutive_broken: int = 0
+    """Answers that began, and were malformed further on."""
 
     def is_in_rotation(self) -> bool:
         return self.condition is Condition.IN
@@ -83,7 +86,7 @@
 
     def reset_counts(self) -> None:
         self.consecutive_slow = self.consecutive_errors = 0
-        self.consecutive_malformed = 0
+        self.consecutive_malformed = self.consecutive_broken = 0
 
     def record_slow(self) -> bool:
         """Count a slow window or a time-out; return whether the server is to be
@@ -94,10 +97,11 @@
     def record_error(self) -> bool:
         """Count an error; return whether the server is to be ejected."""
         self.record_answer()
+        self.consecutive_broken = 0
         self.consecutive_errors += 1
         return self.consecutive_errors >= ERRORS_TO_EJECT
 
-    def record_malformed(self, started_at: float) -> bool:
+    def record_malformed(self, started_at: float, has_begun: bool = False) -> bool:
         """Count a malformed answer to a request that was sent at `started_at`.
 
         Return whether the server is to be ejected, or its ejection extended: requests
@@ -105,17 +109,21 @@
         """
         if not self.is_in_rotation():
             return started_at > self.ejected_at
-        self.consecutive_malformed += 1
-        return self.consecutive_malformed >= MALFORMED_TO_EJECT
+        if has_begun:
+            self.consecutive_broken += 1
+        else:
+            self.consecutive_malformed += 1
+        most = max(self.consecutive_malformed, self.consecutive_broken)
+        return most >= MALFORMED_TO_EJECT
 
     def record_answer(self) -> None:
-        """Record the server's own answer to a request, which may be an error."""
+        """Record that the server's own answer to a request began; it may be an error."""
         self.consecutive_malformed = 0
 
     def record_success(self) -> None:
         """Record a complete answer."""
         self.record_answer()
-        self.consecutive_errors = 0
+        self.consecutive_errors = self.consecutive_broken = 0
         if self.condition is Condition.IN:
             self.ejection_count = max(0, self.ejection_count - 1)
 
--- a/src/godwitmast/dispatch/shared_health.py
+++ b/src/godwitmast/dispatch/shared_health.py
@@ -104,7 +104,9 @@
         state = self.table.states.get(active.backend_id)
         if state is None or server is None:
             return
-        speaks_against = state.health.record_malformed(active.started_at)
+        speaks_against = state.health.record_malformed(
+            active.started_at, active.first_token_at is not None
+        )
         is_shared = self.outliers.is_used(state.spec.pools)
         if is_shared and state.health.is_in_rotation():
             speaks_against |= self.outliers.fails_elsewhere(server, now)
--- a/tests/failing_engines.py
+++ b/tests/failing_engines.py
@@ -130,6 +130,8 @@
         self.failing_vms: set[int] = set()
         self.failure = FailureKind.ERROR
         """How requests fail at engines that fail."""
+        self.fails_after_first = False
+        """Requests fail after their first token."""
         self.failing_share: dict[BackendId, float] = {}
         """Share of requests that fail at an engine that answers the others."""
         """VMs whose requests fail on each engine."""
@@ -294,6 +296,8 @@
         self.report_load(vm, start)
         ids = (start.request_id, start.attempt_id)
         call = self.open.get((vm.number, start.request_id))
+        if self.fails_after_first:
+            self.execute(vm, vm.router.record_tokens(*ids, 1, self.now))
         if kind is FailureKind.ERROR and call is not None and call.kind.attempts == 1:
             # An entry passes on the error of what may not run again.
             self.end(vm, start.request_id, "nothing")
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -13,13 +13,14 @@
 import pytest
 
 from event_heap import EventHeap
-from failing_engines import KINDS, FailingEngines
+from failing_engines import EXPLANATION, KINDS, FailingEngines
 from godwitmast.config.document import (
     Document,
     FleetPolicy,
     RequestClass,
     Service,
     Team,
+    Use,
 )
 from godwitmast.dispatch.health import Condition
 from godwitmast.dispatch.messages import (
@@ -223,6 +224,32 @@
     assert pool.engines[BackendId("e1")].errors <= 0.4 * mean
 
 
+@pytest.mark.parametrize("sharing", ["on", "off"])
+def test_engine_that_breaks_each_answer_gets_no_more_than_one_that_fails(
+    sharing: Use,
+) -> None:
+    """Guards against an engine that begins each answer, is malformed further on, and goes
+    on getting requests."""
+    broken = play_broken_answers(sharing, FailureKind.MALFORMED)
+    failed = play_broken_answers(sharing, FailureKind.ERROR)
+    assert broken.engines[BackendId("e1")].errors > 0
+    assert (
+        broken.engines[BackendId("e1")].errors <= failed.engines[BackendId("e1")].errors
+    )
+    assert all(call.outcome in ("answered", "open") for call in broken.calls)
+
+
+def play_broken_answers(sharing: Use, kind: FailureKind) -> FailingEngines:
+    """Play 40 s, from the third of which one engine fails after each first token."""
+    pool = FailingEngines(3, 1, FleetPolicy(outlier_sharing=sharing), engines=12)
+    pool.failure = kind
+    pool.fails_after_first = True
+    pool.start_load(EXPLANATION, 40.0)
+    pool.schedule(2.0, pool.set_failing, ["e1"], True)
+    pool.run(40.0)
+    return pool
+
+
 def test_malformed_answers_of_a_live_engine_eject_it_on_no_vm() -> None:
     """Guards against a stuttering engine that all VMs together take for a dead one."""
     pool = FailingEngines(62, 1, FleetPolicy(outlier_sharing="on"))
