Late answers: a head is searched once, and an id is found across two reads

A head that arrives byte by byte was searched from its start with each, up to the limit of heads. A late answer that broke off in its body was found only where one read had the whole id of the next answer; else the request waited for its deadline. A request without an id made answers with an empty one count as late.

test_awaited_answer_within_a_late_body_fails_the_request_at_once, in reads of 1, 3 and 64 bytes.

--- a/src/godwitmast/backends/late_answers.py
+++ b/src/godwitmast/backends/late_answers.py
@@ -16,6 +16,7 @@
 """Bytes of late answers that are read before an exchange is given up."""
 
 HEAD_START = b"HTTP/1."
+HEAD_END_BYTES = 4
 HEAD_END = re.compile(rb"\r?\n\r?\n")
 
 
@@ -55,7 +56,11 @@
         self.expected = expected
         self.was_sent = was_sent
         """Returns whether the connection carried a request with this id before."""
-        self.buffer = b""
+        self.buffer = bytearray()
+        self.searched = 0
+        """Bytes of the buffer in which no end of a head was found."""
+        self.last_dropped = b""
+        """The last bytes of a late answer's body, in which an id may have begun."""
         self.late_answer: h11.Connection | None = None
         """Parser of a late answer of which a part is still to come."""
         self.passes_on = False
@@ -72,21 +77,26 @@
         else:
             self.buffer += data
         while self.late_answer is None:
-            head_end = HEAD_END.search(self.buffer)
+            head_end = HEAD_END.search(self.buffer, self.searched)
             if head_end is None and is_head_start(self.buffer):
+                self.searched = max(0, len(self.buffer) - HEAD_END_BYTES)
                 return b""
-            if head_end is None or not self.is_late(self.buffer[: head_end.start()]):
+            head = b"" if head_end is None else bytes(self.buffer[: head_end.start()])
+            if not self.is_late(head):
                 return self.pass_on()
-            received, self.buffer = self.buffer, b""
             self.late_answer = answer_parser()
-            self.drop(received)
+            self.drop(self.take_buffer())
         return b""
 
+    def take_buffer(self) -> bytes:
+        received, self.buffer = bytes(self.buffer), bytearray()
+        self.searched = 0
+        return received
+
     def pass_on(self) -> bytes:
         """Return what was held back, and hold back nothing from now on."""
         self.passes_on = True
-        rest, self.buffer = self.buffer, b""
-        return rest
+        return self.take_buffer()
 
     def is_late(self, head: bytes) -> bool:
         """Return whether a head is of an answer to another request, of known length."""
@@ -112,15 +122,23 @@
             raise LateAnswerUnusable(f"over {MAX_DROPPED_BYTES} bytes of late answers")
         self.late_answer.receive_data(data)
         while (event := self.read_event(self.late_answer)) is not h11.NEED_DATA:
-            if isinstance(event, h11.Data) and self.expected.value in event.data:
-                raise LateAnswerUnusable("a late answer ended within its body")
+            if isinstance(event, h11.Data):
+                self.check_body(event.data)
             if isinstance(event, h11.EndOfMessage):
-                self.buffer = self.late_answer.trailing_data[0]
+                self.buffer = bytearray(self.late_answer.trailing_data[0])
+                self.last_dropped = b""
                 self.dropped_bytes -= len(self.buffer)
                 self.late_answer = None
                 self.dropped += 1
                 return
 
+    def check_body(self, data: bytes) -> None:
+        """Check that a late answer's body doesn't hold the awaited answer."""
+        body = self.last_dropped + data
+        if self.expected.value in body:
+            raise LateAnswerUnusable("a late answer ended within its body")
+        self.last_dropped = body[-len(self.expected.value) :]
+
     def read_event(self, parser: h11.Connection) -> object:
         try:
             return parser.next_event()
@@ -128,9 +146,11 @@
             raise LateAnswerUnusable(f"a late answer is malformed: {error}") from None
 
 
-def is_head_start(data: bytes) -> bool:
+def is_head_start(data: bytes | bytearray) -> bool:
     """Return whether data may be the beginning of a head."""
-    return data.startswith(HEAD_START) or HEAD_START.startswith(data)
+    return data.startswith(HEAD_START) or HEAD_START.startswith(
+        bytes(data[: len(HEAD_START)])
+    )
 
 
 def answer_parser() -> h11.Connection:
--- a/src/godwitmast/backends/transport.py
+++ b/src/godwitmast/backends/transport.py
@@ -247,7 +247,8 @@
 
     def was_sent(self, answer_id: bytes) -> bool:
         """Return whether an earlier request was sent that has this id."""
-        return id_digest(answer_id.decode("latin-1")) in self.sent_ids
+        digest = id_digest(answer_id.decode("latin-1"))
+        return answer_id != b"" and digest in self.sent_ids
 
     async def aclose(self) -> None:
         await self.stream.aclose()
--- a/tests/test_late_answer_filter.py
+++ b/tests/test_late_answer_filter.py
@@ -107,3 +107,11 @@
     with pytest.raises(LateAnswerUnusable):
         for start in range(0, len(endless), 4096):
             late_answers.feed(endless[start : start + 4096])
+
+
+@pytest.mark.parametrize("size", [1, 3, 64])
+def test_awaited_answer_within_a_late_body_fails_the_request_at_once(size: int) -> None:
+    """Guards against a request that waits for the rest of a late answer till its end."""
+    late = answer("other", bytes(4096))
+    with pytest.raises(LateAnswerUnusable):
+        pass_through(late[:-4000] + OWN, size)
