--- a/src/godwitmast/backends/transport.py
+++ b/src/godwitmast/backends/transport.py
@@ -394,25 +394,27 @@
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
-        self.answer_ids = bytearray()
-        """Hashes of the ids of the answers that were received."""
+        self.sent_ids = bytearray()
+        """Hashes of the ids of the requests that were answered. A match across two of
+        them costs a connection, and no more."""
         self.is_retired = False
 
     async def handle_async_request(
         self, request: httpcore.Request
     ) -> httpcore.Response:
-        """Send a request; the pool takes another connection for one that was carried."""
+        """Send a request, unless an earlier one had its id: the pool sends that on another
+        connection."""
         answer_id = request.extensions.get(ANSWER_ID, "")
         digest = id_digest(answer_id)
-        if answer_id and digest in self.answer_ids:
+        if answer_id and digest in self.sent_ids:
             self.is_retired = True
             raise httpcore.ConnectionNotAvailable
         request.extensions[CONNECTION] = self
         answer = await super().handle_async_request(request)
-        self.answer_ids += digest
+        self.sent_ids += digest
         if self.network_stream is not None:
-            self.network_stream.sent_ids = self.answer_ids
-        self.is_retired |= len(self.answer_ids) >= MAX_EXCHANGES * HASH_BYTES
+            self.network_stream.sent_ids = self.sent_ids
+        self.is_retired |= len(self.sent_ids) >= MAX_EXCHANGES * HASH_BYTES
         return answer
 
     @property
@@ -426,19 +428,14 @@
         return stream if isinstance(stream, HeadCountingStream) else None
 
     def has_expired(self) -> bool:
-        reason: DropReason | None = None
-        if not super().has_expired():
-            if not self.is_idle():
-                return False
-            reason = self.drop_reason()
-            if reason is None:
-                return False
-        stream = self.network_stream
-        if stream is not None and reason is None:
-            stream.report_unread()
-        elif stream is not None and reason is not None:
-            stream.network.report_drop(stream, reason)
-        return True
+        if super().has_expired():
+            if self.network_stream is not None:
+                self.network_stream.report_unread()
+            return True
+        reason = self.drop_reason() if self.is_idle() else None
+        if reason is not None and self.network_stream is not None:
+            self.network_stream.network.report_drop(self.network_stream, reason)
+        return reason is not None
 
     def drop_reason(self) -> DropReason | None:
         """Return why this connection is not used again, whatever its socket holds."""
