Rows and reports that are left out are logged, with their key and error

An answer of the store of which rows were left out, and open requests of another VM that can't be read, left no line; a claim's line named no row, and a claim whose answer has neither text nor object left none. The type of a server's number of requests has a name of its own.

--- a/src/godwitmast/backends/client.py
+++ b/src/godwitmast/backends/client.py
@@ -65,14 +65,14 @@
 
 MAX_REPORT_AGE_S = 86_400.0
 
-RequestCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_SERVER_REQUESTS)]
+ServerRequests = Annotated[int, msgspec.Meta(ge=0, le=MAX_SERVER_REQUESTS)]
 
 
 class LoadDocument(msgspec.Struct):
     """What a backend server serves at `/load`; `age_s` is the age of its numbers."""
 
-    running: RequestCount
-    waiting: RequestCount
+    running: ServerRequests
+    waiting: ServerRequests
     age_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_REPORT_AGE_S)] = 0.0
 
 
--- a/src/godwitmast/capacity/zonal_duty.py
+++ b/src/godwitmast/capacity/zonal_duty.py
@@ -22,7 +22,7 @@
 from godwitmast.errors import PlatformError, PlatformOutcomeUnknown, Undecodable
 from godwitmast.lease.calls import DutyCall
 from godwitmast.lease.machine import Guard
-from godwitmast.logs import log_event
+from godwitmast.logs import RowLog, log_event
 from godwitmast.platform_api.port import WriteHook
 from godwitmast.types import PoolName, ZoneName
 
@@ -43,6 +43,9 @@
         """Order a number of servers; raise PlatformError on failure or uncertainty."""
 
 
+OPEN_REQUESTS_LOG = RowLog("open_requests_bad")
+
+
 def sum_open_requests(
     loads: Iterable[Mapping[str, Any]], pool: PoolName
 ) -> float | None:
@@ -55,9 +58,13 @@
 
 def read_open_requests(load: Mapping[str, Any]) -> dict[str, int] | None:
     """Return an entry's open requests by pool, None if it reported none that are valid."""
+    if OPEN_REQUESTS_KEY not in load:
+        return None
     try:
-        return convert(load.get(OPEN_REQUESTS_KEY), dict[str, RequestCount])
-    except Undecodable:
+        return convert(load[OPEN_REQUESTS_KEY], dict[str, RequestCount])
+    except Undecodable as error:
+        # The report itself, of any size, isn't kept.
+        OPEN_REQUESTS_LOG.record(OPEN_REQUESTS_KEY, str(error), error)
         return None
 
 
--- a/src/godwitmast/claims/machine.py
+++ b/src/godwitmast/claims/machine.py
@@ -155,14 +155,17 @@
 """Stands for a row that another program wrote: nobody knows whether the call ran."""
 
 
-def read_claim(row: Row) -> StoredClaim:
+def read_claim(key: str, row: Row) -> StoredClaim:
+    """Return the claim in a row, UNREADABLE if it is not valid."""
     try:
         claim = convert(row.value, StoredClaim)
+        answer = claim["answer"]
+        if answer is not None and (answer["text"] is None) == (
+            answer["object"] is None
+        ):
+            raise Undecodable("an answer has either a text or an object")
     except Undecodable as error:
-        log_event("claim_row_bad", level="WARNING", error=str(error))
-        return UNREADABLE
-    answer = claim["answer"]
-    if answer is not None and (answer["text"] is None) == (answer["object"] is None):
+        log_event("claim_row_bad", level="WARNING", row=key, error=str(error))
         return UNREADABLE
     return claim
 
@@ -180,7 +183,7 @@
 
 def interpret_row(call: Call, row: Row) -> Steps[LookupOutcome]:
     """Return what the row of a claim means for a call."""
-    value = read_claim(row)
+    value = read_claim(call.row_key, row)
     if value is UNREADABLE:
         return InDoubt(False, value["at"])
     if value["state"] == RELEASED:
@@ -230,7 +233,10 @@
         if not isinstance(found, Rows):
             continue
         row = found.rows.get(call.row_key)
-        if row is not None and read_claim(row)["attempt"] == call.attempt_id:
+        if (
+            row is not None
+            and read_claim(call.row_key, row)["attempt"] == call.attempt_id
+        ):
             return ClaimGranted(row.version)
         if found.version(call.row_key) != unclaimed.version:
             outcome = yield from interpret_conflict(call, row)
@@ -310,7 +316,7 @@
         return False
     row = found.rows.get(call.row_key)
     if row is not None:
-        stored = read_claim(row)
+        stored = read_claim(call.row_key, row)
         ours = stored["attempt"] == call.attempt_id
         if ours and stored["state"] == RELEASED:
             return True
--- a/src/godwitmast/platform/wire.py
+++ b/src/godwitmast/platform/wire.py
@@ -20,6 +20,7 @@
 )
 from godwitmast.decoding import convert, decode_json, parse_any_json
 from godwitmast.errors import Undecodable
+from godwitmast.logs import log_event
 from godwitmast.platform_api.epoch import NUMBER_BITS
 
 ATTEMPT_ID = "attempt-id"
@@ -139,6 +140,13 @@
             stored = convert(row, StoredRow)
             stored.key.encode()
             answer.rows.append(stored)
+    log_event(
+        "store_rows_left_out",
+        level="WARNING",
+        rows=len(rows) - len(answer.rows),
+        read=len(answer.rows),
+        error=str(first_error),
+    )
     if not answer.rows and answer.truncated:
         # The next page follows the last key.
         raise first_error
