--- a/src/godwitmast/usage/windows.py
+++ b/src/godwitmast/usage/windows.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from godwitmast.errors import Undecodable
+from godwitmast.logs import log_event
 from godwitmast.platform_api.epoch import epoch_of
 from godwitmast.platform_api.messages import Conflict, Written
 from godwitmast.platform_api.steps import (
@@ -355,7 +356,9 @@
         return Failure.NOT_DONE
     try:
         window = decode_window(content.content)
-    except Undecodable:
+    except Undecodable as error:
+        name = row["object"]
+        log_event("usage_window_bad", level="ERROR", object=name, error=str(error))
         return Failure.NOT_DONE
     # A holder of a version before this field may have left a report.
     settled = reported is None or reported.get("settled") is True
