--- a/review/6/play.py
+++ b/review/6/play.py
@@ -16,6 +16,8 @@
 
 FOLDER = Path(__file__).resolve().parent
 VMS = 6
+HELD_SHARE = 0.5
+"""A process that uses more of a core than that, with no request, holds the processor."""
 ROUNDS = [("1c07e5a2", "5e19d7f0", "91bd3f06"), ("2b61c0d4", "6f0a93e1", "a4d27b58")]
 """The common prompt and those of two conversations, by round."""
 
@@ -151,7 +153,7 @@
             f"{vm.name}: answered {vm.name in answered}, ended {ended}, "
             f"{share:.2f} of a core for {took_s:.1f} s"
         )
-        if vm.name not in answered and ended is None:
+        if vm.name not in answered and ended is None and share > HELD_SHARE:
             hanging.append(vm)
     for vm in hanging[:1]:
         status = await ask(vm, ROUNDS[0][0])
