The search for deadly prompt parts ends whatever crashes look like

Cause: find_causes repeated until there was no cause left, and a turn took away only the crashes that all parts of a group have in common. Crashes of a server are the same within 2 s, which isn't transitive: a group joined by comparing with one part may have no crash in common, so nothing was taken away. Every VM computes this from the shared table.

Change: a cause comes with the crashes of the part that the others were compared with, and those are taken away: each turn removes them from one suspect at least. There are no more turns than suspects. For a group that another VM reports, the part with the most crashes in common is compared with.

--- a/src/godwitmast/dispatch/part_crashes.py
+++ b/src/godwitmast/dispatch/part_crashes.py
@@ -136,6 +136,14 @@
         self.crashes = [crash for crash in self.crashes if crash.at > at]
 
 
+class Cause(NamedTuple):
+    """A group of parts that is taken for the cause of crashes."""
+
+    group: PartGroup
+    crashes: list[SeenCrash]
+    """The crashes of one of its parts, which those of the others are compared with."""
+
+
 class PartNotice(NamedTuple):
     """A group that is quarantined from now on, or no longer; for the log."""
 
@@ -283,12 +291,17 @@
     def find_causes(self, now: float) -> list[PartGroup]:
         """Quarantine the groups of parts with enough crashes; return them."""
         found = []
-        while (group := self.find_cause(now)) is not None:
+        # Each turn takes its crashes from one suspect at least.
+        for _ in range(len(self.suspects)):
+            cause = self.find_cause(now)
+            if cause is None:
+                break
+            group, crashes = cause
             left_s = self.quarantine_s(group, now)
             # All entries that received the same updates conclude this, hundreds of them.
             if self.is_observed_here(group):
                 self.updates.append(Quarantine(encode_group(group), left_s))
-            self.condemn(group, now, left_s)
+            self.condemn(group, crashes, now, left_s)
             found.append(group)
         return found
 
@@ -308,17 +321,23 @@
     def is_familiar(self, part: PartGroup, now: float) -> bool:
         return self.survival_of(part) > now - FAMILIAR_S
 
-    def condemn(self, group: PartGroup, now: float, left_s: float) -> None:
-        """Quarantine a group as the cause of its crashes."""
-        crashes = self.open_crashes(group)
+    def condemn(
+        self, group: PartGroup, crashes: list[SeenCrash], now: float, left_s: float
+    ) -> None:
+        """Quarantine a group as the cause of these crashes."""
         if crashes:
             self.evidence[group] = []
         self.quarantine(group, now, left_s)
         if crashes:
             self.explain(group, crashes)
 
-    def find_cause(self, now: float) -> PartGroup | None:
-        """Return the group of parts in the most crashes, if these are enough."""
+    def find_cause(self, now: float) -> Cause | None:
+        """Return the group of parts in the most crashes, if these are enough.
+
+        Being the same crash isn't transitive, so that all parts of the group are
+        compared with the same one, and the crashes are that part's own: those that all
+        parts have in common may be none.
+        """
         settled = {
             group: self.settled_crashes(group, now)
             for group, suspect in self.suspects.items()
@@ -337,7 +356,8 @@
             for group, crashes in settled.items()
             if group.pool == first.pool and are_same(crashes, settled[first])
         ]
-        return PartGroup(first.pool, frozenset().union(*ids))
+        group = PartGroup(first.pool, frozenset().union(*ids))
+        return Cause(group, self.open_crashes(first))
 
     def is_enough(self, group: PartGroup, crashes: list[SeenCrash], now: float) -> bool:
         """Return whether a part is taken for the cause of these crashes."""
@@ -364,12 +384,7 @@
             suspect = self.suspects.get(part)
             crashes = suspect.crashes if suspect is not None else []
             lists.append([c for c in crashes if c.at > self.survival_of(part)])
-        first, *others = lists
-        return [
-            crash
-            for crash in first
-            if all(any(crash.is_same(c) for c in other) for other in others)
-        ]
+        return max((common_crashes(crashes, lists) for crashes in lists), key=len)
 
     def is_of_outage(self, pool: PoolName, crash: SeenCrash) -> bool:
         together = [
@@ -479,7 +494,8 @@
             match update:
                 case Quarantine(_, left_s):
                     if left_s > 0 and group not in self.quarantined:
-                        self.condemn(group, now, min(left_s, QUARANTINE_S))
+                        known = self.open_crashes(group)
+                        self.condemn(group, known, now, min(left_s, QUARANTINE_S))
                         self.narrow_by_survivals(group, now)
                         quarantined.append(group)
                 case Suspicion(_, crashes):
@@ -550,6 +566,17 @@
     return True
 
 
+def common_crashes(
+    crashes: list[SeenCrash], lists: list[list[SeenCrash]]
+) -> list[SeenCrash]:
+    """Return those of some crashes that are in all of the lists."""
+    return [
+        crash
+        for crash in crashes
+        if all(any(crash.is_same(known) for known in item) for item in lists)
+    ]
+
+
 def are_same(first: list[SeenCrash], second: list[SeenCrash]) -> bool:
     """Return whether two lists hold the same crashes."""
     pairs = zip(first, second, strict=False)
