A mix of prompts is defined for those without size or duration

Callers would have seen: the choice of a server raises ZeroDivisionError, and the process ends with it. A size of 0 is what a caller says.

Cause: GroupMix divides by the mean size of prompts, the sum of shares and the time for which they hold places; all may be 0.

Change: sizes and durations have a least value as they are added.

--- a/src/godwitmast/speed/demand.py
+++ b/src/godwitmast/speed/demand.py
@@ -12,6 +12,13 @@
 MAX_KINDS = 2048
 """Kinds of prompts whose rate is kept, the latest ones."""
 
+MIN_HELD_S = 0.001
+"""Least time for which a request holds its place: one may end in the same tick of the
+clock in which it began."""
+
+MIN_TOKENS = 1.0
+"""Least size of a prompt: callers state sizes, also 0."""
+
 MIX_WEIGHT = 0.05
 """Weight of one prompt in what a group runs, which the last twenty or so determine."""
 
@@ -85,6 +92,7 @@
 
     def add(self, targets: Targets, held_s: float, tokens: float) -> None:
         """Add a prompt, and for how long it is expected to hold its place."""
+        held_s, tokens = max(MIN_HELD_S, held_s), max(MIN_TOKENS, tokens)
         weight = min(1.0, MIX_WEIGHT * held_s)
         for known in self.shares:
             self.shares[known] *= 1 - weight
--- a/tests/test_speed_model.py
+++ b/tests/test_speed_model.py
@@ -7,6 +7,7 @@
 
 from godwitmast.measurements.messages import FleetSpeed, SpeedSample
 from godwitmast.measurements.view import EmptyView
+from godwitmast.speed.demand import GroupMix
 from godwitmast.speed.model import PoolSpeed
 from godwitmast.speed.prediction import (
     Cached,
@@ -294,3 +295,14 @@
     mean = vms / 30
     assert max(counts) <= mean + 3 + 4 * math.sqrt(mean + 3)
     assert counts[-1] == 0
+
+
+def test_prompts_of_no_size_that_end_at_once_have_a_mix() -> None:
+    """Guards against a division by zero in the choice of a server, after an answer that
+    ended in the tick in which it began, or a prompt that its caller says has no tokens."""
+    mix = GroupMix(usual_tokens=1000.0)
+    mix.add(Targets(1.0, 0.1), held_s=0.0, tokens=0.0)
+    [request] = mix.requests(3.0, Targets(2.0, 0.2))
+    assert request.targets == Targets(1.0, 0.1)
+    assert request.open == pytest.approx(3.0)
+    assert mix.usual_tokens > 0
