A version without routes ends no process

Cause: Router.choose_server takes the least tier of all classes, and a version without routes has none.

Change: the least tier is that of the request if there are no classes; a request whose class is gone is refused as not run. What waits or runs goes on.

--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -162,11 +162,11 @@
         if self.is_hopeless(request, now):
             after_s = self.retry_after_s(request, now)
             return [refuse(request, RefusalCode.SHED, after_s)]
-        active = ActiveRequest(
-            request,
-            self.document.classes[request.class_name],
-            version=request.version,
-        )
+        request_class = self.document.classes.get(request.class_name)
+        if request_class is None:
+            # A version removed it since the request was read.
+            return [refuse(request, RefusalCode.NO_BACKEND, RETRY_AFTER_S)]
+        active = ActiveRequest(request, request_class, version=request.version)
         if not self.has_server_of_version(active):
             return [refuse(request, RefusalCode.NO_BACKEND, RETRY_AFTER_S)]
         self.active_requests.add(active)
@@ -1019,13 +1019,16 @@
         request = active.request
         if self.is_suspect(active):
             return self.choose_for_suspect(active, now)
-        highest = min(item.tier for item in self.document.classes.values())
+        tier = active.request_class.tier
+        # A version may have removed all classes, also that of this request.
+        tiers = (item.tier for item in self.document.classes.values())
+        highest = min(tiers, default=tier)
         # Behind a network partition every server of a zone is due for a probe, and each
         # probe takes a connect time-out, so that a request makes one at most: with several
         # it would be late by all of them.
         may_probe = (
             request.idempotent
-            and active.request_class.tier > highest
+            and tier > highest
             and not active.avoid
             and self.shared_health.may_probe_with(active, now)
         )
