A zone that is taken out of a service's prices gets no orders

Callers would have seen: the VM that holds the duties ends with all that it serves, then the next holder, as KeyError is raised in each one's first round.

Evidence: the new test raised KeyError before the change.

Change: only zones that have a price are planned for.

Measured: tests/test_zonal.py and tests/test_zonal_duty.py passed.

--- a/src/godwitmast/capacity/zonal.py
+++ b/src/godwitmast/capacity/zonal.py
@@ -142,7 +142,9 @@
         they are needed again as soon as their zone is back.
         """
         servers = list(servers)
-        self.zones |= {s.zone for s in servers} & self.limits.zone_prices.keys()
+        self.zones |= {s.zone for s in servers}
+        # A version may have taken a zone out of the prices since.
+        self.zones &= self.limits.zone_prices.keys()
         counts = Counter((s.zone, s.kind) for s in servers if not s.leaving)
         if not counts:
             # An empty list is more likely a fault of the list than an empty fleet.
--- a/tests/test_zonal.py
+++ b/tests/test_zonal.py
@@ -297,3 +297,15 @@
     platform.sent.clear()
     platform.play(10, open_requests=90)
     assert platform.sent == []
+
+
+def test_zone_that_a_version_removes_from_the_prices_gets_no_orders() -> None:
+    """Guards against a holder of the duty that ends, and the next ones after it, as a
+    version takes a zone out of a service's prices."""
+    platform = FakePlatform()
+    platform.play(OBSERVATION_S + 2 * ROUND_S, 10.0)
+    for prices in ({A: 1.0, C: 1.25}, {}):
+        platform.planner.limits = LIMITS._replace(zone_prices=prices)
+        platform.sent.clear()
+        platform.play(DEMAND_WINDOW_S, 300.0)
+        assert {wanted.zone for wanted in platform.sent} <= prices.keys()
