An exception in one decision or periodic task ends no process

A request whose own handling raised got a bare 500, without a word on whether it had run.

Cause: nothing stands between a decision and the task group of the process. The same holds for each other periodic task, and for duties: an exception under the lease would end one holder after the other.

Change: the start of one request, each step of a tick, each periodic task and each duty are contained separately (godwitmast.supervision). Exceptions are logged with their trace and counted; a VM whose ticks fail again and again says that it isn't ready. A batch of writes that raises gives its writers an unknown outcome. A listener that fails still ends the process.

--- a/src/godwitmast/claims/keeper.py
+++ b/src/godwitmast/claims/keeper.py
@@ -24,6 +24,7 @@
 from godwitmast.memory.budget import Holder, MemoryBudget
 from godwitmast.platform_api.client import PlatformClient
 from godwitmast.platform_api.runner import run_steps
+from godwitmast.supervision import keep_running
 
 SETTLE_WAIT_S = 1.0
 """How long an answer to the caller waits until it is stored; later, storing goes on in
@@ -119,7 +120,7 @@
     async def start(self, tasks: TaskGroup) -> None:
         assert self.platform.group is not None, "a client in bulk has a group"
         await self.platform.group.start(tasks)
-        tasks.start_soon(self.run)
+        tasks.start_soon(keep_running, "ClaimKeeper.run", self.run)
 
     async def close(self) -> None:
         """Write the pending settlements, for at most `CLOSE_TIMEOUT_S`."""
--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -136,6 +136,16 @@
     QUARANTINED = "quarantined"
     BACKEND_FAILED = "backend_failed"
     STOPPING = "stopping"
+    INTERNAL = "internal"
+    """A decision on it raised an exception."""
+
+
+class DecisionFailure(NamedTuple):
+    """An exception in one step of the router, or in its decision on one request."""
+
+    step: str
+    request_id: RequestId | None
+    error: Exception
 
 
 class FailureKind(Enum):
@@ -164,6 +174,8 @@
     """Memory was short, and the caller was among the slowest that held the most."""
     DEADLINE = "deadline"
     LOST_RACE = "lost_race"
+    FAILED = "failed"
+    """Serving it raised an exception."""
     KEY_WITHDRAWN = "key_withdrawn"
     EVICTED = "evicted"
     SLOW = "slow"
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -6,7 +6,7 @@
 
 import random
 from collections import deque
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Iterator
 from dataclasses import replace
 
 from godwitmast.admission.controller import Admission
@@ -21,6 +21,7 @@
     BackendSpec,
     Cancel,
     CancelReason,
+    DecisionFailure,
     FailureKind,
     LoadReport,
     NotRun,
@@ -84,6 +85,9 @@
 
 EXPIRE_EVERY_S = 1.0
 
+MAX_FAILURE_NOTICES = 100
+"""Exceptions that are kept if nobody logs them."""
+
 DEFAULT_CHECK_S = 1.0
 """Interval between checks of an attempt while nothing has been measured in its pool."""
 
@@ -128,6 +132,8 @@
         self.unconfirmed_crashes: deque[tuple[BackendId, float]] = deque()
         self.overcommitted: dict[BackendId, ActiveRequest] = {}
         self.next_expiry_at = 0.0
+        self.failures: deque[DecisionFailure] = deque(maxlen=MAX_FAILURE_NOTICES)
+        """Exceptions that the caller logs."""
 
     def update_config(self, document: Document, now: float) -> list[Action]:
         """Apply a configuration: classes, teams, pools."""
@@ -761,6 +767,12 @@
         left_s = self.backends.rest_left_s(request.pool, now)
         return min(max(RETRY_AFTER_S, left_s), MAX_RETRY_AFTER_S)
 
+    def pop_failures(self) -> list[DecisionFailure]:
+        """Return and clear the exceptions that are to be logged."""
+        failures = list(self.failures)
+        self.failures.clear()
+        return failures
+
     def pop_poison_updates(self) -> list[PoisonUpdate]:
         """Return and clear the updates on suspects that other entries are to be sent at
         once."""
@@ -801,8 +813,37 @@
     def tick(self, now: float) -> list[Action]:
         """Refuse what waited too long, check attempts, and start what can be
         started."""
+        actions: list[Action] = []
+        for step in (
+            self.update_servers,
+            self.review_crashes,
+            self.count_unexplained_crashes,
+            self.refuse_expired,
+            self.check_attempts,
+            self.move_evicted,
+            self.requeue_due,
+            self.start_waiting,
+        ):
+            actions += self.run_step(step, now)
+        return actions
+
+    def run_step(
+        self, step: Callable[[float], list[Action]], now: float
+    ) -> list[Action]:
+        """Run one step of a tick; if it raises, the others are run all the same."""
+        try:
+            return step(now)
+        except Exception as error:
+            self.failures.append(DecisionFailure(step.__name__, None, error))
+            return []
+
+    def update_servers(self, now: float) -> list[Action]:
         self.backends.tick(now)
         self.shared_health.review(now)
+        return []
+
+    def review_crashes(self, now: float) -> list[Action]:
+        """Refuse what the crashes so far, and the reports on them, quarantine."""
         self.confirm_crashes(now)
         quarantined = self.guard.review_suspects(now)
         actions = self.refuse_quarantined(quarantined, now)
@@ -812,19 +853,32 @@
             self.guard.expire(now)
             self.part_guard.expire(now)
             self.expire_crashes(now)
-        actions += self.count_unexplained_crashes(now)
-        actions += self.end_refused(self.admission.refuse_expired(now), now)
+        return actions
+
+    def refuse_expired(self, now: float) -> list[Action]:
+        return self.end_refused(self.admission.refuse_expired(now), now)
+
+    def check_attempts(self, now: float) -> list[Action]:
+        actions: list[Action] = []
         for active in self.check_queue.pop_due(now):
             actions += self.check_attempt(active, now)
+        return actions
+
+    def move_evicted(self, now: float) -> list[Action]:
+        """Move requests off servers that the platform is about to take away."""
+        actions: list[Action] = []
         for notice in self.removal_notices.values():
             running = self.active_requests.on_server(notice.backend_id)
             for active in notice.select_to_move(running, now):
-                if not self.may_go_on_elsewhere(active):
-                    continue
-                actions.append(self.move_attempt(active, CancelReason.EVICTED, now))
+                if self.may_go_on_elsewhere(active):
+                    actions.append(self.move_attempt(active, CancelReason.EVICTED, now))
+        return actions
+
+    def requeue_due(self, now: float) -> list[Action]:
+        actions: list[Action] = []
         for request_id in self.retries.pop_due(now):
             actions += self.requeue(request_id, now)
-        return [*actions, *self.start_waiting(now)]
+        return actions
 
     def expire_crashes(self, now: float) -> None:
         """Drop crashes that are too old to matter to later findings."""
@@ -895,16 +949,23 @@
         """Start waiting requests while servers have room."""
         actions: list[Action] = []
         for pool in self.admission.waiting_pools():
-            while self.backends.has_room(pool, now):
-                request = self.admission.pop_next(pool, now)
-                if request is None:
-                    break
-                actions += self.start_request(
-                    self.active_requests.by_id[request.request_id], now
-                )
-            actions += self.preempt(pool, now)
+            try:
+                for action in self.start_from(pool, now):
+                    actions.append(action)
+            except Exception as error:
+                self.failures.append(DecisionFailure("start_from", None, error))
         return actions
 
+    def start_from(self, pool: str, now: float) -> Iterator[Action]:
+        """Start requests that wait for a pool, while its servers have room."""
+        while self.backends.has_room(pool, now):
+            request = self.admission.pop_next(pool, now)
+            if request is None:
+                break
+            active = self.active_requests.by_id[request.request_id]
+            yield from self.start_or_end(active, now)
+        yield from self.preempt(pool, now)
+
     def preempt(self, pool: str, now: float) -> list[Action]:
         """Preempt requests of lower tiers for requests that would otherwise be late.
 
@@ -929,7 +990,32 @@
                 actions.append(self.cancel_preempted(victim, now))
             elif server_id is not None:
                 self.overcommitted[server_id] = active
-            actions += self.start_request(active, now, server_id)
+            actions += self.start_or_end(active, now, server_id)
+
+    def start_or_end(
+        self, active: ActiveRequest, now: float, server_id: BackendId | None = None
+    ) -> list[Action]:
+        """Start a request, or end it if the decision on it raises an exception.
+
+        It would be the next one to start again, so that no other one would start.
+        """
+        try:
+            return self.start_request(active, now, server_id)
+        except Exception as error:
+            request = active.request
+            failure = DecisionFailure("start_request", request.request_id, error)
+            self.failures.append(failure)
+            # Its start, if the exception came after it, has not been told to anyone.
+            self.end_attempt(active, now)
+            self.end_request(active, now)
+            return [
+                refuse(
+                    request,
+                    RefusalCode.INTERNAL,
+                    RETRY_AFTER_S,
+                    active.may_have_run,
+                )
+            ]
 
     def cancel_preempted(self, victim: ActiveRequest, now: float) -> Cancel:
         """Cancel the attempt of a request that admission has queued again."""
--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -34,6 +34,7 @@
 from godwitmast.keys.authorizer import Caller, Denial, still_granted
 from godwitmast.logs import log_event
 from godwitmast.memory.budget import MAX_TIER, Holder
+from godwitmast.supervision import TASK_FAILURES
 from godwitmast.types import BackendId, RequestId
 from godwitmast.usage.meter import Meter, UsageKey
 
@@ -69,6 +70,7 @@
         count_dropped = partial(self.metrics.count_dropped_connection, "server")
         self.client.drop_listeners.append(count_dropped)
         add_memory_metrics(self.memory, self.metrics.registry)
+        self.metrics.registry.register(TASK_FAILURES)
         self.demand = DemandMeter()
         self.config: NumberedConfig | None = None
         self.stopping = False
@@ -137,7 +139,7 @@
     @property
     def ready(self) -> bool:
         checks = all(check() for check in self.ready_checks)
-        if self.memory.budget.is_exhausted:
+        if self.memory.budget.is_exhausted or self.driver.is_failing():
             return False
         return self.config is not None and not self.stopping and checks
 
--- a/src/godwitmast/entry/daemon.py
+++ b/src/godwitmast/entry/daemon.py
@@ -19,6 +19,7 @@
 from godwitmast.logs import log_event
 from godwitmast.memory.budget import MemoryBudget, limit_of
 from godwitmast.platform_api.client import PlatformClient
+from godwitmast.supervision import keep_running
 from godwitmast.usage.journal import Journal
 from godwitmast.usage.meter import Meter
 from godwitmast.usage.writer import NodeWriter
@@ -94,7 +95,7 @@
         if self.peering:
             await self.peering.start(tasks)
         await self.follower.start(tasks)
-        tasks.start_soon(self.run_key_checks)
+        tasks.start_soon(keep_running, "Entry.run_key_checks", self.run_key_checks)
         await self.claims.start(tasks)
         await self.node_writer.start(tasks)
         await self.fleet.start(tasks)
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -49,6 +49,7 @@
 from godwitmast.dispatch.router import Router
 from godwitmast.dispatch.router_count import RouterCount
 from godwitmast.logs import log_event
+from godwitmast.supervision import TaskHealth, record_task_failure
 from godwitmast.types import AttemptId, BackendId, PoolName, RequestId, ZoneName
 
 TICK_S = 0.05
@@ -100,6 +101,7 @@
         self.poison_updated = anyio.Event()
         self.pool_of_request: dict[RequestId, PoolName] = {}
         self.background = BackgroundTasks(self.run_ticks, self.run_load_polls)
+        self.router_health = TaskHealth()
         self.cancel_callbacks: dict[AttemptId, Callable[[CancelReason], None]] = {}
         self.cancelled_early: dict[RequestId, set[AttemptId]] = {}
         self.should_poll: Callable[[BackendId], bool] = lambda backend_id: True
@@ -453,6 +455,21 @@
                 vms=notice.vms,
             )
 
+    def report_failures(self) -> None:
+        """Log and count the exceptions in the router's decisions."""
+        if self.router is None:
+            return
+        for step, request_id, error in self.router.pop_failures():
+            record_task_failure(f"Router.{step}", error, request=request_id)
+            if request_id is None:
+                self.router_health.record_failure(anyio.current_time())
+
+    def is_failing(self) -> bool:
+        """Return whether the loops of this driver, or a step of the router in each
+        tick, fail again and again: requests are better served by another VM."""
+        now = anyio.current_time()
+        return self.background.is_failing() or self.router_health.is_failing(now)
+
     def report_group_sizes(self) -> None:
         """Log new sizes of the groups of engines for interactive requests."""
         if self.router is None:
@@ -517,6 +534,7 @@
             if self.router is not None:
                 now = self.clock.now()
                 self.deliver_actions(self.router.tick(now))
+                self.report_failures()
                 self.report_crashes()
                 self.report_group_sizes()
                 self.report_room()
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -76,6 +76,7 @@
 from godwitmast.keys.authorizer import Caller
 from godwitmast.logs import log_event
 from godwitmast.memory.budget import Holder
+from godwitmast.supervision import record_task_failure
 from godwitmast.types import AttemptId, BackendId, TokenCount
 
 ANSWER_ID_CHARACTERS = 40
@@ -210,6 +211,11 @@
                     await self.serve()
                     await self.outgoing.flush()
                     tasks.cancel_scope.cancel()
+        except Exception as error:
+            request_id = self.spec.request_id
+            record_task_failure("Exchange.run", error, request=request_id)
+            self.abort_reason = CancelReason.FAILED
+            self.error_code = RefusalCode.INTERNAL.value
         finally:
             self.outgoing.close()
             self.held_events.close()
@@ -224,6 +230,8 @@
                 await self.send_error_answer(KEY_WITHDRAWN)
             case CancelReason.DEADLINE:
                 await self.send_timeout_answer()
+            case CancelReason.FAILED if not self.answered:
+                await self.send_refusal(RefusalCode.INTERNAL)
 
     async def serve(self) -> None:
         """Have another VM serve the request, or carry out the router's actions."""
@@ -423,8 +431,12 @@
         if self.failed_answer is not None and not self.head_sent:
             await self.send_answer(self.failed_answer)
             return
+        await self.send_refusal(RefusalCode.DEADLINE)
+
+    async def send_refusal(self, code: RefusalCode) -> None:
+        """Refuse the request; "not run" is promised only if it was sent to no server."""
         not_run = NotRun.UNKNOWN if self.may_have_run else NotRun.TRUE
-        refusal = Refuse(self.spec.request_id, RefusalCode.DEADLINE, not_run)
+        refusal = Refuse(self.spec.request_id, code, not_run)
         await self.send_error_answer(self.frontend.answer_refusal(refusal))
 
     def end_slow_caller(self) -> None:
--- a/src/godwitmast/entry/refusals.py
+++ b/src/godwitmast/entry/refusals.py
@@ -28,6 +28,7 @@
     RefusalCode.QUARANTINED: 422,
     RefusalCode.BACKEND_FAILED: 503,
     RefusalCode.STOPPING: 503,
+    RefusalCode.INTERNAL: 500,
 }
 
 MESSAGE_OF_REFUSAL = {
@@ -38,6 +39,7 @@
     RefusalCode.QUARANTINED: "This request crashed backend servers and is held off.",
     RefusalCode.BACKEND_FAILED: "The backend server failed.",
     RefusalCode.STOPPING: "This entry is stopping.",
+    RefusalCode.INTERNAL: "This entry failed to handle the request.",
 }
 
 NOT_RUN_HEADER = b"godwit-not-run"
--- a/src/godwitmast/http_server.py
+++ b/src/godwitmast/http_server.py
@@ -15,6 +15,7 @@
 
 from godwitmast.logs import log_event
 from godwitmast.settings import Listen
+from godwitmast.supervision import keep_running
 from godwitmast.tls import TlsContext, TlsFiles, server_tls
 
 BACKLOG = 1024
@@ -137,7 +138,7 @@
         log_event("listening", url=self.url)
         tasks.start_soon(self.run, listener)
         if self.tls:
-            tasks.start_soon(self.tls.run)
+            tasks.start_soon(keep_running, "TlsContext.run", self.tls.run)
 
     async def run(self, listener: socket.socket) -> None:
         """Serve until `close` is called, then let open requests end."""
--- a/src/godwitmast/lease/driver.py
+++ b/src/godwitmast/lease/driver.py
@@ -3,6 +3,7 @@
 import secrets
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from functools import partial
 from typing import Protocol
 
 import anyio
@@ -15,6 +16,7 @@
 from godwitmast.platform_api.epoch import TableEpoch
 from godwitmast.platform_api.port import Table
 from godwitmast.platform_api.runner import take_step
+from godwitmast.supervision import keep_running
 
 POLL_S = 0.1
 IDLE_POLL_S = 0.5
@@ -47,7 +49,8 @@
     async def run(self, guard: Guard) -> None:
         async with anyio.create_task_group() as tasks:
             for duty in self.duties:
-                tasks.start_soon(duty.run, guard)
+                run = partial(duty.run, guard)
+                tasks.start_soon(keep_running, f"duty {duty.name}", run)
 
 
 class LeaseDriver:
@@ -87,7 +90,8 @@
         return self.machine.fence_if_held(clock.now(), clock.wall()) is not None
 
     async def start(self, tasks: TaskGroup) -> None:
-        tasks.start_soon(self.run, tasks)
+        run = partial(self.run, tasks)
+        tasks.start_soon(keep_running, "LeaseDriver.run", run)
 
     async def run(self, tasks: TaskGroup) -> None:
         """Run each step when it is due; start and cancel the duty with the lease."""
@@ -144,7 +148,9 @@
         )
         try:
             with scope:
-                await self.duty.run(self.machine)
+                # Ending with its process, it would end one holder after the other.
+                run = partial(self.duty.run, self.machine)
+                await keep_running(f"duty {name}", run)
         finally:
             log_event("lease_duty_ended", lease=name, fence=fence)
             self.duty_scope = None
--- a/src/godwitmast/peers/driver.py
+++ b/src/godwitmast/peers/driver.py
@@ -36,6 +36,7 @@
 )
 from godwitmast.peers.settings import PeerSettings
 from godwitmast.peers.timing import Timing
+from godwitmast.supervision import keep_running, run_once
 from godwitmast.tls import TlsContext, peer_client_tls, peer_server_tls
 from godwitmast.types import Json
 
@@ -104,7 +105,7 @@
         )
         self.set_known_vms([])
         for context in self.tls or ():
-            tasks.start_soon(context.run)
+            tasks.start_soon(keep_running, "TlsContext.run", context.run)
         self.server = await serve(
             self.accept,
             sock=listener,
@@ -118,7 +119,7 @@
             logger=WEBSOCKET_LOGGER,
         )
         log_event("peers_listening", address=place.address, tls=bool(self.tls))
-        tasks.start_soon(self.run_ticks)
+        tasks.start_soon(keep_running, "PeerDriver.run_ticks", self.run_ticks)
 
     async def close(self) -> None:
         """Announce to the peers that this node leaves, then close all links."""
@@ -187,7 +188,7 @@
                 if box is not None:
                     self.enqueue_frame(box, frame)
             case Dial(address):
-                self.tasks.start_soon(self.dial, address)
+                self.tasks.start_soon(run_once, "PeerDriver.dial", self.dial, address)
             case HangUp(link_id, reason):
                 log_event("peer_hung_up", level="DEBUG", link=link_id, reason=reason)
                 self.hang_up(link_id)
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -80,6 +80,7 @@
 from godwitmast.relay.table_copy import Sharing
 from godwitmast.settings import Listen, load_settings
 from godwitmast.sockets import DEAD_PEER_OPTIONS
+from godwitmast.supervision import keep_running
 from godwitmast.tls import tls_without_authorities
 from godwitmast.types import BackendId, PoolName
 from godwitmast.usage.duty import UsageDuty
@@ -603,7 +604,7 @@
         tasks.start_soon(self.start_duties, tasks)
         for server in (self.caller_server, self.readiness_server, self.metrics_server):
             await server.start(tasks)
-        tasks.start_soon(self.poll_settings)
+        tasks.start_soon(keep_running, "Node.poll_settings", self.poll_settings)
         log_event("node_started", node=self.settings.node, zone=self.settings.zone)
 
     async def start_duties(self, tasks: TaskGroup) -> None:
@@ -613,10 +614,14 @@
         to an earlier one. The lease uses the VM's own clocks, since only they show that
         the VM was suspended.
         """
-        await self.agree_on_time()
+        await keep_running("Node.agree_on_time", self.agree_on_time)
         await self.relay.start(tasks)
         await self.writer.start(tasks)
         await self.lease.start(tasks)
+        tasks.start_soon(keep_running, "Node.follow_restores", self.follow_restores)
+
+    async def follow_restores(self) -> None:
+        """Agree on the time again if a restore of the store lost what was agreed."""
         while True:
             await self.table_restored.wait()
             self.table_restored = anyio.Event()
--- a/src/godwitmast/platform_api/group_commit.py
+++ b/src/godwitmast/platform_api/group_commit.py
@@ -7,8 +7,9 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from godwitmast.errors import PlatformError
+from godwitmast.errors import PlatformError, PlatformOutcomeUnknown
 from godwitmast.platform_api.messages import Conflict, TransactOutcome, Written
+from godwitmast.supervision import keep_running
 from godwitmast.types import Json
 
 MAX_ENTRIES = 100
@@ -64,7 +65,7 @@
         self.is_hurried = False
 
     async def start(self, tasks: TaskGroup) -> None:
-        tasks.start_soon(self.run)
+        tasks.start_soon(keep_running, "GroupCommit.run", self.run)
 
     async def transact(
         self,
@@ -142,6 +143,11 @@
             for item in batch:
                 item.complete(error)
             return
+        except Exception as error:
+            # Their writers would wait for good.
+            for item in batch:
+                item.complete(PlatformOutcomeUnknown(repr(error)))
+            raise
         self.last_failed = False
         if isinstance(outcome, Written):
             for item in batch:
--- a/src/godwitmast/relay/driver.py
+++ b/src/godwitmast/relay/driver.py
@@ -45,6 +45,7 @@
 )
 from godwitmast.relay.table import RelayTable, SharedReads
 from godwitmast.settings import Listen
+from godwitmast.supervision import keep_running, record_task_failure
 
 CHECK_EVERY_S = 0.25
 MAX_FOLLOWERS = 512
@@ -140,7 +141,7 @@
             **OPTIONS,
         )
         await self.group.start(tasks)
-        tasks.start_soon(self.run)
+        tasks.start_soon(keep_running, "RelayDriver.run", self.run)
 
     async def close(self) -> None:
         """Delete the relay row, so that another VM claims it, and close all links.
@@ -204,8 +205,12 @@
     async def follow(self, address: str, scope: anyio.CancelScope) -> None:
         """Run the link to the relay until it closes."""
         reason = ""
-        with scope:
-            reason = await self.link.run(address, self.link_opened)
+        try:
+            with scope:
+                reason = await self.link.run(address, self.link_opened)
+        except Exception as error:
+            record_task_failure("RelayDriver.follow", error, relay=address)
+            reason = "failed"
         reason = reason or self.drop_reason
         self.link_scope = None
         if self.machine.stage is not Stage.LEAVING:
--- a/src/godwitmast/relay/exchange.py
+++ b/src/godwitmast/relay/exchange.py
@@ -38,6 +38,7 @@
 from godwitmast.relay.links import OPTIONS, RelayLink, read_frames
 from godwitmast.relay.machine import DIAL_TIMEOUT_S, RelayMachine, RelayRow
 from godwitmast.relay.messages import Frame, ZoneMeasured
+from godwitmast.supervision import record_task_failure
 
 ZONE_PATH = "/zones"
 """Path of the links between relays, which carry nothing but reports."""
@@ -377,6 +378,9 @@
                     reason = f"closed with {socket.close_code}"
             except (OSError, TimeoutError, WebSocketException, EOFError) as error:
                 reason = repr(error)
+            except Exception as error:
+                record_task_failure("MeasurementLinks.run_zone_link", error, zone=zone)
+                reason = "failed"
         del self.zone_links[zone]
         log_event("zone_link_lost", zone=zone, relay=row.address, reason=reason)
 
--- a/src/godwitmast/usage/writer.py
+++ b/src/godwitmast/usage/writer.py
@@ -13,6 +13,7 @@
 from godwitmast.platform_api.messages import Row
 from godwitmast.platform_api.port import Table
 from godwitmast.platform_api.runner import run_steps
+from godwitmast.supervision import keep_running
 from godwitmast.usage.journal import FlushOutcome, Journal, read_marks
 from godwitmast.usage.meter import Sums, UsageKey, UsageSum, add_sums
 from godwitmast.usage.rows import HEAD_KEY, UsageHead
@@ -106,7 +107,7 @@
 
     async def start(self, tasks: TaskGroup) -> None:
         self.add_early_usage()
-        tasks.start_soon(self.run)
+        tasks.start_soon(keep_running, "NodeWriter.run", self.run)
 
     async def run(self) -> None:
         while not self.closing:
