A thread logs an event loop that stands still

Change: a thread looks once a second whether the router's tick was due; after 3 s without one it logs the stack of the event loop and the processor time used since, which tells a process that computes from one that was suspended.

Measured: the new test has its own stack in the line. Not measured by itself: the price of a wake-up a second.

--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -49,6 +49,7 @@
 from godwitmast.dispatch.router import Router
 from godwitmast.dispatch.router_count import RouterCount
 from godwitmast.logs import log_event
+from godwitmast.stalls import StallWatch
 from godwitmast.supervision import TaskHealth, record_task_failure
 from godwitmast.types import AttemptId, BackendId, PoolName, RequestId, ZoneName
 
@@ -114,12 +115,15 @@
         """Called with the router once it exists, to have it share measurements."""
         self.tick_listeners: list[Callable[[float], None]] = []
         """Called with the time after each tick of the router."""
+        self.stalls = StallWatch()
 
     async def start(self, tasks: TaskGroup) -> None:
+        self.stalls.start()
         await self.background.start(tasks)
 
     async def close(self) -> None:
         await self.background.close()
+        self.stalls.close()
 
     def set_entry_count(self, entries: int) -> None:
         """Record the number of entries, each of which has a router; 0 if unknown."""
@@ -531,6 +535,7 @@
                 wait_s = until_check_s(self.clock.now(), IDLE_TICK_S)
                 with anyio.move_on_after(wait_s):
                     await self.request_submitted.wait()
+            self.stalls.record_turn()
             if self.router is not None:
                 now = self.clock.now()
                 self.deliver_actions(self.router.tick(now))
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -1,5 +1,6 @@
 """What one exception in a periodic task, or in one decision, may end."""
 
+import time
 from collections.abc import AsyncIterator
 
 import anyio
@@ -22,6 +23,7 @@
 from godwitmast.errors import PlatformOutcomeUnknown
 from godwitmast.lease.driver import DutyGroup
 from godwitmast.platform_api.group_commit import GroupCommit
+from godwitmast.stalls import StallWatch
 from godwitmast.supervision import (
     FAILURES_TO_TELL,
     STEADY_S,
@@ -31,6 +33,7 @@
 )
 from godwitmast.types import BackendId, ClassName, PoolName, RequestId, TeamName
 from godwitmast.types import ZoneName as Zone
+from log_fields import fields_of
 from running import running
 
 DOCUMENT = parse_document(
@@ -219,6 +222,26 @@
     assert [failure.step for failure in router.pop_failures()] == ["review_crashes"]
 
 
+def test_event_loop_that_stands_still_is_logged_with_its_stack(
+    log_lines: list[str],
+) -> None:
+    """Guards against a VM that hangs and can't be told from an idle one."""
+    watch = StallWatch(stall_s=0.05, check_s=0.01)
+    watch.start()
+
+    def compute_for_good() -> None:
+        deadline = time.monotonic() + 10
+        while not fields_of(log_lines, "event_loop_stalled"):
+            assert time.monotonic() < deadline
+
+    compute_for_good()
+    watch.record_turn()
+    watch.close()
+    [line] = [line for line in log_lines if line.startswith("event=event_loop_stalled")]
+    assert "compute_for_good" in line and " cpu_s=" in line
+    assert len(fields_of(log_lines, "event_loop_goes_on")) == 1
+
+
 @pytest.fixture
 async def fleet() -> AsyncIterator[Fleet]:
     async with running(Fleet()) as started:
