An answer without a length is whole only once its request was taken

Cause: the end of the server's side was taken for the end of the answer, though the kernel still held bytes of the request, and the reset came later.

Change: at the end of such an answer the client waits until the kernel has nothing of the request left, for 2 s at most; a reset, or bytes that remain, are a break.

--- a/src/godwitmast/backends/transport.py
+++ b/src/godwitmast/backends/transport.py
@@ -4,17 +4,21 @@
 as a server sends. So the bytes are counted below it, at the connection.
 """
 
+import fcntl
 import os
 import re
 import select
 import socket
 import ssl
+import sys
+import termios
 import time
 from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 from contextlib import contextmanager
 from itertools import count
 from typing import Any, TypeAlias
 
+import anyio
 import anyio.lowlevel
 import httpcore
 import httpx
@@ -45,6 +49,11 @@
 """Bytes that the event loop takes from a socket at a time. Of a read of fewer, the rest would
 wait in the library's stream, where `is_readable` can't see it."""
 
+UNSENT_TIMEOUT_S = 2.0
+"""How long a server may take to read the rest of a request whose answer has ended."""
+
+UNSENT_CHECK_S = 0.01
+
 ANSWER_ID = "answer_id"
 """Extension of a request: the id that its answer bears."""
 
@@ -97,6 +106,13 @@
     return any(STATUS_LINE.search(value) for value in values)
 
 
+def fault_of(answer: httpcore.Response) -> str | None:
+    """Return why a head that the library took for an answer is none."""
+    if holds_status_line(answer):
+        return "the head holds the start of another answer"
+    return None
+
+
 def is_first_exchange(answer: httpx.Response) -> bool:
     """Return whether no request was sent on the connection of an answer before."""
     connection = answer.extensions.get("network_stream")
@@ -170,6 +186,8 @@
             data = await self.receive(max_bytes, timeout)
             if not data and not self.may_end:
                 raise httpcore.ReadError("the connection ended within the body")
+            if not data:
+                await self.wait_until_sent()
             return data
         passed_on = b""
         while not passed_on:
@@ -189,6 +207,24 @@
         data, self.unread = self.unread[:max_bytes], self.unread[max_bytes:]
         return data
 
+    async def wait_until_sent(self) -> None:
+        """Wait until the server has taken the request, after its answer has ended.
+
+        Such an answer ends with its connection, which the server may still reset: the
+        answer then isn't whole. A sound server that answers early reads the rest.
+        """
+        connection = self.stream.get_extra_info("socket")
+        if connection is None:
+            return
+        with anyio.move_on_after(UNSENT_TIMEOUT_S):
+            while True:
+                if is_broken(connection):
+                    raise httpcore.ReadError("the connection was reset after its end")
+                if not unsent_bytes(connection):
+                    return
+                await anyio.sleep(UNSENT_CHECK_S)
+        raise httpcore.ReadError("the answer ended before its request was taken")
+
     async def read_head(self, max_bytes: int, timeout: float | None) -> bytes:
         # All bytes so far belong to the head, as more of it is needed.
         check_length(AnswerPart.HEAD, self.network.head_bytes, self.received)
@@ -325,6 +361,25 @@
     return hash(answer_id).to_bytes(HASH_BYTES, "little", signed=True)
 
 
+def unsent_bytes(connection: Any) -> int:
+    """Return how many sent bytes the peer's kernel has not acknowledged; 0 if unknown."""
+    count = bytearray(4)
+    try:
+        fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, count)
+    except OSError:
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
+def is_broken(connection: Any) -> bool:
+    """Return whether a connection was reset, or closed here."""
+    if connection.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(connection, 0)
+    return any(events & select.POLLERR for _, events in poll.poll(0))
+
+
 def is_at_end(descriptor: int) -> bool:
     """Return whether a readable socket holds the end of its connection and no bytes."""
     try:
@@ -549,11 +604,10 @@
         if isinstance(connection, HeadCountingStream):
             connection.awaits_head = False
             connection.may_end = framing_of(response) is Framing.CLOSE
-        if holds_status_line(answer):
+        fault = fault_of(answer)
+        if fault is not None:
             await response.aclose()
-            raise httpx.RemoteProtocolError(
-                "the head holds the start of another answer"
-            )
+            raise httpx.RemoteProtocolError(fault)
         return response
 
     async def aclose(self) -> None:
