A status that HTTP doesn't have is no answer

Cause: the HTTP library takes any three digits from 200 on for a final status, and nothing behind it judges them. 101 was an answer too, to requests that don't ask for another protocol.

Change: the transport that clients of servers, of other VMs and of the store share refuses a final status outside of 200 to 599 as malformed.

--- a/src/godwitmast/backends/transport.py
+++ b/src/godwitmast/backends/transport.py
@@ -54,6 +54,9 @@
 
 UNSENT_CHECK_S = 0.01
 
+FINAL_STATUSES = range(200, 600)
+"""Statuses of final answers. 101 would change the protocol, which no request asks for."""
+
 ANSWER_ID = "answer_id"
 """Extension of a request: the id that its answer bears."""
 
@@ -108,6 +111,8 @@
 
 def fault_of(answer: httpcore.Response) -> str | None:
     """Return why a head that the library took for an answer is none."""
+    if answer.status not in FINAL_STATUSES:
+        return f"status {answer.status} is none of a final answer"
     if holds_status_line(answer):
         return "the head holds the start of another answer"
     return None
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -7,6 +7,8 @@
 import pytest
 
 from fleet import PROMPT, Fleet
+from godwitmast.backends.client import BackendClient
+from godwitmast.config.document import AnswerLimits
 from godwitmast.platform.wire import READY
 from godwitmast.standins.early import EarlyServer, Ending
 from godwitmast.types import PoolName
@@ -101,3 +103,30 @@
     answer = await fleet.request(http, "/pay/1", "POST", UPLOAD)
     assert answer.status_code == 502
     assert "server-seal" not in answer.headers
+
+
+@pytest.mark.parametrize("status", [b"000", b"600", b"999", b"101"])
+@pytest.mark.parametrize("path", PATHS)
+async def test_status_that_is_none_is_no_answer(
+    fleet: Fleet, http: httpx.AsyncClient, path: str, status: bytes
+) -> None:
+    """Guards against bytes that are no answer in the protocol, passed on as one."""
+    early = EarlyServer(Ending.READ_ON, status=status, stated_length=6)
+    await replace_servers(fleet, early)
+    answer = await fleet.request(http, path, "POST", b"short", **PROMPT)
+    assert answer.status_code == 502
+    assert "server-seal" not in answer.headers
+
+
+@pytest.mark.parametrize("status", [b"600", b"999"])
+async def test_status_that_is_none_is_no_document(status: bytes) -> None:
+    """Guards against health checks, load polls and the store's answers with such one."""
+    client = BackendClient()
+    client.set_limits(AnswerLimits())
+    async with anyio.create_task_group() as tasks:
+        early = EarlyServer(Ending.READ_ON, body=b"{}", status=status, stated_length=2)
+        await early.start(tasks)
+        with pytest.raises(httpx.RemoteProtocolError):
+            await client.http.get(f"http://127.0.0.1:{early.port}/")
+        await client.close()
+        tasks.cancel_scope.cancel()
