A VM that stops sends only what can be answered within its grace

Cause: nothing looked at the time left when a request was whole, left the queue or was retried; the HTTP server cancels what is open at the end.

Change: the router knows when open requests end, and by class and pool how long 95 of 100 attempts took; what may outlast the end is refused as not run, to be served by another VM at once (admission.grace). What is open just before the end gets an error that says whether it was sent.

--- a/src/godwitmast/admission/deadlines.py
+++ b/src/godwitmast/admission/deadlines.py
@@ -45,6 +45,9 @@
     by_caller: bool = False
 
 
+LONG_HOLD_QUANTILE = 0.95
+
+
 @dataclass(slots=True)
 class ServiceTimes:
     """Service times of a class on a pool, measured from the start of the attempt."""
@@ -54,12 +57,16 @@
     )
     per_token: RunningMean = field(default_factory=RunningMean)
     hold: RunningMean = field(default_factory=RunningMean)
+    long_hold: RunningQuantile = field(
+        default_factory=lambda: RunningQuantile(LONG_HOLD_QUANTILE)
+    )
 
     def record_answer(
         self, hold_s: float, first_token_s: float | None, tokens: int
     ) -> None:
         """Add a completed answer that ran in one attempt."""
         self.hold.add(hold_s)
+        self.long_hold.add(hold_s)
         if first_token_s is not None and tokens > 1:
             self.per_token.add((hold_s - first_token_s) / (tokens - 1))
 
--- a/src/godwitmast/dispatch/messages.py
+++ b/src/godwitmast/dispatch/messages.py
@@ -174,6 +174,8 @@
     """Memory was short, and the caller was among the slowest that held the most."""
     DEADLINE = "deadline"
     LOST_RACE = "lost_race"
+    STOPPING = "stopping"
+    """The grace of a VM that stops is over."""
     FAILED = "failed"
     """Serving it raised an exception."""
     KEY_WITHDRAWN = "key_withdrawn"
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -4,12 +4,14 @@
 event returns the resulting actions; the caller carries them out in order.
 """
 
+import math
 import random
 from collections import deque
 from collections.abc import Callable, Collection, Iterable, Iterator
 from dataclasses import replace
 
 from godwitmast.admission.controller import Admission
+from godwitmast.admission.grace import is_too_late
 from godwitmast.admission.returns import MAX_RETRY_AFTER_S
 from godwitmast.config.document import Document
 from godwitmast.dispatch.active_requests import ActiveRequest, ActiveRequests
@@ -83,6 +85,9 @@
 """How long no server can be reached until the servers are taken to have crashed, if no
 other entry can be asked whether it reaches one. No server restarts that soon."""
 
+STOPPING_RETRY_S = 0.05
+"""Retry-After of a VM that stops: other VMs serve the caller at once."""
+
 EXPIRE_EVERY_S = 1.0
 
 MAX_FAILURE_NOTICES = 100
@@ -132,6 +137,8 @@
         self.unconfirmed_crashes: deque[tuple[BackendId, float]] = deque()
         self.overcommitted: dict[BackendId, ActiveRequest] = {}
         self.next_expiry_at = 0.0
+        self.ends_at = math.inf
+        """When open requests end, as this VM stops."""
         self.failures: deque[DecisionFailure] = deque(maxlen=MAX_FAILURE_NOTICES)
         """Exceptions that the caller logs."""
 
@@ -1056,6 +1063,9 @@
         after one of its requests was cancelled, and the cancellation would be wasted.
         """
         request = active.request
+        # A stream that its caller has begun to read can only go on here.
+        if not active.tokens and self.is_too_late(request, now):
+            return self.end_stopping(active, now)
         backend_id = server_id
         if server_id is None or not self.may_start_on(active, server_id, now):
             backend_id = self.choose_server(active, now)
@@ -1086,6 +1096,24 @@
         request_id = request.request_id
         return [Start(request_id, attempt_id, backend_id, active.tokens, source)]
 
+    def stop(self, ends_at: float) -> None:
+        """Start only what can be answered before a time, as this VM stops."""
+        self.ends_at = ends_at
+
+    def is_too_late(self, request: RequestSpec, now: float) -> bool:
+        """Return whether a request may outlast this VM, which stops."""
+        if self.ends_at == math.inf:
+            return False
+        times = self.admission.queue_for(request).service_times
+        return is_too_late(times, request.deadline, self.ends_at, now)
+
+    def end_stopping(self, active: ActiveRequest, now: float) -> list[Action]:
+        """Refuse a request that isn't sent any more: another VM can serve it at once."""
+        self.end_request(active, now)
+        code = RefusalCode.STOPPING
+        may_have_run = active.may_have_run
+        return [refuse(active.request, code, STOPPING_RETRY_S, may_have_run)]
+
     def may_start_on(
         self, active: ActiveRequest, server_id: BackendId, now: float
     ) -> bool:
--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -1,10 +1,12 @@
 """The entry's ASGI application, independent of the API that its callers use."""
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from typing import Any
 
+import anyio
 import msgspec
 from anyio import to_thread
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
@@ -46,6 +48,10 @@
 )
 
 
+END_MARGIN_S = 0.1
+"""Time for the last answers before the HTTP server cuts what is left."""
+
+
 class EntryApp:
     """Serves callers' requests, from authentication to metering."""
 
@@ -74,6 +80,7 @@
         self.demand = DemandMeter()
         self.config: NumberedConfig | None = None
         self.stopping = False
+        self.ends_at = math.inf
         self.withdrawn: dict[str, int] = {}
         self.fault_hook: Callable[[frozenset[str]], None] | None = None
         self.list_peers: Callable[[], list[str]] = list
@@ -131,6 +138,29 @@
             if caller and not still_granted(self.document, caller, wall, offline_s):
                 exchange.abort(CancelReason.KEY_WITHDRAWN)
 
+    def stop(self, grace_s: float) -> None:
+        """Be unready from now on; open requests end after the grace at the latest."""
+        self.stopping = True
+        self.ends_at = self.clock.now() + grace_s - END_MARGIN_S
+        self.driver.stop(self.ends_at)
+
+    async def end_exchanges(self) -> None:
+        """Give each request that is still open at the end of the grace its last answer.
+
+        Later the HTTP server would cut it, which tells nobody whether it has run.
+        """
+        await anyio.sleep(max(0.0, self.ends_at - self.clock.now()))
+        open_exchanges = [e for e in self.exchanges.values() if not e.answered]
+        if open_exchanges:
+            log_event(
+                "grace_ended",
+                level="WARNING",
+                requests=len(open_exchanges),
+                sent=sum(e.may_have_run for e in open_exchanges),
+            )
+        for exchange in open_exchanges:
+            exchange.abort(CancelReason.STOPPING)
+
     @property
     def document(self) -> Document:
         assert self.config is not None, "requests are served only once ready"
@@ -146,13 +176,28 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] != "http":
             return
-        if self.stopping and scope["http_version"].startswith("1"):
-            send = with_connection_close(send)
+        if scope["http_version"].startswith("1"):
+            send = self.with_connection_close(send)
         try:
             await self.route(scope, receive, send)
         except CallerGone:
             return
 
+    def with_connection_close(self, send: Send) -> Send:
+        """Return a `send` that adds `Connection: close` to answers while this VM stops.
+
+        Otherwise a caller that reuses its connection could send its next request while
+        the entry closes it, and lose that request.
+        """
+
+        async def send_and_close(message: dict[str, Any]) -> None:
+            if self.stopping and message["type"] == "http.response.start":
+                headers = [*message["headers"], (b"connection", b"close")]
+                message = {**message, "headers": headers}
+            await send(message)
+
+        return send_and_close
+
     async def route(self, scope: Scope, receive: Receive, send: Send) -> None:
         match scope["path"]:
             case "/livez":
@@ -382,19 +427,3 @@
 
 def usage_key(spec: RequestSpec) -> UsageKey:
     return UsageKey(spec.team, spec.class_name, spec.pool)
-
-
-def with_connection_close(send: Send) -> Send:
-    """Return a `send` that adds `Connection: close` to the answer.
-
-    Otherwise a caller that reuses its connection could send its next request while the
-    entry closes it, and lose that request.
-    """
-
-    async def send_and_close(message: dict[str, Any]) -> None:
-        if message["type"] == "http.response.start":
-            headers = [*message["headers"], (b"connection", b"close")]
-            message = {**message, "headers": headers}
-        await send(message)
-
-    return send_and_close
--- a/src/godwitmast/entry/daemon.py
+++ b/src/godwitmast/entry/daemon.py
@@ -119,9 +119,12 @@
         unready, so new requests are accepted for `balancer_wait_s`.
         """
         log_event("entry_stopping", node=self.settings.node)
-        self.app.stopping = True
+        self.app.stop(self.settings.balancer_wait_s + self.server.grace_s)
         await anyio.sleep(self.settings.balancer_wait_s)
-        await self.server.close()
+        async with anyio.create_task_group() as ending_tasks:
+            ending_tasks.start_soon(self.app.end_exchanges)
+            await self.server.close()
+            ending_tasks.cancel_scope.cancel()
         await self.claims.close()
         await self.node_writer.close()
         if self.peering:
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -348,6 +348,11 @@
         """Record a connection to a backend server that failed or broke."""
         self.connectivity.record_failure(backend_id)
 
+    def stop(self, ends_at: float) -> None:
+        """Start only requests that can be answered before a time."""
+        if self.router is not None:
+            self.router.stop(ends_at)
+
     def release_requests(self, pool: PoolName, now: float) -> None:
         """Release the requests for a pool that another entry can serve."""
         is_silent = partial(self.connectivity.pools[pool].is_silent, now=now)
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -47,6 +47,7 @@
     RequestSpec,
     Start,
 )
+from godwitmast.dispatch.router import STOPPING_RETRY_S
 from godwitmast.entry.attempt_scope import AttemptScope
 from godwitmast.entry.claim_answers import OUTCOME_UNKNOWN, answer_claim
 from godwitmast.entry.driver import Mailbox, RouterDriver, Sent
@@ -229,7 +230,9 @@
             case CancelReason.KEY_WITHDRAWN:
                 await self.send_error_answer(KEY_WITHDRAWN)
             case CancelReason.DEADLINE:
-                await self.send_timeout_answer()
+                await self.send_last_answer(RefusalCode.DEADLINE)
+            case CancelReason.STOPPING:
+                await self.send_last_answer(RefusalCode.STOPPING)
             case CancelReason.FAILED if not self.answered:
                 await self.send_refusal(RefusalCode.INTERNAL)
 
@@ -426,17 +429,19 @@
         if not self.answered:
             self.abort(CancelReason.DEADLINE)
 
-    async def send_timeout_answer(self) -> None:
-        """Send the last server error, or else a refusal, when the deadline has passed."""
+    async def send_last_answer(self, code: RefusalCode) -> None:
+        """Send the last server error, or else a refusal, when the time is over."""
         if self.failed_answer is not None and not self.head_sent:
             await self.send_answer(self.failed_answer)
             return
-        await self.send_refusal(RefusalCode.DEADLINE)
+        await self.send_refusal(code)
 
     async def send_refusal(self, code: RefusalCode) -> None:
         """Refuse the request; "not run" is promised only if it was sent to no server."""
         not_run = NotRun.UNKNOWN if self.may_have_run else NotRun.TRUE
-        refusal = Refuse(self.spec.request_id, code, not_run)
+        may_return = code is RefusalCode.STOPPING and not self.may_have_run
+        after_s = STOPPING_RETRY_S if may_return else None
+        refusal = Refuse(self.spec.request_id, code, not_run, after_s)
         await self.send_error_answer(self.frontend.answer_refusal(refusal))
 
     def end_slow_caller(self) -> None:
@@ -459,6 +464,9 @@
                 return await self.run_attempt(action)
             case Release(attempts=attempts):
                 return await self.serve_released(attempts)
+            case Refuse(code=RefusalCode.STOPPING) if self.is_forwarded:
+                await self.hand_back()
+                return True
             case Refuse():
                 if self.may_have_run:
                     # The router does not know of a run through another VM.
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -21,7 +21,7 @@
 from godwitmast.config.document import Backend
 from godwitmast.dispatch.retries import SharedRetryBudgets
 from godwitmast.dispatch.router import Router
-from godwitmast.entry.app import EntryApp, with_connection_close
+from godwitmast.entry.app import EntryApp
 from godwitmast.entry.crash_reports import CrashReports
 from godwitmast.entry.driver import RouterDriver
 from godwitmast.entry.forwarding import (
@@ -665,12 +665,11 @@
         connection, so that the callers' next requests go to another VM.
         """
         log_event("node_stopping", node=self.settings.node)
-        self.app.stopping = True
+        self.app.stop(BALANCER_WAIT_S + self.caller_server.grace_s)
         async with anyio.create_task_group() as closing_tasks:
             closing_tasks.start_soon(self.lease.close)
             await anyio.sleep(BALANCER_WAIT_S)
-            closing_tasks.start_soon(self.caller_server.close)
-            closing_tasks.start_soon(self.forwarded_server.close)
+            closing_tasks.start_soon(self.close_servers)
         await self.forwarder.close()
         await self.measurements.close()
         await self.relay.close()
@@ -689,6 +688,15 @@
         await self.store.close()
         log_event("node_stopped", node=self.settings.node)
 
+    async def close_servers(self) -> None:
+        """Close the listeners, and wait until the open requests have ended."""
+        async with anyio.create_task_group() as ending_tasks:
+            ending_tasks.start_soon(self.app.end_exchanges)
+            async with anyio.create_task_group() as closing_tasks:
+                closing_tasks.start_soon(self.caller_server.close)
+                closing_tasks.start_soon(self.forwarded_server.close)
+            ending_tasks.cancel_scope.cancel()
+
     def reissue_waits(self) -> None:
         """Reissue all calls that wait for changes."""
         for follower in self.followers:
@@ -758,8 +766,7 @@
         """Serve requests on the callers' address."""
         if scope["type"] != "http":
             return
-        if self.app.stopping:
-            send = with_connection_close(send)
+        send = self.app.with_connection_close(send)
         try:
             await self.app.handle_request(scope, receive, send)
         except CallerGone:
--- a/src/godwitmast/standins/replica.py
+++ b/src/godwitmast/standins/replica.py
@@ -93,6 +93,8 @@
     events: int = 5
     event_s: float = 0.01
     places: int = 8
+    work_s: float = 0.0
+    """How long it works on a plain answer."""
     faults: ReplicaFaults = field(default_factory=ReplicaFaults)
     served: list[ReceivedRequest] = field(default_factory=list)
     running: int = 0
@@ -220,6 +222,7 @@
         if self.streams and self.faults.status == 200:
             await self.send_events(int(headers.get(LAST_EVENT_ID, "0")), head, send)
             return
+        await anyio.sleep(self.work_s)
         body = f"answer of {self.service}".encode()
         if self.faults.body_bytes is not None:
             body = b"x" * self.faults.body_bytes
