--- a/tests/processes.py
+++ b/tests/processes.py
@@ -114,3 +114,19 @@
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return int(probe.getsockname()[1])
+
+
+def toml_of(value: Any) -> str:
+    """Return a value of settings as TOML."""
+    match value:
+        case dict():
+            fields = ", ".join(
+                f"{key} = {toml_of(item)}" for key, item in value.items()
+            )
+            return f"{{{fields}}}"
+        case list():
+            return f"[{', '.join(toml_of(item) for item in value)}]"
+        case str():
+            return f'"{value}"'
+        case _:
+            return str(value).lower()
--- a/tests/test_vm_out_of_step.py
+++ b/tests/test_vm_out_of_step.py
@@ -4,7 +4,6 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
 import anyio
 import httpx
@@ -17,7 +16,7 @@
 from godwitmast.platform.wire import READY
 from godwitmast.platform_api.port import Changes, HistoryLost
 from godwitmast.standins.replica import SEAL_HEADER, ReplicaStandin
-from processes import Process, Processes, free_port
+from processes import Process, Processes, free_port, toml_of
 from running import running
 from silent_front import Silence, SilentFront
 
@@ -375,22 +374,6 @@
     assert waits.count(0.0) <= 2
 
 
-def toml_of(value: Any) -> str:
-    """Return a value of settings as TOML."""
-    match value:
-        case dict():
-            fields = ", ".join(
-                f"{key} = {toml_of(item)}" for key, item in value.items()
-            )
-            return f"{{{fields}}}"
-        case list():
-            return f"[{', '.join(toml_of(item) for item in value)}]"
-        case str():
-            return f'"{value}"'
-        case _:
-            return str(value).lower()
-
-
 def spawn_vm(processes: Processes, folder: Path, store_port: int) -> Process:
     """Start a VM in a process of its own, with an address of its own."""
     port = free_port()
