A server keeps its counts while requests run there, listed or not

Cause: the table made a new state, with no requests in flight, for an entry that comes back; requests of before were uncounted from it, below zero for good, and a load report of an idle server divided by zero.

The new tests failed before the change: 0 requests counted instead of 3, ZeroDivisionError. Load reports in the drawn sequences of versions reached the same division.

Change: the state of a server that left the list with requests in flight is kept until they have ended, and taken up again if its entry returns. Ejected servers that left the list are dropped. Drawn sequences compare each count with the requests that are counted.

--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -229,6 +229,8 @@
         self.warmup_limits: dict[str, WarmupLimit] = {}
         self.random = random.Random(seed)
         self.states: dict[BackendId, BackendState] = {}
+        self.unlisted: dict[BackendId, BackendState] = {}
+        """Servers that left the list while requests ran there, until those have ended."""
         self.pools: dict[str, PoolView] = {}
         self.ejected: list[BackendState] = []
         self.cold_servers: dict[BackendId, BackendState] = {}
@@ -238,7 +240,7 @@
 
     def update(self, specs: list[BackendSpec], now: float) -> None:
         """Replace the list of servers; the state of those that stay is kept."""
-        old, old_pools = self.states, self.pools
+        old, old_pools = {**self.unlisted, **self.states}, self.pools
         is_first_list = not old
         self.cold_servers = {}
         self.limited_servers = {}
@@ -267,10 +269,20 @@
             if not spec.closed:
                 for pool in spec.pools:
                     self.add_to_pool(state, pool, old_pools)
+        self.unlisted = {}
+        for backend_id, state in old.items():
+            if backend_id not in self.states and state.in_flight:
+                # Its entry may come back while they run, and they end on this state.
+                state.cells = []
+                self.unlisted[backend_id] = state
+        self.ejected = [item for item in self.ejected if self.is_listed(item)]
         for state in self.states.values():
             self.refresh(state, now)
         self.speeds.update(specs)
 
+    def is_listed(self, state: BackendState) -> bool:
+        return self.states.get(state.backend_id) is state
+
     def warmup_limit_of(self, spec: BackendSpec) -> WarmupLimit | None:
         """Return what the server can handle while it is cold, if that is bounded."""
         limits = (self.warmup_limits.get(pool) for pool in spec.pools)
@@ -637,15 +649,16 @@
 
     def remove_request(self, backend_id: BackendId, now: float) -> None:
         """Uncount a request whose attempt ended, however it ended."""
-        state = self.states.get(backend_id)
-        if state is None:
-            return
+        state = self.states.get(backend_id) or self.unlisted.get(backend_id)
+        assert state is not None, "a server is known while a request runs there"
         state.other_load.update_own(state.in_flight, now)
         state.in_flight -= 1
         state.rest.record_end()
         state.other_load.claimable += 1
         for cell in state.cells:
             cell.in_flight -= 1
+        if not state.in_flight:
+            self.unlisted.pop(backend_id, None)
         self.refresh(state, now)
 
     def record_load(
--- /dev/null
+++ b/tests/test_returning_servers.py
@@ -0,0 +1,176 @@
+"""Servers whose entry leaves the list and comes back while requests run there."""
+
+import random
+
+import pytest
+
+from godwitmast.config.parsing import parse_document
+from godwitmast.dispatch.health import Condition
+from godwitmast.dispatch.messages import (
+    Action,
+    BackendSpec,
+    FailureKind,
+    LoadReport,
+    Refuse,
+    RequestSpec,
+    Start,
+)
+from godwitmast.dispatch.router import Router
+from godwitmast.types import (
+    BackendId,
+    ClassName,
+    PoolName,
+    RequestId,
+    TeamName,
+    ZoneName,
+)
+
+DOCUMENT = parse_document(
+    {
+        "classes": {"calls": {"tier": 1, "completion_s": 60.0}},
+        "teams": {"arima": {}},
+        "services": {"app": {}},
+    }
+)
+P1 = BackendSpec(BackendId("p1"), ZoneName("a"), frozenset(["app"]), places=8)
+SEEDS = range(60)
+EVENTS = 200
+
+
+class OneVm:
+    """A router and the attempts that run on its servers."""
+
+    def __init__(self, specs: list[BackendSpec]) -> None:
+        self.router = Router(DOCUMENT, ZoneName("a"))
+        self.running: dict[RequestId, Start] = {}
+        self.count = 0
+        self.act(self.router.update_backends(specs, 0.0))
+
+    def act(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Start():
+                    self.running[action.request_id] = action
+                case Refuse():
+                    self.running.pop(action.request_id, None)
+
+    def submit(self, now: float) -> None:
+        self.count += 1
+        request = RequestSpec(
+            RequestId(f"r{self.count}"),
+            TeamName("arima"),
+            ClassName("calls"),
+            PoolName("app"),
+            now,
+            deadline=now + 30.0,
+            idempotent=False,
+            streams=False,
+        )
+        self.act(self.router.submit(request, now))
+
+    def complete(self, request_id: RequestId, now: float) -> None:
+        start = self.running.pop(request_id)
+        self.act(self.router.record_completion(request_id, start.attempt_id, now))
+
+    def in_flight(self, backend_id: str) -> int:
+        return self.router.backends.states[BackendId(backend_id)].in_flight
+
+    def check_counts(self) -> None:
+        """Compare each count of requests with the requests that are counted."""
+        table = self.router.backends
+        for backend_id, state in {**table.states, **table.unlisted}.items():
+            starts = [s for s in self.running.values() if s.backend_id == backend_id]
+            assert state.in_flight == len(starts)
+            assert state.cells or backend_id in table.unlisted or state.spec.closed
+        for view in table.pools.values():
+            for cell in view.cells.values():
+                counts = [state.in_flight for state in cell.members.values()]
+                assert cell.in_flight == sum(counts)
+
+
+@pytest.mark.parametrize("incarnation", [0, 1])
+def test_requests_of_before_an_entry_expired_end_on_the_same_server(
+    incarnation: int,
+) -> None:
+    """Guards against counts below zero after an entry that expired came back: a load
+    report of an idle server then divides by zero, in place of each answer."""
+    vm = OneVm([P1])
+    for _ in range(3):
+        vm.submit(0.0)
+    vm.act(vm.router.update_backends([], 1.0))
+    vm.act(vm.router.update_backends([P1._replace(incarnation=incarnation)], 2.0))
+    assert vm.in_flight("p1") == 3
+    for request_id in list(vm.running):
+        vm.complete(request_id, 3.0)
+    assert vm.in_flight("p1") == 0
+    vm.submit(4.0)
+    vm.act(vm.router.record_load(P1.backend_id, LoadReport(0, 0), 4.1))
+    vm.complete(RequestId("r4"), 4.1)
+    assert vm.in_flight("p1") == 0
+    vm.check_counts()
+
+
+def test_server_that_left_for_good_is_forgotten_with_its_last_request() -> None:
+    """Guards against a table that grows with each server that is replaced."""
+    vm = OneVm([P1])
+    vm.submit(0.0)
+    vm.submit(0.0)
+    vm.act(vm.router.update_backends([], 1.0))
+    for request_id in list(vm.running):
+        vm.complete(request_id, 2.0)
+    assert vm.router.backends.unlisted == {}
+
+
+def test_ejected_server_that_left_is_not_probed_any_more() -> None:
+    """Guards against ejected servers that are kept although they left the list."""
+    vm = OneVm([P1, P1._replace(backend_id=BackendId("p2"))])
+    vm.submit(0.0)
+    [start] = vm.running.values()
+    ids = (start.request_id, start.attempt_id)
+    vm.act(vm.router.record_failure(*ids, FailureKind.CUT, 0.5))
+    table = vm.router.backends
+    [ejected] = table.ejected
+    assert ejected.health.condition is Condition.DOWN
+    vm.act(vm.router.update_backends([], 1.0))
+    assert table.ejected == []
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_counts_hold_whatever_entries_come_and_go(seed: int) -> None:
+    """Guards against counts about an entry that outlive it, in drawn sequences."""
+    rng = random.Random(seed)
+    specs = [P1._replace(backend_id=BackendId(f"p{n}")) for n in range(3)]
+    vm = OneVm(specs)
+    now = 0.0
+    for _ in range(EVENTS):
+        match rng.choice(["submit"] * 5 + ["end"] * 4 + ["list"] * 2 + ["load"]):
+            case "submit":
+                vm.submit(now)
+            case "end" if vm.running:
+                request_id = rng.choice(sorted(vm.running))
+                if rng.random() < 0.7:
+                    vm.complete(request_id, now)
+                else:
+                    start = vm.running.pop(request_id)
+                    kind = rng.choice(list(FailureKind))
+                    vm.act(
+                        vm.router.record_failure(
+                            request_id, start.attempt_id, kind, now
+                        )
+                    )
+            case "list":
+                listed = [
+                    spec._replace(
+                        incarnation=rng.choice([0, 0, 1]), leaving=rng.random() < 0.2
+                    )
+                    for spec in specs
+                    if rng.random() < 0.6
+                ]
+                vm.act(vm.router.update_backends(listed, now))
+            case "load":
+                report = LoadReport(rng.randint(0, 2), 0, age_s=rng.choice([0.0, 1.0]))
+                vm.act(vm.router.record_load(rng.choice(specs).backend_id, report, now))
+        now += rng.choice([0.0, 0.05, 0.5])
+        vm.act(vm.router.tick(now))
+        vm.check_counts()
+    assert not vm.router.failures
--- a/tests/test_version_changes.py
+++ b/tests/test_version_changes.py
@@ -13,6 +13,7 @@
     Cancel,
     CancelReason,
     FailureKind,
+    LoadReport,
     NotRun,
     Refuse,
     RequestSpec,
@@ -143,7 +144,10 @@
 
     def step(self) -> None:
         match self.rng.choice(
-            ["submit"] * 8 + ["end"] * 4 + ["tokens"] * 4 + ["version", "servers"]
+            ["submit"] * 8
+            + ["end"] * 4
+            + ["tokens"] * 4
+            + ["version", "servers", "load"]
         ):
             case "submit":
                 self.submit()
@@ -157,6 +161,10 @@
                 self.act(self.router.update_config(self.draw_version(), self.now))
             case "servers":
                 self.draw_servers(3)
+            case "load":
+                server = BackendId(f"{self.rng.choice(['lm', 'app'])}-0")
+                report = LoadReport(self.rng.randint(0, 3), self.rng.randint(0, 1))
+                self.act(self.router.record_load(server, report, self.now))
         self.now += self.rng.choice([0.0, 0.01, 0.05, 0.3])
         if self.rng.random() < 0.5:
             self.act(self.router.tick(self.now))
@@ -177,6 +185,8 @@
         while vm.running:
             vm.end_attempt()
     assert vm.open == {}
+    assert not vm.router.failures
+    assert not vm.router.backends.unlisted
 
 
 def test_version_without_routes_keeps_what_waits_and_runs() -> None:
