What can't be recorded of a server doesn't replace its answer

Cause: the statements in an answer's head are recorded before it is passed on, and an exception there failed the request.

Change: such an exception is logged and counted, and the answer is passed on.

--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -649,12 +649,16 @@
         self, backend_id: BackendId, answer: httpx.Response, sent: Sent
     ) -> None:
         """Record what the headers of an answer, also of a rejection, say of its
-        server."""
+        server; whatever comes of that, the answer itself is passed on."""
         self.driver.record_heard(backend_id)
-        statement = self.client.header_parser.parse_statement(answer)
-        if not self.outbound.reports_load:
-            statement = statement._replace(load=None)
-        self.driver.record_statement(backend_id, statement, sent)
+        try:
+            statement = self.client.header_parser.parse_statement(answer)
+            if not self.outbound.reports_load:
+                statement = statement._replace(load=None)
+            self.driver.record_statement(backend_id, statement, sent)
+        except Exception as error:
+            task = "Exchange.record_head"
+            record_task_failure(task, error, backend=backend_id)
 
     async def raise_server_error(self, answer: httpx.Response) -> None:
         """Fail the attempt; keep the server's answer if the caller may get it."""
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -248,6 +248,24 @@
         yield started
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("path", ["/pay/1", "/peek/1", "/chat/1"])
+async def test_answer_is_passed_on_whatever_its_server_states(
+    fleet: Fleet, http: httpx.AsyncClient, monkeypatch: pytest.MonkeyPatch, path: str
+) -> None:
+    """Guards against a payment that ran and is answered with an error, as what its
+    server says of itself could not be recorded."""
+
+    def fail(*args: object) -> None:
+        raise ZeroDivisionError
+
+    before = failures_of("Exchange.record_head")
+    monkeypatch.setattr(fleet.node.driver, "record_statement", fail)
+    answer = await fleet.request(http, path, "POST", **PROMPT)
+    assert answer.status_code == 200 and "server-seal" in answer.headers
+    assert failures_of("Exchange.record_head") == before + 1
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize(
     ("method", "path", "status"),
