An ejected server whose entry returns is probed

Callers would have seen: a server that was ejected, left the list while requests ran there and came back gets no probe, so that it serves nothing for good.

Cause: ejected servers that left the list were dropped from those that the tick offers to probes, and not taken up again with their state.

Evidence: the new test found no such server before the change.

Change: each list of servers makes the set of ejected ones anew from the states.

--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -275,14 +275,13 @@
                 # Its entry may come back while they run, and they end on this state.
                 state.cells = []
                 self.unlisted[backend_id] = state
-        self.ejected = [item for item in self.ejected if self.is_listed(item)]
+        self.ejected = [
+            state for state in self.states.values() if not state.health.is_in_rotation()
+        ]
         for state in self.states.values():
             self.refresh(state, now)
         self.speeds.update(specs)
 
-    def is_listed(self, state: BackendState) -> bool:
-        return self.states.get(state.backend_id) is state
-
     def warmup_limit_of(self, spec: BackendSpec) -> WarmupLimit | None:
         """Return what the server can handle while it is cold, if that is bounded."""
         limits = (self.warmup_limits.get(pool) for pool in spec.pools)
--- a/tests/test_returning_servers.py
+++ b/tests/test_returning_servers.py
@@ -72,6 +72,12 @@
         start = self.running.pop(request_id)
         self.act(self.router.record_completion(request_id, start.attempt_id, now))
 
+    def fail(self, request_id: str, now: float) -> None:
+        """Break off an attempt's connection."""
+        start = self.running.pop(RequestId(request_id))
+        ids = (start.request_id, start.attempt_id)
+        self.act(self.router.record_failure(*ids, FailureKind.CUT, now))
+
     def in_flight(self, backend_id: str) -> int:
         return self.router.backends.states[BackendId(backend_id)].in_flight
 
@@ -125,9 +131,8 @@
     """Guards against ejected servers that are kept although they left the list."""
     vm = OneVm([P1, P1._replace(backend_id=BackendId("p2"))])
     vm.submit(0.0)
-    [start] = vm.running.values()
-    ids = (start.request_id, start.attempt_id)
-    vm.act(vm.router.record_failure(*ids, FailureKind.CUT, 0.5))
+    [request_id] = vm.running
+    vm.fail(request_id, 0.5)
     table = vm.router.backends
     [ejected] = table.ejected
     assert ejected.health.condition is Condition.DOWN
@@ -135,6 +140,23 @@
     assert table.ejected == []
 
 
+def test_ejected_server_that_returns_is_probed() -> None:
+    """Guards against an ejected server that came back and is never tried again."""
+    vm = OneVm([P1])
+    vm.submit(0.0)
+    vm.submit(0.0)
+    vm.fail("r1", 0.5)
+    vm.act(vm.router.update_backends([], 1.0))
+    vm.act(vm.router.update_backends([P1], 2.0))
+    vm.fail("r2", 2.5)
+    [state] = vm.router.backends.ejected
+    assert state.health.condition is Condition.DOWN
+    vm.submit(3.0)
+    for tick in range(200):
+        vm.act(vm.router.tick(3.0 + 0.1 * tick))
+    assert "r3" in vm.running
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_counts_hold_whatever_entries_come_and_go(seed: int) -> None:
     """Guards against counts about an entry that outlive it, in drawn sequences."""
