Early ends of answers are also tested below TLS

Change: the stand-in that answers early may use TLS; the client that requests to servers of both interfaces share is played against it, with and without.

--- a/src/godwitmast/standins/early.py
+++ b/src/godwitmast/standins/early.py
@@ -1,10 +1,12 @@
 """A stand-in of a backend server that answers before it has read a long request."""
 
 import socket
+import ssl
 from enum import Enum
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from anyio.abc import ByteStream, SocketAttribute, SocketStream, TaskGroup
+from anyio.streams.tls import TLSStream
 
 from godwitmast.standins.unframed import RESET_ON_CLOSE
 
@@ -38,12 +40,14 @@
         body: bytes = b"a part",
         status: bytes = b"200",
         stated_length: int | None = None,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         self.ending = ending
         self.wait_s = wait_s
         self.body = body
         self.status = status
         self.stated_length = stated_length
+        self.tls = tls
         self.port = 0
         self.requests = 0
         self.read_whole = 0
@@ -57,12 +61,18 @@
 
     async def serve(self, caller: SocketStream) -> None:
         async with caller:
+            raw = caller.extra(SocketAttribute.raw_socket)
             try:
-                await self.answer(caller, await read_head(caller))
+                stream: ByteStream = caller
+                if self.tls is not None:
+                    stream = await TLSStream.wrap(
+                        caller, ssl_context=self.tls, standard_compatible=False
+                    )
+                await self.answer(stream, raw, await read_head(stream))
             except (anyio.EndOfStream, anyio.BrokenResourceError):
                 return
 
-    async def answer(self, caller: SocketStream, head: bytes) -> None:
+    async def answer(self, caller: ByteStream, raw: socket.socket, head: bytes) -> None:
         self.requests += 1
         lines = [b"HTTP/1.1 " + self.status + b" OK", b"server-seal: s"]
         lines += [
@@ -73,11 +83,10 @@
         if self.stated_length is not None:
             lines.append(b"content-length: %d" % self.stated_length)
         await caller.send(b"\r\n".join([*lines, b"", b""]) + self.body)
-        await caller.send_eof()
+        raw.shutdown(socket.SHUT_WR)
         match self.ending:
             case Ending.RESET:
                 await anyio.sleep(self.wait_s)
-                raw = caller.extra(SocketAttribute.raw_socket)
                 raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             case Ending.READ_ON:
                 await anyio.sleep(self.wait_s)
@@ -87,7 +96,7 @@
                 await anyio.sleep_forever()
 
 
-async def read_head(caller: SocketStream) -> bytes:
+async def read_head(caller: ByteStream) -> bytes:
     """Return what has been read once a head is whole."""
     data = b""
     while b"\r\n\r\n" not in data:
@@ -95,7 +104,7 @@
     return data
 
 
-async def read_rest(caller: SocketStream, data: bytes) -> None:
+async def read_rest(caller: ByteStream, data: bytes) -> None:
     """Read the rest of a request of which `data` has been read."""
     head, _, body = data.partition(b"\r\n\r\n")
     lengths = [
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -1,14 +1,17 @@
 """Answers that begin, or end, before their request has been sent."""
 
+import ssl
 from collections.abc import AsyncIterator
 
 import anyio
 import httpx
 import pytest
+import trustme
 
 from fleet import PROMPT, Fleet
-from godwitmast.backends.client import BackendClient
+from godwitmast.backends.client import AttemptFailed, BackendClient
 from godwitmast.config.document import AnswerLimits
+from godwitmast.dispatch.messages import FailureKind
 from godwitmast.platform.wire import READY
 from godwitmast.standins.early import EarlyServer, Ending
 from godwitmast.types import PoolName
@@ -105,6 +108,33 @@
     assert "server-seal" not in answer.headers
 
 
+@pytest.mark.parametrize("is_secured", [False, True], ids=["plain", "TLS"])
+@pytest.mark.parametrize("ending", [Ending.RESET, Ending.STALL, Ending.READ_ON])
+async def test_early_end_of_an_answer_below_tls(
+    ending: Ending, is_secured: bool
+) -> None:
+    """Guards against an end of the connection that the TLS layer reports as usual."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    trustme.CA().issue_cert("127.0.0.1").configure_cert(context)
+    early = EarlyServer(ending, tls=context if is_secured else None)
+    client = BackendClient(tls=ssl._create_unverified_context())
+    scheme = "https" if is_secured else "http"
+    outcomes: list[bytes | FailureKind] = []
+    async with anyio.create_task_group() as tasks:
+        await early.start(tasks)
+        server = f"{scheme}://127.0.0.1:{early.port}"
+        length = [("content-length", str(len(UPLOAD)))]
+        try:
+            async with client.exchange("POST", server, "/", length, UPLOAD) as answer:
+                outcomes.append(await answer.aread())
+        except AttemptFailed as failure:
+            outcomes.append(failure.kind)
+        await client.close()
+        tasks.cancel_scope.cancel()
+    whole = ending is Ending.READ_ON
+    assert outcomes == [b"a part" if whole else FailureKind.CUT]
+
+
 @pytest.mark.parametrize("status", [b"000", b"600", b"999", b"101"])
 @pytest.mark.parametrize("path", PATHS)
 async def test_status_that_is_none_is_no_answer(
