A VM whose ticks fail tells operators, and stays ready

Callers would have seen: no VM that is ready, as one step of the ticks raises on all of them. The containment of exceptions took such VMs out of rotation.

Change: godwit_ticks_failing tells it instead; readiness doesn't depend on it. The times of failures are of the process's clock, as metrics may be formatted in a thread.

Measured: tests/test_supervision.py; in it a VM whose step fails in each tick is ready, serves a payment and has the gauge at 1.

--- a/src/godwitmast/background.py
+++ b/src/godwitmast/background.py
@@ -1,5 +1,6 @@
 """Background loops that go on after an exception, and that `close` ends and awaits."""
 
+import time
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -37,7 +38,7 @@
 
     def is_failing(self) -> bool:
         """Return whether one of the loops fails again and again."""
-        now = anyio.current_time()
+        now = time.monotonic()
         return any(health.is_failing(now) for health in self.health)
 
     async def close(self) -> None:
--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -9,7 +9,12 @@
 import anyio
 import msgspec
 from anyio import to_thread
-from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    CollectorRegistry,
+    Gauge,
+    generate_latest,
+)
 
 from godwitmast.backends.client import BackendClient
 from godwitmast.capacity.demand import DemandKey, DemandMeter
@@ -77,6 +82,12 @@
         self.client.drop_listeners.append(count_dropped)
         add_memory_metrics(self.memory, self.metrics.registry)
         self.metrics.registry.register(TASK_FAILURES)
+        failing = Gauge(
+            "godwit_ticks_failing",
+            "1 while the router's ticks, or one of their steps, fail again and again.",
+            registry=self.metrics.registry,
+        )
+        failing.set_function(self.driver.is_failing)
         self.demand = DemandMeter()
         self.config: NumberedConfig | None = None
         self.stopping = False
@@ -169,7 +180,7 @@
     @property
     def ready(self) -> bool:
         checks = all(check() for check in self.ready_checks)
-        if self.memory.budget.is_exhausted or self.driver.is_failing():
+        if self.memory.budget.is_exhausted:
             return False
         return self.config is not None and not self.stopping and checks
 
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -5,6 +5,7 @@
 """
 
 import secrets
+import time
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
@@ -471,12 +472,16 @@
         for step, request_id, error in self.router.pop_failures():
             record_task_failure(f"Router.{step}", error, request=request_id)
             if request_id is None:
-                self.router_health.record_failure(anyio.current_time())
+                self.router_health.record_failure(time.monotonic())
 
     def is_failing(self) -> bool:
         """Return whether the loops of this driver, or a step of the router in each
-        tick, fail again and again: requests are better served by another VM."""
-        now = anyio.current_time()
+        tick, fail again and again.
+
+        It is for operators, and not for readiness: what VMs share may fail on all of
+        them at once, while each still serves.
+        """
+        now = time.monotonic()
         return self.background.is_failing() or self.router_health.is_failing(now)
 
     def report_group_sizes(self) -> None:
--- a/src/godwitmast/supervision.py
+++ b/src/godwitmast/supervision.py
@@ -1,6 +1,7 @@
 """Tasks that go on after an exception, which is logged and counted."""
 
 import math
+import time
 import traceback
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -73,7 +74,7 @@
         except Exception as error:
             record_task_failure(task, error)
             if health is not None:
-                health.record_failure(anyio.current_time())
+                health.record_failure(time.monotonic())
         await anyio.sleep(RESTART_S)
 
 
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -11,6 +11,7 @@
 from godwitmast import supervision
 from godwitmast.background import BackgroundTasks
 from godwitmast.config.parsing import parse_document
+from godwitmast.dev.system import DevSystem
 from godwitmast.dispatch.messages import (
     BackendSpec,
     NotRun,
@@ -248,6 +249,25 @@
         yield started
 
 
+@pytest.mark.anyio
+async def test_vm_whose_step_fails_in_each_tick_serves_and_tells_operators(
+    fleet: Fleet, http: httpx.AsyncClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against VMs that are all unready at once, as what they share makes one
+    step fail on each of them."""
+
+    def fail(now: float) -> None:
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(fleet.node.driver.router.guard, "review_suspects", fail)
+    await fleet.wait_until(fleet.node.driver.is_failing)
+    assert fleet.node.app.ready
+    assert (await fleet.request(http, "/pay/1", "POST")).status_code == 200
+    page = await http.get(f"{fleet.node.metrics_server.url}/metrics")
+    assert "godwit_ticks_failing 1.0" in page.text
+    assert 'godwit_task_failures_total{task="Router.review_crashes"}' in page.text
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("path", ["/pay/1", "/peek/1", "/chat/1"])
 async def test_answer_is_passed_on_whatever_its_server_states(
@@ -296,3 +316,13 @@
     assert ("retry-after" in answer.headers) is (status == 503)
     monkeypatch.undo()
     assert (await fleet.request(http, "/pay/2", "POST")).status_code == 200
+
+
+@pytest.mark.anyio
+async def test_metrics_that_a_thread_formats_tell_failing_ticks(
+    system: DevSystem, http: httpx.AsyncClient
+) -> None:
+    """Guards against a page of metrics whose gauges need the event loop's thread."""
+    async with running(system):
+        page = await http.get(f"{system.entries[0].server.url}/metrics")
+        assert page.status_code == 200 and "godwit_ticks_failing 0.0" in page.text
