The estimate of long work stays between the shortest and longest work seen

No answer was lost, but a caller was sent elsewhere for no reason.

Cause: RunningQuantile begins with steps of a third, a quarter, a fifth of its value, and a step upwards could go past the sample that caused it. Calls that differ by microseconds therefore raise the estimate far above all of them.

Why this works: with stays_in_range a step ends at its sample at the latest, so the value is within the samples whatever their order.

Tried and left out: the same bound on the estimates of admission (first token, lengths). Those stay as they were.

--- a/src/godwitmast/admission/deadlines.py
+++ b/src/godwitmast/admission/deadlines.py
@@ -58,7 +58,7 @@
     per_token: RunningMean = field(default_factory=RunningMean)
     hold: RunningMean = field(default_factory=RunningMean)
     long_hold: RunningQuantile = field(
-        default_factory=lambda: RunningQuantile(LONG_HOLD_QUANTILE)
+        default_factory=lambda: RunningQuantile(LONG_HOLD_QUANTILE, stays_in_range=True)
     )
 
     def record_answer(
--- a/src/godwitmast/admission/estimates.py
+++ b/src/godwitmast/admission/estimates.py
@@ -29,6 +29,9 @@
     quantile: float
     value: float | None = None
     count: int = 0
+    stays_in_range: bool = False
+    """Whether no step goes past its sample. Without it, a few samples that differ by
+    little raise the estimate far above all of them."""
 
     def add(self, sample: float) -> None:
         self.count += 1
@@ -37,9 +40,11 @@
             return
         step = max(MIN_SAMPLE_WEIGHT, 1 / (self.count + 1))
         if sample > self.value:
-            self.value *= 1 + step * self.quantile
+            raised = self.value * (1 + step * self.quantile)
+            self.value = min(raised, sample) if self.stays_in_range else raised
         else:
-            self.value *= 1 - step * (1 - self.quantile)
+            lowered = self.value * (1 - step * (1 - self.quantile))
+            self.value = max(lowered, sample) if self.stays_in_range else lowered
 
 
 @dataclass(slots=True)
--- a/tests/test_grace.py
+++ b/tests/test_grace.py
@@ -1,9 +1,16 @@
 """Which requests are still sent to servers while a VM stops, in virtual time."""
 
+from itertools import permutations
+
 import pytest
 
 from godwitmast.admission.deadlines import ServiceTimes
-from godwitmast.admission.grace import UNKNOWN_WORK_S, is_too_late, work_s
+from godwitmast.admission.grace import (
+    LONG_WORK_FACTOR,
+    UNKNOWN_WORK_S,
+    is_too_late,
+    work_s,
+)
 from godwitmast.config.parsing import parse_document
 from godwitmast.dispatch.messages import (
     Action,
@@ -87,6 +94,18 @@
     assert "late" not in router.active_requests.by_id
 
 
+@pytest.mark.parametrize("seconds", permutations([2.5, 2.5001, 2.5002, 2.5003]))
+def test_work_of_nearly_equal_length_that_fits_is_started(
+    router: Router, seconds: tuple[float, ...]
+) -> None:
+    """Guards against refusals of calls for which there is time enough."""
+    for answer_s in seconds:
+        serve(router, 1, answer_s)
+    router.stop(ENDS_AT)
+    [start] = submit(router, "late", ENDS_AT - 2.5003 * LONG_WORK_FACTOR - 0.5)
+    assert isinstance(start, Start)
+
+
 def test_waiting_calls_are_refused_once_a_place_is_free_too_late(
     router: Router,
 ) -> None:
