--- a/src/godwitmast/admission/deadlines.py
+++ b/src/godwitmast/admission/deadlines.py
@@ -23,6 +23,9 @@
 token in time. The goal of a class is 95 in 100, and not all requests start that
 late."""
 
+LONG_HOLD_QUANTILE = 0.95
+"""A VM that stops asks how long an answer may take, and not how long a usual one does."""
+
 MIN_WAIT_SHARE = 0.25
 """The share of its target that a request may always wait. If servers became slower than
 the target itself, nothing could start in time, and with nothing running the service
@@ -45,9 +48,6 @@
     by_caller: bool = False
 
 
-LONG_HOLD_QUANTILE = 0.95
-
-
 @dataclass(slots=True)
 class ServiceTimes:
     """Service times of a class on a pool, measured from the start of the attempt."""
