--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -12,7 +12,7 @@
 def test_quantile_lies_between_the_least_and_the_greatest_sample(
     quantile: float, seed: int
 ) -> None:
-    """Guards against an estimate of twice the longest work after a few like samples."""
+    """Guards against an estimate far above all samples after a few that are alike."""
     random = Random(seed)
     spread = random.choice([1e-6, 1e-3, 0.1, 0.5])
     estimate = RunningQuantile(quantile, stays_in_range=True)
