A claimed call's answer is passed on and stored whatever bytes its headers have

Callers saw: a charge with an idempotency key ran, its service answered 200 with a header that isn't UTF-8 (such as a name in Latin-1), and the caller got a 500 of the entry's own. Each repeat got 409 at every entry, for ever: the outcome counted as unknown.

Cause: the answer is stored before it is passed on, and its headers were decoded as UTF-8 for that. Header values may have any byte above 0x7F. The exception took the place of the answer, and the claim was settled without one.

Change: headers are stored as Latin-1, which has a character for each byte, and sent back the same way. Characters above 0xFF, which only rows of older versions hold, are sent as UTF-8; such a row's characters below that are sent in one byte instead of two.

--- a/src/godwitmast/entry/claim_answers.py
+++ b/src/godwitmast/entry/claim_answers.py
@@ -9,6 +9,7 @@
     TableUnavailable,
 )
 from godwitmast.dispatch.messages import NotRun
+from godwitmast.entry.outbound import RawHeaders
 from godwitmast.entry.refusals import ErrorAnswer
 
 RETRY_AFTER_S = 2.0
@@ -62,3 +63,23 @@
         case TableUnavailable():
             return NOT_CLAIMED
     raise AssertionError(f"{outcome} does not keep a call from running")
+
+
+def header_texts(headers: RawHeaders) -> list[tuple[str, str]]:
+    """Return an answer's headers as they are stored; a server may send any bytes."""
+    return [
+        (name.decode("latin-1"), value.decode("latin-1")) for name, value in headers
+    ]
+
+
+def header_bytes(headers: list[tuple[str, str]]) -> RawHeaders:
+    """Return stored headers as they were received."""
+    return [(name.encode("latin-1"), encode_value(value)) for name, value in headers]
+
+
+def encode_value(text: str) -> bytes:
+    """Return the bytes of a header's value; older versions stored it as UTF-8."""
+    try:
+        return text.encode("latin-1")
+    except UnicodeEncodeError:
+        return text.encode()
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -49,7 +49,12 @@
 )
 from godwitmast.dispatch.router import STOPPING_RETRY_S
 from godwitmast.entry.attempt_scope import AttemptScope
-from godwitmast.entry.claim_answers import OUTCOME_UNKNOWN, answer_claim
+from godwitmast.entry.claim_answers import (
+    OUTCOME_UNKNOWN,
+    answer_claim,
+    header_bytes,
+    header_texts,
+)
 from godwitmast.entry.driver import Mailbox, RouterDriver, Sent
 from godwitmast.entry.forwarder import Forwarder, answers_send
 from godwitmast.entry.frontend import Frontend
@@ -579,9 +584,7 @@
         """Send the stored answer, or an error that says why there is none."""
         if isinstance(outcome, Stored) and outcome.answer is not None:
             stored = outcome.answer
-            headers = [
-                (name.encode(), value.encode()) for name, value in stored.headers
-            ]
+            headers = header_bytes(stored.headers)
             self.head_sent = True
             self.replayed = True
             await send_response(
@@ -714,9 +717,7 @@
         await self.send_head(answer)
         self.answered = True
         if self.claimed is not None:
-            head = [
-                (name.decode(), value.decode()) for name, value in EVENT_STREAM_HEADERS
-            ]
+            head = header_texts(EVENT_STREAM_HEADERS)
             await self.settle_claim(Answer(200, head, b"".join(self.streamed_events)))
         await self.send({"type": "http.response.body", "body": rest})
 
@@ -811,10 +812,8 @@
             )
         headers = self.answer_headers(self.outbound.whole_headers(answer))
         if self.claimed is not None:
-            stored_headers = [
-                (name.decode(), value.decode()) for name, value in headers
-            ]
-            await self.settle_claim(Answer(answer.status_code, stored_headers, body))
+            texts = header_texts(headers)
+            await self.settle_claim(Answer(answer.status_code, texts, body))
         await self.send_answer(WholeAnswer(answer.status_code, headers, body))
 
     async def relay_whole(self, start: Start | None, answer: httpx.Response) -> None:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,6 +7,8 @@
 
 from godwitmast.dev.document import MODEL, SERVICE, dev_document, dev_key
 from godwitmast.dev.system import DevSystem
+from godwitmast.entry.claim_answers import header_bytes
+from raw_server import RawServer, answer_of
 from running import running
 
 pytestmark = pytest.mark.anyio
@@ -117,6 +119,33 @@
         tasks.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize("value", [b"Jos\xe9", "José".encode(), b"\xff\x80"])
+async def test_answer_with_a_header_that_is_not_ascii_is_passed_on_and_stored(
+    http: httpx.AsyncClient, value: bytes
+) -> None:
+    """Guards against a charge that ran and is answered with an error for ever, as its
+    answer's headers could not be stored."""
+    system = DevSystem(entries=2)
+    service = RawServer(answer_of(b"paid", b"X-Clerk: " + value))
+    async with running(system), running(service):
+        urls = [engine.server.url for engine in system.engines]
+        system.put_config(dev_document(urls, service.url))
+        await version_in_force(system, 2)
+        for url in charge_urls(system) * 2:
+            answer = await http.post(url, headers=keyed("k1"), content=b"10 dollars")
+            assert (answer.status_code, answer.content) == (200, b"paid")
+            values = [v for name, v in answer.headers.raw if name.lower() == b"x-clerk"]
+            assert values == [value]
+        assert len(service.requests) == 1
+
+
+@pytest.mark.parametrize("text", ["José", "10 \N{EURO SIGN}"])
+def test_stored_header_of_an_older_version_is_sent(text: str) -> None:
+    """Guards against answers that were stored as UTF-8 and can't be repeated."""
+    [(_, value)] = header_bytes([("x-clerk", text)])
+    assert text in (value.decode("latin-1"), value.decode("utf-8", "replace"))
+
+
 async def test_call_completes_without_its_caller_and_its_answer_is_stored(
     system: DevSystem, http: httpx.AsyncClient
 ) -> None:
