An impossible usage that an engine states is ignored

Callers saw: an engine's whole answer that states a number of tokens no float can hold was replaced by a 500, after the engine had run the request. Teams would have been billed for any number: below 0, or 2^64 tokens for one answer. A negative one in a whole answer raised an exception at the metrics, so that its tokens weren't billed at all.

Cause: the stated numbers were taken as they are, and recorded before the answer is passed on; JSON has integers without bounds.

Change: counts below 0 or above 10^8 are no usage; the request is billed by the estimate that is used where an engine states none, and a line is logged.

--- a/src/godwitmast/entry/events.py
+++ b/src/godwitmast/entry/events.py
@@ -6,6 +6,7 @@
 
 from godwitmast.decoding import decode_json
 from godwitmast.errors import Undecodable
+from godwitmast.logs import RowLog
 from godwitmast.types import TokenCount
 
 LINE_ENDS = b"\r\n"
@@ -19,6 +20,11 @@
 ID_PREFIX = b"id:"
 DONE_DATA = b"[DONE]"
 
+MAX_STATED_TOKENS = 100_000_000
+"""Far more than any engine reads or generates for one request."""
+
+STATED_USAGE_LOG = RowLog("stated_usage_ignored")
+
 
 class Delta(msgspec.Struct):
     """A choice's delta; `content` counts as output."""
@@ -188,8 +194,17 @@
         self.partial_event.clear()
 
 
-def token_count(usage: Usage) -> TokenCount:
-    return TokenCount(usage.prompt_tokens, usage.completion_tokens)
+def token_count(usage: Usage) -> TokenCount | None:
+    """Return the counts, None if they are no numbers of tokens.
+
+    JSON allows numbers below 0, and some that no float can hold.
+    """
+    counts = TokenCount(usage.prompt_tokens, usage.completion_tokens)
+    if all(0 <= count <= MAX_STATED_TOKENS for count in counts):
+        return counts
+    text = f"{counts!r:.100}"
+    STATED_USAGE_LOG.record("usage", text, text)
+    return None
 
 
 def read_usage(body: bytes) -> TokenCount | None:
