What can't be recorded of an answer, or of its rest, doesn't replace it

Callers would see: a request runs, its server answers, and the caller gets a 500 or 502 in place of the answer, or a stream that is cut, if anything that is recorded of the answer raises.

Cause: the same order of work on related paths: what another VM's answer says of its server, the version of a stream that begins, the count of the request's start, the tokens of a whole or streamed answer, the time at which a server was heard, and the stored answer of a claimed call. The outcome of a request is recorded after its answer; an exception there ended the connection's application.

Change: each of them logs and counts its exception and the answer goes on (Exchange.recording).

--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -335,7 +335,9 @@
         finally:
             del self.exchanges[exchange.spec.request_id]
             self.metrics.open_requests.dec()
-            self.record_outcome(exchange)
+            # Its connection may carry more requests.
+            with exchange.recording("record_outcome"):
+                self.record_outcome(exchange)
 
     def count_waiting(self) -> dict[DemandKey, int]:
         """Return the number of requests that wait for a backend server, by demand key."""
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -241,6 +241,19 @@
             case CancelReason.FAILED if not self.answered:
                 await self.send_refusal(RefusalCode.INTERNAL)
 
+    @contextmanager
+    def recording(self, what: str) -> Iterator[None]:
+        """Log an exception in recording something of an answer, which is passed on.
+
+        The server has run the request; an error in place of its answer would have the
+        caller believe that it failed.
+        """
+        try:
+            yield
+        except Exception as error:
+            request_id = self.spec.request_id
+            record_task_failure(f"Exchange.{what}", error, request=request_id)
+
     async def serve(self) -> None:
         """Have another VM serve the request, or carry out the router's actions."""
         if not await self.bind_to_version():
@@ -377,7 +390,8 @@
             answer_id=terms.nonce,
         ) as answer:
             self.use = connection_use(answer.request)
-            self.record_departure(answer)
+            with self.recording("record_departure"):
+                self.record_departure(answer)
             not_run = answer.headers.get(NOT_RUN_HEADER.decode())
             if not_run is not None:
                 await self.pass_refusal(answer, not_run == NotRun.TRUE.value)
@@ -593,6 +607,11 @@
             return
         await self.send_error_answer(answer_claim(outcome, self.driver.clock.wall()))
 
+    async def store_answer(self, answer: Answer) -> None:
+        """Settle the claim with an answer, which is passed on even if that fails."""
+        with self.recording("store_answer"):
+            await self.settle_claim(answer)
+
     async def settle_claim(self, answer: Answer | None = None) -> None:
         """Settle the claim with `answer` or by whether the call may have run."""
         if self.claimed is not None:
@@ -653,15 +672,12 @@
     ) -> None:
         """Record what the headers of an answer, also of a rejection, say of its
         server; whatever comes of that, the answer itself is passed on."""
-        self.driver.record_heard(backend_id)
-        try:
+        with self.recording("record_head"):
+            self.driver.record_heard(backend_id)
             statement = self.client.header_parser.parse_statement(answer)
             if not self.outbound.reports_load:
                 statement = statement._replace(load=None)
             self.driver.record_statement(backend_id, statement, sent)
-        except Exception as error:
-            task = "Exchange.record_head"
-            record_task_failure(task, error, backend=backend_id)
 
     async def raise_server_error(self, answer: httpx.Response) -> None:
         """Fail the attempt; keep the server's answer if the caller may get it."""
@@ -701,7 +717,8 @@
         before = reader.delivered
         async for data in answer.aiter_raw():
             if start is not None:
-                self.driver.record_heard(start.backend_id)
+                with self.recording("record_heard"):
+                    self.driver.record_heard(start.backend_id)
             scope.defer_cancel()
             await self.forward_events(start, answer, data)
             scope.allow_cancel()
@@ -718,7 +735,7 @@
         self.answered = True
         if self.claimed is not None:
             head = header_texts(EVENT_STREAM_HEADERS)
-            await self.settle_claim(Answer(200, head, b"".join(self.streamed_events)))
+            await self.store_answer(Answer(200, head, b"".join(self.streamed_events)))
         await self.send({"type": "http.response.body", "body": rest})
 
     async def forward_events(
@@ -736,7 +753,8 @@
         if start is not None:
             self.record_backend_start()
         if not self.head_sent:
-            self.record_stream_begin(start, answer)
+            with self.recording("record_stream_begin"):
+                self.record_stream_begin(start, answer)
         await self.send_head(answer)
         if self.claimed is not None:
             self.streamed_bytes += len(events)
@@ -746,7 +764,8 @@
         self.answered = reader.done
         body = {"type": "http.response.body", "body": events, "more_body": True}
         await self.send(body)
-        self.count_tokens(start, reader.delivered - before)
+        with self.recording("count_tokens"):
+            self.count_tokens(start, reader.delivered - before)
 
     async def send_head(self, answer: httpx.Response) -> None:
         """Send the status and headers of a stream, before its first event.
@@ -773,7 +792,8 @@
         """Report once that a backend server has started the request."""
         if not self.backend_started:
             self.backend_started = True
-            self.on_backend_start()
+            with self.recording("on_backend_start"):
+                self.on_backend_start()
 
     def count_tokens(self, start: Start | None, count: int) -> None:
         """Record tokens that were forwarded."""
@@ -803,19 +823,23 @@
         self.token_times.last_at = self.driver.clock.now()
         if start is not None:
             self.record_backend_start()
-            self.reported_usage = self.outbound.usage(body)
-        if start is not None and self.reported_usage:
-            kind = self.driver.backend_kind(start.backend_id)
-            self.tokens_by_kind[kind] += self.reported_usage.output
-            self.driver.record_tokens(
-                self.spec.request_id, start.attempt_id, self.reported_usage.output
-            )
+            with self.recording("record_usage"):
+                self.record_usage(start, body)
         headers = self.answer_headers(self.outbound.whole_headers(answer))
         if self.claimed is not None:
             texts = header_texts(headers)
-            await self.settle_claim(Answer(answer.status_code, texts, body))
+            await self.store_answer(Answer(answer.status_code, texts, body))
         await self.send_answer(WholeAnswer(answer.status_code, headers, body))
 
+    def record_usage(self, start: Start, body: bytes) -> None:
+        """Record the tokens that a whole answer states."""
+        self.reported_usage = self.outbound.usage(body)
+        if not self.reported_usage:
+            return
+        count = self.reported_usage.output
+        self.tokens_by_kind[self.driver.backend_kind(start.backend_id)] += count
+        self.driver.record_tokens(self.spec.request_id, start.attempt_id, count)
+
     async def relay_whole(self, start: Start | None, answer: httpx.Response) -> None:
         """Forward an answer whose content isn't read here, within the memory budget.
 
