A VM that was killed and started again counts once

Callers would see: refused retries. VMs divide what they share (retry budgets, turns at cold or limited servers, slots) among the VMs that the lease holder counts. After kills and restarts in series that number was too high, and VMs keep the highest count for 30 s.

Cause: each run of a VM has a row of its own, and the rows of killed runs count until they are sealed, as late as a window's freeze.

Change: of several rows of a VM only the one that it wrote last counts. A sealed row isn't: it was written last by the holder.

Measured: both new tests failed before; the tests of usage, its model, orders and the command line passed.

--- a/src/godwitmast/ctl/session.py
+++ b/src/godwitmast/ctl/session.py
@@ -31,6 +31,7 @@
     NODE_PREFIX,
     REPORTED_KEY,
     NodeRow,
+    latest_runs,
     load_node,
 )
 
@@ -134,7 +135,7 @@
     async def nodes(self) -> list[NodeRow]:
         """Return the rows of the entries that have not ended."""
         rows = await self.platform.scan(NODE_PREFIX)
-        nodes = [load_node(row.value) for row in rows.values()]
+        nodes = latest_runs((load_node(r.value), r.version) for r in rows.values())
         return [node for node in nodes if not node.ended]
 
     async def zones(self) -> set[str]:
--- a/src/godwitmast/usage/duty.py
+++ b/src/godwitmast/usage/duty.py
@@ -17,7 +17,7 @@
 from godwitmast.platform_api.runner import run_steps
 from godwitmast.platform_api.steps import Failure, Rows, Scan, Steps
 from godwitmast.usage.ledger import UsageLedger, restore_ended_rows, restore_windows
-from godwitmast.usage.rows import NODE_PREFIX, NodeRow, load_node
+from godwitmast.usage.rows import NODE_PREFIX, NodeRow, latest_runs, load_node
 from godwitmast.usage.windows import (
     DueReport,
     Frozen,
@@ -241,7 +241,8 @@
 
     def loads(self) -> list[dict[str, Any]]:
         """Return the last reported load of each running entry; empty if unknown."""
-        return [w.row.load for w in self.watched_rows.values() if not w.row.ended]
+        rows = latest_runs((w.row, w.version) for w in self.watched_rows.values())
+        return [row.load for row in rows if not row.ended]
 
     def record_table_contact(self, answered: bool) -> None:
         if answered and self.table_unreachable:
--- a/src/godwitmast/usage/rows.py
+++ b/src/godwitmast/usage/rows.py
@@ -1,5 +1,6 @@
 """The layout of usage in the platform's table and objects."""
 
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 import msgspec
@@ -98,6 +99,22 @@
     return row._replace(segments=segments)
 
 
+def latest_runs(rows: Iterable[tuple[NodeRow, int]]) -> list[NodeRow]:
+    """Return the row that each entry wrote last, from rows and their versions.
+
+    The rows of runs that were killed stay for a while beside that of the present one.
+    Once they are sealed, their last version is not the entry's own.
+    """
+    latest: dict[str, tuple[NodeRow, int]] = {}
+    for row, version in rows:
+        if row.sealed:
+            continue
+        known = latest.get(row.node)
+        if known is None or known[1] < version:
+            latest[row.node] = row, version
+    return [row for row, _ in latest.values()]
+
+
 class FrozenWindow(NamedTuple):
     """The final figures of a window.
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -13,6 +13,7 @@
 from godwitmast.ctl.cli import app
 from godwitmast.dev.document import SERVICE, dev_document, dev_key
 from godwitmast.dev.system import DevSystem
+from godwitmast.usage.rows import NodeRow, dump_node, node_key
 from running import running
 
 pytestmark = pytest.mark.anyio
@@ -130,6 +131,21 @@
         assert "straggler: dev-1 in dev has 1, silent" in done.output
 
 
+async def test_killed_run_of_an_entry_is_no_straggler(system: DevSystem) -> None:
+    """Guards against a change that counts as not in force everywhere, as an entry was
+    killed with the version before and started again."""
+    old = NodeRow("dev-1", "dev", "dev-1.0", 1, 1, 0, {}, {})
+    async with running(system):
+        [entry] = system.entries
+        system.platform.table.transact({}, {node_key("dev-1.0"): dump_node(old)})
+        body = json.dumps({"teams": {"arima": {"weight": 2.0}}})
+        args = ["patch", "-", "--against", "1", "--wait", "--timeout", "5"]
+        done = await ctl(system, *args, text=body)
+        assert done.exit_code == 0, done.output
+        assert "in force on 1 entries" in done.output
+        assert not entry.journal.key.endswith(".0")
+
+
 def test_check_names_every_problem(tmp_path: Path) -> None:
     document = dev_document([], "http://127.0.0.1:9")
     path = tmp_path / "config.json"
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -24,7 +24,13 @@
 from godwitmast.usage.duty import UsageDuty
 from godwitmast.usage.journal import MAX_SEGMENTS, FlushOutcome, Journal
 from godwitmast.usage.meter import UsageKey, UsageSum
-from godwitmast.usage.rows import REPORTED_KEY, UsageHead, decode_window, load_node
+from godwitmast.usage.rows import (
+    REPORTED_KEY,
+    UsageHead,
+    decode_window,
+    dump_node,
+    load_node,
+)
 from godwitmast.usage.windows import (
     FreezeOutcome,
     Frozen,
@@ -398,3 +404,27 @@
     assert await duty.freeze(guard)
     [figures] = duty.ledger.windows[1010].window.figures
     assert figures[3] == 1
+
+
+async def test_entry_that_was_killed_and_started_again_counts_once(
+    windows: Windows,
+) -> None:
+    """Guards against what all entries share that is divided among too many, and open
+    requests that are counted twice, until the rows of killed runs are sealed."""
+    intake = Intake(windows.platform)
+    duty = UsageDuty(intake, FakeClock(1005.0), TIMING, CollectorRegistry())
+    windows.entry("e1", 1005.0)
+    runs = [Journal("e2", "a", TIMING.window_s) for _ in range(3)]
+    for load, run in enumerate(runs):
+        windows.platform.run(run.flush(1005.0, load={"open": load}))
+    await duty.watch_rows(FakeGuard(0))
+    assert len(duty.watched_rows) == 4
+    assert sorted(map(str, duty.loads())) == ["{'open': 2}", "{}"]
+    assert runs[0].last is not None
+    sealed = runs[0].last._replace(ended=True, sealed=True)
+    windows.platform.table.transact({}, {runs[0].key: dump_node(sealed)})
+    await duty.watch_rows(FakeGuard(0))
+    assert sorted(map(str, duty.loads())) == ["{'open': 2}", "{}"]
+    windows.platform.run(runs[2].flush(1006.0, ended=True))
+    await duty.watch_rows(FakeGuard(0))
+    assert duty.loads() == [{}]
