Requests are forwarded by the row that a VM wrote last

Callers would see: a VM that reaches no server refuses requests, or offers them to a VM that can't serve them either, although another VM that was killed and started again could, or couldn't: by what that one reached in its run before.

Cause: rows of VMs are read by address, and a VM has the row of a killed run beside that of the present one until it is sealed. Which of them counted was by the order of their keys, which are random. As both have other versions, each read also took the row as changed, so that a VM that is gone counted as running until its row was sealed.

Not shown with processes: the stand-ins can't cut one VM off from the servers.

Change: of several rows with one address the one with the highest version counts.

--- a/src/godwitmast/forwarding/peers.py
+++ b/src/godwitmast/forwarding/peers.py
@@ -15,6 +15,7 @@
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from operator import attrgetter
 from typing import NamedTuple
 
 from godwitmast.types import PoolName
@@ -80,10 +81,17 @@
         self.paused_until: dict[PoolName, float] = {}
 
     def update(self, peers: Iterable[Peer], now: float) -> None:
-        """Replace the peers; those of other regions, and this VM, are left out."""
+        """Replace the peers; those of other regions, and this VM, are left out.
+
+        A VM that was killed and started again has several rows for a while, of which
+        the one that was written last tells what it reaches, and that it still runs.
+        """
         previous = self.states
         self.states = {}
-        for peer in peers:
+        latest = {
+            peer.address: peer for peer in sorted(peers, key=attrgetter("row_version"))
+        }
+        for peer in latest.values():
             if peer.name == self.name or peer.region != self.region:
                 continue
             state = previous.get(peer.address)
--- a/tests/test_forwarding_peers.py
+++ b/tests/test_forwarding_peers.py
@@ -110,6 +110,23 @@
     assert choice.choose(POOL, set(), STALE_S) is not None
 
 
+@pytest.mark.parametrize("killed_first", [True, False])
+@pytest.mark.parametrize("reached_before", [True, False])
+def test_row_of_a_killed_run_says_nothing_of_the_vm_that_started_again(
+    killed_first: bool, reached_before: bool
+) -> None:
+    """Guards against requests that are refused, or offered in vain, by what a VM reached
+    before it was killed, and against a VM that is gone and counts as running."""
+    reached, cut_off = range(0), range(2)
+    killed = peers_of(2, cut_off if not reached_before else reached, version=1)
+    running = peers_of(2, cut_off if reached_before else reached, version=2)
+    rows = [*killed, *running] if killed_first else [*running, *killed]
+    choice = choice_of(rows)
+    assert (choice.choose(POOL, set(), 0.0) is None) is reached_before
+    choice.update(rows, STALE_S)
+    assert choice.choose(POOL, set(), STALE_S) is None
+
+
 def test_vm_that_accepts_no_connection_is_the_last_choice_for_a_while() -> None:
     """Guards against time-outs at a VM that is gone, and against having none left."""
     choice = choice_of(peers_of(3))
