What is known of a server is kept while its entry is gone

Callers saw: a server that fails requests got its share of payments anew each time its entry expired and came back, three of each VM until it was ejected again. A server that asked for rest, or stated a rate, was sent requests as if it hadn't.

Change: the state of a server that left the list is kept for 60 s, the longest ejection, and taken up again if the same start of it returns. A server that was ejected as it could not be reached is tried at once: its entry is news that it runs. A server that failures of several VMs ejected stays out as well. Requests in flight keep a state for longer, as before.

--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -20,6 +20,7 @@
 from godwitmast.dispatch.affinity import PrefixOrders, rendezvous, within_bound
 from godwitmast.dispatch.health import (
     HEALTHY_FACTOR,
+    MAX_EJECTION_S,
     SLOW_FACTOR,
     Condition,
     Health,
@@ -49,6 +50,10 @@
 """How long a class's target counts for a pool after its last request there."""
 
 
+RETAINED_S = MAX_EJECTION_S
+"""How long what is known of a server is kept after its entry left the list: an entry also
+expires while its server runs on, but can't reach the platform."""
+
 SPILL_MARGIN = 0.3
 """A server of another zone is preferred if its utilisation is lower by this much, so
 that a straggler in the own zone is not used while other zones have idle servers."""
@@ -71,6 +76,8 @@
     rejection_limit: RejectionLimit = field(default_factory=RejectionLimit)
     rest: Rest = field(default_factory=Rest)
     cells: list["Cell"] = field(default_factory=list)
+    unlisted_at: float = 0.0
+    """When its entry left the list, if it did."""
     routers: float = ASSUMED_ROUTERS
     """Routers that share the server; kept up to date while it states a limit."""
 
@@ -230,7 +237,7 @@
         self.random = random.Random(seed)
         self.states: dict[BackendId, BackendState] = {}
         self.unlisted: dict[BackendId, BackendState] = {}
-        """Servers that left the list while requests ran there, until those have ended."""
+        """Servers that left the list lately, or on which requests of before still run."""
         self.pools: dict[str, PoolView] = {}
         self.ejected: list[BackendState] = []
         self.cold_servers: dict[BackendId, BackendState] = {}
@@ -239,8 +246,9 @@
         self.speeds = SpeedTable(zone, seed)
 
     def update(self, specs: list[BackendSpec], now: float) -> None:
-        """Replace the list of servers; the state of those that stay is kept."""
+        """Replace the list of servers; the state of those that stay or return is kept."""
         old, old_pools = {**self.unlisted, **self.states}, self.pools
+        listed_before = self.states
         is_first_list = not old
         self.cold_servers = {}
         self.limited_servers = {}
@@ -248,15 +256,9 @@
         self.states = {}
         self.pools = {}
         for spec in specs:
-            previous = old.get(spec.backend_id)
-            if previous is not None and previous.spec.incarnation != spec.incarnation:
-                # Requests that are still counted there end on the same state object.
-                previous.health, previous.gap_window = Health(), GapWindow()
-                previous.rate_limit = RateLimit()
-                previous.rejection_limit = RejectionLimit()
-                previous.rest = Rest()
-            state = previous or BackendState(spec)
-            self.update_warmup(state, spec, previous is None, is_first_list, now)
+            is_new = spec.backend_id not in listed_before
+            state = state_of(spec, old.get(spec.backend_id), is_new)
+            self.update_warmup(state, spec, is_new, is_first_list, now)
             state.spec = spec
             if state.has_turns:
                 self.limited_servers[spec.backend_id] = state
@@ -269,12 +271,15 @@
             if not spec.closed:
                 for pool in spec.pools:
                     self.add_to_pool(state, pool, old_pools)
-        self.unlisted = {}
-        for backend_id, state in old.items():
-            if backend_id not in self.states and state.in_flight:
-                # Its entry may come back while they run, and they end on this state.
-                state.cells = []
-                self.unlisted[backend_id] = state
+        self.unlisted = {
+            backend_id: state
+            for backend_id, state in old.items()
+            if backend_id not in self.states
+        }
+        for backend_id, state in self.unlisted.items():
+            if backend_id in listed_before:
+                state.cells, state.unlisted_at = [], now
+        self.forget_unlisted(now)
         self.ejected = [
             state for state in self.states.values() if not state.health.is_in_rotation()
         ]
@@ -282,6 +287,16 @@
             self.refresh(state, now)
         self.speeds.update(specs)
 
+    def forget_unlisted(self, now: float) -> None:
+        """Forget servers that left the list long ago, once no request runs there."""
+        gone = [
+            backend_id
+            for backend_id, state in self.unlisted.items()
+            if not state.in_flight and now >= state.unlisted_at + RETAINED_S
+        ]
+        for backend_id in gone:
+            del self.unlisted[backend_id]
+
     def warmup_limit_of(self, spec: BackendSpec) -> WarmupLimit | None:
         """Return what the server can handle while it is cold, if that is bounded."""
         limits = (self.warmup_limits.get(pool) for pool in spec.pools)
@@ -656,8 +671,6 @@
         state.other_load.claimable += 1
         for cell in state.cells:
             cell.in_flight -= 1
-        if not state.in_flight:
-            self.unlisted.pop(backend_id, None)
         self.refresh(state, now)
 
     def record_load(
@@ -882,6 +895,7 @@
             state.health.is_in_rotation() or state.may_probe(now)
         ):
             self.eject(state, Condition.DOWN, now)
+            state.health.is_unreachable = True
 
     def record_error(self, backend_id: BackendId, now: float) -> None:
         """Record that a server failed to process a request that reached it."""
@@ -980,9 +994,34 @@
                 self.refresh(state, now)
             still_ejected.append(state)
         self.ejected = still_ejected
+        self.forget_unlisted(now)
 
     def record_target(self, pool: str, target_gap_s: float | None, now: float) -> None:
         """Record that a class with this target runs on the pool."""
         view = self.pools.get(pool)
         if view is not None and target_gap_s is not None:
             view.targets[target_gap_s] = now
+
+
+def state_of(
+    spec: BackendSpec, previous: BackendState | None, is_new: bool
+) -> BackendState:
+    """Return the state of a listed server, without what is known of an earlier start.
+
+    `is_new` says that it wasn't in the list before this one.
+    """
+    if previous is None:
+        return BackendState(spec)
+    if previous.spec.incarnation == spec.incarnation:
+        if is_new and previous.health.is_unreachable:
+            # Its entry is news that it runs.
+            previous.health = Health()
+        return previous
+    if is_new and not previous.in_flight:
+        return BackendState(spec)
+    # Requests that are still counted there end on the same state object.
+    previous.health, previous.gap_window = Health(), GapWindow()
+    previous.rate_limit = RateLimit()
+    previous.rejection_limit = RejectionLimit()
+    previous.rest = Rest()
+    return previous
--- a/src/godwitmast/dispatch/health.py
+++ b/src/godwitmast/dispatch/health.py
@@ -61,6 +61,8 @@
     consecutive_malformed: int = 0
     consecutive_broken: int = 0
     """Answers that began, and were malformed further on."""
+    is_unreachable: bool = False
+    """It was ejected as a connection was refused or broke, not by what it answered."""
 
     def is_in_rotation(self) -> bool:
         return self.condition is Condition.IN
@@ -74,6 +76,7 @@
         seconds = min(MAX_EJECTION_S, first * 2.0**self.ejection_count)
         self.ejection_count = min(self.ejection_count + 1, 10)
         self.condition = condition
+        self.is_unreachable = False
         self.ejected_at = now
         self.ejected_until = now + seconds * rng.uniform(
             1 - JITTER_SHARE, 1 + JITTER_SHARE
@@ -82,6 +85,7 @@
 
     def readmit(self) -> None:
         self.condition = Condition.IN
+        self.is_unreachable = False
         self.reset_counts()
 
     def reset_counts(self) -> None:
--- a/src/godwitmast/dispatch/shared_health.py
+++ b/src/godwitmast/dispatch/shared_health.py
@@ -186,6 +186,9 @@
                 self.eject(state, server, now)
 
     def review_out(self, server: Start, now: float) -> None:
+        if server.backend_id in self.table.unlisted:
+            # Its entry may return while it still fails.
+            return
         state = self.table.states.get(server.backend_id)
         out = self.outliers.out[server]
         is_same = state is not None and state.spec.incarnation == server.incarnation
