What is known of a pool is kept while none of its servers is listed

Callers would see: prompts read again, and short prompts beside long ones, after the entries of all engines expired in an outage and came back.

Cause: the state of a pool (which engine has which parts of prompts, the sizes of the two groups of engines, usual gaps, others' requests) was made new when its first server returned.

Evidence: the new test; not shown with processes.

Change: the state is kept for 60 s, like that of servers, and tokens that engines have still to read are subtracted from it meanwhile.

--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -193,6 +193,8 @@
     slow_count: int = 0
     placement: PromptPlacement = field(default_factory=PromptPlacement)
     mean_other_load: MeanOtherLoad = field(default_factory=MeanOtherLoad)
+    unlisted_at: float = 0.0
+    """When its last server left the list, if none is in it."""
 
     def members(self) -> list[BackendState]:
         """Return the servers in rotation, with room or not."""
@@ -239,6 +241,8 @@
         self.unlisted: dict[BackendId, BackendState] = {}
         """Servers that left the list lately, or on which requests of before still run."""
         self.pools: dict[str, PoolView] = {}
+        self.unlisted_pools: dict[str, PoolView] = {}
+        """Pools all of whose servers left the list lately."""
         self.ejected: list[BackendState] = []
         self.cold_servers: dict[BackendId, BackendState] = {}
         self.limited_servers: dict[BackendId, BackendState] = {}
@@ -247,7 +251,8 @@
 
     def update(self, specs: list[BackendSpec], now: float) -> None:
         """Replace the list of servers; the state of those that stay or return is kept."""
-        old, old_pools = {**self.unlisted, **self.states}, self.pools
+        old = {**self.unlisted, **self.states}
+        old_pools = {**self.unlisted_pools, **self.pools}
         listed_before = self.states
         is_first_list = not old
         self.cold_servers = {}
@@ -279,6 +284,12 @@
         for backend_id, state in self.unlisted.items():
             if backend_id in listed_before:
                 state.cells, state.unlisted_at = [], now
+        self.unlisted_pools = {
+            name: view for name, view in old_pools.items() if name not in self.pools
+        }
+        for view in self.unlisted_pools.values():
+            if view.cells:
+                view.cells, view.unlisted_at = {}, now
         self.forget_unlisted(now)
         self.ejected = [
             state for state in self.states.values() if not state.health.is_in_rotation()
@@ -288,7 +299,8 @@
         self.speeds.update(specs)
 
     def forget_unlisted(self, now: float) -> None:
-        """Forget servers that left the list long ago, once no request runs there."""
+        """Forget servers and pools that left the list long ago; a server only once no
+        request runs there."""
         gone = [
             backend_id
             for backend_id, state in self.unlisted.items()
@@ -296,6 +308,13 @@
         ]
         for backend_id in gone:
             del self.unlisted[backend_id]
+        gone_pools = [
+            name
+            for name, view in self.unlisted_pools.items()
+            if now >= view.unlisted_at + RETAINED_S
+        ]
+        for name in gone_pools:
+            del self.unlisted_pools[name]
 
     def warmup_limit_of(self, spec: BackendSpec) -> WarmupLimit | None:
         """Return what the server can handle while it is cold, if that is bounded."""
@@ -520,7 +539,7 @@
     def placement_of(self, request: RequestSpec) -> PromptPlacement | None:
         """Return the prompt placement of the request's pool, if the request's parts are
         known."""
-        view = self.pools.get(request.pool)
+        view = self.pools.get(request.pool) or self.unlisted_pools.get(request.pool)
         return view.placement if view is not None and request.parts else None
 
     def pick_by_zone(
--- a/tests/test_returning_servers.py
+++ b/tests/test_returning_servers.py
@@ -16,6 +16,7 @@
     RequestSpec,
     Start,
 )
+from godwitmast.dispatch.placement import PromptPart
 from godwitmast.dispatch.router import Router
 from godwitmast.outliers.log import Start as OutlierStart
 from godwitmast.types import (
@@ -32,9 +33,12 @@
         "classes": {"calls": {"tier": 1, "completion_s": 60.0}},
         "teams": {"arima": {}},
         "services": {"app": {}},
+        "models": {"lm": {}},
     }
 )
 P1 = BackendSpec(BackendId("p1"), ZoneName("a"), frozenset(["app"]), places=8)
+E1 = BackendSpec(BackendId("e1"), ZoneName("a"), frozenset(["lm"]), places=8)
+PROMPT = (PromptPart("shared", 200), PromptPart("own", 100))
 SERVERS_OF_APP = [P1, P1._replace(backend_id=BackendId("p2"))]
 SEEDS = range(60)
 EVENTS = 200
@@ -57,14 +61,17 @@
                 case Refuse():
                     self.running.pop(action.request_id, None)
 
-    def submit(self, now: float) -> None:
+    def submit(self, now: float, parts: tuple[PromptPart, ...] = ()) -> None:
+        """Submit a request to a plain service, or to an engine if it has a prompt."""
         self.count += 1
         request = RequestSpec(
             RequestId(f"r{self.count}"),
             TeamName("arima"),
             ClassName("calls"),
-            PoolName("app"),
+            PoolName("lm" if parts else "app"),
             now,
+            prompt_tokens=sum(part.tokens for part in parts),
+            parts=parts,
             deadline=now + 30.0,
             idempotent=False,
             streams=False,
@@ -231,6 +238,28 @@
     assert "r3" in vm.running
 
 
+def test_what_is_known_of_a_pool_holds_when_all_its_entries_return() -> None:
+    """Guards against prompts that are placed as if nothing had been sent before, and long
+    ones beside short ones, after all entries of a pool expired in an outage."""
+    vm = OneVm([E1])
+    table = vm.router.backends
+    vm.submit(0.0, PROMPT)
+    view = table.pools["lm"]
+    placement, pace = view.placement, view.pace
+    assert placement.pending_tokens == {"e1": 300.0}
+    vm.act(vm.router.update_backends([], 1.0))
+    vm.complete(RequestId("r1"), 1.5)
+    assert placement.pending_tokens == {}
+    vm.act(vm.router.update_backends([E1], 2.0))
+    view = table.pools["lm"]
+    assert view.placement is placement and view.pace is pace
+    assert view.placement.holds_part(E1.backend_id, PROMPT[0], 2.0)
+    assert view.server_count == 1 and not table.unlisted_pools
+    vm.act(vm.router.update_backends([], 3.0))
+    vm.act(vm.router.tick(3.0 + RETAINED_S))
+    assert not table.unlisted_pools
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_counts_hold_whatever_entries_come_and_go(seed: int) -> None:
     """Guards against counts about an entry that outlive it, in drawn sequences."""
