A late event loop is logged

Operators saw: callers of one VM leave without an answer, and runs go on after they left, and nothing that tells a VM with too little processor time from slow servers; a loop that stands still was logged from 3 s on.

Change: a turn that comes 0.25 s late is logged, once a second at most, with how late it was and the processor time since the turn before (event_loop_late).

Measured: the new test passed; it needs the new line.

--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -539,13 +539,16 @@
     async def run_ticks(self) -> None:
         while True:
             if self.mailboxes:
-                await anyio.sleep(TICK_S)
+                wait_s = TICK_S
+                due_at = time.monotonic() + wait_s
+                await anyio.sleep(wait_s)
             else:
                 self.request_submitted = anyio.Event()
                 wait_s = until_check_s(self.clock.now(), IDLE_TICK_S)
+                due_at = time.monotonic() + wait_s
                 with anyio.move_on_after(wait_s):
                     await self.request_submitted.wait()
-            self.stalls.record_turn()
+            self.stalls.record_turn(due_at)
             if self.router is not None:
                 now = self.clock.now()
                 self.deliver_actions(self.router.tick(now))
--- a/src/godwitmast/stalls.py
+++ b/src/godwitmast/stalls.py
@@ -1,5 +1,6 @@
-"""A thread that logs where the event loop stands still."""
+"""Logs an event loop that is late, and a thread that logs where it stands still."""
 
+import math
 import sys
 import threading
 import time
@@ -12,6 +13,13 @@
 STALL_S = 3.0
 """A loop that made no turn for this long answers nobody: readiness is asked each second."""
 
+LATE_S = 0.25
+"""Lateness of a turn that is logged: all answers, and the ends of requests whose callers
+have left, are late by as much."""
+
+LATE_INTERVAL_S = 1.0
+"""Shortest time between two such lines."""
+
 
 class StallWatch:
     """Logs the stack of the thread that starts it, once it made no turn for `STALL_S`.
@@ -27,6 +35,7 @@
         self.turned_at = 0.0
         self.turned_cpu_s = 0.0
         self.is_stalled = False
+        self.told_late_at = -math.inf
         self.closed = threading.Event()
         self.thread: threading.Thread | None = None
 
@@ -41,8 +50,10 @@
         if self.thread is not None:
             self.thread.join()
 
-    def record_turn(self) -> None:
-        """Record that the event loop runs."""
+    def record_turn(self, due_at: float | None = None) -> None:
+        """Record that the event loop runs; `due_at` is when it should have come here."""
+        if due_at is not None:
+            self.record_lateness(time.monotonic() - due_at)
         if self.is_stalled:
             self.is_stalled = False
             stalled_s = round(time.monotonic() - self.turned_at, 3)
@@ -50,6 +61,18 @@
         self.turned_at = time.monotonic()
         self.turned_cpu_s = time.process_time()
 
+    def record_lateness(self, late_s: float) -> None:
+        now = time.monotonic()
+        if late_s < LATE_S or now < self.told_late_at + LATE_INTERVAL_S:
+            return
+        self.told_late_at = now
+        log_event(
+            "event_loop_late",
+            level="WARNING",
+            late_s=round(late_s, 3),
+            cpu_s=round(time.process_time() - self.turned_cpu_s, 3),
+        )
+
     def run(self) -> None:
         while not self.closed.wait(self.check_s):
             stalled_s = time.monotonic() - self.turned_at
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -24,7 +24,7 @@
 from godwitmast.errors import PlatformOutcomeUnknown
 from godwitmast.lease.driver import DutyGroup
 from godwitmast.platform_api.group_commit import GroupCommit
-from godwitmast.stalls import StallWatch
+from godwitmast.stalls import LATE_S, StallWatch
 from godwitmast.supervision import (
     FAILURES_TO_TELL,
     STEADY_S,
@@ -243,6 +243,21 @@
     assert len(fields_of(log_lines, "event_loop_goes_on")) == 1
 
 
+def test_late_turn_of_the_event_loop_is_logged_once_a_second(
+    log_lines: list[str],
+) -> None:
+    """Guards against a VM with too little processor time that can't be told from one
+    whose servers are slow."""
+    watch = StallWatch()
+    watch.start()
+    now = time.monotonic()
+    for due_at in (None, now, now - LATE_S, now - 2.0, now - 3.0):
+        watch.record_turn(due_at)
+    watch.close()
+    [line] = [line for line in log_lines if line.startswith("event=event_loop_late")]
+    assert "late_s=0.25" in line and " cpu_s=" in line
+
+
 @pytest.fixture
 async def fleet() -> AsyncIterator[Fleet]:
     async with running(Fleet()) as started:
