A settlement that can't be written holds up no other

Callers would see: charges whose answers an entry has, and whose outcome stays unknown for good (409), after an outage of the table.

Cause: settlements that could not be written at once are written in order, and the first one was tried again until the table takes it. One that it never takes, as its answer is too long, or whose encoding raises, held up all that came after it.

Change: a settlement that can't be written goes behind the others, an exception is logged and counted. They are of different calls, so that their order doesn't matter.

--- a/src/godwitmast/claims/keeper.py
+++ b/src/godwitmast/claims/keeper.py
@@ -24,7 +24,7 @@
 from godwitmast.memory.budget import Holder, MemoryBudget
 from godwitmast.platform_api.client import PlatformClient
 from godwitmast.platform_api.runner import run_steps
-from godwitmast.supervision import keep_running
+from godwitmast.supervision import keep_running, record_task_failure
 
 SETTLE_WAIT_S = 1.0
 """How long an answer to the caller waits until it is stored; later, storing goes on in
@@ -166,14 +166,24 @@
                 pass
 
     async def settle_one(self) -> bool:
-        """Write the oldest settlement; return whether that succeeded."""
+        """Write the oldest settlement; return whether that succeeded.
+
+        One that can't be written goes behind the others: the table may never take it, as
+        its answer is too long.
+        """
         settlement = self.pending[0]
-        if not await run_steps(self.platform, settlement.steps()):
-            settlement.tries += 1
-            return False
-        if self.pending and self.pending[0] is settlement:
+        try:
+            is_written = await run_steps(self.platform, settlement.steps())
+        except Exception as error:
+            record_task_failure("ClaimKeeper.settle_one", error)
+            is_written = False
+        is_first = bool(self.pending) and self.pending[0] is settlement
+        if is_written and is_first:
             self.remove_oldest()
-        return True
+        elif is_first:
+            settlement.tries += 1
+            self.pending.rotate(-1)
+        return is_written
 
 
 def answer_size(settlement: Settlement) -> int:
