Restored fleets: the store tells its epoch from its first answer on

Cause: the fixture started the first VM on a store that tells no epoch, and set the epoch once that VM was ready. If the lease's takeover was on its way just then, the VM learned from its answer that the table has another epoch than the one it took the lease in. It rightly drops such a takeover, and waits for the lease as if another process held it. This test sets the guard time to 60 s, so that nobody held the lease for a minute. A real store tells its epoch in every answer.

Change: the fleet makes its store with the epoch. Only tests change.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -118,10 +118,12 @@
     added: list[Node] = field(default_factory=list)
     fronted: bool = False
     """Whether the first VM reaches the store through `front`, which can flood it."""
+    epoch: int | None = None
+    """The epoch that the store tells from its first answer on, if any."""
 
     async def start(self, tasks: TaskGroup) -> None:
         self.tasks = tasks
-        self.store = StoreStandin()
+        self.store = StoreStandin(epoch=self.epoch)
         await self.store.start(tasks)
         self.front = EndlessFront(self.store.server.port)
         await self.front.start(tasks)
--- a/tests/test_late_duty_calls.py
+++ b/tests/test_late_duty_calls.py
@@ -20,6 +20,7 @@
     PlatformOutcomeUnknown,
     PlatformUnavailable,
 )
+from godwitmast.http_server import Send
 from godwitmast.lease.calls import DutyCall
 from godwitmast.lease.machine import LeaseMachine
 from godwitmast.platform import daemon
@@ -318,6 +319,24 @@
         check_arrivals(fleet.store)
 
 
+async def test_store_of_the_fixture_tells_its_epoch_in_every_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a lease taken before its epoch is known, then free for nobody."""
+    epochs = []
+    respond = StoreStandin.respond
+
+    async def record_epoch(
+        store: StoreStandin, send: Send, status: int, content: bytes
+    ) -> None:
+        epochs.append(store.epoch)
+        await respond(store, send, status, content)
+
+    monkeypatch.setattr(StoreStandin, "respond", record_epoch)
+    async with running(RestoredFleet()):
+        assert set(epochs) == {1}
+
+
 async def test_holder_waits_for_the_answer_to_its_call_and_hands_over_at_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -48,8 +48,8 @@
 
     async def start(self, tasks: Any) -> None:
         self.settings = {"bootstrap": True, **self.settings}
+        self.epoch = 1
         await super().start(tasks)
-        self.store.epoch = 1
         # A VM that first hears of an epoch after a restore can't know of it.
         await self.wait_until(lambda: self.node.store.epoch.current == 1)
 
