A claimed call goes on when its key is withdrawn, and its answer is stored

Callers saw: a charge with an idempotency key ran while its team's key was withdrawn. It got 401, and each repeat, with the new key, 409 at every entry for ever, although its service had answered it.

Cause: a claimed call that was sent goes on without a caller that hangs up or is too slow, as the next try can get nothing but the stored answer. The withdrawal of its key cancelled it all the same.

Change: `Exchange.withdraw_key` treats such a call as one whose caller left. The caller gets 401 at once, the answer is stored, and repeats get it. It goes to no further server: if its attempt turns out not to have been run, its claim is released (second test).

--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -137,7 +137,7 @@
         self.withdrawn[key_hash] = version
         for exchange in list(self.exchanges.values()):
             if exchange.caller and exchange.caller.key_hash == key_hash:
-                exchange.abort(CancelReason.KEY_WITHDRAWN)
+                exchange.withdraw_key()
 
     def end_withdrawn_streams(self) -> None:
         """End streams whose key is withdrawn, expired or past the offline grace."""
@@ -147,7 +147,7 @@
         for exchange in list(self.exchanges.values()):
             caller = exchange.caller
             if caller and not still_granted(self.document, caller, wall, offline_s):
-                exchange.abort(CancelReason.KEY_WITHDRAWN)
+                exchange.withdraw_key()
 
     def stop(self, grace_s: float) -> None:
         """Be unready from now on; open requests end after the grace at the latest."""
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -200,6 +200,7 @@
             self.send = self.outgoing.send
         self.scope = anyio.CancelScope()
         self.mailbox: Mailbox | None = None
+        self.key_withdrawn = anyio.Event()
 
     @property
     def reader(self) -> StreamReader:
@@ -214,6 +215,8 @@
                 async with anyio.create_task_group() as tasks:
                     self.outgoing.start(tasks)
                     tasks.start_soon(self.watch_disconnect)
+                    if self.claimed is not None:
+                        tasks.start_soon(self.watch_key)
                     if self.answer_deadline is not None:
                         tasks.start_soon(self.watch_deadline, self.answer_deadline)
                     await self.serve()
@@ -439,7 +442,7 @@
         """
         while (await self.receive())["type"] != "http.disconnect":
             pass
-        if self.claimed is not None and self.may_have_run:
+        if self.must_store_answer:
             self.send = send_nothing
         # Hypercorn also reports a disconnect at the end of each complete exchange. If
         # that aborted it, a finished answer would count as abandoned and its tokens as
@@ -470,11 +473,32 @@
 
     def end_slow_caller(self) -> None:
         """End the exchange as memory is short; see `watch_disconnect` for claimed calls."""
-        if self.claimed is not None and self.may_have_run:
+        if self.must_store_answer:
             self.send = send_nothing
         else:
             self.abort(CancelReason.CALLER_SLOW)
 
+    def withdraw_key(self) -> None:
+        """Refuse the caller, whose key is no longer valid; see `watch_disconnect`."""
+        if self.must_store_answer:
+            self.key_withdrawn.set()
+        else:
+            self.abort(CancelReason.KEY_WITHDRAWN)
+
+    async def watch_key(self) -> None:
+        """Answer the caller once its key is withdrawn, while its call goes on."""
+        await self.key_withdrawn.wait()
+        if self.answered:
+            return
+        self.error_code = KEY_WITHDRAWN.code
+        send, self.send = self.send, send_nothing
+        await self.frontend.send_error(send, KEY_WITHDRAWN, self.head_sent)
+
+    @property
+    def must_store_answer(self) -> bool:
+        """Whether this is a claimed call that was sent, and goes on without its caller."""
+        return self.claimed is not None and self.may_have_run
+
     def abort(self, reason: CancelReason) -> None:
         """Stop serving, and cancel whatever is in progress."""
         self.abort_reason = reason
@@ -583,6 +607,8 @@
             return False
         if self.claimed is None:
             return True
+        if self.key_withdrawn.is_set():
+            return False
         outcome = await self.claimed.claim()
         if isinstance(outcome, ClaimGranted):
             return True
@@ -917,6 +943,8 @@
             # No byte was sent, or the server says that it did not run the request;
             # only an earlier attempt may have run it.
             self.may_have_run = self.may_have_run_before
+        if self.key_withdrawn.is_set() and not self.may_have_run:
+            self.abort(CancelReason.KEY_WITHDRAWN)
         if kind in (FailureKind.CONNECT, FailureKind.CUT):
             self.driver.record_broken_connection(start.backend_id)
         if kind is not FailureKind.CONNECT:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,13 +1,19 @@
 """Calls that may run at most once, over real sockets."""
 
+import time
+
 import anyio
 import httpx
 import pytest
 from anyio.abc import SocketAttribute, SocketStream
 
+from godwitmast.claims.keeper import SETTLE_WAIT_S
 from godwitmast.dev.document import MODEL, SERVICE, dev_document, dev_key
 from godwitmast.dev.system import DevSystem
+from godwitmast.dispatch.messages import FailureKind, Start
 from godwitmast.entry.claim_answers import header_bytes
+from godwitmast.entry.exchange import Exchange
+from godwitmast.keys.hashing import hash_key
 from raw_server import RawServer, answer_of
 from running import running
 
@@ -217,3 +223,73 @@
     with anyio.fail_after(10):
         while any(entry.follower.version < number for entry in system.entries):
             await anyio.sleep(0.02)
+
+
+async def put_grant(system: DevSystem, **grant: float) -> None:
+    """Publish a configuration with another grant of the key of arima; await it."""
+    urls = [engine.server.url for engine in system.engines]
+    document = dev_document(urls, system.service.server.url)
+    document["keys"][hash_key(dev_key("arima"))] |= grant
+    await version_in_force(system, system.platform.put_config(document))
+
+
+async def test_answer_of_a_call_whose_key_is_withdrawn_meanwhile_is_stored(
+    http: httpx.AsyncClient,
+) -> None:
+    """Guards against a charge that ran, and whose repeats get 409 for ever."""
+    system = DevSystem(entries=2)
+    system.service.faults.work_s = 3.0
+    answers: list[httpx.Response] = []
+
+    async def charge(url: str) -> None:
+        answers.append(await http.post(url, headers=keyed("k1")))
+
+    async with running(system), anyio.create_task_group() as tasks:
+        first, second = charge_urls(system)
+        tasks.start_soon(charge, first)
+        with anyio.fail_after(10):
+            while not system.service.running:
+                await anyio.sleep(0.02)
+        await put_grant(system, expires_at=time.time() - 1.0)
+        with anyio.fail_after(2):
+            while not answers:
+                await anyio.sleep(0.02)
+        assert system.service.running
+        assert answers[0].status_code == 401
+        assert answers[0].headers["godwit-not-run"] == "unknown"
+        await put_grant(system)
+        with anyio.fail_after(10):
+            while system.service.running:
+                await anyio.sleep(0.02)
+        await anyio.sleep(SETTLE_WAIT_S)
+        repeat = await http.post(second, headers=keyed("k1"))
+        assert (repeat.status_code, repeat.json()["number"]) == (200, 1)
+        assert len(system.service.records) == 1
+
+
+async def test_call_of_a_withdrawn_key_is_not_sent_to_another_server(
+    http: httpx.AsyncClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a retry that runs a call after its key was withdrawn, and against
+    a claim of it that stays."""
+    record_failure = Exchange.record_attempt_failure
+
+    def withdraw_first(exchange: Exchange, start: Start, kind: FailureKind) -> None:
+        exchange.withdraw_key()
+        record_failure(exchange, start, kind)
+
+    monkeypatch.setattr(Exchange, "record_attempt_failure", withdraw_first)
+    system = DevSystem()
+    system.service.faults.refuse = 1
+    async with running(system):
+        url = charge_urls(system)[0]
+        answer = await http.post(url, headers=keyed("k1"))
+        assert answer.status_code == 401
+        assert system.service.records == []
+        repeat = await http.post(url, headers=keyed("k1"))
+        with anyio.fail_after(5):
+            while repeat.status_code == 409:
+                await anyio.sleep(0.1)
+                repeat = await http.post(url, headers=keyed("k1"))
+        assert repeat.status_code == 200
+        assert len(system.service.records) == 1
