A forwarded request goes on elsewhere when the VM that serves it stops, fails or is short of memory

Callers saw: their VM reached no server, and another VM served their requests. When that one stopped and its grace ended, a look-up got 502 `stopping` from a VM that wasn't stopping, although a third VM served others meanwhile; when it was short of memory, 503 `memory_short`.

Cause: a refusal of the VM that serves a forwarded request is passed on to the caller, unless it has status 421, which says that the request has not run. A VM that had sent the request to a server could only refuse it for good, whatever the reason; a lack of memory was told as to a caller of its own.

Change: `Exchange.hand_back` also ends a forwarded request at the end of the grace, or after an exception. If the request may have run, the refusal tells how many servers it was sent to (`godwit-attempts-made`), and the VM that forwarded it goes by its own rules: a request that may be repeated goes to another VM with the attempts that are left; a payment is refused as one that may have run. Without memory a forwarded request is not taken (421).

--- a/src/godwitmast/entry/app.py
+++ b/src/godwitmast/entry/app.py
@@ -28,6 +28,7 @@
 from godwitmast.entry.metrics import EntryMetrics, add_memory_metrics
 from godwitmast.entry.refusals import (
     MEMORY_SHORT,
+    NOT_TAKEN,
     ErrorAnswer,
     answer_denial,
     send_json,
@@ -249,6 +250,8 @@
             raise
         finally:
             held_body.close()
+        if error is MEMORY_SHORT and FORWARD_TERMS in scope:
+            error = NOT_TAKEN
         if error is not None:
             await self.frontend.send_error(send, error, False)
 
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -36,6 +36,7 @@
     Stored,
     Unclaimed,
 )
+from godwitmast.decoding import parse_whole_number
 from godwitmast.dispatch.messages import (
     Action,
     CancelReason,
@@ -73,11 +74,17 @@
     NOT_TAKEN,
     ErrorAnswer,
     send_response,
+    with_header,
 )
 from godwitmast.entry.sending import EntryMemory, HeldBytes, Outgoing
 from godwitmast.entry.stream_versions import StreamIdentity, StreamVersions
 from godwitmast.forwarding.peers import Peer
-from godwitmast.forwarding.terms import SERVED_BY_HEADER, ForwardTerms, make_nonce
+from godwitmast.forwarding.terms import (
+    ATTEMPTS_MADE_HEADER,
+    SERVED_BY_HEADER,
+    ForwardTerms,
+    make_nonce,
+)
 from godwitmast.http_server import Receive, Send
 from godwitmast.keys.authorizer import Caller
 from godwitmast.logs import log_event
@@ -121,6 +128,16 @@
         return await mailbox.receive()
 
 
+def attempts_made(failure: AttemptFailed) -> int:
+    """Return to how many servers another VM sent a request that it did not answer.
+
+    One that does not say so may have sent it to a single server.
+    """
+    headers = failure.answer.headers if failure.answer is not None else {}
+    text = headers.get(ATTEMPTS_MADE_HEADER.decode(), "")
+    return max(1, parse_whole_number(text) or 1)
+
+
 def do_nothing() -> None:
     """Default of `Exchange.on_backend_start`."""
 
@@ -241,8 +258,12 @@
                 await self.send_error_answer(KEY_WITHDRAWN)
             case CancelReason.DEADLINE:
                 await self.send_last_answer(RefusalCode.DEADLINE)
+            case CancelReason.STOPPING if self.is_forwarded:
+                await self.hand_back()
             case CancelReason.STOPPING:
                 await self.send_last_answer(RefusalCode.STOPPING)
+            case CancelReason.FAILED if self.is_forwarded and not self.answered:
+                await self.hand_back()
             case CancelReason.FAILED if not self.answered:
                 await self.send_refusal(RefusalCode.INTERNAL)
 
@@ -321,11 +342,13 @@
         return False
 
     async def hand_back(self) -> None:
-        """Tell the VM that forwarded the request that no server can be reached here."""
-        if self.may_have_run or self.head_sent:
-            await self.refuse_failed()
-        else:
+        """Tell the VM that forwarded the request that another one has to serve it."""
+        if not self.may_have_run and not self.head_sent:
             await self.send_error_answer(NOT_TAKEN)
+            return
+        made = (ATTEMPTS_MADE_HEADER, str(self.attempts).encode())
+        self.send = with_header(self.send, made)
+        await self.refuse_failed()
 
     async def forward_to_peer(self, attempts: int | None) -> bool:
         """Have another VM serve the request; return whether the caller is answered.
@@ -357,7 +380,7 @@
                 if failure.kind in (FailureKind.CONNECT, FailureKind.REFUSED):
                     self.may_have_run = self.may_have_run_before
                 elif attempts is not None:
-                    attempts -= 1
+                    attempts = max(0, attempts - attempts_made(failure))
                 if attempts == 0 or (self.may_have_run and not self.spec.idempotent):
                     await self.refuse_failed()
                     return True
@@ -422,6 +445,8 @@
     async def pass_refusal(self, answer: httpx.Response, not_run: bool) -> None:
         """Pass on another VM's refusal; a stream that has begun may go on elsewhere."""
         body = await self.read_body(answer)
+        if ATTEMPTS_MADE_HEADER.decode() in answer.headers:
+            raise AttemptFailed(FailureKind.ERROR, "handed back by another VM")
         if not_run:
             self.may_have_run = self.may_have_run_before
         if self.head_sent and not_run:
--- a/src/godwitmast/entry/forwarding.py
+++ b/src/godwitmast/entry/forwarding.py
@@ -23,6 +23,7 @@
     NOT_TAKEN,
     send_error,
     send_json,
+    with_header,
 )
 from godwitmast.entry.request_parsing import CallerGone, read_body
 from godwitmast.errors import PlatformError
@@ -266,7 +267,9 @@
         if scope["type"] != "http":
             return
         terms, headers = split_terms(scope["headers"])
-        send = with_nonce(send, dict(scope["headers"]).get(NONCE_HEADER))
+        nonce = dict(scope["headers"]).get(NONCE_HEADER)
+        if nonce is not None:
+            send = with_header(send, (NONCE_HEADER, nonce))
         taken = terms is not None and await self.may_take(terms)
         if taken and terms is not None and terms.is_question:
             await send_json(send, 200, {"taken": True})
@@ -296,20 +299,6 @@
         await send_error(send, NOT_TAKEN)
 
 
-def with_nonce(send: Send, nonce: bytes | None) -> Send:
-    """Return a `send` that repeats the nonce of a request in the answer to it."""
-    if nonce is None:
-        return send
-
-    async def send_with_nonce(message: dict[str, Any]) -> None:
-        if message["type"] == "http.response.start":
-            headers = [*message["headers"], (NONCE_HEADER, nonce)]
-            message = {**message, "headers": headers}
-        await send(message)
-
-    return send_with_nonce
-
-
 def forwarding_load(
     load: Callable[[], dict[str, Any]], forwarder: RequestForwarder
 ) -> dict[str, Any]:
--- a/src/godwitmast/entry/refusals.py
+++ b/src/godwitmast/entry/refusals.py
@@ -155,3 +155,14 @@
         {"type": "http.response.start", "status": status, "headers": [*headers, length]}
     )
     await send({"type": "http.response.body", "body": body})
+
+
+def with_header(send: Send, header: tuple[bytes, bytes]) -> Send:
+    """Return a `send` that adds a header to the answer."""
+
+    async def send_with_header(message: dict[str, Any]) -> None:
+        if message["type"] == "http.response.start":
+            message = {**message, "headers": [*message["headers"], header]}
+        await send(message)
+
+    return send_with_header
--- a/src/godwitmast/forwarding/terms.py
+++ b/src/godwitmast/forwarding/terms.py
@@ -19,6 +19,9 @@
 """Names one send of a request; each answer to it repeats the value."""
 SERVED_BY_HEADER = b"godwit-served-by"
 """Names the backend server of an answer that one VM sends to another."""
+ATTEMPTS_MADE_HEADER = b"godwit-attempts-made"
+"""On the refusal of a request that another VM may serve, though it may have run: how
+many servers it was sent to."""
 
 MAX_CONFIG_DIGITS = 19
 """Digits of the largest number of a configuration, which has 64 bits."""
