A repeated SIGTERM cuts no requests of a daemon that stops

Callers saw: a VM got SIGTERM and, half a second later, another one. It ended at once, with exit code 1: a payment that ran was answered with a bare 500, other connections were reset.

Service managers and operators' scripts repeat SIGTERM; SIGKILL is there for those who want an end at once.

Change: while a daemon closes, SIGTERM and SIGHUP change nothing; SIGINT ends it at once, for a terminal.

--- a/src/godwitmast/daemons.py
+++ b/src/godwitmast/daemons.py
@@ -41,7 +41,7 @@
 ) -> int:
     """Run a daemon until SIGTERM or SIGINT, close it, and return the exit code.
 
-    A second signal ends it at once. SIGHUP reloads the settings file; a daemon that
+    Then SIGINT ends it at once; another SIGTERM changes nothing. SIGHUP reloads the settings file; a daemon that
     cannot reload ignores it.
     """
     setup_logs(program, log.level, target)
@@ -67,13 +67,17 @@
                 if isinstance(daemon, Reloadable):
                     daemon.reload()
             async with anyio.create_task_group() as closing_tasks:
-                closing_tasks.start_soon(end_on_second_signal, signals, tasks)
+                closing_tasks.start_soon(end_on_interrupt, signals, tasks)
                 await daemon.close()
                 closing_tasks.cancel_scope.cancel()
             tasks.cancel_scope.cancel()
 
 
-async def end_on_second_signal(signals: object, tasks: TaskGroup) -> None:
+async def end_on_interrupt(signals: object, tasks: TaskGroup) -> None:
+    """End a daemon that is closing on SIGINT, which cuts its open requests.
+
+    Service managers repeat SIGTERM, and a daemon that goes on closing loses nothing.
+    """
     async for signum in signals:  # type: ignore[attr-defined]
-        if signum != signal.SIGHUP:
+        if signum == signal.SIGINT:
             tasks.cancel_scope.cancel()
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -4,6 +4,7 @@
 import os
 import signal
 
+import anyio
 import pytest
 from anyio.abc import TaskGroup
 
@@ -33,3 +34,32 @@
     finally:
         gc.unfreeze()
     assert daemon.frozen_at_close > 0
+
+
+class ClosingDaemon(StoppedDaemon):
+    """A daemon that gets another signal while it closes."""
+
+    def __init__(self, signum: signal.Signals) -> None:
+        self.signum = signum
+        self.is_closed = False
+
+    async def close(self) -> None:
+        os.kill(os.getpid(), self.signum)
+        await anyio.sleep(0.2)
+        self.is_closed = True
+
+
+@pytest.mark.parametrize(
+    "signum, is_closed",
+    [(signal.SIGTERM, True), (signal.SIGHUP, True), (signal.SIGINT, False)],
+)
+async def test_signal_during_the_stop_cuts_no_requests_unless_it_is_an_interrupt(
+    signum: signal.Signals, is_closed: bool
+) -> None:
+    """Guards against requests that a repeated SIGTERM cuts within the grace."""
+    daemon = ClosingDaemon(signum)
+    try:
+        await run_until_signal(lambda: daemon)
+    finally:
+        gc.unfreeze()
+    assert daemon.is_closed == is_closed
