Pools that lost all of their entries are served on for a moment, and their requests wait

Callers saw: all requests of a service got 503 `no_backend` for up to three seconds, though all of its servers ran: their entries had expired, as each was cut off from the store.

Cause: VMs go by the list alone. A pool without an entry has no server, and its requests are refused at once.

Change: `LastServers` keeps the servers of an empty pool, but for those that were leaving, for 0.35 of the time for which a server goes on serving without its entry. Then requests wait for up to 2.5 s from the removal (`was_served_lately`); after that, what waits is refused (`refuse_unserved`), which before waited until its deadline.

--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -49,6 +49,9 @@
 TARGET_RETENTION_S = 60.0
 """How long a class's target counts for a pool after its last request there."""
 
+RETURN_WAIT_S = 2.5
+"""How long requests wait for the servers of a pool once all of them have left the list.
+A server whose entry was removed as it was not heard from is back with its next heartbeat."""
 
 RETAINED_S = MAX_EJECTION_S
 """How long what is known of a server is kept after its entry left the list: an entry also
@@ -445,6 +448,11 @@
         pool."""
         return pool in self.pools
 
+    def was_served_lately(self, pool: str, now: float) -> bool:
+        """Return whether the pool's last server left so lately that it may be back."""
+        view = self.unlisted_pools.get(pool)
+        return view is not None and now < view.unlisted_at + RETURN_WAIT_S
+
     def has_room(self, pool: str, now: float) -> bool:
         """Return whether some server can accept one more request for `pool`."""
         view = self.pools.get(pool)
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -170,7 +170,7 @@
         left_s = self.quarantine_left_s(request, now)
         if left_s is not None:
             return [refuse(request, RefusalCode.QUARANTINED, left_s)]
-        if not self.backends.serves(request.pool):
+        if not self.may_be_served(request.pool, now):
             return [refuse(request, RefusalCode.NO_BACKEND, RETRY_AFTER_S)]
         if self.is_hopeless(request, now):
             after_s = self.retry_after_s(request, now)
@@ -191,6 +191,10 @@
         refusals = self.end_refused(self.admission.offer(request, now), now)
         return [*refusals, *self.start_waiting(now)]
 
+    def may_be_served(self, pool: PoolName, now: float) -> bool:
+        """Return whether a pool has servers, or may have some again soon."""
+        return self.backends.serves(pool) or self.backends.was_served_lately(pool, now)
+
     def server_slots(self, pool: PoolName) -> list[tuple[BackendId, float]]:
         """Return the servers of a pool in rotation, with their slots."""
         view = self.backends.pools.get(pool)
@@ -826,6 +830,7 @@
             self.review_crashes,
             self.count_unexplained_crashes,
             self.refuse_expired,
+            self.refuse_unserved,
             self.check_attempts,
             self.move_evicted,
             self.requeue_due,
@@ -865,6 +870,27 @@
     def refuse_expired(self, now: float) -> list[Action]:
         return self.end_refused(self.admission.refuse_expired(now), now)
 
+    def refuse_unserved(self, now: float) -> list[Action]:
+        """Refuse what waits, and has not run, in pools whose servers did not return."""
+        given_up = {
+            pool
+            for pool in self.backends.unlisted_pools
+            if not self.may_be_served(PoolName(pool), now)
+        }
+        if not given_up:
+            return []
+        actions: list[Action] = []
+        for active in list(self.active_requests.by_id.values()):
+            request = active.request
+            if request.pool not in given_up or request.request_id in self.released:
+                continue
+            if active.attempt_id is not None or active.may_have_run:
+                continue
+            self.remove_from_queues(active)
+            self.end_request(active, now)
+            actions.append(refuse(request, RefusalCode.NO_BACKEND, RETRY_AFTER_S))
+        return actions
+
     def check_attempts(self, now: float) -> list[Action]:
         actions: list[Action] = []
         for active in self.check_queue.pop_due(now):
--- a/src/godwitmast/entry/driver.py
+++ b/src/godwitmast/entry/driver.py
@@ -49,6 +49,7 @@
 from godwitmast.dispatch.retries import RetryBudgets
 from godwitmast.dispatch.router import Router
 from godwitmast.dispatch.router_count import RouterCount
+from godwitmast.entry.last_servers import LastServers
 from godwitmast.logs import log_event
 from godwitmast.stalls import StallWatch
 from godwitmast.supervision import TaskHealth, record_task_failure
@@ -88,6 +89,7 @@
         self.budgets = budgets or RetryBudgets()
         self.announces_suspects = announces_suspects
         self.listed_backends: dict[str, Backend] = {}
+        self.last_servers = LastServers()
         self.evacuated: frozenset[ZoneName] = frozenset()
         """Availability zones that the platform's operators evacuated."""
         self.zone = ZoneName(zone)
@@ -159,6 +161,11 @@
 
     def update_listed_backends(self, listed: dict[str, Backend]) -> None:
         """Replace the servers that registered themselves with the platform."""
+        kept_before = self.last_servers.kept.keys()
+        self.last_servers.update(self.listed_backends, listed, self.clock.now())
+        kept = self.last_servers.kept.keys()
+        if kept != kept_before:
+            log_event("removed_servers_used", servers=",".join(sorted(kept)) or None)
         self.listed_backends = listed
         if self.router is not None:
             self.update_backends()
@@ -210,7 +217,12 @@
         now = self.clock.now()
         closed = self.closed_zones
         self.backends = merge_backends(
-            {**self.document.backends, **self.listed_backends}, self.fleet
+            {
+                **self.document.backends,
+                **self.last_servers.kept,
+                **self.listed_backends,
+            },
+            self.fleet,
         )
         incarnations = {
             BackendId(name): item.incarnation for name, item in self.backends.items()
@@ -551,6 +563,8 @@
             self.stalls.record_turn(due_at)
             if self.router is not None:
                 now = self.clock.now()
+                if self.last_servers.has_expired(now):
+                    self.update_listed_backends(self.listed_backends)
                 self.deliver_actions(self.router.tick(now))
                 self.report_failures()
                 self.report_crashes()
--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -30,6 +30,7 @@
     RequestForwarder,
     forwarding_load,
 )
+from godwitmast.entry.last_servers import LastServers
 from godwitmast.entry.pool_versions import PoolVersions
 from godwitmast.entry.probes import ConnectionProbes
 from godwitmast.entry.refusals import send_json, send_response
@@ -107,6 +108,11 @@
 LATE_USAGE_SHARE = 0.85
 WRITES_PER_WINDOW = 5
 
+KEPT_SHARE = 0.35
+"""Share of the time for which a server goes on serving after its entry was removed, for
+which it is used if its pool has no other. Half of that time may pass until the removal is
+known here; the rest is for requests on their way."""
+
 GATHER_SHARE = 0.4
 """Share of the time within which a leaving server must get no more new requests, for which
 changes are collected into one batch. The first change of a batch is applied at once;
@@ -228,6 +234,7 @@
             announces_suspects=False,
         )
         self.driver.should_poll = lambda backend_id: False
+        self.driver.last_servers = LastServers(bounds.drain_ms / 1000 * KEPT_SHARE)
         self.meter = Meter()
         budget = MemoryBudget(limit_of(settings.limits.memory_mb))
         self.memory = EntryMemory(budget, self.clock)
