What waits in vain for the servers of an empty pool may return after a second

Cause: the time is computed from the rate at which requests were started, which is none while a pool has no servers, and then a default. It says nothing of when the servers are back.

Change: a request that is shed while its pool has no server gets `no_backend`, with a second, as those do that are refused without waiting.

--- a/src/godwitmast/daemons.py
+++ b/src/godwitmast/daemons.py
@@ -41,8 +41,8 @@
 ) -> int:
     """Run a daemon until SIGTERM or SIGINT, close it, and return the exit code.
 
-    Then SIGINT ends it at once; another SIGTERM changes nothing. SIGHUP reloads the settings file; a daemon that
-    cannot reload ignores it.
+    While it closes, SIGINT ends it at once, and another SIGTERM changes nothing. SIGHUP
+    reloads the settings file; a daemon that cannot reload ignores it.
     """
     setup_logs(program, log.level, target)
     try:
--- a/src/godwitmast/dispatch/router.py
+++ b/src/godwitmast/dispatch/router.py
@@ -971,6 +971,14 @@
             active = self.active_requests.by_id.pop(refusal.request_id)
             if active.may_have_run:
                 refusal = without_not_run_claim(refusal)
+            if refusal.code is RefusalCode.SHED and not self.backends.serves(
+                active.request.pool
+            ):
+                # The rate at which requests were started says nothing of the servers'
+                # return.
+                refusal = replace(
+                    refusal, code=RefusalCode.NO_BACKEND, retry_after_s=RETRY_AFTER_S
+                )
             if self.backends.rest_left_s(active.request.pool, now):
                 after_s = self.retry_after_s(active.request, now)
                 told_s = max(after_s, refusal.retry_after_s or 0.0)
--- a/tests/test_last_servers.py
+++ b/tests/test_last_servers.py
@@ -145,6 +145,27 @@
     assert anyio.current_time() < again_at + 0.3
 
 
+async def test_requests_that_wait_in_vain_for_servers_may_return_soon(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against callers that are sent away for longer, the more of them wait."""
+    await remove_entries(fleet)
+    await fleet.wait_until(lambda: not fleet.node.driver.last_servers.kept)
+    answers = []
+
+    async def peek(number: int) -> None:
+        answers.append(
+            await fleet.request(http, "/peek/1", "POST", attempt_id=f"a{number}")
+        )
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(20):
+            tasks.start_soon(peek, number)
+    assert {(a.status_code, a.headers["retry-after"]) for a in answers} == {
+        (503, "1.000")
+    }
+
+
 async def test_draining_server_without_an_entry_gets_no_requests(
     fleet: Fleet, http: httpx.AsyncClient
 ) -> None:
