A VM that stops tries to write its last usage until the end of its grace

Teams' usage was lost: a VM that stopped while the store was away gave up after half a second, also if its requests had ended after 3 s of a grace of 8 s.

Cause: the time for the last usage was a share of the grace that is left after requests that last as long as they may.

The new test of tests/test_platform_path.py failed before.

Change: `NodeWriter.close` gets the time that is left until the same share of the grace as before.

--- a/src/godwitmast/platform/daemon.py
+++ b/src/godwitmast/platform/daemon.py
@@ -103,7 +103,8 @@
 would be lost that its server would have completed in time."""
 
 USAGE_STOP_SHARE = 0.0625
-"""Share of the stop grace period for writing the last usage, after the requests."""
+"""Share of the stop grace period that is left for writing the last usage, after the
+requests. If they end earlier, there is more."""
 
 LATE_USAGE_SHARE = 0.85
 WRITES_PER_WINDOW = 5
@@ -672,6 +673,8 @@
         connection, so that the callers' next requests go to another VM.
         """
         log_event("node_stopping", node=self.settings.node)
+        usage_share = REQUESTS_GRACE_SHARE + USAGE_STOP_SHARE
+        usage_until = self.clock.now() + self.settings.bounds.grace_s * usage_share
         self.app.stop(BALANCER_WAIT_S + self.caller_server.grace_s)
         async with anyio.create_task_group() as closing_tasks:
             closing_tasks.start_soon(self.lease.close)
@@ -680,7 +683,9 @@
         await self.forwarder.close()
         await self.measurements.close()
         await self.relay.close()
-        await self.writer.close()
+        # Requests may have ended long before the grace, while the store is away.
+        left_s = usage_until - self.clock.now()
+        await self.writer.close(max(left_s, self.writer.timing.stop_s))
         await self.crash_reports.close()
         await self.stream_versions.close()
         await self.pool_versions.close()
--- a/src/godwitmast/usage/writer.py
+++ b/src/godwitmast/usage/writer.py
@@ -176,11 +176,14 @@
         row = rows.get(HEAD_KEY)
         return UsageHead(**row.value) if row else None
 
-    async def close(self) -> None:
-        """Write the remaining usage, once no request is running any more."""
+    async def close(self, stop_s: float | None = None) -> None:
+        """Write the remaining usage, once no request is running any more.
+
+        It is tried for `stop_s`, by default that of the timing.
+        """
         self.closing = True
         self.add_early_usage()
-        with anyio.move_on_after(self.timing.stop_s):
+        with anyio.move_on_after(self.timing.stop_s if stop_s is None else stop_s):
             while not await self.flush_last():
                 await anyio.sleep(0.1)
             return
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -721,3 +721,18 @@
             async with anyio.create_task_group() as tasks:
                 for _ in range(4):
                     tasks.start_soon(fleet.request, http, "/peek/1", "POST")
+
+
+async def test_usage_of_a_vm_that_stops_in_an_outage_of_the_store_is_written(
+    fleet: Fleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against usage that is left behind though most of the grace is over unused."""
+    assert (await fleet.request(http, "/pay/1", "POST")).status_code == 200
+    fleet.store.faults.refusal_status = 503
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(fleet.node.close)
+        await anyio.sleep(BALANCER_WAIT_S + 4 * fleet.node.writer.timing.stop_s)
+        fleet.store.faults.refusal_status = None
+    last = fleet.node.writer.journal.last
+    assert last is not None and last.ended
+    assert fleet.node.writer.journal.holds_all
