--- a/src/godwitmast/entry/forwarding.py
+++ b/src/godwitmast/entry/forwarding.py
@@ -267,9 +267,7 @@
         if scope["type"] != "http":
             return
         terms, headers = split_terms(scope["headers"])
-        nonce = dict(scope["headers"]).get(NONCE_HEADER)
-        if nonce is not None:
-            send = with_header(send, (NONCE_HEADER, nonce))
+        send = with_nonce(send, dict(scope["headers"]).get(NONCE_HEADER))
         taken = terms is not None and await self.may_take(terms)
         if taken and terms is not None and terms.is_question:
             await send_json(send, 200, {"taken": True})
@@ -299,6 +297,11 @@
         await send_error(send, NOT_TAKEN)
 
 
+def with_nonce(send: Send, nonce: bytes | None) -> Send:
+    """Return a `send` that repeats the nonce of a request in the answer to it."""
+    return send if nonce is None else with_header(send, (NONCE_HEADER, nonce))
+
+
 def forwarding_load(
     load: Callable[[], dict[str, Any]], forwarder: RequestForwarder
 ) -> dict[str, Any]:
