Servers stay in rotation when the VM itself stood still while it connected to them

Callers waited, or were sent elsewhere, for servers that were sound: a VM that was suspended for 0.4 s took those to which it was connecting for unreachable, and ejected them.

Cause: a connection opens in several turns of the event loop, within 0.3 s. After a longer pause the timer is due before the next turn, however fast the server was. Collections of the workers of the tests pause them for up to 0.6 s.

Change: the time-out is counted in ticks that each begin when the last was seen, so that a pause counts for one tick. The connection probes of a pool use it too. A TLS connection that times out is closed.

--- a/src/godwitmast/backends/transport.py
+++ b/src/godwitmast/backends/transport.py
@@ -32,6 +32,7 @@
 from godwitmast.backends.framing import Framing, framing_of
 from godwitmast.backends.late_answers import LateAnswerFilter, expected_id
 from godwitmast.logs import log_event
+from godwitmast.loop_time import fail_after_loop_time
 
 SocketOptions: TypeAlias = Iterable[tuple[int, int, int]]
 
@@ -300,7 +301,13 @@
         server_hostname: str | None = None,
         timeout: float | None = None,
     ) -> httpcore.AsyncNetworkStream:
-        secured = await self.stream.start_tls(ssl_context, server_hostname, timeout)
+        try:
+            with connect_timeout(timeout):
+                secured = await self.stream.start_tls(ssl_context, server_hostname)
+        except httpcore.ConnectTimeout:
+            # The stream closes itself on other failures only.
+            await self.stream.aclose()
+            raise
         connection = HeadCountingStream(secured, self.network, self.server)
         connection.is_secured = True
         return connection
@@ -394,6 +401,19 @@
         return True
 
 
+@contextmanager
+def connect_timeout(timeout_s: float | None) -> Iterator[None]:
+    """Raise ConnectTimeout once the event loop has run for `timeout_s`.
+
+    A VM that was suspended would otherwise eject the servers to which it was connecting.
+    """
+    try:
+        with fail_after_loop_time(timeout_s):
+            yield
+    except TimeoutError as error:
+        raise httpcore.ConnectTimeout(str(error)) from error
+
+
 class HeadCountingNetwork(httpcore.AsyncNetworkBackend):
     """Opens connections that allow `head_bytes` for the head of an answer.
 
@@ -415,13 +435,13 @@
         local_address: str | None = None,
         socket_options: Iterable[Any] | None = None,
     ) -> httpcore.AsyncNetworkStream:
-        stream = await self.backend.connect_tcp(
-            host,
-            port,
-            timeout=timeout,
-            local_address=local_address,
-            socket_options=socket_options,
-        )
+        with connect_timeout(timeout):
+            stream = await self.backend.connect_tcp(
+                host,
+                port,
+                local_address=local_address,
+                socket_options=socket_options,
+            )
         return HeadCountingStream(stream, self, f"{host}:{port}")
 
     async def sleep(self, seconds: float) -> None:
--- a/src/godwitmast/entry/probes.py
+++ b/src/godwitmast/entry/probes.py
@@ -12,6 +12,7 @@
 from godwitmast.dispatch.connectivity import Connectivity, ProbeOutcome
 from godwitmast.entry.driver import RouterDriver
 from godwitmast.logs import log_event
+from godwitmast.loop_time import fail_after_loop_time
 from godwitmast.types import BackendId, PoolName
 
 SUSPENDED_S = 0.2
@@ -119,16 +120,15 @@
     async def try_connecting(self, backend_id: BackendId) -> ProbeOutcome:
         """Open a connection to a server, and return the outcome."""
         began = self.driver.clock.now()
-        outcome = ProbeOutcome.FAILED
         address = parse_address(self.driver.urls.get(backend_id, ""))
         if address is None:
             return ProbeOutcome.INCONCLUSIVE
-        with anyio.move_on_after(CONNECT_TIMEOUT_S):
-            try:
+        try:
+            with fail_after_loop_time(CONNECT_TIMEOUT_S):
                 await self.connect(*address)
-                outcome = ProbeOutcome.CONNECTED
-            except OSError:
-                outcome = ProbeOutcome.FAILED
+            outcome = ProbeOutcome.CONNECTED
+        except OSError:
+            outcome = ProbeOutcome.FAILED
         took_s = self.driver.clock.now() - began
         if outcome is ProbeOutcome.FAILED and took_s > CONNECT_TIMEOUT_S + SUSPENDED_S:
             outcome = ProbeOutcome.INCONCLUSIVE
--- /dev/null
+++ b/tests/test_loop_time.py
@@ -0,0 +1,122 @@
+"""Connections that a VM opens while its event loop stands still."""
+
+import asyncio
+import ssl
+import time
+from collections.abc import AsyncIterator
+
+import anyio
+import httpx
+import pytest
+import trustme
+from anyio.abc import SocketStream
+
+from fleet import PROMPT, Fleet
+from godwitmast.backends.client import CONNECT_TIMEOUT_S, AttemptFailed, BackendClient
+from godwitmast.dispatch.messages import FailureKind
+from godwitmast.loop_time import TICKS, fail_after_loop_time
+from godwitmast.platform.wire import READY
+from godwitmast.standins.early import EarlyServer, Ending
+from running import running
+from stalled_loop import stall_loop
+
+pytestmark = pytest.mark.anyio
+
+STALL_S = CONNECT_TIMEOUT_S + 0.1
+LAST_TURN = 14
+"""Turns of the loop after which a connection is open, also with TLS, and some more."""
+
+
+@pytest.fixture
+async def client() -> AsyncIterator[BackendClient]:
+    client = BackendClient(tls=ssl._create_unverified_context())
+    yield client
+    await client.close()
+
+
+async def exchange(client: BackendClient, url: str) -> bytes:
+    async with client.exchange("POST", url, "/", [], b"") as answer:
+        return await answer.aread()
+
+
+@pytest.mark.parametrize("is_secured", [False, True], ids=["plain", "TLS"])
+@pytest.mark.parametrize("turn", range(1, LAST_TURN, 2))
+async def test_connection_that_was_opening_as_the_loop_stood_still_is_used(
+    client: BackendClient, turn: int, is_secured: bool
+) -> None:
+    """Guards against servers that are ejected because the VM itself was suspended."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    trustme.CA().issue_cert("127.0.0.1").configure_cert(context)
+    server = EarlyServer(Ending.READ_ON, tls=context if is_secured else None)
+    async with anyio.create_task_group() as tasks:
+        await server.start(tasks)
+        scheme = "https" if is_secured else "http"
+        with stall_loop(STALL_S, turn):
+            answer = await exchange(client, f"{scheme}://127.0.0.1:{server.port}")
+        tasks.cancel_scope.cancel()
+    assert answer == b"a part"
+
+
+async def test_server_that_does_not_secure_its_connection_is_left_in_time(
+    client: BackendClient,
+) -> None:
+    """Guards against connections that stay open once their request went elsewhere."""
+    ended = anyio.Event()
+
+    async def read(caller: SocketStream) -> None:
+        async with caller:
+            async for _ in caller:
+                pass
+        ended.set()
+
+    async with anyio.create_task_group() as tasks:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        tasks.start_soon(listener.serve, read)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        began_at = time.monotonic()
+        with pytest.raises(AttemptFailed) as failure:
+            await exchange(client, f"https://127.0.0.1:{port}")
+        assert failure.value.kind is FailureKind.CONNECT
+        assert time.monotonic() >= began_at + CONNECT_TIMEOUT_S
+        with anyio.fail_after(5):
+            await ended.wait()
+        tasks.cancel_scope.cancel()
+
+
+async def test_pauses_count_for_a_tick_at_most() -> None:
+    turns = 0
+    with pytest.raises(TimeoutError), fail_after_loop_time(0.12):
+        while True:
+            await asyncio.sleep(0.001)
+            time.sleep(0.06)
+            turns += 1
+    assert turns >= TICKS - 1
+
+
+async def test_servers_stay_in_rotation_as_their_vm_stands_still(
+    http: httpx.AsyncClient,
+) -> None:
+    """Guards against requests that wait for servers that were sound all along."""
+    fleet = Fleet()
+    async with running(fleet):
+        await fleet.configure(2)
+        # Closes each connection, so that each request opens one.
+        server = EarlyServer(Ending.READ_ON, wait_s=0.0)
+        await server.start(fleet.tasks)
+        for replica in fleet.replicas:
+            replica.port = server.port
+            replica.publish_row(READY)
+        driver = fleet.node.driver
+
+        def all_moved() -> bool:
+            ports = {httpx.URL(url).port for url in driver.urls.values()}
+            return ports == {server.port}
+
+        await fleet.wait_until(all_moved)
+        assert driver.router is not None
+        for turn in range(2, 36, 3):
+            with stall_loop(STALL_S, turn):
+                answer = await fleet.request(http, "/peek/1", "POST", **PROMPT)
+            assert answer.status_code == 200
+            states = driver.router.backends.states.values()
+            assert all(state.health.is_in_rotation() for state in states)
