Tests: what pytest collects is exempt from garbage collections

Tests with bounds of a few tenths of a second failed now and then beside load, without a line in the log that told why.

Cause: a full collection visits all of some 3,100 tests and their modules in each worker, and its event loop stands still meanwhile.

That such a pause caused an entry of KNOWN-RED.txt isn't shown.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures that several test modules share."""
 
+import gc
 from collections.abc import AsyncIterator, Iterator
 from pathlib import Path
 
@@ -17,6 +18,12 @@
 check_times.PHASE_S = 0.0
 
 
+def pytest_collection_finish() -> None:
+    """Exempt all tests from garbage collections, which would delay event loops."""
+    gc.collect()
+    gc.freeze()
+
+
 @pytest.fixture
 def anyio_backend() -> str:
     """Run tests on asyncio, as Hypercorn and websockets do."""
