Usage that is left behind is logged with the time for which it was tried

A comment on the wait for returning servers no longer names a heartbeat, whose length is a setting, and `attempts_made` drops a bound that held anyway.

--- a/src/godwitmast/dispatch/backends.py
+++ b/src/godwitmast/dispatch/backends.py
@@ -51,7 +51,7 @@
 
 RETURN_WAIT_S = 2.5
 """How long requests wait for the servers of a pool once all of them have left the list.
-A server whose entry was removed as it was not heard from is back with its next heartbeat."""
+Servers that could not reach the platform for a moment are listed again soon after it."""
 
 RETAINED_S = MAX_EJECTION_S
 """How long what is known of a server is kept after its entry left the list: an entry also
--- a/src/godwitmast/entry/exchange.py
+++ b/src/godwitmast/entry/exchange.py
@@ -135,7 +135,7 @@
     """
     headers = failure.answer.headers if failure.answer is not None else {}
     text = headers.get(ATTEMPTS_MADE_HEADER.decode(), "")
-    return max(1, parse_whole_number(text) or 1)
+    return parse_whole_number(text) or 1
 
 
 def do_nothing() -> None:
--- a/src/godwitmast/usage/writer.py
+++ b/src/godwitmast/usage/writer.py
@@ -183,12 +183,15 @@
         """
         self.closing = True
         self.add_early_usage()
-        with anyio.move_on_after(self.timing.stop_s if stop_s is None else stop_s):
+        tried_s = self.timing.stop_s if stop_s is None else stop_s
+        with anyio.move_on_after(tried_s):
             while not await self.flush_last():
                 await anyio.sleep(0.1)
             return
         unwritten = sum(len(sums) for sums in self.journal.segments.values())
-        log_event("usage_left", level="ERROR", sums=unwritten)
+        log_event(
+            "usage_left", level="ERROR", sums=unwritten, tried_s=round(tried_s, 3)
+        )
 
     async def flush_last(self) -> bool:
         """Write the last row; return whether the table now has it."""
