Streams are found by a VM that stood still while it looked for them

Callers that took a stream up got 503 `stream_unknown`, though its row was there: the VM was suspended for longer than the 0.8 s of the look-up, and gave up on its first turn. In the same way a VM went on with its own streams without the confirmation of the list, for which it waits 0.4 s: the servers may have a newer version by then.

Cause: both waits were timed by the clock, whatever the loop did meanwhile.

Change: both waits leave pauses out (`fail_after_loop_time`).

--- a/src/godwitmast/entry/stream_versions.py
+++ b/src/godwitmast/entry/stream_versions.py
@@ -13,6 +13,7 @@
 
 import math
 from collections.abc import Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -27,6 +28,7 @@
 from godwitmast.entry.pool_versions import PoolVersions
 from godwitmast.errors import PlatformError
 from godwitmast.logs import log_event
+from godwitmast.loop_time import fail_after_loop_time
 from godwitmast.platform_api.confirmation import Confirmation
 from godwitmast.platform_api.messages import Written
 from godwitmast.platform_api.port import Table
@@ -230,7 +232,7 @@
         key = stream_key(team, attempt_id)
         check = ListCheck()
         found: FoundVersion | None = None
-        with anyio.move_on_after(FIND_S):
+        with suppress(TimeoutError), fail_after_loop_time(FIND_S):
             while (found := await self.look_up(key, pool, check)) is None:
                 await anyio.sleep(FIND_INTERVAL_S)
         self.lookups.labels(found.source if found else "unknown").inc()
@@ -279,7 +281,7 @@
         again under their ids with another version make a difference to it.
         """
         if self.confirmation is not None and self.confirmation.is_overdue:
-            with anyio.move_on_after(OWN_CONFIRM_S):
+            with suppress(TimeoutError), fail_after_loop_time(OWN_CONFIRM_S):
                 await self.confirm_list(check)
 
     async def confirm_list(self, check: ListCheck) -> bool:
--- a/tests/test_loop_time.py
+++ b/tests/test_loop_time.py
@@ -1,4 +1,4 @@
-"""Connections that a VM opens while its event loop stands still."""
+"""Short time-outs of a VM whose event loop stands still."""
 
 import asyncio
 import ssl
@@ -14,9 +14,12 @@
 from fleet import PROMPT, Fleet
 from godwitmast.backends.client import CONNECT_TIMEOUT_S, AttemptFailed, BackendClient
 from godwitmast.dispatch.messages import FailureKind
+from godwitmast.entry.stream_versions import FIND_S, OWN_CONFIRM_S, ListCheck
 from godwitmast.loop_time import TICKS, fail_after_loop_time
 from godwitmast.platform.wire import READY
+from godwitmast.platform_api.confirmation import Confirmation
 from godwitmast.standins.early import EarlyServer, Ending
+from mixed_fleet import MixedFleet
 from running import running
 from stalled_loop import stall_loop
 
@@ -120,3 +123,48 @@
             assert answer.status_code == 200
             states = driver.router.backends.states.values()
             assert all(state.health.is_in_rotation() for state in states)
+
+
+@pytest.fixture
+async def mixed_fleet() -> AsyncIterator[MixedFleet]:
+    async with running(MixedFleet()) as fleet:
+        yield fleet
+
+
+async def test_stream_is_found_by_a_vm_that_stood_still(
+    mixed_fleet: MixedFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against streams that are refused, as the time for the look-up ran out while
+    the VM was suspended."""
+    fleet = mixed_fleet
+    await fleet.wait_until(
+        lambda: all(node.relay.batches_writes for node in fleet.nodes)
+    )
+    url = fleet.url + "/chat/1"
+    async with http.stream("GET", url, headers=fleet.headers("s1")) as answer:
+        await anext(answer.aiter_raw())
+    [begun] = fleet.streams()
+    # The stream's row isn't written yet.
+    asyncio.get_running_loop().call_later(0.1, time.sleep, FIND_S + 0.1)
+    answer = await fleet.resume(http, fleet.nodes[1], "1", "s1")
+    assert answer.status_code == 200
+    assert {engine.version for engine in fleet.streams()} == {begun.version}
+
+
+async def test_list_is_confirmed_for_own_streams_of_a_vm_that_stood_still(
+    mixed_fleet: MixedFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against streams that go on without a look at the list."""
+    streams = mixed_fleet.node.stream_versions
+
+    async def confirm_late() -> bool:
+        await anyio.sleep(0.1)
+        await anyio.sleep(0.01)
+        return True
+
+    monkeypatch.setattr(Confirmation, "is_overdue", True)
+    monkeypatch.setattr(streams.confirmation, "up_to_now", confirm_late)
+    asyncio.get_running_loop().call_later(0.05, time.sleep, OWN_CONFIRM_S + 0.1)
+    check = ListCheck()
+    await streams.confirm_overdue_list(check)
+    assert check.confirmed
