Answers are not cut because the VM itself stood still

Callers that read as fast as they could got answers that broke off: memory was short, and their VM had been suspended for 0.4 or 1 s.

Cause: a caller yields if bytes have waited for 0.2 s for it, and it would take half a second for them at its rate. The VM's pause counted for both, and made the rate from before it count less (`slow_caller_ended waited_s=1.04766 left_s=33.0005`).

Change: how long answers wait is told by a clock that follows the event loop while any answer waits, and of which a pause counts for 0.1 s at most. Callers who have stopped reading are still ended; a test shows it after a pause.

--- a/src/godwitmast/entry/sending.py
+++ b/src/godwitmast/entry/sending.py
@@ -16,6 +16,7 @@
 from godwitmast.dispatch.messages import RequestSpec
 from godwitmast.http_server import SEND_BUFFER_BYTES, Send
 from godwitmast.logs import log_event
+from godwitmast.loop_time import LoopClock
 from godwitmast.memory.budget import Holder, MemoryBudget
 from godwitmast.memory.callers import CallerFlow, choose_yielding
 
@@ -43,7 +44,8 @@
         self, budget: MemoryBudget | None = None, clock: Clock | None = None
     ) -> None:
         self.budget = budget or MemoryBudget()
-        self.clock = clock or SystemClock()
+        # A pause of this VM makes no caller slow.
+        self.clock = LoopClock(clock or SystemClock())
         self.waiting: dict[int, Outgoing] = {}
         """Answers of which bytes wait for their callers."""
         self.ended_callers = 0
@@ -56,6 +58,9 @@
     def is_bounded(self) -> bool:
         return self.budget.limit is not None
 
+    def has_waiting(self) -> bool:
+        return bool(self.waiting)
+
     def charge(self, holder: Holder, count: int) -> None:
         """Count bytes that are held already."""
         self.budget.charge(holder, count)
@@ -218,6 +223,7 @@
         self.memory.charge(Holder.ANSWER, size)
         self.flow.record_arrival(size, self.memory.clock.now())
         self.memory.waiting[id(self)] = self
+        self.memory.clock.follow(self.memory.has_waiting)
         self.queue.append(message)
         self.is_busy = True
         self.arrived.set()
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -1,5 +1,6 @@
 """Callers that read slowly or not at all, against a VM with a memory budget."""
 
+import time
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
 
@@ -8,7 +9,9 @@
 import pytest
 
 from fleet import OTHER_KEY, Fleet, config_of, route
-from godwitmast.memory.budget import READ_AHEAD_SHARE, Holder
+from godwitmast.entry.sending import EntryMemory, Message, Outgoing
+from godwitmast.memory.budget import READ_AHEAD_SHARE, Holder, MemoryBudget
+from godwitmast.memory.callers import SLOW_AFTER_S
 from partition import Cut
 from running import running
 from slow_callers import SlowCaller
@@ -18,6 +21,8 @@
 
 LARGE = 3_000_000
 
+BODY = "http.response.body"
+
 OTHER = f"Bearer {OTHER_KEY}"
 """Key of another team than that of the slow callers."""
 
@@ -238,6 +243,41 @@
     assert again.status_code == 200
 
 
+async def test_caller_is_not_slow_because_the_vm_stood_still() -> None:
+    """Guards against answers that are cut as their VM, not their caller, was suspended."""
+    memory = EntryMemory(MemoryBudget(LARGE))
+
+    async def send(message: Message) -> None:
+        await anyio.sleep(0.001)
+
+    async with anyio.create_task_group() as tasks:
+        caller = Outgoing("a1", send, memory, lambda: None)
+        caller.start(tasks)
+        body = b"x" * (LARGE // 3)
+        for _ in range(3):
+            caller.enqueue({"type": BODY, "body": body, "more_body": True}, len(body))
+            time.sleep(2 * SLOW_AFTER_S)
+            assert not memory.end_slowest()
+        await caller.flush()
+        assert (memory.budget.total, memory.ended_callers) == (0, 0)
+        tasks.cancel_scope.cancel()
+
+
+async def test_caller_that_takes_nothing_is_slow_after_pauses_too() -> None:
+    """Guards against pauses that keep a VM from ending callers who have stopped reading."""
+    memory = EntryMemory(MemoryBudget(LARGE))
+
+    async with anyio.create_task_group() as tasks:
+        caller = Outgoing("a1", lambda _: anyio.sleep_forever(), memory, lambda: None)
+        caller.start(tasks)
+        caller.enqueue({"type": BODY, "body": b"x" * LARGE, "more_body": True}, LARGE)
+        time.sleep(2 * SLOW_AFTER_S)
+        with anyio.fail_after(5):
+            while not memory.end_slowest():
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+
+
 async def test_metrics_show_what_is_held(fleet: Fleet, http: httpx.AsyncClient) -> None:
     async with SlowCaller(fleet.node.caller_server.port, "/peek/1"):
         await fleet.wait_until(lambda: held(fleet) > LARGE / 2)
