--- a/tests/test_forwarded_requests.py
+++ b/tests/test_forwarded_requests.py
@@ -7,9 +7,10 @@
 import httpx
 import pytest
 
+from fleet import OTHER_KEY
 from partition import Cut
 from running import running
-from test_unreachable_servers import Callers, VmFleet, assert_served, text_of
+from test_unreachable_servers import ROUTES, Callers, VmFleet, assert_served, text_of
 
 pytestmark = pytest.mark.anyio
 
@@ -130,3 +131,22 @@
         for _ in range(3):
             await assert_served(callers, [node])
         monkeypatch.undo()
+
+
+async def test_forwarded_requests_of_a_withdrawn_key_are_ended(
+    fleet: VmFleet, http: httpx.AsyncClient
+) -> None:
+    """Guards against requests that outlive their key as two VMs serve them."""
+    for node in fleet.nodes:
+        node.app.ends_withdrawn_streams = True
+    async with forwarded_requests(fleet, http, 2, work_s=4.0) as answers:
+        tenants = [{"name": "couva", "apiKeys": [OTHER_KEY]}]
+        await fleet.configure(3, routes=ROUTES, tenants=tenants)
+        with anyio.fail_after(2):
+            while any(len(received) < 2 for received in answers.values()):
+                await anyio.sleep(0.02)
+    await fleet.wait_until(lambda: not any(r.running for r in fleet.replicas))
+    for received in answers.values():
+        found = {(a.status_code, a.headers["godwit-not-run"]) for a in received}
+        assert found == {(401, "unknown")}
+    assert len(ran(fleet, "/pay/1")) == len(set(ran(fleet, "/pay/1")))
